Lay the workspace: packages, checks and the words of the decisions

Cause: everything later needs one frame: packages in dependency order, one way to build, lint and test, and the value types that decisions and coordination speak in. Ruled out: one CMakeLists a package (each new package would repeat the test wiring); an initializer list constructor for selector (ambiguous with its copy under g++ 12, so it has require()).

--- /dev/null
+++ b/control/src/placeholder.cpp
@@ -0,0 +1,1 @@
+namespace pearhaven {}
--- /dev/null
+++ b/coordination/include/pearhaven/coordination/peer_message.hpp
@@ -0,0 +1,161 @@
+#ifndef PEARHAVEN_COORDINATION_PEER_MESSAGE_HPP
+#define PEARHAVEN_COORDINATION_PEER_MESSAGE_HPP
+
+#include "pearhaven/decision/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pearhaven::coordination {
+
+// Names one life of one router process: unique over restarts, drawn at start.
+using incarnation_id = std::string;
+
+enum class member_state : std::uint8_t { alive, suspect, leaving, dead };
+
+// What a router knows of a router. Of two records of one incarnation the one with the higher
+// `sequence` wins; at equal sequence the worse state wins.
+struct member {
+    incarnation_id id;
+    std::string host; // address that peers connect to, without the port
+    std::uint16_t peer_port = 0;
+    std::uint16_t operator_port = 0;
+    std::string zone;           // availability zone
+    std::uint64_t sequence = 0; // raised by the member itself to refute a suspicion
+    member_state state = member_state::alive;
+    std::uint64_t config_revision = 0;
+
+    friend bool operator==(const member&, const member&) = default;
+};
+
+// One object of the configuration as it is stored: its body is canonical JSON, empty when deleted.
+struct config_object {
+    std::string kind;
+    std::string name;
+    std::string body;
+
+    friend bool operator==(const config_object&, const config_object&) = default;
+};
+
+// One accepted change: all its objects come into force together, as this revision.
+struct config_change {
+    std::uint64_t revision = 0;
+    std::string write_id;
+    std::string author;
+    std::uint64_t unix_ms = 0; // author's wall clock, for people only
+    std::vector<config_object> objects;
+
+    friend bool operator==(const config_change&, const config_change&) = default;
+};
+
+// The whole configuration at a revision, for routers that are too far behind for single changes.
+struct config_snapshot {
+    std::uint64_t revision = 0;
+    std::vector<config_object> objects;
+
+    friend bool operator==(const config_snapshot&, const config_snapshot&) = default;
+};
+
+// One finished request to be paid for. Bills are folded by `request`: two of one request count
+// once.
+struct bill {
+    std::string request;
+    std::string team;
+    std::string version; // version name, or services/NAME
+    std::string endpoint;
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t completion_tokens = 0;
+    std::uint64_t spent_tokens = 0; // tokens of attempts that gave no answer (escalation, retries)
+    double cost = 0.0;
+
+    friend bool operator==(const bill&, const bill&) = default;
+};
+
+// Liveness question; `target` is set when it is asked on behalf of another router.
+struct probe {
+    std::uint64_t nonce = 0;
+    incarnation_id target;
+    std::vector<member> updates;
+    friend bool operator==(const probe&, const probe&) = default;
+};
+
+struct probe_reply {
+    std::uint64_t nonce = 0;
+    std::vector<member> updates;
+    friend bool operator==(const probe_reply&, const probe_reply&) = default;
+};
+
+// Asks a peer for every change after the revision, and for how fresh its knowledge is.
+struct config_pull {
+    std::uint64_t nonce = 0;
+    std::uint64_t revision = 0;
+    friend bool operator==(const config_pull&, const config_pull&) = default;
+};
+
+// `age` is the time since the sender's knowledge was last confirmed by the store, counted from the
+// start of that confirmation. `store_reachable` is false while the sender cannot read the store.
+struct config_update {
+    std::uint64_t nonce = 0;
+    std::uint64_t revision = 0;
+    decision::duration age{};
+    bool store_reachable = false;
+    std::vector<config_change> changes;
+    std::vector<config_snapshot> snapshot; // empty, or one
+    friend bool operator==(const config_update&, const config_update&) = default;
+};
+
+// A copy of bills that the owner could not yet write to the store.
+struct bill_copy {
+    incarnation_id owner;
+    std::uint64_t page = 0;
+    std::vector<bill> bills;
+    friend bool operator==(const bill_copy&, const bill_copy&) = default;
+};
+
+struct bill_copy_ack {
+    incarnation_id owner;
+    std::uint64_t page = 0;
+    friend bool operator==(const bill_copy_ack&, const bill_copy_ack&) = default;
+};
+
+// The owner's pages up to and including this one are in the store: copies may go.
+struct bill_copy_drop {
+    incarnation_id owner;
+    std::uint64_t page = 0;
+    friend bool operator==(const bill_copy_drop&, const bill_copy_drop&) = default;
+};
+
+enum class fact_kind : std::uint8_t {
+    endpoint_leaving,    // subject: endpoint address
+    request_quarantined, // subject: request fingerprint
+    request_suspect,     // subject: request fingerprint
+    version_tripped,     // subject: version name
+    exposure_spent,      // subject: rollout name
+};
+
+// A small statement that every router should soon know. Of two facts of the same kind, subject and
+// author the one with the higher `sequence` holds. Facts are forgotten `time_to_live` after
+// arrival.
+struct fact {
+    fact_kind kind = fact_kind::endpoint_leaving;
+    std::string subject;
+    incarnation_id author;
+    std::uint64_t sequence = 0;
+    double value = 0.0;
+    decision::duration time_to_live{};
+    friend bool operator==(const fact&, const fact&) = default;
+};
+
+struct fact_push {
+    std::vector<fact> facts;
+    friend bool operator==(const fact_push&, const fact_push&) = default;
+};
+
+using peer_message = std::variant<probe, probe_reply, config_pull, config_update, bill_copy,
+                                  bill_copy_ack, bill_copy_drop, fact_push>;
+
+} // namespace pearhaven::coordination
+
+#endif
--- /dev/null
+++ b/decision/include/pearhaven/decision/configuration.hpp
@@ -0,0 +1,195 @@
+#ifndef PEARHAVEN_DECISION_CONFIGURATION_HPP
+#define PEARHAVEN_DECISION_CONFIGURATION_HPP
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace pearhaven::decision {
+
+// Name and value pairs that operators attach to objects, and by which selectors find them.
+using labels = std::map<std::string, std::string>;
+
+// Chooses objects by their labels. Every required label must be there with one of its listed
+// values. A selector without requirements matches every object; `nothing()` matches none.
+class selector {
+public:
+    selector() = default;
+
+    static selector nothing();
+
+    // A copy that also requires the label to have one of the values.
+    [[nodiscard]] selector require(std::string label, std::vector<std::string> values) const;
+
+    [[nodiscard]] bool matches(const labels& candidate) const;
+    [[nodiscard]] const std::map<std::string, std::vector<std::string>>& requirements() const
+    {
+        return this->requirements_map;
+    }
+
+    friend bool operator==(const selector&, const selector&) = default;
+
+private:
+    std::map<std::string, std::vector<std::string>> requirements_map;
+    bool matches_nothing = false;
+};
+
+// A customer: who calls, what share of the engines it is due, and which versions it may use.
+struct team {
+    std::string name;
+    labels tags;
+    std::vector<std::string>
+        key_sha256;      // lower-case hexadecimal digests of the accepted bearer keys
+    double weight = 1.0; // share under contention, relative to the other teams
+    selector versions = selector::nothing();
+    std::uint32_t max_in_flight = 256; // requests of the team that one router holds at a time
+
+    friend bool operator==(const team&, const team&) = default;
+};
+
+// One version of a model. Its tags always hold `model` and `version` beside the operators' labels.
+struct version {
+    std::string name;
+    labels tags;
+    std::string model;
+    std::string fallback;   // version that takes over after an automatic roll-back; may be empty
+    bool withdrawn = false; // a withdrawn version receives no new work
+    double cost_per_token = 1.0; // in the operators' unit of cost
+    std::uint32_t traffic = 100; // relative share of new sessions among the allowed versions
+
+    friend bool operator==(const version&, const version&) = default;
+};
+
+// Engines that serve the selected versions. The hosts come from the platform's host list.
+struct pool {
+    std::string name;
+    labels tags;
+    selector hosts = selector::nothing();
+    selector versions = selector::nothing();
+    std::uint32_t slots_per_host = 16; // requests offered to one endpoint at a time
+    double long_share = 0.5;           // largest share of an endpoint's slots held by long work
+    bool checks_fencing = true; // whether the endpoints refuse orders with an old fencing number
+
+    friend bool operator==(const pool&, const pool&) = default;
+};
+
+// A plain service beside the engines, reached at /services/NAME/.
+struct service {
+    std::string name;
+    labels tags;
+    selector hosts = selector::nothing();
+    selector teams; // teams that may call it; by default all
+    bool idempotent = false;
+    std::vector<std::string>
+        idempotent_methods; // methods that may be repeated whatever `idempotent` says
+
+    friend bool operator==(const service&, const service&) = default;
+};
+
+// A staged move of a model's traffic from one version to another.
+struct rollout {
+    std::string name;
+    std::string from;
+    std::string to;
+    std::vector<std::uint32_t>
+        step_callers;                // callers granted at each step; after the last: all traffic
+    std::uint32_t step_seconds = 60; // shortest stay on a step
+    double max_error_rate = 0.05;    // guard: error rate that counts as bad
+    double base_error_rate = 0.01;   // guard: error rate of a good version
+    bool paused = false;
+
+    friend bool operator==(const rollout&, const rollout&) = default;
+};
+
+// Where a cheap version may answer in place of a costly one.
+struct cascade {
+    std::string name;
+    std::string model; // the name callers ask for
+    selector teams;
+    std::string cheap; // version names
+    std::string costly;
+    double quality_target = 0.9; // share of answers that must be rated good, 0 to 1
+
+    friend bool operator==(const cascade&, const cascade&) = default;
+};
+
+// Everything the operators have stated, at one revision. Immutable once built; shared by count.
+class configuration : public boost::intrusive_ref_counter<configuration> {
+public:
+    [[nodiscard]] std::uint64_t revision() const { return this->revision_number; }
+    [[nodiscard]] const std::map<std::string, team>& teams() const { return this->team_map; }
+    [[nodiscard]] const std::map<std::string, version>& versions() const
+    {
+        return this->version_map;
+    }
+    [[nodiscard]] const std::map<std::string, pool>& pools() const { return this->pool_map; }
+    [[nodiscard]] const std::map<std::string, service>& services() const
+    {
+        return this->service_map;
+    }
+    [[nodiscard]] const std::map<std::string, rollout>& rollouts() const
+    {
+        return this->rollout_map;
+    }
+    [[nodiscard]] const std::map<std::string, cascade>& cascades() const
+    {
+        return this->cascade_map;
+    }
+
+    // Session key numbers, newest first. The newest seals new tokens; all of them open old ones.
+    [[nodiscard]] const std::vector<std::uint32_t>& session_keys() const
+    {
+        return this->session_key_list;
+    }
+
+    // Null where no team holds the key.
+    [[nodiscard]] const team* find_team_by_key(std::string_view key_sha256) const;
+    [[nodiscard]] const version* find_version(std::string_view name) const;
+
+    // Whether the team may send new work to the version: its selector matches and it is not
+    // withdrawn.
+    [[nodiscard]] bool allows(const team& caller, const version& candidate) const;
+
+private:
+    friend class configuration_builder;
+
+    std::uint64_t revision_number = 0;
+    std::map<std::string, team> team_map;
+    std::map<std::string, version> version_map;
+    std::map<std::string, pool> pool_map;
+    std::map<std::string, service> service_map;
+    std::map<std::string, rollout> rollout_map;
+    std::map<std::string, cascade> cascade_map;
+    std::vector<std::uint32_t> session_key_list = {1};
+    std::map<std::string, std::string, std::less<>> team_by_key;
+};
+
+using configuration_ptr = boost::intrusive_ptr<const configuration>;
+
+// Collects objects and makes the immutable configuration. The builder is spent by `build`.
+class configuration_builder {
+public:
+    configuration_builder& revision(std::uint64_t number);
+    configuration_builder& add(team object);
+    configuration_builder& add(version object);
+    configuration_builder& add(pool object);
+    configuration_builder& add(service object);
+    configuration_builder& add(rollout object);
+    configuration_builder& add(cascade object);
+    configuration_builder& session_keys(std::vector<std::uint32_t> newest_first);
+    [[nodiscard]] configuration_ptr build();
+
+private:
+    boost::intrusive_ptr<configuration> product{new configuration};
+};
+
+} // namespace pearhaven::decision
+
+#endif
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Configures and builds everything below build/ (or $PEARHAVEN_BUILD).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${PEARHAVEN_BUILD:-build}
+cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+cmake --build "$build"
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Installs, builds, checks format and lint, and runs all tests through CTest.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+export PEARHAVEN_BUILD=${PEARHAVEN_BUILD:-build}
+scripts/packages.sh
+scripts/build.sh
+scripts/lint.sh
+scripts/check_sample.sh
+ctest --test-dir "$PEARHAVEN_BUILD" --output-on-failure --no-tests=error -j 4
