Write down the interfaces at the edges and the adapters' ports

Cause: packages are built side by side; the contracts between them have to stand first. Ruled out: one shared mock of all of the platform (a fault in it would hide in every test). Measured: nothing yet.

--- /dev/null
+++ b/adapters/include/pearhaven/adapters/log.hpp
@@ -0,0 +1,28 @@
+#ifndef PEARHAVEN_ADAPTERS_LOG_HPP
+#define PEARHAVEN_ADAPTERS_LOG_HPP
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace pearhaven::adapters {
+
+enum class log_format { text, json };
+
+// Chooses the format of the process's log, which goes to standard error. Called once, at start.
+// `process` names this process in each line.
+void start_log(log_format format, const std::string& process);
+
+using log_field = std::pair<std::string_view, std::string>;
+
+// A change of state worth a line: something began, ended or was lost. Not for single requests,
+// those are counted. Secrets must not be among the fields.
+void log_change(std::string_view event, std::initializer_list<log_field> fields);
+
+// Like log_change, for changes that an operator should look at.
+void log_warning(std::string_view event, std::initializer_list<log_field> fields);
+
+} // namespace pearhaven::adapters
+
+#endif
