--- /dev/null
+++ b/adapters/src/log.cpp
@@ -0,0 +1,64 @@
+#include "pearhaven/adapters/log.hpp"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace pearhaven::adapters {
+
+namespace {
+
+log_format chosen_format = log_format::text;
+
+std::string text_line(std::string_view event, std::initializer_list<log_field> fields)
+{
+    std::string line(event);
+    for (const auto& [name, value] : fields) {
+        line.append(" ").append(name).append("=").append(value);
+    }
+    return line;
+}
+
+std::string json_fields(std::string_view event, std::initializer_list<log_field> fields)
+{
+    nlohmann::json line = {{"event", event}};
+    for (const auto& [name, value] : fields) {
+        line[std::string(name)] = value;
+    }
+    constexpr int compact = -1;
+    auto text = line.dump(compact, ' ', false, nlohmann::json::error_handler_t::replace);
+    return text.substr(1); // the pattern opens the object with time, level and process
+}
+
+void write(spdlog::level::level_enum level, std::string_view event,
+           std::initializer_list<log_field> fields)
+{
+    const auto line =
+        chosen_format == log_format::json ? json_fields(event, fields) : text_line(event, fields);
+    spdlog::log(level, "{}", line);
+}
+
+} // namespace
+
+void start_log(log_format format, const std::string& process)
+{
+    chosen_format = format;
+    auto logger = spdlog::stderr_logger_mt(process);
+    logger->set_pattern(format == log_format::json
+                            ? R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","process":"%n",%v)"
+                            : "%Y-%m-%dT%H:%M:%S.%eZ %l %n %v",
+                        spdlog::pattern_time_type::utc);
+    spdlog::set_default_logger(std::move(logger));
+}
+
+void log_change(std::string_view event, std::initializer_list<log_field> fields)
+{
+    write(spdlog::level::info, event, fields);
+}
+
+void log_warning(std::string_view event, std::initializer_list<log_field> fields)
+{
+    write(spdlog::level::warn, event, fields);
+}
+
+} // namespace pearhaven::adapters
