Give the routing decisions their words and first bodies

Cause: the dispatcher needs the signatures of queue, endpoint table, version choice, suspects, retry budget and session token to be written against. Ruled out: nothing yet; queue (first in, first out) and endpoint table (a random one with a free slot) are placeholders for fair queueing and adaptive choice. Measured: the decision library builds; no test was run, as these parts have none yet. time.hpp did not compile with g++ 12 (an alias changed its meaning within the struct); it now names the standard type. Conclusion: the words stand; the bodies of queue and table are still to come.

--- /dev/null
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -0,0 +1,150 @@
+#ifndef PEARHAVEN_DECISION_ENDPOINT_TABLE_HPP
+#define PEARHAVEN_DECISION_ENDPOINT_TABLE_HPP
+
+#include "pearhaven/decision/configuration.hpp"
+#include "pearhaven/decision/time.hpp"
+#include "pearhaven/decision/work.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pearhaven::decision {
+
+// An endpoint as the platform's host list names it. A process that replaces another at the same
+// address has a higher incarnation.
+struct endpoint_host {
+    std::string address;
+    std::string name;
+    std::string zone;
+    std::uint64_t incarnation = 0;
+    bool leaving = false;
+    labels tags;
+
+    friend bool operator==(const endpoint_host&, const endpoint_host&) = default;
+};
+
+// What an endpoint said of itself, `age` before it was received.
+struct load_report {
+    double running = 0.0;
+    double queued = 0.0;
+    double capacity = 0.0;
+    duration age{};
+    bool draining = false;
+
+    friend bool operator==(const load_report&, const load_report&) = default;
+};
+
+// How an attempt at an endpoint ended.
+enum class attempt_result : std::uint8_t {
+    finished,
+    refused,     // by the endpoint, before it ran
+    unreachable, // no connection
+    failed,
+    went_silent, // nothing came within the progress timeout
+    cancelled,
+};
+
+// What an endpoint is wanted for.
+struct placement {
+    std::string version_or_service;
+    bool is_service = false;
+    work_class kind = work_class::lookup;
+    double work = 0.0;
+    std::uint64_t prefix_hash = 0;  // of the prompt's beginning; 0: no affinity
+    std::vector<std::string> avoid; // addresses not to be taken
+
+    friend bool operator==(const placement&, const placement&) = default;
+};
+
+struct endpoint_table_settings {
+    std::string zone;
+    std::uint64_t router_seed = 0; // differs by router: spreads the routers' subsets
+
+    std::size_t subset_size = 48;       // endpoints of a target that one router uses
+    double zone_bias = 0.25;            // load, as a share of a limit, accepted to stay in the zone
+    double affinity_load_factor = 1.25; // of the mean load, up to which a warm endpoint is kept
+
+    std::uint32_t service_slots = 64; // as pool::slots_per_host, for plain services
+    double refusal_backoff = 0.7;     // factor on the limit after a refusal
+    double latency_backoff = 0.9;     // factor on the limit when the first token comes late
+    double latency_tolerance = 3.0;   // times the usual first-token latency that count as late
+    duration backoff_interval = std::chrono::milliseconds(250); // between two cuts of a limit
+
+    duration report_lifetime = std::chrono::seconds(2); // a load report older than that is dropped
+
+    std::uint32_t failures_to_eject = 3; // in a row
+    double slow_factor = 4.0; // times the peers' median first-token latency that eject an endpoint
+    std::uint32_t slow_samples = 8;  // first tokens seen before an endpoint is called slow
+    double max_ejected_share = 0.34; // of a target's endpoints, for failing and slow ones
+    duration first_ejection = std::chrono::seconds(1); // doubles with each one in a row
+    duration longest_ejection = std::chrono::seconds(30);
+
+    duration leaving_memory = std::chrono::minutes(10); // for which an unlisted host's mark is kept
+};
+
+// What this router knows of the endpoints: who is there and who leaves, what it has sent there
+// itself, what they reported with a lag, how much each bears, and which ones to leave alone for a
+// while. One thread uses a table at a time.
+class endpoint_table {
+public:
+    explicit endpoint_table(endpoint_table_settings settings);
+    endpoint_table(const endpoint_table&) = delete;
+    endpoint_table& operator=(const endpoint_table&) = delete;
+    ~endpoint_table();
+
+    // Which endpoints serve which version or service, and their bounds.
+    void configure(const configuration& current);
+
+    // The whole host list. A lagging list never brings back a host marked leaving, unless with a
+    // higher incarnation; an incarnation lower than the known one is passed over.
+    void set_hosts(const std::vector<endpoint_host>& hosts, instant now);
+
+    // The incarnation at the address gets no new work. 0 means the one now known.
+    void mark_leaving(const std::string& address, std::uint64_t incarnation, instant now);
+
+    // Every attempt is told twice: when it is sent, and when it ends. A `first_token` of zero means
+    // that none came. After an attempt went silent the embedder must not reuse older idle
+    // connections to that address: the endpoint is blamed when fresh ones go silent too.
+    void started(const std::string& address, work_class kind, double work,
+                 std::uint64_t prefix_hash, instant now);
+    void ended(const std::string& address, work_class kind, double work, attempt_result result,
+               duration first_token, instant now);
+
+    // Reports lag; what was sent since the moment they describe is added to them.
+    void reported(const std::string& address, const load_report& report, instant now);
+
+    // The endpoint to send to, or nothing when none has room now. It is never one that leaves, is
+    // ejected, is to be avoided or is full. The caller tells `started` if it sends.
+    [[nodiscard]] std::optional<std::string> choose(const placement& wanted, instant now,
+                                                    std::uint64_t random) const;
+
+    // Whether there is any endpoint that is not leaving, though it may be full or ejected.
+    [[nodiscard]] bool serves(const placement& wanted, instant now) const;
+
+    [[nodiscard]] std::optional<endpoint_host> find(const std::string& address) const;
+    [[nodiscard]] std::vector<std::string> addresses() const;
+
+    // For status pages.
+    struct endpoint_status {
+        endpoint_host host;
+        std::uint32_t outstanding = 0;
+        double limit = 0.0;
+        bool ejected = false;
+        bool leaving = false;
+
+        friend bool operator==(const endpoint_status&, const endpoint_status&) = default;
+    };
+    [[nodiscard]] std::vector<endpoint_status> status(instant now) const;
+
+private:
+    class state;
+    std::unique_ptr<state> inner;
+};
+
+} // namespace pearhaven::decision
+
+#endif
--- a/decision/include/pearhaven/decision/time.hpp
+++ b/decision/include/pearhaven/decision/time.hpp
@@ -12,9 +12,9 @@
 // A clock that cannot be read: decisions are told the time, they never ask for it. That keeps them
 // repeatable in tests and usable in any embedding.
 struct told_clock {
-    using rep = duration::rep;
-    using period = duration::period;
-    using duration = pearhaven::decision::duration;
+    using rep = std::chrono::microseconds::rep;
+    using period = std::chrono::microseconds::period;
+    using duration = std::chrono::microseconds;
     using time_point = std::chrono::time_point<told_clock>;
     static constexpr bool is_steady = true;
 };
