--- /dev/null
+++ b/standins/src/web_exchange.hpp
@@ -0,0 +1,76 @@
+#ifndef PEARHAVEN_STANDINS_WEB_EXCHANGE_HPP
+#define PEARHAVEN_STANDINS_WEB_EXCHANGE_HPP
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+struct mg_connection;
+
+namespace pearhaven::standins {
+
+using header_fields = std::vector<std::pair<std::string, std::string>>;
+
+// One request and the way to answer it. Lives as long as its handler runs, on the connection's own
+// thread. A handler that returns without an answer closes the connection without one.
+class web_exchange {
+public:
+    // Reads the whole body. One that is longer than the limit is cut there: see `body_too_long`.
+    web_exchange(mg_connection* connection, std::size_t body_limit);
+
+    [[nodiscard]] const std::string& method() const { return this->method_text; }
+    [[nodiscard]] const std::string& path() const { return this->path_text; }
+    [[nodiscard]] const std::string& body() const { return this->body_text; }
+    [[nodiscard]] bool body_too_long() const { return this->too_long; }
+
+    // The header field, or an empty text.
+    [[nodiscard]] std::string field(const char* name) const;
+
+    // The decoded query parameter, or nothing when it is not there.
+    [[nodiscard]] std::optional<std::string> query(const char* name) const;
+
+    // The query parameter as a number; the fallback when it is missing or not a number.
+    [[nodiscard]] std::uint64_t query_number(const char* name, std::uint64_t fallback) const;
+
+    // The body as JSON. Throws nlohmann::json::exception when it is none; the server answers 400.
+    [[nodiscard]] nlohmann::json json_body() const;
+
+    // Sends a whole answer. False when the caller is gone.
+    bool answer(int status, const nlohmann::json& body, const header_fields& fields = {});
+
+    // Starts an answer of unknown length; `write` and `finish` follow.
+    bool begin_stream(const std::string& content_type, const header_fields& fields = {});
+
+    // Sends one chunk in a single system call. False when the caller is gone.
+    bool write(std::string_view text);
+
+    // Ends the stream as whole. A stream that is not finished is cut when the handler returns.
+    bool finish();
+
+    [[nodiscard]] bool answered() const { return this->is_answered; }
+
+private:
+    bool send(std::string_view bytes);
+    void read_body(std::size_t limit);
+
+    mg_connection* connection;
+    std::string method_text;
+    std::string path_text;
+    std::string query_text;
+    std::string body_text;
+    std::string chunk; // kept between writes: streams send many small chunks
+    bool too_long = false;
+    bool is_answered = false;
+};
+
+// The text as a number, or nothing when it is anything else.
+std::optional<std::uint64_t> to_number(std::string_view text);
+
+} // namespace pearhaven::standins
+
+#endif
