--- a/standins/src/behaviours.hpp
+++ b/standins/src/behaviours.hpp
@@ -5,12 +5,12 @@
 
 #include <nlohmann/json.hpp>
 
-#include <cstdint>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <type_traits>
 #include <utility>
-#include <variant>
 #include <vector>
 
 namespace pearhaven::standins {
@@ -20,12 +20,22 @@
 template <class settings>
 class behaviour_table {
 public:
-    using member = std::variant<bool settings::*, std::uint64_t settings::*, double settings::*,
-                                std::string settings::*>;
-
-    behaviour_table& add(std::string name, member target, std::string meaning)
+    // The member is a bool, a whole number, a fraction or a text.
+    template <class value_type>
+    behaviour_table& add(std::string name, value_type settings::*target, std::string meaning)
     {
-        this->entries.push_back({std::move(name), target, std::move(meaning)});
+        entry added;
+        added.name = std::move(name);
+        added.meaning = std::move(meaning);
+        added.set = [target](const nlohmann::json& value, settings& changed) {
+            if (!fits<value_type>(value)) {
+                return false;
+            }
+            changed.*target = value.get<value_type>();
+            return true;
+        };
+        added.show = [target](const settings& current) { return nlohmann::json(current.*target); };
+        this->entries.push_back(std::move(added));
         return *this;
     }
 
@@ -41,7 +51,7 @@
             if (found == nullptr) {
                 return "unknown behaviour: " + name;
             }
-            if (!set(found->target, value, changed)) {
+            if (!found->set(value, changed)) {
                 return "wrong type for behaviour " + name + ": " + value.dump();
             }
         }
@@ -53,7 +63,7 @@
     {
         auto shown = nlohmann::json::object();
         for (const auto& each : this->entries) {
-            std::visit([&](auto target) { shown[each.name] = current.*target; }, each.target);
+            shown[each.name] = each.show(current);
         }
         return shown;
     }
@@ -70,10 +80,25 @@
 private:
     struct entry {
         std::string name;
-        member target;
         std::string meaning;
+        std::function<bool(const nlohmann::json&, settings&)> set;
+        std::function<nlohmann::json(const settings&)> show;
     };
 
+    template <class value_type>
+    static bool fits(const nlohmann::json& value)
+    {
+        if constexpr (std::is_same_v<value_type, bool>) {
+            return value.is_boolean();
+        } else if constexpr (std::is_same_v<value_type, std::string>) {
+            return value.is_string();
+        } else if constexpr (std::is_unsigned_v<value_type>) {
+            return value.is_number_unsigned();
+        } else {
+            return value.is_number();
+        }
+    }
+
     [[nodiscard]] const entry* find(const std::string& name) const
     {
         for (const auto& each : this->entries) {
@@ -84,28 +109,6 @@
         return nullptr;
     }
 
-    static bool set(const member& target, const nlohmann::json& value, settings& changed)
-    {
-        if (const auto* flag = std::get_if<bool settings::*>(&target)) {
-            return value.is_boolean() && assign(changed.*(*flag), value);
-        }
-        if (const auto* count = std::get_if<std::uint64_t settings::*>(&target)) {
-            return value.is_number_unsigned() && assign(changed.*(*count), value);
-        }
-        if (const auto* number = std::get_if<double settings::*>(&target)) {
-            return value.is_number() && assign(changed.*(*number), value);
-        }
-        return value.is_string() &&
-               assign(changed.*std::get<std::string settings::*>(target), value);
-    }
-
-    template <class value_type>
-    static bool assign(value_type& target, const nlohmann::json& value)
-    {
-        target = value.get<value_type>();
-        return true;
-    }
-
     std::vector<entry> entries;
 };
 
