Queue requests by start-time fair queueing over estimated work

Cause: first come, first served, one team's burst delays every other team, and a team's readings delay its own lookups. Ruled out: one queue per class with teams inside it (a team that sends both classes got up to twice its share); a plain two-level hierarchy (a lookup waits until its team has paid for its last reading). Each team has one account for all its work, and its lookups a second one that lets them go ahead up to their part of the share. Conclusion: served work of two backlogged teams stays within two entries of each per weight.

--- a/decision/src/fair_queue.cpp
+++ b/decision/src/fair_queue.cpp
@@ -1,72 +1,350 @@
 #include "pearhaven/decision/fair_queue.hpp"
 
+#include <boost/intrusive/set.hpp>
+
 #include <algorithm>
-#include <list>
+#include <array>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
 
 namespace pearhaven::decision {
 
+namespace {
+
+namespace intrusive = boost::intrusive;
+
+// Bounds on what callers and operators state, so that no division overflows and every entry moves
+// its team's account on.
+constexpr double least_weight = 1e-3;
+constexpr double least_work = 1.0;
+constexpr double least_share = 0.01;
+constexpr std::size_t least_accounts_swept = 64;
+
+struct by_urgency;
+struct by_deadline;
+
+template <typename Tag>
+using index_hook =
+    intrusive::set_base_hook<intrusive::tag<Tag>, intrusive::link_mode<intrusive::auto_unlink>>;
+
+// A waiting entry. It leaves both indexes by being destroyed.
+struct waiting_entry : index_hook<by_urgency>, index_hook<by_deadline> {
+    waiting_entry(queue_entry waiting, std::uint64_t arrival_number)
+        : entry(std::move(waiting)), arrival(arrival_number)
+    {}
+
+    queue_entry entry;
+    std::uint64_t arrival;
+};
+
+struct more_urgent {
+    bool operator()(const waiting_entry& left, const waiting_entry& right) const
+    {
+        return std::tie(left.entry.priority, left.arrival) <
+               std::tie(right.entry.priority, right.arrival);
+    }
+};
+
+struct earlier_deadline {
+    bool operator()(const waiting_entry& left, const waiting_entry& right) const
+    {
+        return std::tie(left.entry.deadline, left.arrival) <
+               std::tie(right.entry.deadline, right.arrival);
+    }
+};
+
+using urgency_index =
+    intrusive::set<waiting_entry, intrusive::base_hook<index_hook<by_urgency>>,
+                   intrusive::compare<more_urgent>, intrusive::constant_time_size<false>>;
+using deadline_index =
+    intrusive::set<waiting_entry, intrusive::base_hook<index_hook<by_deadline>>,
+                   intrusive::compare<earlier_deadline>, intrusive::constant_time_size<false>>;
+
+// Orders lanes that are due at the same virtual time: lookups first, unless they have had their
+// share of the team.
+enum class tie_rank : std::uint8_t { lookups_ahead, readings, lookups_behind };
+
+struct team_account;
+
+// What a team has waiting in one class.
+struct lane : index_hook<lane> {
+    team_account* owner = nullptr;
+    urgency_index entries;
+    double due_at = 0.0; // virtual time
+    tie_rank rank = tie_rank::readings;
+    std::uint64_t arrival = 0; // of the first entry
+};
+
+struct due_sooner {
+    bool operator()(const lane& left, const lane& right) const
+    {
+        return std::tie(left.due_at, left.rank, left.arrival) <
+               std::tie(right.due_at, right.rank, right.arrival);
+    }
+};
+
+using due_index =
+    intrusive::multiset<lane, intrusive::base_hook<index_hook<lane>>,
+                        intrusive::compare<due_sooner>, intrusive::constant_time_size<false>>;
+
+struct team_account {
+    team_account()
+    {
+        this->lookups.owner = this;
+        this->readings.owner = this;
+    }
+
+    [[nodiscard]] bool is_waiting() const
+    {
+        return !this->lookups.entries.empty() || !this->readings.entries.empty();
+    }
+
+    lane& of(work_class kind)
+    {
+        return kind == work_class::lookup ? this->lookups : this->readings;
+    }
+
+    lane lookups;
+    lane readings;
+    double weight = 1.0;
+    std::size_t waiting = 0;
+    std::size_t unsettled = 0; // entries handed out and not yet settled
+    double served_until = 0.0; // virtual time up to which the team has had its share
+    // The same for its lookups, counted against their part of the share. It lets a lookup go while
+    // the team still pays for a reading, and stops lookups from shutting out the readings.
+    double lookups_served_until = 0.0;
+};
+
+} // namespace
+
 class fair_queue::state {
 public:
+    explicit state(fair_queue_settings bounds) : settings(bounds)
+    {
+        this->settings.lookup_share = std::clamp(this->settings.lookup_share, least_share, 1.0);
+    }
+
+    bool push(queue_entry entry);
+    std::optional<queue_entry> pop(const std::function<bool(const queue_entry&)>& can_start);
+    bool remove(ticket_number ticket);
+    void settle(const std::string& team, double estimated, double actual);
+    std::vector<queue_entry> expire(instant now);
+
+    [[nodiscard]] std::size_t waiting_of(const std::string& team) const
+    {
+        const auto found = this->accounts.find(team);
+        return found == this->accounts.end() ? 0 : found->second.waiting;
+    }
+
     fair_queue_settings settings;
-    std::list<queue_entry> waiting;
+    std::unordered_map<std::string, team_account> accounts;
+    std::unordered_map<ticket_number, waiting_entry> waiting;
+    due_index due;
+    deadline_index deadlines;
+    double total_work = 0.0;
+
+private:
+    void open_account(team_account& account, work_class kind) const;
+    void charge(team_account& account, const lane& served, double work);
+    void reorder(team_account& account);
+    queue_entry take(ticket_number ticket);
+    void sweep_accounts();
+
+    double virtual_time = 0.0;
+    std::uint64_t arrivals = 0;
+    std::size_t sweep_at = least_accounts_swept;
 };
 
-fair_queue::fair_queue(fair_queue_settings settings) : inner(std::make_unique<fair_queue::state>())
+bool fair_queue::state::push(queue_entry entry)
 {
-    this->inner->settings = settings;
+    const bool full = this->waiting.size() >= this->settings.max_entries ||
+                      this->waiting_of(entry.team) >= this->settings.max_entries_per_team;
+    if (full || this->waiting.count(entry.ticket) > 0) {
+        return false;
+    }
+    entry.weight = std::max(entry.weight, least_weight);
+    entry.work = std::max(entry.work, least_work);
+    this->sweep_accounts();
+    team_account& account = this->accounts[entry.team];
+    this->open_account(account, entry.kind);
+    account.weight = entry.weight;
+    ++account.waiting;
+    this->total_work += entry.work;
+
+    const ticket_number ticket = entry.ticket;
+    const auto placed = this->waiting.try_emplace(ticket, std::move(entry), ++this->arrivals).first;
+    account.of(placed->second.entry.kind).entries.insert(placed->second);
+    this->deadlines.insert(placed->second);
+    this->reorder(account);
+    return true;
 }
 
-fair_queue::~fair_queue() = default;
+std::optional<queue_entry>
+fair_queue::state::pop(const std::function<bool(const queue_entry&)>& can_start)
+{
+    for (lane& candidate : this->due) {
+        std::size_t offered = 0;
+        for (const waiting_entry& next : candidate.entries) {
+            if (offered == this->settings.scan_depth) {
+                break;
+            }
+            ++offered;
+            if (can_start(next.entry)) {
+                team_account& account = *candidate.owner;
+                this->charge(account, candidate, next.entry.work);
+                ++account.unsettled;
+                return this->take(next.entry.ticket);
+            }
+        }
+    }
+    return std::nullopt;
+}
 
-bool fair_queue::push(queue_entry entry)
+bool fair_queue::state::remove(ticket_number ticket)
 {
-    if (this->size() >= this->inner->settings.max_entries ||
-        this->size(entry.team) >= this->inner->settings.max_entries_per_team) {
+    if (this->waiting.count(ticket) == 0) {
         return false;
     }
-    this->inner->waiting.push_back(std::move(entry));
+    this->take(ticket);
     return true;
 }
 
-std::optional<queue_entry> fair_queue::pop(const std::function<bool(const queue_entry&)>& can_start)
+void fair_queue::state::settle(const std::string& team, double estimated, double actual)
 {
-    auto& waiting = this->inner->waiting;
-    const auto found = std::find_if(waiting.begin(), waiting.end(), can_start);
-    if (found == waiting.end()) {
-        return std::nullopt;
+    const auto found = this->accounts.find(team);
+    if (found == this->accounts.end()) {
+        return;
+    }
+    team_account& account = found->second;
+    account.unsettled -= account.unsettled > 0 ? 1 : 0;
+    const double charged = std::max(estimated, least_work);
+    account.served_until += (std::max(actual, 0.0) - charged) / account.weight;
+    this->reorder(account);
+}
+
+std::vector<queue_entry> fair_queue::state::expire(instant now)
+{
+    std::vector<queue_entry> late;
+    while (!this->deadlines.empty() && this->deadlines.begin()->entry.deadline <= now) {
+        late.push_back(this->take(this->deadlines.begin()->entry.ticket));
+    }
+    return late;
+}
+
+// A team, or its lookups, that had nothing waiting starts at the present: idle time is not saved
+// up.
+void fair_queue::state::open_account(team_account& account, work_class kind) const
+{
+    if (!account.is_waiting()) {
+        account.served_until = std::max(account.served_until, this->virtual_time);
+    }
+    if (kind == work_class::lookup && account.lookups.entries.empty()) {
+        account.lookups_served_until = std::max(account.lookups_served_until, this->virtual_time);
     }
-    queue_entry taken = std::move(*found);
-    waiting.erase(found);
+}
+
+void fair_queue::state::charge(team_account& account, const lane& served, double work)
+{
+    this->virtual_time = std::max(this->virtual_time, served.due_at);
+    // A team that was passed over for long, since its versions had no room, would else shut out
+    // the others for as long once there is room again.
+    const double oldest_credit = this->virtual_time - this->settings.max_credit;
+    const double cost = work / account.weight;
+    account.served_until = std::max(account.served_until, oldest_credit) + cost;
+    if (&served == &account.readings) {
+        return;
+    }
+    if (account.readings.entries.empty()) {
+        // Lookups that go alone take nothing from readings and owe them nothing later.
+        account.lookups_served_until = account.served_until;
+        return;
+    }
+    account.lookups_served_until =
+        std::max(account.lookups_served_until, oldest_credit) + cost / this->settings.lookup_share;
+}
+
+// Puts the team's lanes where they belong among all lanes.
+void fair_queue::state::reorder(team_account& account)
+{
+    const bool within_share = account.lookups_served_until <= account.served_until;
+    account.lookups.due_at = std::min(account.served_until, account.lookups_served_until);
+    account.lookups.rank = within_share ? tie_rank::lookups_ahead : tie_rank::lookups_behind;
+    account.readings.due_at = account.served_until;
+    for (lane* moved : {&account.lookups, &account.readings}) {
+        moved->index_hook<lane>::unlink();
+        if (!moved->entries.empty()) {
+            moved->arrival = moved->entries.begin()->arrival;
+            this->due.insert(*moved);
+        }
+    }
+}
+
+queue_entry fair_queue::state::take(ticket_number ticket)
+{
+    const auto found = this->waiting.find(ticket);
+    queue_entry taken = std::move(found->second.entry);
+    this->waiting.erase(found);
+    this->total_work = this->waiting.empty() ? 0.0 : this->total_work - taken.work;
+    team_account& account = this->accounts.at(taken.team);
+    --account.waiting;
+    this->reorder(account);
     return taken;
 }
 
+// Forgets teams that neither wait nor owe anything. Its cost is shared by the pushes that made the
+// number of accounts double.
+void fair_queue::state::sweep_accounts()
+{
+    if (this->accounts.size() < this->sweep_at) {
+        return;
+    }
+    for (auto at = this->accounts.begin(); at != this->accounts.end();) {
+        const team_account& account = at->second;
+        const bool idle = !account.is_waiting() && account.unsettled == 0 &&
+                          account.served_until <= this->virtual_time;
+        at = idle ? this->accounts.erase(at) : std::next(at);
+    }
+    this->sweep_at = std::max(least_accounts_swept, 2 * this->accounts.size());
+}
+
+fair_queue::fair_queue(fair_queue_settings settings)
+    : inner(std::make_unique<fair_queue::state>(settings))
+{}
+
+fair_queue::~fair_queue() = default;
+
+bool fair_queue::push(queue_entry entry)
+{
+    return this->inner->push(std::move(entry));
+}
+
+std::optional<queue_entry> fair_queue::pop(const std::function<bool(const queue_entry&)>& can_start)
+{
+    return this->inner->pop(can_start);
+}
+
 bool fair_queue::remove(ticket_number ticket)
 {
-    return this->inner->waiting.remove_if(
-               [ticket](const auto& entry) { return entry.ticket == ticket; }) > 0;
+    return this->inner->remove(ticket);
 }
 
-void fair_queue::settle(const std::string& /*team*/, double /*estimated*/, double /*actual*/) {}
+void fair_queue::settle(const std::string& team, double estimated, double actual)
+{
+    this->inner->settle(team, estimated, actual);
+}
 
 std::vector<queue_entry> fair_queue::expire(instant now)
 {
-    std::vector<queue_entry> late;
-    for (const auto& entry : this->inner->waiting) {
-        if (entry.deadline <= now) {
-            late.push_back(entry);
-        }
-    }
-    this->inner->waiting.remove_if([now](const auto& entry) { return entry.deadline <= now; });
-    return late;
+    return this->inner->expire(now);
 }
 
 std::optional<instant> fair_queue::next_deadline() const
 {
-    std::optional<instant> earliest;
-    for (const auto& entry : this->inner->waiting) {
-        earliest = std::min(earliest.value_or(entry.deadline), entry.deadline);
+    if (this->inner->deadlines.empty()) {
+        return std::nullopt;
     }
-    return earliest;
+    return this->inner->deadlines.begin()->entry.deadline;
 }
 
 std::size_t fair_queue::size() const
@@ -76,18 +354,12 @@
 
 std::size_t fair_queue::size(const std::string& team) const
 {
-    const auto& waiting = this->inner->waiting;
-    return static_cast<std::size_t>(std::count_if(
-        waiting.begin(), waiting.end(), [&team](const auto& entry) { return entry.team == team; }));
+    return this->inner->waiting_of(team);
 }
 
 double fair_queue::queued_work() const
 {
-    double total = 0.0;
-    for (const auto& entry : this->inner->waiting) {
-        total += entry.work;
-    }
-    return total;
+    return this->inner->total_work;
 }
 
 } // namespace pearhaven::decision
--- a/decision/src/work.cpp
+++ b/decision/src/work.cpp
@@ -1,7 +1,5 @@
 #include "pearhaven/decision/work.hpp"
 
-#include <algorithm>
-
 namespace pearhaven::decision {
 
 namespace {
@@ -9,7 +7,7 @@
 constexpr double bytes_per_token = 4.0;
 // Engines read a prompt in large batches; a prompt token costs about a tenth of a generated one.
 constexpr double prefill_weight = 0.1;
-constexpr std::size_t reading_prompt_bytes = 16 * 1024;
+constexpr std::size_t reading_prompt_bytes = 16'384;
 constexpr std::uint32_t reading_answer_tokens = 512;
 // Expected answers where the caller states no bound.
 constexpr double usual_lookup_answer = 64.0;
