Send every outgoing HTTP call from one thread

Cause: the process needs pooled calls with connect, first-byte, progress and total timeouts, cancel and backpressure, and an exact answer to "was anything sent". Ruled out: curl_multi_poll, which scans every open handle at each wakeup; libcurl's sockets go through epoll with curl_multi_socket_action in its place. libcurl's low-speed limits, which count whole seconds. Leaving resends to libcurl: it sends any method again, a POST too, when a pooled connection closes without a byte of an answer; the callback before each sending aborts the second one where a request says so. Conclusion: `connect_failed` means unsent; every other loss counts as sent. Relay rate not measured yet.

--- /dev/null
+++ b/adapters/src/http_exchange.hpp
@@ -0,0 +1,100 @@
+#ifndef PEARHAVEN_ADAPTERS_SRC_HTTP_EXCHANGE_HPP
+#define PEARHAVEN_ADAPTERS_SRC_HTTP_EXCHANGE_HPP
+
+#include "deadline_index.hpp"
+#include "pearhaven/adapters/http_client.hpp"
+
+#include <curl/curl.h>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+
+namespace pearhaven::adapters {
+
+struct curl_easy_deleter {
+    void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+};
+using curl_easy = std::unique_ptr<CURL, curl_easy_deleter>;
+
+struct curl_list_deleter {
+    void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+using curl_list = std::unique_ptr<curl_slist, curl_list_deleter>;
+
+// One request and its answer on one libcurl handle. Lives on the client's thread.
+class http_exchange : public with_deadline {
+public:
+    http_exchange(exchange_number number, http_request request,
+                  boost::intrusive_ptr<http_listener> listener, deadline_index& deadlines);
+
+    // Sets the handle up. False when the request cannot be sent as it stands.
+    [[nodiscard]] bool prepare(curl_easy handle, const http_client_settings& settings);
+
+    [[nodiscard]] exchange_number number() const { return this->own_number; }
+    [[nodiscard]] CURL* handle() const { return this->easy.get(); }
+    [[nodiscard]] curl_easy release_handle() { return std::move(this->easy); }
+
+    // Earliest time at which the exchange must be given up if nothing happens before.
+    [[nodiscard]] std::optional<monotonic_time> deadline() const;
+
+    // The error that a passed deadline means.
+    [[nodiscard]] http_error overdue(monotonic_time now) const;
+
+    // Lets a paused body flow again. False when libcurl refuses: the exchange is lost.
+    [[nodiscard]] bool resume();
+
+    // What libcurl's outcome means to the caller.
+    [[nodiscard]] http_error turn(CURLcode code) const;
+
+    // The listener's last call.
+    void end(http_error error);
+
+private:
+    enum class phase { connecting, awaiting_head, in_body };
+
+    static int on_sending(void* self, char* peer_ip, char* local_ip, int peer_port, int local_port);
+    static std::size_t on_header_line(char* data, std::size_t size, std::size_t count, void* self);
+    static std::size_t on_body_piece(char* data, std::size_t size, std::size_t count, void* self);
+    static int on_socket_open(void* self, curl_socket_t socket, curlsocktype purpose);
+
+    [[nodiscard]] bool set_method();
+    [[nodiscard]] bool set_headers();
+    void set_connection(const http_client_settings& settings);
+    void set_callbacks();
+    void enter(phase next);
+    [[nodiscard]] bool take_header_line(std::string_view line);
+    void take_field(std::string_view line);
+    void finish_head();
+
+    template <class Value>
+    void set(CURLoption option, Value value)
+    {
+        this->setup_failed |= curl_easy_setopt(this->easy.get(), option, value) != CURLE_OK;
+    }
+
+    exchange_number own_number;
+    http_request request;
+    boost::intrusive_ptr<http_listener> listener;
+    deadline_index& deadlines;
+    curl_easy easy;
+    curl_list header_list;
+    long unacknowledged_ms = 0;
+    bool setup_failed = false;
+
+    phase current = phase::connecting;
+    monotonic_time started;
+    monotonic_time last_progress;
+    unsigned sendings = 0;
+    bool paused = false;
+    bool head_finished = false;
+    bool too_large = false;
+    std::size_t head_bytes = 0;
+    std::size_t body_bytes = 0;
+    int status = 0;
+    std::vector<std::pair<std::string, std::string>> answer_headers;
+};
+
+} // namespace pearhaven::adapters
+
+#endif
--- /dev/null
+++ b/adapters/src/poller.cpp
@@ -0,0 +1,92 @@
+#include "poller.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdint>
+#include <sys/eventfd.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace pearhaven::adapters {
+
+namespace {
+
+[[noreturn]] void throw_last_error(const char* what)
+{
+    throw std::system_error(errno, std::system_category(), what);
+}
+
+// Rounded up: a wait that ends a little early would spin until its time has come.
+int to_milliseconds(std::optional<std::chrono::nanoseconds> at_most)
+{
+    constexpr std::chrono::milliseconds longest{60'000};
+    if (!at_most) {
+        return -1;
+    }
+    if (*at_most <= std::chrono::nanoseconds::zero()) {
+        return 0;
+    }
+    const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(*at_most);
+    return static_cast<int>(std::min(rounded, longest).count());
+}
+
+} // namespace
+
+poller::poller()
+    : epoll(epoll_create1(EPOLL_CLOEXEC)), wake_event(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+    if (!this->watch(this->wake_event, true, false)) {
+        throw_last_error("epoll");
+    }
+}
+
+poller::~poller()
+{
+    close(this->wake_event);
+    close(this->epoll);
+}
+
+bool poller::watch(int socket, bool readable, bool writable) const noexcept
+{
+    epoll_event event{};
+    event.events =
+        (readable ? std::uint32_t{EPOLLIN} : 0U) | (writable ? std::uint32_t{EPOLLOUT} : 0U);
+    event.data.fd = socket;
+    if (epoll_ctl(this->epoll, EPOLL_CTL_MOD, socket, &event) == 0) {
+        return true;
+    }
+    return errno == ENOENT && epoll_ctl(this->epoll, EPOLL_CTL_ADD, socket, &event) == 0;
+}
+
+void poller::forget(int socket) const noexcept
+{
+    epoll_event unused{};
+    epoll_ctl(this->epoll, EPOLL_CTL_DEL, socket, &unused);
+}
+
+const std::vector<ready_socket>& poller::wait(std::optional<std::chrono::nanoseconds> at_most)
+{
+    this->ready.clear();
+    const int count = epoll_wait(this->epoll, this->events.data(),
+                                 static_cast<int>(this->events.size()), to_milliseconds(at_most));
+    for (int index = 0; index < count; ++index) {
+        const epoll_event& event = this->events[static_cast<std::size_t>(index)];
+        if (event.data.fd == this->wake_event) {
+            std::uint64_t wakes = 0;
+            [[maybe_unused]] const auto taken = read(this->wake_event, &wakes, sizeof wakes);
+            continue;
+        }
+        this->ready.push_back({event.data.fd, (event.events & EPOLLIN) != 0,
+                               (event.events & EPOLLOUT) != 0,
+                               (event.events & (EPOLLERR | EPOLLHUP)) != 0});
+    }
+    return this->ready;
+}
+
+void poller::wake() const
+{
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = write(this->wake_event, &one, sizeof one);
+}
+
+} // namespace pearhaven::adapters
--- /dev/null
+++ b/adapters/src/poller.hpp
@@ -0,0 +1,52 @@
+#ifndef PEARHAVEN_ADAPTERS_SRC_POLLER_HPP
+#define PEARHAVEN_ADAPTERS_SRC_POLLER_HPP
+
+#include <array>
+#include <chrono>
+#include <optional>
+#include <sys/epoll.h>
+#include <vector>
+
+namespace pearhaven::adapters {
+
+struct ready_socket {
+    int socket = -1;
+    bool readable = false;
+    bool writable = false;
+    bool failed = false;
+};
+
+// Waits for many sockets at once, at a cost that depends on the ready ones only. One thread waits;
+// any thread may wake it.
+class poller {
+public:
+    // Throws std::system_error when the system refuses.
+    poller();
+    ~poller();
+    poller(const poller&) = delete;
+    poller& operator=(const poller&) = delete;
+
+    // Replaces what is watched of the socket. False when the system refuses.
+    [[nodiscard]] bool watch(int socket, bool readable, bool writable) const noexcept;
+
+    // Harmless when the socket is not watched or already closed.
+    void forget(int socket) const noexcept;
+
+    // Waits until a socket is ready, a wake, or the time is over (none: no end). The result holds
+    // until the next call.
+    const std::vector<ready_socket>& wait(std::optional<std::chrono::nanoseconds> at_most);
+
+    void wake() const;
+
+private:
+    static constexpr std::size_t events_at_once = 256;
+
+    int epoll = -1;
+    int wake_event = -1;
+    std::array<epoll_event, events_at_once> events{};
+    std::vector<ready_socket> ready;
+};
+
+} // namespace pearhaven::adapters
+
+#endif
--- /dev/null
+++ b/adapters/test/http_client_test.cpp
@@ -0,0 +1,420 @@
+#include "pearhaven/adapters/http_client.hpp"
+#include "raw_server.hpp"
+
+#include <cstdlib>
+#include <future>
+#include <mutex>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::adapters;
+using namespace pearhaven::adapters::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+SimpleString StringFrom(const std::error_code& code)
+{
+    return SimpleString(code.message().c_str());
+}
+
+const std::string chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::size_t ample = 1U << 20U;
+
+// Keeps what it is told; refuses body pieces while `full`.
+class recording_listener : public http_listener {
+public:
+    void on_head(int status, const std::vector<std::pair<std::string, std::string>>&) override
+    {
+        const std::lock_guard guard(this->mutex);
+        this->head_status = status;
+    }
+
+    [[nodiscard]] bool on_body(std::string_view piece) override
+    {
+        const std::lock_guard guard(this->mutex);
+        ++this->offers;
+        if (this->full) {
+            return false;
+        }
+        this->body += piece;
+        return true;
+    }
+
+    void on_end(const http_result& result) override { this->ended.set_value(result); }
+
+    std::string received()
+    {
+        const std::lock_guard guard(this->mutex);
+        return this->body;
+    }
+
+    int offered()
+    {
+        const std::lock_guard guard(this->mutex);
+        return this->offers;
+    }
+
+    void set_full(bool value)
+    {
+        const std::lock_guard guard(this->mutex);
+        this->full = value;
+    }
+
+    [[nodiscard]] http_result wait() const { return this->end.get(); }
+
+private:
+    std::mutex mutex;
+    std::string body;
+    int head_status = 0;
+    int offers = 0;
+    bool full = false;
+    std::promise<http_result> ended;
+    std::shared_future<http_result> end{this->ended.get_future()};
+};
+
+http_request get(const std::string& url)
+{
+    http_request request;
+    request.url = url;
+    return request;
+}
+
+http_request post(const std::string& url, const std::string& body)
+{
+    http_request request = get(url);
+    request.method = "POST";
+    request.body = body;
+    return request;
+}
+
+// Answers each request of each connection with its own text.
+void echo(raw_connection& connection, int /*index*/)
+{
+    for (;;) {
+        const std::string request = connection.read_request();
+        if (request.empty()) {
+            return;
+        }
+        connection.answer(200, request);
+    }
+}
+
+} // namespace
+
+TEST_GROUP(http_client)
+{
+    std::unique_ptr<http_client> client = make_http_client({});
+    boost::intrusive_ptr<recording_listener> listener{new recording_listener};
+};
+
+TEST(http_client, an_answer_comes_with_its_status_fields_and_body)
+{
+    raw_server server([](raw_connection& connection, int) {
+        connection.read_request();
+        connection.send("HTTP/1.1 100 Continue\r\n\r\n"
+                        "HTTP/1.1 418 Teapot\r\nX-Kind:  Round \r\nContent-Length: 5\r\n\r\nshort");
+        connection.wait_until_closed();
+    });
+    const http_answer answer = fetch_and_wait(*client, get(server.url()), ample);
+    CHECK_EQUAL(std::error_code(), answer.result.error);
+    LONGS_EQUAL(418, answer.result.status);
+    CHECK_TRUE(answer.result.request_sent);
+    STRCMP_EQUAL("short", answer.body.c_str());
+    STRCMP_EQUAL("x-kind", answer.headers.at(0).first.c_str());
+    STRCMP_EQUAL("Round", answer.headers.at(0).second.c_str());
+}
+
+TEST(http_client, a_request_carries_the_callers_fields_and_the_clients_own_framing)
+{
+    raw_server server(echo);
+    http_request request = post(server.url() + "/a/../b?c=d", "payload");
+    request.headers = {
+        {"X-Run-Id", "7"}, {"Content-Length", "999"}, {"Transfer-Encoding", "chunked"}};
+    const std::string expected = "POST /a/../b?c=d HTTP/1.1\r\nHost: " + server.url().substr(7) +
+                                 "\r\nX-Run-Id: 7\r\nContent-Length: 7\r\n\r\npayload";
+    const http_answer answer = fetch_and_wait(*client, request, ample);
+    STRCMP_EQUAL(expected.c_str(), answer.body.c_str());
+}
+
+TEST(http_client, a_field_value_with_a_line_break_is_refused_unsent)
+{
+    http_request request = get("http://127.0.0.1:1");
+    request.headers = {{"X-Run-Id", "7\r\nX-Priority: 0"}};
+    const http_result result = fetch_and_wait(*client, request, ample).result;
+    CHECK_EQUAL(make_error_code(http_error::invalid_request), result.error);
+    CHECK_FALSE(result.request_sent);
+}
+
+TEST(http_client, a_proxy_named_in_the_environment_is_not_used)
+{
+    raw_server server(echo);
+    setenv("http_proxy", "http://127.0.0.1:1", 1);
+    const http_answer answer = fetch_and_wait(*client, get(server.url()), ample);
+    unsetenv("http_proxy");
+    LONGS_EQUAL(200, answer.result.status);
+}
+
+TEST(http_client, a_refused_connection_means_that_nothing_was_sent)
+{
+    const int closed = listen_on_loopback(1);
+    const std::uint16_t port = port_of(closed);
+    close(closed);
+    const auto result =
+        fetch_and_wait(*client, get("http://127.0.0.1:" + std::to_string(port)), ample).result;
+    CHECK_EQUAL(make_error_code(http_error::connect_failed), result.error);
+    CHECK_FALSE(result.request_sent);
+}
+
+TEST(http_client, a_connect_that_is_never_answered_times_out_with_nothing_sent)
+{
+    // The caller sees a quick `connect_failed`. The server's accept queue is full, so the kernel
+    // drops every further connection request without a word, as a lost host would.
+    const int server = listen_on_loopback(0);
+    const int first = connect_to_loopback(port_of(server));
+    http_request request = get("http://127.0.0.1:" + std::to_string(port_of(server)));
+    request.connect_timeout = milliseconds(200);
+    const http_result result = fetch_and_wait(*client, request, ample).result;
+    CHECK_EQUAL(make_error_code(http_error::connect_failed), result.error);
+    CHECK_FALSE(result.request_sent);
+    close(first);
+    close(server);
+}
+
+TEST(http_client, an_answer_that_never_begins_hits_the_first_byte_timeout)
+{
+    raw_server server([](raw_connection& connection, int) { connection.wait_until_closed(); });
+    http_request request = get(server.url());
+    request.first_byte_timeout = milliseconds(200);
+    const http_result result = fetch_and_wait(*client, request, ample).result;
+    CHECK_EQUAL(make_error_code(http_error::first_byte_timeout), result.error);
+    CHECK_TRUE(result.request_sent);
+    LONGS_EQUAL(0, result.status);
+}
+
+TEST(http_client, an_answer_that_goes_silent_hits_the_progress_timeout)
+{
+    raw_server server([](raw_connection& connection, int) {
+        connection.read_request();
+        connection.send(chunked_head + "3\r\nabc\r\n");
+        connection.wait_until_closed();
+    });
+    http_request request = get(server.url());
+    request.progress_timeout = milliseconds(200);
+    const http_answer answer = fetch_and_wait(*client, request, ample);
+    CHECK_EQUAL(make_error_code(http_error::progress_timeout), answer.result.error);
+    LONGS_EQUAL(200, answer.result.status);
+    STRCMP_EQUAL("abc", answer.body.c_str());
+}
+
+TEST(http_client, a_slow_answer_that_keeps_coming_is_not_silent)
+{
+    raw_server server([](raw_connection& connection, int) {
+        connection.read_request();
+        connection.send(chunked_head);
+        for (int piece = 0; piece < 15; ++piece) {
+            std::this_thread::sleep_for(milliseconds(100));
+            connection.send("1\r\nx\r\n");
+        }
+        connection.send("0\r\n\r\n");
+        connection.wait_until_closed();
+    });
+    http_request request = get(server.url());
+    request.progress_timeout = milliseconds(1000); // well under the 1.5 s of the whole answer
+    const http_answer answer = fetch_and_wait(*client, request, ample);
+    CHECK_EQUAL(std::error_code(), answer.result.error);
+    STRCMP_EQUAL("xxxxxxxxxxxxxxx", answer.body.c_str());
+}
+
+TEST(http_client, the_total_timeout_ends_an_answer_that_keeps_coming)
+{
+    raw_server server([](raw_connection& connection, int) {
+        connection.read_request();
+        connection.send(chunked_head);
+        while (connection.send("1\r\nx\r\n")) {
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+    });
+    http_request request = get(server.url());
+    request.total_timeout = milliseconds(300);
+    const http_result result = fetch_and_wait(*client, request, ample).result;
+    CHECK_EQUAL(make_error_code(http_error::total_timeout), result.error);
+    client->stop();
+}
+
+TEST(http_client, a_paused_answer_is_not_silent_and_loses_nothing)
+{
+    // The caller sees every byte once, in order. The listener has no room for the first piece; the
+    // pause outlasts the progress timeout several times; then the listener has room again.
+    raw_server server([](raw_connection& connection, int) {
+        connection.read_request();
+        connection.send(chunked_head + "3\r\nabc\r\n");
+        connection.send("3\r\ndef\r\n0\r\n\r\n");
+        connection.wait_until_closed();
+    });
+    http_request request = get(server.url());
+    request.progress_timeout = milliseconds(150);
+    listener->set_full(true);
+    const exchange_number exchange = client->start(request, listener);
+    CHECK_TRUE(eventually([&] { return listener->offered() > 0; }));
+    std::this_thread::sleep_for(milliseconds(600));
+    listener->set_full(false);
+    client->resume(exchange);
+    CHECK_EQUAL(std::error_code(), listener->wait().error);
+    STRCMP_EQUAL("abcdef", listener->received().c_str());
+}
+
+TEST(http_client, cancelling_closes_the_connection_and_ends_the_exchange)
+{
+    std::promise<void> closed;
+    raw_server server([&](raw_connection& connection, int) {
+        connection.read_request();
+        connection.send(chunked_head + "3\r\nabc\r\n");
+        connection.wait_until_closed();
+        closed.set_value();
+    });
+    const exchange_number exchange = client->start(get(server.url()), listener);
+    CHECK_TRUE(eventually([&] { return listener->received() == "abc"; }));
+    client->cancel(exchange);
+    CHECK_EQUAL(make_error_code(http_error::cancelled), listener->wait().error);
+    CHECK_TRUE(closed.get_future().wait_for(std::chrono::seconds(20)) == std::future_status::ready);
+}
+
+TEST(http_client, an_answer_cut_short_is_a_lost_connection)
+{
+    raw_server server([](raw_connection& connection, int index) {
+        connection.read_request();
+        connection.send(index == 0 ? chunked_head + "3\r\nabc\r\n"
+                                   : "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+    });
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const http_result result = fetch_and_wait(*client, get(server.url()), ample).result;
+        CHECK_EQUAL(make_error_code(http_error::connection_lost), result.error);
+    }
+}
+
+TEST(http_client, an_answer_that_is_not_http_is_malformed)
+{
+    raw_server server([](raw_connection& connection, int) {
+        connection.read_request();
+        connection.send("220 ready when you are\r\n\r\n");
+    });
+    const http_result result = fetch_and_wait(*client, get(server.url()), ample).result;
+    CHECK_EQUAL(make_error_code(http_error::malformed_answer), result.error);
+}
+
+TEST(http_client, bodies_and_heads_over_their_limits_are_malformed)
+{
+    raw_server server([](raw_connection& connection, int index) {
+        connection.read_request();
+        if (index == 0) {
+            connection.answer(200, "0123456789");
+        } else {
+            connection.send("HTTP/1.1 200 OK\r\n");
+            for (int field = 0; field < 80; ++field) {
+                connection.send("X-Long: " + std::string(1000, 'x') + "\r\n");
+            }
+        }
+        connection.wait_until_closed();
+    });
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const http_result result = fetch_and_wait(*client, get(server.url()), 9).result;
+        CHECK_EQUAL(make_error_code(http_error::malformed_answer), result.error);
+    }
+}
+
+TEST(http_client, connections_are_pooled_unless_a_fresh_one_is_asked_for)
+{
+    raw_server server(echo);
+    http_request request = get(server.url());
+    fetch_and_wait(*client, request, ample);
+    fetch_and_wait(*client, request, ample);
+    LONGS_EQUAL(1, server.connections());
+    request.fresh_connection = true;
+    fetch_and_wait(*client, request, ample);
+    LONGS_EQUAL(2, server.connections());
+}
+
+namespace {
+
+// Answers the first request of the first connection, then closes on the second one unanswered.
+// Further connections are answered. Counts the bookings that arrived.
+struct closing_server {
+    raw_server server{[this](raw_connection& connection, int index) {
+        connection.read_request();
+        connection.answer(200, "ready");
+        const std::string second = connection.read_request();
+        this->bookings += second.find("booking") != std::string::npos ? 1 : 0;
+        if (index > 0) {
+            connection.answer(200, "ready");
+        }
+    }};
+    std::atomic<int> bookings{0};
+};
+
+} // namespace
+
+TEST(http_client, a_request_that_must_not_run_twice_is_never_sent_twice)
+{
+    // The caller sees `connection_lost` and knows that the booking may have run. A pooled
+    // connection takes the booking and is closed before any byte of an answer, as by an endpoint
+    // that crashes on it. Left alone, libcurl sends the booking once more on a fresh connection,
+    // POST or not.
+    closing_server closing;
+    fetch_and_wait(*client, get(closing.server.url()), ample);
+    http_request request = post(closing.server.url(), "booking");
+    request.may_resend = false;
+    const http_result result = fetch_and_wait(*client, request, ample).result;
+    CHECK_EQUAL(make_error_code(http_error::connection_lost), result.error);
+    CHECK_TRUE(result.request_sent);
+    LONGS_EQUAL(1, closing.bookings.load());
+}
+
+TEST(http_client, a_request_that_may_be_resent_survives_a_pooled_connection_that_closes)
+{
+    raw_server server([](raw_connection& connection, int index) {
+        connection.read_request();
+        connection.answer(200, "ready");
+        if (index > 0 || connection.read_request().empty()) {
+            connection.wait_until_closed();
+        }
+    });
+    fetch_and_wait(*client, get(server.url()), ample);
+    const http_answer answer = fetch_and_wait(*client, post(server.url(), "reading"), ample);
+    CHECK_EQUAL(std::error_code(), answer.result.error);
+    LONGS_EQUAL(2, server.connections());
+}
+
+TEST(http_client, stopping_ends_every_exchange_and_refuses_new_ones)
+{
+    raw_server server([](raw_connection& connection, int) { connection.wait_until_closed(); });
+    client->start(get(server.url()), listener);
+    client->stop();
+    CHECK_EQUAL(make_error_code(http_error::client_stopped), listener->wait().error);
+    const http_result late = fetch_and_wait(*client, get(server.url()), ample).result;
+    CHECK_EQUAL(make_error_code(http_error::client_stopped), late.error);
+    CHECK_FALSE(late.request_sent);
+}
+
+TEST(http_client, many_streams_at_once_come_whole)
+{
+    raw_server server([](raw_connection& connection, int) {
+        connection.read_request();
+        connection.send(chunked_head);
+        for (int piece = 0; piece < 200; ++piece) {
+            connection.send("4\r\nabcd\r\n");
+        }
+        connection.send("0\r\n\r\n");
+        connection.wait_until_closed();
+    });
+    std::vector<boost::intrusive_ptr<recording_listener>> listeners(50);
+    for (auto& one : listeners) {
+        one = new recording_listener;
+        client->start(get(server.url()), one);
+    }
+    for (const auto& one : listeners) {
+        CHECK_EQUAL(std::error_code(), one->wait().error);
+        LONGS_EQUAL(800, one->received().size());
+    }
+    client->stop();
+}
--- /dev/null
+++ b/adapters/test/raw_server.hpp
@@ -0,0 +1,198 @@
+#ifndef PEARHAVEN_ADAPTERS_TEST_RAW_SERVER_HPP
+#define PEARHAVEN_ADAPTERS_TEST_RAW_SERVER_HPP
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace pearhaven::adapters::test {
+
+inline sockaddr_in loopback(std::uint16_t port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+inline std::uint16_t port_of(int socket)
+{
+    sockaddr_in address{};
+    socklen_t length = sizeof address;
+    getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
+    return ntohs(address.sin_port);
+}
+
+inline int listen_on_loopback(int backlog)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(0);
+    [[maybe_unused]] const int bound =
+        bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    listen(socket, backlog);
+    return socket;
+}
+
+inline int connect_to_loopback(std::uint16_t port)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(port);
+    [[maybe_unused]] const int connected =
+        connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    return socket;
+}
+
+// The server's end of one connection, written and read byte by byte as a test wants it.
+class raw_connection {
+public:
+    explicit raw_connection(int connected) : socket(connected) {}
+
+    // One request with its body; empty when the other end closed.
+    std::string read_request()
+    {
+        std::string text;
+        std::size_t wanted = std::string::npos;
+        while (text.size() < wanted) {
+            char piece[4096];
+            const ssize_t count = recv(this->socket, piece, sizeof piece, 0);
+            if (count <= 0) {
+                return {};
+            }
+            text.append(piece, static_cast<std::size_t>(count));
+            const auto head = text.find("\r\n\r\n");
+            if (head != std::string::npos && wanted == std::string::npos) {
+                wanted = head + 4 + content_length(text);
+            }
+        }
+        return text;
+    }
+
+    // False when the other end has closed.
+    bool send(std::string_view text) const
+    {
+        return ::send(this->socket, text.data(), text.size(), MSG_NOSIGNAL) >= 0;
+    }
+
+    void answer(int status, std::string_view body) const
+    {
+        this->send("HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " +
+                   std::to_string(body.size()) + "\r\n\r\n" + std::string(body));
+    }
+
+    // Returns once the other end has closed.
+    void wait_until_closed() const
+    {
+        char piece[4096];
+        while (recv(this->socket, piece, sizeof piece, 0) > 0) {
+        }
+    }
+
+    void shut() const { shutdown(this->socket, SHUT_RDWR); }
+
+private:
+    static std::size_t content_length(const std::string& text)
+    {
+        const std::string field = "Content-Length: ";
+        const auto at = text.find(field);
+        return at == std::string::npos ? 0 : std::stoul(text.substr(at + field.size()));
+    }
+
+    int socket;
+};
+
+// Accepts on 127.0.0.1 and holds one scripted conversation for each connection, on a thread of its
+// own. The destructor closes all connections and waits for their conversations.
+class raw_server {
+public:
+    using conversation = std::function<void(raw_connection& connection, int index)>;
+
+    explicit raw_server(conversation script)
+        : talk(std::move(script)), listener(listen_on_loopback(64)),
+          acceptor([this] { this->accept_all(); })
+    {}
+
+    ~raw_server()
+    {
+        shutdown(this->listener, SHUT_RDWR);
+        this->acceptor.join();
+        {
+            const std::lock_guard guard(this->mutex);
+            for (const int socket : this->sockets) {
+                shutdown(socket, SHUT_RDWR);
+            }
+        }
+        for (std::thread& thread : this->threads) {
+            thread.join();
+        }
+        for (const int socket : this->sockets) {
+            close(socket);
+        }
+        close(this->listener);
+    }
+
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    [[nodiscard]] std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(port_of(this->listener));
+    }
+    [[nodiscard]] int connections() const { return this->accepted.load(); }
+
+private:
+    void accept_all()
+    {
+        for (;;) {
+            const int socket = accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
+            if (socket < 0) {
+                return;
+            }
+            const int index = this->accepted++;
+            const std::lock_guard guard(this->mutex);
+            this->sockets.push_back(socket);
+            this->threads.emplace_back([this, socket, index] {
+                raw_connection connection(socket);
+                this->talk(connection, index);
+                connection.shut();
+            });
+        }
+    }
+
+    conversation talk;
+    int listener;
+    std::atomic<int> accepted{0};
+    std::mutex mutex;
+    std::list<int> sockets;
+    std::list<std::thread> threads;
+    std::thread acceptor; // last: it uses all of the above
+};
+
+// Waits, up to a generous bound, until the condition holds; says whether it does.
+template <class Condition>
+bool eventually(Condition condition)
+{
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > limit) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    return true;
+}
+
+} // namespace pearhaven::adapters::test
+
+#endif
