Add a stand-in for the inference engine

Cause: the path from caller to endpoint needs engines that batch, cache, resume, cancel, lag and fail. Ruled out: one thread per run that sleeps between tokens; one thread steps the whole batch and the connections' threads only wait for tokens. Conclusion: usable for the first whole path.

--- a/standins/src/behaviours.hpp
+++ b/standins/src/behaviours.hpp
@@ -22,11 +22,12 @@
 public:
     // The member is a bool, a whole number, a fraction or a text.
     template <class value_type>
-    behaviour_table& add(std::string name, value_type settings::*target, std::string meaning)
+    behaviour_table& add(const std::string& name, value_type settings::*target,
+                         const std::string& meaning)
     {
         entry added;
-        added.name = std::move(name);
-        added.meaning = std::move(meaning);
+        added.name = name;
+        added.meaning = meaning;
         added.set = [target](const nlohmann::json& value, settings& changed) {
             if (!fits<value_type>(value)) {
                 return false;
--- /dev/null
+++ b/standins/src/engine_reports.hpp
@@ -0,0 +1,83 @@
+#ifndef PEARHAVEN_STANDINS_ENGINE_REPORTS_HPP
+#define PEARHAVEN_STANDINS_ENGINE_REPORTS_HPP
+
+#include "batch_scheduler.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pearhaven::standins {
+
+// The load as it was a while ago.
+class load_history {
+public:
+    explicit load_history(decision::duration behind) : lag(behind) {}
+
+    void record(const batch_load& load, decision::instant now);
+
+    // The load as it was one lag before.
+    [[nodiscard]] batch_load report(decision::instant now) const;
+
+private:
+    struct sample {
+        decision::instant at;
+        batch_load load;
+    };
+
+    decision::duration lag;
+    std::deque<sample> samples;
+};
+
+// Cache events as they are published: late, with gaps, and only the latest ones.
+class cache_event_feed {
+public:
+    // `gap_share` (0 to 1) of the events, chosen by a hash of the sequence number, never appear.
+    cache_event_feed(decision::duration lag, double gap_share);
+
+    void publish(const std::vector<cache_event>& events, decision::instant now);
+
+    // The events after the sequence number that can be seen by now.
+    [[nodiscard]] std::vector<cache_event> after(std::uint64_t sequence,
+                                                 decision::instant now) const;
+
+private:
+    struct published {
+        decision::instant seen_at;
+        cache_event event;
+    };
+
+    decision::duration lag;
+    double gap_share;
+    std::deque<published> events;
+};
+
+// The versions that an engine serves, and the fencing number of its orders.
+class version_table {
+public:
+    explicit version_table(const std::vector<std::string>& served);
+
+    // Whether an order with the number may be obeyed. It may not when a higher one was seen.
+    bool pass_fence(std::uint64_t number);
+
+    // The version is served from then on.
+    void load(const std::string& version, decision::instant ready_at);
+
+    void unload(const std::string& version);
+
+    [[nodiscard]] bool serves(const std::string& version, decision::instant now) const;
+    [[nodiscard]] std::vector<std::string> served(decision::instant now) const;
+
+private:
+    std::map<std::string, decision::instant> ready;
+    std::uint64_t highest_fence = 0;
+};
+
+// Whether the one that the text names belongs to the share (0 to 1): the same answer each time.
+bool in_share(const std::string& name, double share);
+
+} // namespace pearhaven::standins
+
+#endif
--- /dev/null
+++ b/standins/src/engine_service.hpp
@@ -0,0 +1,63 @@
+#ifndef PEARHAVEN_STANDINS_ENGINE_SERVICE_HPP
+#define PEARHAVEN_STANDINS_ENGINE_SERVICE_HPP
+
+#include "behaviours.hpp"
+#include "call_counts.hpp"
+#include "engine.hpp"
+#include "hold.hpp"
+#include "web_server.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace pearhaven::standins {
+
+behaviour_table<engine_behaviours> engine_behaviour_table();
+
+// The engine over HTTP.
+class engine_service {
+public:
+    engine_service(engine& served, unsigned threads);
+
+    void add_routes(web_server& server);
+
+    // Waits until no answer is being given any more, or the bound is reached.
+    void wait_for_answers(std::chrono::milliseconds bound) const;
+
+private:
+    void complete(web_exchange& exchange);
+    void resume(web_exchange& exchange);
+    void cancel(web_exchange& exchange);
+    void load(web_exchange& exchange);
+    void cache_events(web_exchange& exchange);
+    void order(web_exchange& exchange);
+    void stats(web_exchange& exchange);
+    void behave(const engine_behaviours& wanted);
+
+    void stream(web_exchange& exchange, live_run& run, std::uint64_t offset);
+    bool stream_tokens(web_exchange& exchange, live_run& run, std::uint64_t offset);
+    bool send_events(web_exchange& exchange, const live_run& run, std::uint64_t first,
+                     std::uint64_t end);
+    void answer_whole(web_exchange& exchange, live_run& run);
+
+    // Waits until the run has ended and the engine is not frozen.
+    run_progress wait_for_end(live_run& run);
+    run_progress wait_unfrozen(live_run& run, std::uint64_t seen);
+    [[nodiscard]] bool is_silenced(std::uint64_t since) const;
+    std::uint64_t take_truncation(std::uint64_t sent, std::uint64_t end);
+
+    engine& served_engine;
+    behaviour_control<engine_behaviours> control;
+    call_holder holder;
+    call_counts counts;
+    // Copies of behaviours that are looked at for each token.
+    std::atomic<bool> frozen{false};
+    std::atomic<std::uint64_t> silencings{0};
+    std::atomic<std::uint64_t> truncate_after{0};
+    std::atomic<std::uint64_t> answers_open{0};
+};
+
+} // namespace pearhaven::standins
+
+#endif
--- /dev/null
+++ b/standins/src/live_run.hpp
@@ -0,0 +1,93 @@
+#ifndef PEARHAVEN_STANDINS_LIVE_RUN_HPP
+#define PEARHAVEN_STANDINS_LIVE_RUN_HPP
+
+#include "batch_scheduler.hpp"
+
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace pearhaven::standins {
+
+// What a request asks an engine for.
+struct engine_request {
+    std::string run;     // one attempt
+    std::string request; // one request over all its attempts
+    std::string version;
+    std::string prompt;
+    std::uint32_t priority = 5;
+    std::uint64_t max_tokens = 0;
+    bool stream = false;
+
+    friend bool operator==(const engine_request&, const engine_request&) = default;
+};
+
+// How a run's answer turns out, settled when it is accepted so that a resumed stream agrees.
+struct run_outcome {
+    bool bad = false;   // every token is marked as wrong
+    bool fails = false; // it runs to its end, then the answer is an error
+
+    friend bool operator==(const run_outcome&, const run_outcome&) = default;
+};
+
+class live_run;
+
+// Hears of the runs' way through the batch, on the thread that calls the scheduler.
+class run_observer {
+public:
+    virtual ~run_observer() = default;
+    virtual void run_started(live_run& run) = 0;
+    virtual void run_ended(live_run& run) = 0;
+};
+
+// A run that connections' threads wait on. Any number of them may, as a run can be resumed while
+// its first connection is still open.
+class live_run : public scheduled_run {
+public:
+    // The observer must outlive the run's time with the scheduler.
+    live_run(engine_request wanted, run_outcome settled, std::uint64_t block_tokens,
+             run_observer& watcher);
+
+    void on_start() override;
+    void on_progress() override;
+
+    // Waits until there are more tokens than `seen`, the run has ended, or `disturb` was called;
+    // for a second at the longest. Returns the progress.
+    run_progress wait_beyond(std::uint64_t seen);
+
+    [[nodiscard]] run_progress seen_progress() const;
+
+    // Wakes all that wait, to look at the behaviours again.
+    void disturb();
+
+    [[nodiscard]] std::string token(std::uint64_t index) const;
+    [[nodiscard]] std::string text() const;
+
+    const engine_request request;
+    const run_outcome outcome;
+
+    // Set by the observer only.
+    std::optional<std::size_t> log_number; // nothing: never started
+    decision::instant ended_at;
+
+private:
+    const std::uint64_t seed;
+    run_observer& observer;
+    mutable std::mutex mutex;
+    std::condition_variable changed;
+    run_progress published;
+    bool disturbed = false;
+};
+
+using live_run_pointer = boost::intrusive_ptr<live_run>;
+
+inline bool has_ended(run_state state)
+{
+    return state == run_state::finished || state == run_state::cancelled;
+}
+
+} // namespace pearhaven::standins
+
+#endif
--- /dev/null
+++ b/standins/src/prefix_cache.hpp
@@ -0,0 +1,67 @@
+#ifndef PEARHAVEN_STANDINS_PREFIX_CACHE_HPP
+#define PEARHAVEN_STANDINS_PREFIX_CACHE_HPP
+
+#include <cstdint>
+#include <list>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace pearhaven::standins {
+
+// Hash that names the prefix of a prompt up to the end of a block of tokens.
+using prefix_hash = std::uint64_t;
+
+// Hashes of a prompt's prefixes of 1, 2, ... whole blocks: XXH3 (64 bits) of the prefix's bytes.
+// A token is four bytes of the prompt; a part of a block at the end counts for nothing.
+std::vector<prefix_hash> prefix_hashes(std::string_view prompt, std::uint64_t block_tokens);
+
+// The hash as cache events show it: 16 hexadecimal digits.
+std::string to_text(prefix_hash hash);
+
+enum class cache_operation { add, drop };
+
+struct cache_event {
+    std::uint64_t sequence = 0; // counts from 1 without gaps
+    cache_operation operation = cache_operation::add;
+    prefix_hash prefix = 0;
+
+    friend bool operator==(const cache_event&, const cache_event&) = default;
+};
+
+// Blocks of prompt prefixes in limited memory. The block that was used least lately goes first; of
+// one prompt's blocks the last, since a block is of no use without those before it.
+class prefix_cache {
+public:
+    prefix_cache(std::uint64_t capacity_tokens, std::uint64_t block_tokens);
+
+    // Number of tokens at the beginning of the prompt that are cached. Marks them as used.
+    std::uint64_t use(const std::vector<prefix_hash>& prompt);
+
+    // Keeps the prompt's blocks, and drops others to make room.
+    void add(const std::vector<prefix_hash>& prompt);
+
+    [[nodiscard]] std::uint64_t tokens() const { return this->blocks.size() * this->block_tokens; }
+
+    // The events since the last call, oldest first.
+    std::vector<cache_event> take_events();
+
+private:
+    using use_order = std::list<prefix_hash>; // most recently used first
+
+    bool touch(prefix_hash block);
+    void record(cache_operation operation, prefix_hash prefix);
+    void drop_oldest();
+
+    std::uint64_t capacity_blocks;
+    std::uint64_t block_tokens;
+    use_order order;
+    std::unordered_map<prefix_hash, use_order::iterator> blocks;
+    std::vector<cache_event> events;
+    std::uint64_t last_sequence = 0;
+};
+
+} // namespace pearhaven::standins
+
+#endif
