Speak to the key-value service and the host list

Cause: the stores' ports need an adapter that never calls a write failed when it may have been applied. Ruled out: letting the HTTP client resend a write; the second sending meets the first one's effect and comes back as a conflict. Taking any 404 for an absent key: another program's 404 would do. Conclusion: unavailable only when unsent, or refused with 503 or 413; every other doubt is unknown.

--- a/adapters/include/pearhaven/adapters/platform.hpp
+++ b/adapters/include/pearhaven/adapters/platform.hpp
@@ -16,7 +16,9 @@
 
 // The platform's key-value service at `base_url` (like http://127.0.0.1:7000). An answer that takes
 // longer than the timeout counts as `unknown` for writes and `unavailable` for reads; a watch may
-// take its own wait on top. `client` must outlive the store.
+// take its own wait on top. A write is `unavailable` only when it was not sent, or refused with 503
+// or 413; a value over 1 MiB or a text that is not UTF-8 is not sent. No write is ever sent twice.
+// `client` must outlive the store; completions run on its thread.
 std::unique_ptr<coordination::key_value_store>
 make_key_value_store(http_client& client, std::string base_url, std::chrono::milliseconds timeout);
 
@@ -36,7 +38,9 @@
     friend bool operator==(const listed_host&, const listed_host&) = default;
 };
 
-// Fetches the host list once. Calls back with nothing when the list cannot be had.
+// Fetches the host list once. Calls back on the client's thread, with nothing when the list cannot
+// be had within 2 s. Entries without a name, an address or an incarnation are left out, so that one
+// of them does not hide all others; a state other than "live" counts as leaving.
 void fetch_host_list(http_client& client, const std::string& base_url,
                      std::function<void(const std::optional<std::vector<listed_host>>&)> done);
 
