--- a/standins/src/engine.cpp
+++ b/standins/src/engine.cpp
@@ -1,6 +1,7 @@
 #include "engine.hpp"
 
 #include "program.hpp"
+#include "shares.hpp"
 
 #include <algorithm>
 #include <cstdlib>
--- a/standins/src/engine_reports.cpp
+++ b/standins/src/engine_reports.cpp
@@ -1,8 +1,6 @@
 #include "engine_reports.hpp"
 
-#include <xxhash.h>
-
-#include <algorithm>
+#include "shares.hpp"
 
 namespace pearhaven::standins {
 
@@ -13,13 +11,6 @@
 
 } // namespace
 
-bool in_share(const std::string& name, double share)
-{
-    constexpr double parts = 1'000'000;
-    const auto part = XXH3_64bits(name.data(), name.size()) % static_cast<std::uint64_t>(parts);
-    return static_cast<double>(part) < share * parts;
-}
-
 void load_history::record(const batch_load& load, decision::instant now)
 {
     if (this->samples.size() > 1 && now - this->samples.back().at < finest_sample) {
--- a/standins/src/engine_reports.hpp
+++ b/standins/src/engine_reports.hpp
@@ -75,9 +75,6 @@
     std::uint64_t highest_fence = 0;
 };
 
-// Whether the one that the text names belongs to the share (0 to 1): the same answer each time.
-bool in_share(const std::string& name, double share);
-
 } // namespace pearhaven::standins
 
 #endif
--- a/standins/src/engine_service.cpp
+++ b/standins/src/engine_service.cpp
@@ -251,41 +251,37 @@
         answer_failed_run(exchange);
         return;
     }
-    const bool begun = exchange.begin_stream("text/event-stream", {{"Cache-Control", "no-store"}});
-    if (begun && this->stream_tokens(exchange, run, offset)) {
-        exchange.finish();
+    if (exchange.begin_stream("text/event-stream", {{"Cache-Control", "no-store"}})) {
+        this->stream_tokens(exchange, run, offset);
     }
 }
 
-// Sends the events from the offset to the end. False when the stream was given up before.
-bool engine_service::stream_tokens(web_exchange& exchange, live_run& run, std::uint64_t offset)
+// Sends the events from the offset to the end, or until the stream is given up.
+void engine_service::stream_tokens(web_exchange& exchange, live_run& run, std::uint64_t offset)
 {
     const auto silencings_before = this->silencings.load();
     const sse_events events(run);
     auto sent = offset;
-    std::string text;
     for (;;) {
         const auto progress = this->wait_unfrozen(run, sent);
         if (this->silencings != silencings_before) {
-            const auto now = this->silencings.load();
-            this->holder.hold_while([this, now] { return this->silencings >= now; });
-            return false;
+            this->holder.hold_while([] { return true; });
+            return;
         }
         const auto end = this->take_truncation(sent, progress.tokens);
-        text.clear();
+        std::string text;
         for (; sent < end; ++sent) {
             events.append_token(text, sent);
         }
         const bool truncated = end < progress.tokens;
-        const bool whole = !truncated && progress.state == run_state::finished;
-        if (whole) {
+        if (!truncated && progress.state == run_state::finished) {
             events.append_end(text, progress);
+            exchange.finish(text);
+            return;
         }
-        if (!text.empty() && !exchange.write(text)) {
-            return false;
-        }
-        if (whole || truncated || progress.state == run_state::cancelled) {
-            return whole;
+        const bool written = text.empty() || exchange.write(text);
+        if (!written || truncated || progress.state == run_state::cancelled) {
+            return;
         }
     }
 }
--- a/standins/src/engine_service.hpp
+++ b/standins/src/engine_service.hpp
@@ -36,15 +36,12 @@
     void behave(const engine_behaviours& wanted);
 
     void stream(web_exchange& exchange, live_run& run, std::uint64_t offset);
-    bool stream_tokens(web_exchange& exchange, live_run& run, std::uint64_t offset);
-    bool send_events(web_exchange& exchange, const live_run& run, std::uint64_t first,
-                     std::uint64_t end);
+    void stream_tokens(web_exchange& exchange, live_run& run, std::uint64_t offset);
     void answer_whole(web_exchange& exchange, live_run& run);
 
     // Waits until the run has ended and the engine is not frozen.
     run_progress wait_for_end(live_run& run);
     run_progress wait_unfrozen(live_run& run, std::uint64_t seen);
-    [[nodiscard]] bool is_silenced(std::uint64_t since) const;
     std::uint64_t take_truncation(std::uint64_t sent, std::uint64_t end);
 
     engine& served_engine;
--- a/standins/src/program.cpp
+++ b/standins/src/program.cpp
@@ -43,9 +43,19 @@
     return settings;
 }
 
+void announce(const std::string& what, const std::string& address)
+{
+    std::cout << what << " on " << address << std::endl;
+}
+
 void serve_until_terminated(web_server& server)
 {
-    std::cout << "listening on " << server.start() << std::endl;
+    announce("listening", server.start());
+    wait_for_termination();
+}
+
+void wait_for_termination()
+{
     const auto signals = ending_signals();
     int received = 0;
     sigwait(&signals, &received);
--- a/standins/src/program.hpp
+++ b/standins/src/program.hpp
@@ -18,6 +18,11 @@
 // What the flags --listen, --threads and --keep_alive_ms say.
 web_settings web_settings_from_flags();
 
+// Prints a line with an address for whoever started the program, at once.
+void announce(const std::string& what, const std::string& address);
+
+void wait_for_termination();
+
 // Starts the server, prints `listening on IP:port` and waits for SIGTERM or SIGINT.
 void serve_until_terminated(web_server& server);
 
--- a/standins/src/web_exchange.cpp
+++ b/standins/src/web_exchange.cpp
@@ -114,18 +114,28 @@
     return this->send(head(200, content_type, fields) + "Transfer-Encoding: chunked\r\n\r\n");
 }
 
-bool web_exchange::write(std::string_view text)
+void web_exchange::put_chunk(std::string_view text)
 {
     this->chunk.clear();
     fmt::format_to(std::back_inserter(this->chunk), "{:x}\r\n", text.size());
     this->chunk.append(text).append("\r\n");
+}
+
+bool web_exchange::write(std::string_view text)
+{
+    this->put_chunk(text);
     return this->send(this->chunk);
 }
 
-bool web_exchange::finish()
+bool web_exchange::finish(std::string_view last)
 {
+    this->chunk.clear();
+    if (!last.empty()) {
+        this->put_chunk(last);
+    }
+    this->chunk += "0\r\n\r\n";
     this->is_answered = true;
-    return this->send("0\r\n\r\n");
+    return this->send(this->chunk);
 }
 
 } // namespace pearhaven::standins
--- a/standins/src/web_exchange.hpp
+++ b/standins/src/web_exchange.hpp
@@ -49,14 +49,16 @@
     // Sends one chunk in a single system call. False when the caller is gone.
     bool write(std::string_view text);
 
-    // Ends the stream as whole. A stream that is not finished is cut when the handler returns.
-    bool finish();
+    // Ends the stream as whole, after a last chunk if there is one. A stream that is not finished
+    // is cut when the handler returns.
+    bool finish(std::string_view last = {});
 
     [[nodiscard]] bool answered() const { return this->is_answered; }
 
 private:
     bool send(std::string_view bytes);
     void read_body(std::size_t limit);
+    void put_chunk(std::string_view text);
 
     mg_connection* connection;
     std::string method_text;
