Choose endpoints by own work, aged reports, limits and health

Cause: a random endpoint with a free slot ignores load, zone, prefix caches, leaving marks told by lagging lists, and endpoints that fail or hang. Ruled out: believing a load report as it stands (it misses what was sent since); blaming the endpoint for a silent connection (connections that hang together are forgiven, fresh ones are not); ejecting every failing endpoint (a bad version would eject them all).

--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -66,6 +66,7 @@
 
     std::size_t subset_size = 48;       // endpoints of a target that one router uses
     double zone_bias = 0.25;            // load, as a share of a limit, accepted to stay in the zone
+    double affinity_free_share = 0.25;  // of an endpoint's capacity that affinity may always fill
     double affinity_load_factor = 1.25; // of the mean load, up to which a warm endpoint is kept
 
     std::uint32_t service_slots = 64; // as pool::slots_per_host, for plain services
@@ -74,6 +75,8 @@
     double latency_tolerance = 3.0;   // times the usual first-token latency that count as late
     duration backoff_interval = std::chrono::milliseconds(250); // between two cuts of a limit
 
+    double report_overcommit = 1.25; // of a reported capacity: covers what the lag hides
+    double typical_work = 500.0;     // work that loads an endpoint as much as one request does
     duration report_lifetime = std::chrono::seconds(2); // a load report older than that is dropped
 
     std::uint32_t failures_to_eject = 3; // in a row
@@ -81,7 +84,7 @@
     std::uint32_t slow_samples = 8;  // first tokens seen before an endpoint is called slow
     double max_ejected_share = 0.34; // of a target's endpoints, for failing and slow ones
     duration first_ejection = std::chrono::seconds(1); // doubles with each one in a row
-    duration longest_ejection = std::chrono::seconds(30);
+    duration longest_ejection = std::chrono::seconds(10);
 
     duration leaving_memory = std::chrono::minutes(10); // for which an unlisted host's mark is kept
 };
@@ -128,6 +131,9 @@
     [[nodiscard]] std::optional<endpoint_host> find(const std::string& address) const;
     [[nodiscard]] std::vector<std::string> addresses() const;
 
+    // Those that this router may send to, by the subsets of all targets: the ones to ask for load.
+    [[nodiscard]] std::vector<std::string> used_addresses(instant now) const;
+
     // For status pages.
     struct endpoint_status {
         endpoint_host host;
--- /dev/null
+++ b/decision/src/concurrency_limit.cpp
@@ -0,0 +1,88 @@
+#include "concurrency_limit.hpp"
+
+#include <algorithm>
+
+namespace pearhaven::decision {
+
+namespace {
+
+constexpr double restart_share = 0.25;
+// Engines batch: a small batch wastes the engine, and a full one has slower first tokens by nature.
+// Lateness alone therefore never cuts the limit below this share of the ceiling.
+constexpr double least_share_when_late = 0.25;
+constexpr double recent_weight = 0.3;
+// The usual latency follows quicker answers soon and slower ones hardly, so that an overload does
+// not become the usual before it is noticed.
+constexpr double quicker_weight = 0.1;
+constexpr double slower_weight = 0.005;
+// Lateness below this is not worth a smaller batch.
+constexpr double lateness_floor_us = 100'000.0;
+
+double blend(double before, double sample, double weight)
+{
+    return before == 0.0 ? sample : before + weight * (sample - before);
+}
+
+} // namespace
+
+concurrency_limit::concurrency_limit(double ceiling)
+    : highest(std::max(ceiling, 1.0)), current(this->highest)
+{}
+
+void concurrency_limit::set_ceiling(double ceiling)
+{
+    const bool at_ceiling = this->current >= this->highest;
+    this->highest = std::max(ceiling, 1.0);
+    this->current = at_ceiling ? this->highest : std::min(this->current, this->highest);
+}
+
+void concurrency_limit::restart()
+{
+    this->current = std::max(1.0, this->highest * restart_share);
+    this->latency = {};
+}
+
+void concurrency_limit::on_finished(work_class kind, double in_use, duration first_token,
+                                    instant now, const endpoint_table_settings& settings)
+{
+    if (first_token > duration::zero() && this->is_late(kind, first_token, settings)) {
+        const double least = std::max(1.0, this->highest * least_share_when_late);
+        this->cut(settings.latency_backoff, least, now, settings);
+        return;
+    }
+    // A limit that is not used says nothing about what the endpoint bears.
+    if (in_use >= this->current / 2.0) {
+        this->current = std::min(this->highest, this->current + 1.0 / this->current);
+    }
+}
+
+void concurrency_limit::on_refused(instant now, const endpoint_table_settings& settings)
+{
+    this->cut(settings.refusal_backoff, 1.0, now, settings);
+}
+
+bool concurrency_limit::is_late(work_class kind, duration first_token,
+                                const endpoint_table_settings& settings)
+{
+    const auto sample = static_cast<double>(first_token.count());
+    latency_track& track = this->latency.at(static_cast<std::size_t>(kind));
+    track.recent = blend(track.recent, sample, recent_weight);
+    const bool late = track.recent > settings.latency_tolerance * track.usual + lateness_floor_us &&
+                      track.usual > 0.0;
+    const double weight = sample < track.usual ? quicker_weight : slower_weight;
+    track.usual = blend(track.usual, sample, weight);
+    return late;
+}
+
+// One cut an interval: a burst of refusals tells of one overload, not of many.
+void concurrency_limit::cut(double factor, double least, instant now,
+                            const endpoint_table_settings& settings)
+{
+    if (now < this->next_cut) {
+        return;
+    }
+    this->next_cut = now + settings.backoff_interval;
+    this->current = std::min(this->current, std::max(least, this->current * factor));
+}
+
+} // namespace pearhaven::decision
--- /dev/null
+++ b/decision/src/concurrency_limit.hpp
@@ -0,0 +1,54 @@
+#ifndef PEARHAVEN_DECISION_CONCURRENCY_LIMIT_HPP
+#define PEARHAVEN_DECISION_CONCURRENCY_LIMIT_HPP
+
+#include "pearhaven/decision/endpoint_table.hpp"
+#include "pearhaven/decision/time.hpp"
+#include "pearhaven/decision/work.hpp"
+
+#include <array>
+
+namespace pearhaven::decision {
+
+// How many requests one endpoint is offered at a time. The limit falls by a factor when the
+// endpoint refuses or its first tokens come late, and rises by one for as many finished requests
+// as it counts. It stays between 1 and the ceiling.
+class concurrency_limit {
+public:
+    // Starts at the ceiling.
+    explicit concurrency_limit(double ceiling);
+
+    // A limit that stood at the old ceiling follows the new one.
+    void set_ceiling(double ceiling);
+
+    // Starts again from a part of the ceiling: the endpoint is back, perhaps with cold caches.
+    void restart();
+
+    // `in_use` counts the requests at the endpoint before this one ended. A `first_token` of zero
+    // says nothing about latency.
+    void on_finished(work_class kind, double in_use, duration first_token, instant now,
+                     const endpoint_table_settings& settings);
+    void on_refused(instant now, const endpoint_table_settings& settings);
+
+    [[nodiscard]] double value() const { return this->current; }
+    [[nodiscard]] double ceiling() const { return this->highest; }
+
+private:
+    // First-token latency of one class: as usual, and of late; zero before the first sample.
+    struct latency_track {
+        double usual = 0.0;
+        double recent = 0.0;
+    };
+
+    [[nodiscard]] bool is_late(work_class kind, duration first_token,
+                               const endpoint_table_settings& settings);
+    void cut(double factor, double least, instant now, const endpoint_table_settings& settings);
+
+    double highest;
+    double current;
+    instant next_cut{};
+    std::array<latency_track, 2> latency{};
+};
+
+} // namespace pearhaven::decision
+
+#endif
--- /dev/null
+++ b/decision/src/endpoint_choice.cpp
@@ -0,0 +1,180 @@
+#include "endpoint_choice.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace pearhaven::decision {
+
+namespace {
+
+// Of a subset, the part kept for other zones, so that work can leave a zone that is full or down.
+constexpr std::size_t remote_part_of_subset = 4;
+
+// The two endpoints that rank first for a prefix. All routers rank them alike, so that a prefix is
+// cached in few places.
+std::array<const endpoint*, 2> ranked_first(const std::vector<endpoint*>& subset,
+                                            std::uint64_t prefix_hash)
+{
+    std::array<const endpoint*, 2> first{};
+    std::array<std::uint64_t, 2> ranks{};
+    for (const endpoint* where : subset) {
+        const std::uint64_t rank = mix(where->identity ^ mix(prefix_hash));
+        if (first[0] == nullptr || rank > ranks[0]) {
+            first = {where, first[0]};
+            ranks = {rank, ranks[0]};
+        } else if (first[1] == nullptr || rank > ranks[1]) {
+            first[1] = where;
+            ranks[1] = rank;
+        }
+    }
+    return first;
+}
+
+} // namespace
+
+std::vector<endpoint*> subset_of(const route& from, const std::vector<std::string>& avoid,
+                                 instant now, const endpoint_table_settings& settings)
+{
+    const std::size_t size = settings.subset_size;
+    const std::size_t for_remote = std::min(from.remote.size(), size / remote_part_of_subset);
+    std::vector<endpoint*> subset;
+    subset.reserve(std::min(size, from.local.size() + from.remote.size()));
+    const auto take = [&](const std::vector<endpoint*>& side, std::size_t until) {
+        for (endpoint* where : side) {
+            if (subset.size() >= until) {
+                return;
+            }
+            const bool avoided =
+                std::find(avoid.begin(), avoid.end(), where->host.address) != avoid.end();
+            if (!avoided && !where->load.draining() && !where->health.is_ejected(now)) {
+                subset.push_back(where);
+            }
+        }
+    };
+    take(from.local, size - for_remote);
+    take(from.remote, size);
+    return subset;
+}
+
+const endpoint* endpoint_choice::choose(const route& from, std::uint64_t random) const
+{
+    const auto subset = subset_of(from, this->wanted.avoid, this->now, this->settings);
+    if (const endpoint* warm = this->choose_warm(subset)) {
+        return warm;
+    }
+    std::vector<endpoint*> local;
+    std::vector<endpoint*> remote;
+    for (endpoint* where : subset) {
+        if (this->has_room(*where)) {
+            const bool is_local = where->host.zone == this->settings.zone;
+            (is_local ? local : remote).push_back(where);
+        }
+    }
+    const auto near = this->better_of_two(local, random);
+    const auto far = this->better_of_two(remote, mix(random));
+    if (!near || !far) {
+        return near ? near->where : far.value_or(candidate()).where;
+    }
+    return near->score <= far->score + this->settings.zone_bias ? near->where : far->where;
+}
+
+bool endpoint_choice::has_room(const endpoint& where) const
+{
+    if (where.health.trial_under_way(this->now)) {
+        return false;
+    }
+    const double limit = std::floor(where.limit.value());
+    if (where.outstanding >= limit) {
+        return false;
+    }
+    if (this->wanted.kind == work_class::reading && !this->readings_have_room(where, limit)) {
+        return false;
+    }
+    return this->reports_room(where);
+}
+
+// A slot is left to lookups wherever there are two; where there is one, readings must run at last.
+bool endpoint_choice::readings_have_room(const endpoint& where, double limit) const
+{
+    const double share = std::min(std::floor(where.long_share * limit), limit - 1.0);
+    return where.readings < std::max(1.0, share);
+}
+
+// Counts in what other routers have sent there. Their part of readings is not reported; it is taken
+// to be as here, since callers are spread over the routers.
+bool endpoint_choice::reports_room(const endpoint& where) const
+{
+    const auto held = where.load.held(this->now, this->settings.report_lifetime);
+    const double capacity = where.load.capacity();
+    if (!held || capacity <= 0.0) {
+        return true;
+    }
+    if (*held >= capacity * this->settings.report_overcommit) {
+        return false;
+    }
+    if (this->wanted.kind == work_class::lookup || this->own.outstanding == 0) {
+        return true;
+    }
+    const double others = std::max(0.0, *held - where.outstanding);
+    const double reading_part = static_cast<double>(this->own.readings) / this->own.outstanding;
+    const double held_by_readings = where.readings + others * reading_part;
+    return held_by_readings + 1.0 <= std::max(1.0, where.long_share * capacity);
+}
+
+double endpoint_choice::load_of(const endpoint& where) const
+{
+    return where.held(this->now, this->settings) / where.capacity();
+}
+
+// The endpoint that is likely to hold the prompt's beginning in its cache, or the one that takes
+// its overflow; null where both are full or loaded well over the mean.
+const endpoint* endpoint_choice::choose_warm(const std::vector<endpoint*>& subset) const
+{
+    if (this->wanted.prefix_hash == 0) {
+        return nullptr;
+    }
+    const double most = this->most_load_when_warm(subset);
+    for (const endpoint* where : ranked_first(subset, this->wanted.prefix_hash)) {
+        if (where != nullptr && this->has_room(*where) && this->load_of(*where) < most) {
+            return where;
+        }
+    }
+    return nullptr;
+}
+
+double endpoint_choice::most_load_when_warm(const std::vector<endpoint*>& subset) const
+{
+    double total = 0.0;
+    for (const endpoint* where : subset) {
+        total += this->load_of(*where);
+    }
+    const double mean = subset.empty() ? 0.0 : total / static_cast<double>(subset.size());
+    return std::max(this->settings.affinity_free_share, this->settings.affinity_load_factor * mean);
+}
+
+// Power of two choices: of two drawn at random the one less loaded. Always taking the least loaded
+// would send all routers to the same endpoint until its next report.
+std::optional<endpoint_choice::candidate>
+endpoint_choice::better_of_two(const std::vector<endpoint*>& open, std::uint64_t random) const
+{
+    if (open.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t first = mix(random) % open.size();
+    const candidate one = this->weigh(*open[first]);
+    if (open.size() == 1) {
+        return one;
+    }
+    const std::size_t step = 1 + mix(random + 1) % (open.size() - 1);
+    const candidate other = this->weigh(*open[(first + step) % open.size()]);
+    return other.score < one.score ? other : one;
+}
+
+endpoint_choice::candidate endpoint_choice::weigh(const endpoint& where) const
+{
+    const double work = where.work / this->settings.typical_work;
+    return {&where, this->load_of(where) + work / where.capacity()};
+}
+
+} // namespace pearhaven::decision
--- /dev/null
+++ b/decision/src/endpoint_choice.hpp
@@ -0,0 +1,60 @@
+#ifndef PEARHAVEN_DECISION_ENDPOINT_CHOICE_HPP
+#define PEARHAVEN_DECISION_ENDPOINT_CHOICE_HPP
+
+#include "endpoint_directory.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pearhaven::decision {
+
+// This router's own requests under way, at all endpoints together.
+struct own_load {
+    std::uint32_t outstanding = 0;
+    std::uint32_t readings = 0;
+};
+
+// The endpoints that this router uses of a target: the first ones that are well and not to be
+// avoided, most of them in its own zone. All of them while they are few.
+[[nodiscard]] std::vector<endpoint*> subset_of(const route& from,
+                                               const std::vector<std::string>& avoid, instant now,
+                                               const endpoint_table_settings& settings);
+
+// One choice among the endpoints of a route.
+class endpoint_choice {
+public:
+    // All that is passed by reference must outlive the choice.
+    endpoint_choice(const endpoint_table_settings& chosen, const placement& request,
+                    const own_load& load, instant at)
+        : settings(chosen), wanted(request), own(load), now(at)
+    {}
+
+    // Null when none has room.
+    [[nodiscard]] const endpoint* choose(const route& from, std::uint64_t random) const;
+
+private:
+    struct candidate {
+        const endpoint* where = nullptr;
+        double score = 0.0;
+    };
+
+    [[nodiscard]] bool has_room(const endpoint& where) const;
+    [[nodiscard]] bool readings_have_room(const endpoint& where, double limit) const;
+    [[nodiscard]] bool reports_room(const endpoint& where) const;
+    [[nodiscard]] double load_of(const endpoint& where) const;
+    [[nodiscard]] const endpoint* choose_warm(const std::vector<endpoint*>& subset) const;
+    [[nodiscard]] double most_load_when_warm(const std::vector<endpoint*>& subset) const;
+    [[nodiscard]] std::optional<candidate> better_of_two(const std::vector<endpoint*>& open,
+                                                         std::uint64_t random) const;
+    [[nodiscard]] candidate weigh(const endpoint& where) const;
+
+    const endpoint_table_settings& settings;
+    const placement& wanted;
+    const own_load& own;
+    instant now;
+};
+
+} // namespace pearhaven::decision
+
+#endif
--- /dev/null
+++ b/decision/src/endpoint_health.cpp
@@ -0,0 +1,99 @@
+#include "endpoint_health.hpp"
+
+#include <algorithm>
+
+namespace pearhaven::decision {
+
+namespace {
+
+// A trial that lasts this long has met no dead endpoint; it may be a long answer. Waiting for its
+// end would leave the endpoint idle for minutes.
+constexpr duration trial_patience = std::chrono::seconds(3);
+
+} // namespace
+
+endpoint_health::verdict endpoint_health::on_result(attempt_result result,
+                                                    std::uint32_t others_outstanding, instant now,
+                                                    const endpoint_table_settings& settings)
+{
+    const bool was_trial = this->returning && this->trials > 0;
+    this->trials -= this->trials > 0 ? 1 : 0;
+    switch (result) {
+    case attempt_result::finished:
+    case attempt_result::refused:
+        return this->on_success(was_trial, now);
+    case attempt_result::unreachable:
+        return verdict::eject;
+    case attempt_result::failed:
+        ++this->failures;
+        return was_trial || this->failures >= settings.failures_to_eject ? verdict::eject_if_spare
+                                                                         : verdict::keep;
+    case attempt_result::went_silent:
+        return this->on_silence(others_outstanding);
+    case attempt_result::cancelled:
+        return verdict::keep;
+    }
+    return verdict::keep;
+}
+
+void endpoint_health::on_started(instant now)
+{
+    if (this->returning && !this->is_ejected(now)) {
+        ++this->trials;
+        this->next_trial = now + trial_patience;
+    }
+}
+
+void endpoint_health::eject(instant now, const endpoint_table_settings& settings)
+{
+    // Attempts that were sent together fail together: that is one ejection.
+    if (this->is_ejected(now)) {
+        return;
+    }
+    if (!this->returning && now - this->returned_at > settings.longest_ejection) {
+        this->ejections = 0;
+    }
+    constexpr std::uint32_t most_doublings = 16;
+    const duration wanted =
+        settings.first_ejection * (std::int64_t{1} << std::min(this->ejections, most_doublings));
+    this->ejected_until = now + std::min(wanted, settings.longest_ejection);
+    ++this->ejections;
+    this->returning = true;
+    this->trials = 0;
+    this->failures = 0;
+    this->connections_silent = false;
+}
+
+// Connections can go silent for good while the endpoint is well, since something in between has
+// lost track of them; then all that were open hang at about the same time. Blaming the endpoint
+// would eject a healthy one, and several at once in the worst case. So the attempts that were under
+// way are forgiven. An attempt started since then had a fresh connection: if that goes silent too,
+// and nothing has finished in between, the endpoint itself hangs.
+endpoint_health::verdict endpoint_health::on_silence(std::uint32_t others_outstanding)
+{
+    if (!this->connections_silent) {
+        this->connections_silent = true;
+        this->older_attempts = others_outstanding;
+        return verdict::keep;
+    }
+    this->older_attempts = std::min(this->older_attempts, others_outstanding + 1);
+    if (this->older_attempts > 0) {
+        --this->older_attempts;
+        return verdict::keep;
+    }
+    return verdict::eject;
+}
+
+endpoint_health::verdict endpoint_health::on_success(bool was_trial, instant now)
+{
+    this->failures = 0;
+    this->connections_silent = false;
+    if (!was_trial) {
+        return verdict::keep;
+    }
+    this->returning = false;
+    this->returned_at = now;
+    return verdict::returned;
+}
+
+} // namespace pearhaven::decision
--- /dev/null
+++ b/decision/src/endpoint_state.hpp
@@ -0,0 +1,97 @@
+#ifndef PEARHAVEN_DECISION_ENDPOINT_STATE_HPP
+#define PEARHAVEN_DECISION_ENDPOINT_STATE_HPP
+
+#include "concurrency_limit.hpp"
+#include "endpoint_health.hpp"
+#include "load_estimate.hpp"
+
+#include "pearhaven/decision/endpoint_table.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace pearhaven::decision {
+
+// Spreads the bits of a number over all of them.
+inline std::uint64_t mix(std::uint64_t value)
+{
+    value += 0x9E3779B97F4A7C15U;
+    value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9U;
+    value = (value ^ (value >> 27U)) * 0x94D049BB133111EBU;
+    return value ^ (value >> 31U);
+}
+
+// First-token latency of late in one class, in microseconds.
+struct first_token_mean {
+    double mean = 0.0;
+    std::uint32_t samples = 0;
+
+    void add(double sample)
+    {
+        constexpr double recent_weight = 0.2;
+        const double weight = this->samples == 0 ? 1.0 : recent_weight;
+        this->mean += weight * (sample - this->mean);
+        ++this->samples;
+    }
+};
+
+// All that is known of one endpoint.
+struct endpoint {
+    explicit endpoint(endpoint_host listed_host)
+        : host(std::move(listed_host)),
+          identity(XXH64(this->host.address.data(), this->host.address.size(), 0))
+    {}
+
+    endpoint_host host;
+    std::uint64_t identity;
+    bool listed = true;
+    std::string group; // pool or service, whose endpoints are compared with each other
+    double long_share = 1.0;
+
+    std::uint32_t outstanding = 0;
+    std::uint32_t readings = 0; // of the outstanding ones
+    double work = 0.0;          // of the outstanding ones
+
+    concurrency_limit limit{1.0};
+    load_estimate load;
+    endpoint_health health;
+    std::array<first_token_mean, 2> first_tokens{};
+    instant next_slowness_check{};
+
+    // Another process has taken the address over; what runs on the old one still ends here.
+    void replace(const endpoint_host& newer)
+    {
+        this->host = newer;
+        this->limit = concurrency_limit(this->limit.ceiling());
+        this->load = {};
+        this->health = {};
+        this->first_tokens = {};
+    }
+
+    first_token_mean& first_token(work_class kind)
+    {
+        return this->first_tokens.at(static_cast<std::size_t>(kind));
+    }
+
+    // Requests it bears at a time: as reported, else as the configuration says.
+    [[nodiscard]] double capacity() const
+    {
+        return this->load.capacity() > 0.0 ? this->load.capacity() : this->limit.ceiling();
+    }
+
+    // Requests at the endpoint, this router's and, after a fresh report, those of all routers.
+    [[nodiscard]] double held(instant now, const endpoint_table_settings& settings) const
+    {
+        const double own = this->outstanding;
+        return std::max(own, this->load.held(now, settings.report_lifetime).value_or(own));
+    }
+};
+
+} // namespace pearhaven::decision
+
+#endif
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -1,173 +1,283 @@
 #include "pearhaven/decision/endpoint_table.hpp"
 
+#include "endpoint_choice.hpp"
+#include "endpoint_directory.hpp"
+
 #include <algorithm>
-#include <map>
+#include <cmath>
+#include <set>
+#include <utility>
 
 namespace pearhaven::decision {
 
+namespace {
+
+constexpr duration slowness_check_interval = std::chrono::seconds(1);
+
+// As listed, but with what is known of its leaving.
+endpoint_host current_host(const endpoint_directory& directory, const endpoint& where)
+{
+    endpoint_host host = where.host;
+    host.leaving = directory.is_leaving(where);
+    return host;
+}
+
+} // namespace
+
 class endpoint_table::state {
 public:
-    struct endpoint {
-        endpoint_host host;
-        std::uint32_t outstanding = 0;
-        std::uint32_t readings = 0;
-    };
-
-    endpoint_table_settings settings;
-    std::map<std::string, endpoint> endpoints;
-    std::map<std::string, std::uint64_t> leaving;
-    std::map<std::string, pool> pools;
-    std::map<std::string, service> services;
-    std::map<std::string, version> versions;
-
-    [[nodiscard]] const pool* pool_for(const std::string& version_name,
-                                       const endpoint_host& host) const
-    {
-        const auto wanted = this->versions.find(version_name);
-        if (wanted == this->versions.end()) {
-            return nullptr;
-        }
-        for (const auto& [name, candidate] : this->pools) {
-            if (candidate.versions.matches(wanted->second.tags) &&
-                candidate.hosts.matches(host.tags)) {
-                return &candidate;
-            }
+    explicit state(endpoint_table_settings chosen) : settings(std::move(chosen)) {}
+
+    void started(endpoint& where, work_class kind, double work, instant now);
+    void ended(endpoint& where, work_class kind, double work, attempt_result result,
+               duration first_token, instant now);
+    [[nodiscard]] std::optional<std::string> choose(const placement& wanted, instant now,
+                                                    std::uint64_t random);
+    void add_used(std::set<std::string>& used, const std::string& name, bool is_service,
+                  instant now);
+
+    const endpoint_table_settings settings;
+    endpoint_directory directory{this->settings};
+
+private:
+    void count_out(endpoint& where, work_class kind, double work, instant now);
+    void judge(endpoint& where, endpoint_health::verdict verdict, instant now);
+    bool is_slow(endpoint& where, work_class kind, duration first_token, bool on_trial,
+                 instant now) const;
+    [[nodiscard]] std::optional<double> usual_first_token(const endpoint& where,
+                                                          work_class kind) const;
+    [[nodiscard]] bool can_spare(const endpoint& where, instant now) const;
+
+    own_load own;
+};
+
+void endpoint_table::state::started(endpoint& where, work_class kind, double work, instant now)
+{
+    const std::uint32_t reading = kind == work_class::reading ? 1 : 0;
+    ++where.outstanding;
+    ++this->own.outstanding;
+    where.readings += reading;
+    this->own.readings += reading;
+    where.work += work;
+    where.load.on_started(now);
+    where.health.on_started(now);
+}
+
+void endpoint_table::state::ended(endpoint& where, work_class kind, double work,
+                                  attempt_result result, duration first_token, instant now)
+{
+    if (where.outstanding == 0) {
+        return;
+    }
+    const double in_use = where.outstanding;
+    this->count_out(where, kind, work, now);
+    const bool on_trial = where.health.on_trial();
+    auto verdict = where.health.on_result(result, where.outstanding, now, this->settings);
+    if (result == attempt_result::finished) {
+        where.limit.on_finished(kind, in_use, first_token, now, this->settings);
+        if (this->is_slow(where, kind, first_token, on_trial, now)) {
+            verdict = endpoint_health::verdict::eject_if_spare;
         }
-        return nullptr;
     }
+    if (result == attempt_result::refused) {
+        where.limit.on_refused(now, this->settings);
+    }
+    this->judge(where, verdict, now);
+}
 
-    [[nodiscard]] bool leaves(const endpoint_host& host) const
-    {
-        const auto mark = this->leaving.find(host.address);
-        return host.leaving || (mark != this->leaving.end() && mark->second >= host.incarnation);
+void endpoint_table::state::count_out(endpoint& where, work_class kind, double work, instant now)
+{
+    const std::uint32_t reading = kind == work_class::reading && where.readings > 0 ? 1 : 0;
+    --where.outstanding;
+    --this->own.outstanding;
+    where.readings -= reading;
+    this->own.readings -= reading;
+    where.work = where.outstanding == 0 ? 0.0 : std::max(0.0, where.work - work);
+    where.load.on_ended(now);
+}
+
+void endpoint_table::state::judge(endpoint& where, endpoint_health::verdict verdict, instant now)
+{
+    using health_verdict = endpoint_health::verdict;
+    if (verdict == health_verdict::returned) {
+        where.limit.restart();
+        return;
     }
+    const bool ejects = verdict == health_verdict::eject ||
+                        (verdict == health_verdict::eject_if_spare && this->can_spare(where, now));
+    if (ejects) {
+        where.health.eject(now, this->settings);
+        where.first_tokens = {};
+    }
+}
 
-    // Slots that the endpoint offers to the placement; 0 when it does not serve it.
-    [[nodiscard]] std::uint32_t slots(const placement& wanted, const endpoint_host& host) const
-    {
-        if (this->leaves(host)) {
-            return 0;
-        }
-        if (wanted.is_service) {
-            const auto found = this->services.find(wanted.version_or_service);
-            const bool served =
-                found != this->services.end() && found->second.hosts.matches(host.tags);
-            return served ? this->settings.service_slots : 0;
+// When most endpoints fail or are slow, the cause lies elsewhere, as with a bad version; taking
+// them out would leave the rest with a load they cannot bear.
+bool endpoint_table::state::can_spare(const endpoint& where, instant now) const
+{
+    const auto& peers = this->directory.peers_of(where);
+    const auto ejected = std::count_if(peers.begin(), peers.end(), [&](const endpoint* peer) {
+        return peer != &where && peer->health.is_ejected(now);
+    });
+    const auto used = static_cast<double>(std::min(peers.size(), this->settings.subset_size));
+    const double most = std::max(1.0, std::floor(this->settings.max_ejected_share * used));
+    return peers.size() > 1 && static_cast<double>(ejected + 1) <= most;
+}
+
+// One answer proves slowness only on trial: there it was known before.
+bool endpoint_table::state::is_slow(endpoint& where, work_class kind, duration first_token,
+                                    bool on_trial, instant now) const
+{
+    if (first_token <= duration::zero()) {
+        return false;
+    }
+    first_token_mean& own_mean = where.first_token(kind);
+    own_mean.add(static_cast<double>(first_token.count()));
+    const bool enough = own_mean.samples >= this->settings.slow_samples;
+    if (!on_trial && (!enough || now < where.next_slowness_check)) {
+        return false;
+    }
+    where.next_slowness_check = now + slowness_check_interval;
+    const auto usual = this->usual_first_token(where, kind);
+    return usual && own_mean.mean > this->settings.slow_factor * *usual;
+}
+
+// The median over the other endpoints.
+std::optional<double> endpoint_table::state::usual_first_token(const endpoint& where,
+                                                               work_class kind) const
+{
+    std::vector<double> means;
+    for (endpoint* peer : this->directory.peers_of(where)) {
+        const first_token_mean& known = peer->first_token(kind);
+        if (peer != &where && known.samples >= this->settings.slow_samples) {
+            means.push_back(known.mean);
         }
-        const pool* offered = this->pool_for(wanted.version_or_service, host);
-        return offered == nullptr ? 0 : offered->slots_per_host;
     }
-};
+    if (means.empty()) {
+        return std::nullopt;
+    }
+    const auto middle = means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
+    std::nth_element(means.begin(), middle, means.end());
+    return *middle;
+}
 
-endpoint_table::endpoint_table(endpoint_table_settings settings)
-    : inner(std::make_unique<endpoint_table::state>())
+std::optional<std::string> endpoint_table::state::choose(const placement& wanted, instant now,
+                                                         std::uint64_t random)
+{
+    const route& from = this->directory.route_for(wanted.version_or_service, wanted.is_service);
+    const endpoint_choice choice(this->settings, wanted, this->own, now);
+    const endpoint* const chosen = choice.choose(from, random);
+    return chosen == nullptr ? std::nullopt : std::make_optional(chosen->host.address);
+}
+
+void endpoint_table::state::add_used(std::set<std::string>& used, const std::string& name,
+                                     bool is_service, instant now)
 {
-    this->inner->settings = std::move(settings);
+    const route& from = this->directory.route_for(name, is_service);
+    for (const endpoint* where : subset_of(from, {}, now, this->settings)) {
+        used.insert(where->host.address);
+    }
 }
 
+endpoint_table::endpoint_table(endpoint_table_settings settings)
+    : inner(std::make_unique<endpoint_table::state>(std::move(settings)))
+{}
+
 endpoint_table::~endpoint_table() = default;
 
 void endpoint_table::configure(const configuration& current)
 {
-    this->inner->pools = current.pools();
-    this->inner->services = current.services();
-    this->inner->versions = current.versions();
+    this->inner->directory.configure(current);
 }
 
-void endpoint_table::set_hosts(const std::vector<endpoint_host>& hosts, instant /*now*/)
+void endpoint_table::set_hosts(const std::vector<endpoint_host>& hosts, instant now)
 {
-    std::map<std::string, state::endpoint> listed;
-    for (const auto& host : hosts) {
-        state::endpoint& known = this->inner->endpoints[host.address];
-        known.host = host;
-        listed.emplace(host.address, known);
-    }
-    this->inner->endpoints = std::move(listed);
+    this->inner->directory.set_hosts(hosts, now);
 }
 
 void endpoint_table::mark_leaving(const std::string& address, std::uint64_t incarnation,
-                                  instant /*now*/)
+                                  instant now)
 {
-    if (incarnation == 0) {
-        const auto known = this->find(address);
-        incarnation = known ? known->incarnation : 0;
-    }
-    auto& mark = this->inner->leaving[address];
-    mark = std::max(mark, incarnation);
+    this->inner->directory.mark_leaving(address, incarnation, now);
 }
 
-void endpoint_table::started(const std::string& address, work_class kind, double /*work*/,
-                             std::uint64_t /*prefix_hash*/, instant /*now*/)
+void endpoint_table::started(const std::string& address, work_class kind, double work,
+                             std::uint64_t /*prefix_hash*/, instant now)
 {
-    const auto found = this->inner->endpoints.find(address);
-    if (found != this->inner->endpoints.end()) {
-        ++found->second.outstanding;
-        found->second.readings += kind == work_class::reading ? 1 : 0;
+    if (endpoint* where = this->inner->directory.find(address)) {
+        this->inner->started(*where, kind, work, now);
     }
 }
 
-void endpoint_table::ended(const std::string& address, work_class kind, double /*work*/,
-                           attempt_result /*result*/, duration /*first_token*/, instant /*now*/)
+void endpoint_table::ended(const std::string& address, work_class kind, double work,
+                           attempt_result result, duration first_token, instant now)
 {
-    const auto found = this->inner->endpoints.find(address);
-    if (found != this->inner->endpoints.end() && found->second.outstanding > 0) {
-        --found->second.outstanding;
-        found->second.readings -= kind == work_class::reading ? 1 : 0;
+    if (endpoint* where = this->inner->directory.find(address)) {
+        this->inner->ended(*where, kind, work, result, first_token, now);
     }
 }
 
-void endpoint_table::reported(const std::string& /*address*/, const load_report& /*report*/,
-                              instant /*now*/)
-{}
+void endpoint_table::reported(const std::string& address, const load_report& report, instant now)
+{
+    if (endpoint* where = this->inner->directory.find(address)) {
+        where->load.on_report(report, now);
+    }
+}
 
-std::optional<std::string> endpoint_table::choose(const placement& wanted, instant /*now*/,
+std::optional<std::string> endpoint_table::choose(const placement& wanted, instant now,
                                                   std::uint64_t random) const
 {
-    std::vector<const state::endpoint*> open;
-    for (const auto& [address, candidate] : this->inner->endpoints) {
-        const bool avoided =
-            std::find(wanted.avoid.begin(), wanted.avoid.end(), address) != wanted.avoid.end();
-        if (!avoided && candidate.outstanding < this->inner->slots(wanted, candidate.host)) {
-            open.push_back(&candidate);
-        }
-    }
-    if (open.empty()) {
-        return std::nullopt;
-    }
-    return open[random % open.size()]->host.address;
+    return this->inner->choose(wanted, now, random);
 }
 
 bool endpoint_table::serves(const placement& wanted, instant /*now*/) const
 {
-    return std::any_of(this->inner->endpoints.begin(), this->inner->endpoints.end(),
-                       [this, &wanted](const auto& known) {
-                           return this->inner->slots(wanted, known.second.host) > 0;
-                       });
+    const route& known =
+        this->inner->directory.route_for(wanted.version_or_service, wanted.is_service);
+    const auto stays = [](const endpoint* where) { return !where->load.draining(); };
+    return std::any_of(known.local.begin(), known.local.end(), stays) ||
+           std::any_of(known.remote.begin(), known.remote.end(), stays);
 }
 
 std::optional<endpoint_host> endpoint_table::find(const std::string& address) const
 {
-    const auto found = this->inner->endpoints.find(address);
-    if (found == this->inner->endpoints.end()) {
+    const endpoint* where = this->inner->directory.find(address);
+    if (where == nullptr) {
         return std::nullopt;
     }
-    return found->second.host;
+    return current_host(this->inner->directory, *where);
 }
 
 std::vector<std::string> endpoint_table::addresses() const
 {
     std::vector<std::string> all;
-    for (const auto& [address, known] : this->inner->endpoints) {
-        all.push_back(address);
+    for (const auto& [address, known] : this->inner->directory.all()) {
+        if (known.listed) {
+            all.push_back(address);
+        }
     }
     return all;
 }
 
-std::vector<endpoint_table::endpoint_status> endpoint_table::status(instant /*now*/) const
+std::vector<std::string> endpoint_table::used_addresses(instant now) const
+{
+    std::set<std::string> used;
+    for (const auto& [name, object] : this->inner->directory.served_versions()) {
+        this->inner->add_used(used, name, false, now);
+    }
+    for (const auto& [name, object] : this->inner->directory.served_services()) {
+        this->inner->add_used(used, name, true, now);
+    }
+    return {used.begin(), used.end()};
+}
+
+std::vector<endpoint_table::endpoint_status> endpoint_table::status(instant now) const
 {
     std::vector<endpoint_status> all;
-    for (const auto& [address, known] : this->inner->endpoints) {
-        all.push_back({known.host, known.outstanding, 0.0, false, this->inner->leaves(known.host)});
+    for (const auto& [address, known] : this->inner->directory.all()) {
+        const endpoint_host host = current_host(this->inner->directory, known);
+        all.push_back({host, known.outstanding, known.limit.value(), known.health.is_ejected(now),
+                       host.leaving});
     }
     return all;
 }
--- /dev/null
+++ b/decision/test/endpoint_table_test.cpp
@@ -0,0 +1,510 @@
+#include "pearhaven/decision/endpoint_table.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "property.hpp"
+
+using namespace pearhaven::decision;
+
+namespace {
+
+constexpr duration quick = std::chrono::milliseconds(100);
+
+endpoint_host host_at(const std::string& address, const std::string& zone)
+{
+    return {address, "name-" + address, zone, 1, false, {{"role", "engine"}}};
+}
+
+configuration_ptr one_version(std::uint32_t slots)
+{
+    pool engines;
+    engines.name = "engines";
+    engines.hosts = selector().require("role", {"engine"});
+    engines.versions = selector();
+    engines.slots_per_host = slots;
+    version only;
+    only.name = "reader-1";
+    only.model = "reader";
+    return configuration_builder().add(engines).add(only).build();
+}
+
+placement wanting(work_class kind)
+{
+    placement wanted;
+    wanted.version_or_service = "reader-1";
+    wanted.kind = kind;
+    wanted.work = 100.0;
+    return wanted;
+}
+
+// A table with the endpoints e0, e1, ... in zone osu, and a clock that the tests move.
+struct osu_table {
+    osu_table(std::size_t count, std::uint32_t slots, endpoint_table_settings settings = {})
+        : table((settings.zone = "osu", settings))
+    {
+        for (std::size_t number = 0; number < count; ++number) {
+            this->hosts.push_back(host_at("e" + std::to_string(number), "osu"));
+        }
+        this->table.configure(*one_version(slots));
+        this->table.set_hosts(this->hosts, this->now);
+    }
+
+    std::string choose(const placement& wanted)
+    {
+        return this->table.choose(wanted, this->now, ++this->random).value_or("none");
+    }
+    std::string choose() { return this->choose(wanting(work_class::lookup)); }
+
+    std::set<std::string> chosen(const placement& wanted)
+    {
+        std::set<std::string> all;
+        for (int draw = 0; draw < 100; ++draw) {
+            all.insert(this->choose(wanted));
+        }
+        return all;
+    }
+
+    // Whether the endpoint is chosen where no other may be.
+    bool takes(const std::string& address, placement wanted)
+    {
+        for (const auto& host : this->hosts) {
+            if (host.address != address) {
+                wanted.avoid.push_back(host.address);
+            }
+        }
+        return this->choose(wanted) == address;
+    }
+
+    void start(const std::string& address, work_class kind = work_class::lookup)
+    {
+        this->table.started(address, kind, 100.0, 0, this->now);
+    }
+    void end(const std::string& address, attempt_result result, duration first_token = quick,
+             work_class kind = work_class::lookup)
+    {
+        this->table.ended(address, kind, 100.0, result, first_token, this->now);
+    }
+    void run(const std::string& address, attempt_result result, duration first_token = quick)
+    {
+        this->start(address);
+        this->end(address, result, first_token);
+    }
+
+    endpoint_table::endpoint_status status_of(const std::string& address)
+    {
+        const auto all = this->table.status(this->now);
+        return *std::find_if(all.begin(), all.end(),
+                             [&address](const auto& one) { return one.host.address == address; });
+    }
+
+    std::vector<endpoint_host> hosts;
+    endpoint_table table;
+    instant now{std::chrono::hours(1)};
+    std::uint64_t random = 0;
+};
+
+using names = std::set<std::string>;
+const placement a_lookup = wanting(work_class::lookup);
+const placement a_reading = wanting(work_class::reading);
+
+} // namespace
+
+TEST_GROUP(endpoint_table_test){};
+
+TEST(endpoint_table_test, a_lagging_list_does_not_bring_a_leaving_host_back)
+{
+    // A caller is cut off by a planned stop. The endpoint refuses as leaving; the host list, which
+    // lags, still names it as live, and with the next list work would go there again.
+    osu_table known(2, 4);
+    known.table.mark_leaving("e0", 0, known.now);
+    known.table.set_hosts(known.hosts, known.now);
+    CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
+    CHECK_TRUE(known.table.find("e0")->leaving);
+}
+
+TEST(endpoint_table_test, a_leaving_host_stays_so_while_the_list_leaves_it_out)
+{
+    osu_table known(2, 4);
+    known.table.mark_leaving("e0", 0, known.now);
+    known.table.set_hosts({known.hosts[1]}, known.now);
+    known.now += std::chrono::minutes(1);
+    known.table.set_hosts(known.hosts, known.now);
+    CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
+}
+
+TEST(endpoint_table_test, a_higher_incarnation_at_a_leaving_address_gets_work)
+{
+    osu_table known(1, 4);
+    known.table.mark_leaving("e0", 0, known.now);
+    CHECK_FALSE(known.table.serves(a_lookup, known.now));
+    known.hosts[0].incarnation = 2;
+    known.table.set_hosts(known.hosts, known.now);
+    CHECK_EQUAL(std::string("e0"), known.choose());
+}
+
+TEST(endpoint_table_test, a_list_with_an_older_incarnation_changes_nothing)
+{
+    osu_table known(1, 4);
+    known.hosts[0].incarnation = 5;
+    known.table.set_hosts(known.hosts, known.now);
+    known.hosts[0].incarnation = 4;
+    known.hosts[0].leaving = true;
+    known.table.set_hosts(known.hosts, known.now);
+    CHECK_EQUAL(std::string("e0"), known.choose());
+    CHECK_EQUAL(5U, known.table.find("e0")->incarnation);
+}
+
+TEST(endpoint_table_test, a_draining_endpoint_gets_nothing_until_it_reports_otherwise)
+{
+    osu_table known(2, 4);
+    known.table.reported("e0", {0, 0, 8, {}, true}, known.now);
+    CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
+    known.table.reported("e0", {0, 0, 8, {}, false}, known.now);
+    CHECK_EQUAL(2U, known.chosen(a_lookup).size());
+}
+
+TEST(endpoint_table_test, only_endpoints_of_a_pool_that_selects_the_version_serve_it)
+{
+    osu_table known(1, 4);
+    placement other = a_lookup;
+    other.version_or_service = "no-such-version";
+    CHECK_FALSE(known.table.serves(other, known.now));
+    known.hosts[0].tags = {{"role", "booking"}};
+    known.table.set_hosts(known.hosts, known.now);
+    CHECK_FALSE(known.table.serves(a_lookup, known.now));
+}
+
+TEST(endpoint_table_test, a_full_endpoint_still_serves_but_is_not_chosen)
+{
+    osu_table known(1, 1);
+    known.start("e0");
+    CHECK_EQUAL(std::string("none"), known.choose());
+    CHECK_TRUE(known.table.serves(a_lookup, known.now));
+}
+
+TEST(endpoint_table_test, readings_leave_slots_to_lookups)
+{
+    // Counter lookups wait for minutes behind case readings, which have taken every slot.
+    osu_table known(1, 4);
+    known.start("e0", work_class::reading);
+    CHECK_EQUAL(std::string("e0"), known.choose(a_reading));
+    known.start("e0", work_class::reading);
+    CHECK_EQUAL(std::string("none"), known.choose(a_reading));
+    CHECK_EQUAL(std::string("e0"), known.choose(a_lookup));
+}
+
+TEST(endpoint_table_test, readings_of_other_routers_count_by_the_own_mix)
+{
+    // Lookups wait in the engine's own queue. Each router keeps readings to half of the slots it
+    // offers, but nine routers offer more than the engine has; its report shows them as running.
+    osu_table known(2, 16);
+    known.start("e1", work_class::reading);
+    known.table.reported("e0", {8, 0, 16, {}, false}, known.now);
+    CHECK_FALSE(known.takes("e0", a_reading));
+    CHECK_TRUE(known.takes("e0", a_lookup));
+}
+
+TEST(endpoint_table_test, a_report_is_not_trusted_without_what_was_sent_since)
+{
+    // Callers wait in an engine's queue while another engine is idle. A report that was taken
+    // before this router sent eight requests says that the engine is empty.
+    osu_table known(2, 64);
+    for (int count = 0; count < 10; ++count) {
+        known.start("e0");
+    }
+    known.table.reported("e0", {0, 0, 8, std::chrono::milliseconds(500), false}, known.now);
+    CHECK_FALSE(known.takes("e0", a_lookup));
+}
+
+TEST(endpoint_table_test, a_report_that_was_overtaken_is_dropped)
+{
+    osu_table known(2, 64);
+    known.table.reported("e0", {10, 0, 8, std::chrono::milliseconds(100), false}, known.now);
+    known.table.reported("e0", {0, 0, 8, std::chrono::milliseconds(900), false}, known.now);
+    CHECK_FALSE(known.takes("e0", a_lookup));
+}
+
+TEST(endpoint_table_test, an_old_report_no_longer_holds_work_back)
+{
+    osu_table known(1, 4);
+    known.table.reported("e0", {10, 5, 8, {}, false}, known.now);
+    CHECK_EQUAL(std::string("none"), known.choose());
+    known.now += std::chrono::seconds(3);
+    CHECK_EQUAL(std::string("e0"), known.choose());
+}
+
+TEST(endpoint_table_test, refusals_lower_the_limit_once_an_interval_and_never_below_one)
+{
+    osu_table known(1, 16);
+    known.run("e0", attempt_result::refused);
+    known.run("e0", attempt_result::refused);
+    DOUBLES_EQUAL(11.2, known.status_of("e0").limit, 0.01);
+    for (int count = 0; count < 50; ++count) {
+        known.now += std::chrono::seconds(1);
+        known.run("e0", attempt_result::refused);
+    }
+    DOUBLES_EQUAL(1.0, known.status_of("e0").limit, 1e-9);
+}
+
+TEST(endpoint_table_test, a_limit_that_is_used_grows_back)
+{
+    osu_table known(1, 4);
+    known.run("e0", attempt_result::refused);
+    for (int count = 0; count < 40; ++count) {
+        known.start("e0");
+        known.start("e0");
+        known.end("e0", attempt_result::finished);
+        known.end("e0", attempt_result::finished);
+    }
+    DOUBLES_EQUAL(4.0, known.status_of("e0").limit, 1e-9);
+}
+
+TEST(endpoint_table_test, late_first_tokens_lower_the_limit_to_a_quarter_at_least)
+{
+    osu_table known(1, 16);
+    for (int count = 0; count < 200; ++count) {
+        known.now += std::chrono::seconds(1);
+        known.run("e0", attempt_result::finished, count < 20 ? quick : 20 * quick);
+    }
+    DOUBLES_EQUAL(4.0, known.status_of("e0").limit, 0.5);
+}
+
+TEST(endpoint_table_test, an_unreachable_endpoint_is_left_alone_then_tried_once)
+{
+    osu_table known(2, 4);
+    known.run("e0", attempt_result::unreachable);
+    CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
+    known.now += std::chrono::milliseconds(1100);
+    CHECK_EQUAL(2U, known.chosen(a_lookup).size());
+    known.start("e0");
+    CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
+    known.end("e0", attempt_result::finished);
+    CHECK_EQUAL(2U, known.chosen(a_lookup).size());
+}
+
+TEST(endpoint_table_test, attempts_that_fail_together_are_one_ejection)
+{
+    // An engine that was replaced within seconds gets no work for much longer. Ten requests were
+    // under way when it stopped; each counted as an ejection, the wait would have doubled ten
+    // times.
+    osu_table known(1, 16);
+    for (int count = 0; count < 10; ++count) {
+        known.start("e0");
+    }
+    for (int count = 0; count < 10; ++count) {
+        known.end("e0", attempt_result::unreachable);
+    }
+    known.now += std::chrono::milliseconds(1100);
+    CHECK_EQUAL(std::string("e0"), known.choose());
+}
+
+TEST(endpoint_table_test, a_long_answer_on_trial_does_not_keep_the_endpoint_idle)
+{
+    osu_table known(1, 16);
+    known.run("e0", attempt_result::unreachable);
+    known.now += std::chrono::seconds(2);
+    known.start("e0");
+    CHECK_EQUAL(std::string("none"), known.choose());
+    known.now += std::chrono::seconds(4);
+    CHECK_EQUAL(std::string("e0"), known.choose());
+}
+
+TEST(endpoint_table_test, failing_endpoints_are_ejected_only_while_enough_are_left)
+{
+    // A bad version fails on every endpoint. Were all of them ejected, the good versions that they
+    // also serve would have nowhere to run.
+    osu_table known(6, 4);
+    for (const auto& host : known.hosts) {
+        for (int count = 0; count < 3; ++count) {
+            known.run(host.address, attempt_result::failed);
+        }
+    }
+    CHECK_EQUAL(4U, known.chosen(a_lookup).size());
+}
+
+TEST(endpoint_table_test, a_much_slower_endpoint_is_ejected_and_again_after_one_slow_trial)
+{
+    osu_table known(3, 4);
+    for (int count = 0; count < 20; ++count) {
+        known.now += std::chrono::milliseconds(200);
+        for (const auto& host : known.hosts) {
+            known.run(host.address, attempt_result::finished,
+                      host.address == "e0" ? 10 * quick : quick);
+        }
+    }
+    CHECK_TRUE((names{"e1", "e2"}) == known.chosen(a_lookup));
+    known.now += std::chrono::seconds(2);
+    known.run("e0", attempt_result::finished, 10 * quick);
+    CHECK_TRUE((names{"e1", "e2"}) == known.chosen(a_lookup));
+}
+
+TEST(endpoint_table_test, silent_connections_do_not_blame_the_endpoint)
+{
+    // All callers of an endpoint see their streams stop, since something on the way has lost its
+    // connections; the endpoint is well. Resumed on fresh connections, they go on. Ejecting it
+    // would move its load to the others for nothing.
+    osu_table known(2, 8);
+    for (int count = 0; count < 5; ++count) {
+        known.start("e0");
+    }
+    for (int count = 0; count < 5; ++count) {
+        known.end("e0", attempt_result::went_silent);
+        known.start("e0");
+    }
+    CHECK_TRUE(known.takes("e0", a_lookup));
+    known.end("e0", attempt_result::finished);
+    known.end("e0", attempt_result::went_silent);
+    CHECK_TRUE(known.takes("e0", a_lookup));
+}
+
+TEST(endpoint_table_test, an_endpoint_whose_fresh_connections_go_silent_too_is_ejected)
+{
+    osu_table known(2, 8);
+    for (int count = 0; count < 3; ++count) {
+        known.start("e0");
+    }
+    for (int count = 0; count < 3; ++count) {
+        known.end("e0", attempt_result::went_silent);
+        known.start("e0");
+    }
+    known.end("e0", attempt_result::went_silent);
+    CHECK_FALSE(known.takes("e0", a_lookup));
+}
+
+TEST(endpoint_table_test, work_stays_in_the_zone_until_another_one_is_much_less_loaded)
+{
+    osu_table known(2, 4);
+    known.hosts.push_back(host_at("far", "tema"));
+    known.table.set_hosts(known.hosts, known.now);
+    CHECK_EQUAL(0U, known.chosen(a_lookup).count("far"));
+    for (int count = 0; count < 3; ++count) {
+        known.start("e0");
+        known.start("e1");
+    }
+    CHECK_TRUE((names{"far"}) == known.chosen(a_lookup));
+}
+
+TEST(endpoint_table_test, a_router_uses_a_bounded_subset_that_fills_up_with_well_endpoints)
+{
+    endpoint_table_settings settings;
+    settings.subset_size = 8;
+    osu_table known(100, 4, settings);
+    const auto before = known.table.used_addresses(known.now);
+    CHECK_EQUAL(8U, before.size());
+    known.table.mark_leaving(before.front(), 0, known.now);
+    const auto after = known.table.used_addresses(known.now);
+    CHECK_EQUAL(8U, after.size());
+    std::vector<std::string> kept;
+    std::set_intersection(before.begin(), before.end(), after.begin(), after.end(),
+                          std::back_inserter(kept));
+    CHECK_EQUAL(7U, kept.size());
+}
+
+TEST(endpoint_table_test, a_prefix_goes_where_all_routers_send_it_unless_that_is_loaded)
+{
+    osu_table one(8, 16);
+    endpoint_table_settings seeded;
+    seeded.router_seed = 77;
+    osu_table two(8, 16, seeded);
+    placement warm = a_lookup;
+    warm.prefix_hash = 4711;
+    const auto first = one.choose(warm);
+    CHECK_TRUE((names{first}) == one.chosen(warm));
+    CHECK_EQUAL(first, two.choose(warm));
+    for (int count = 0; count < 5; ++count) {
+        one.start(first);
+    }
+    const auto second = one.chosen(warm);
+    CHECK_EQUAL(1U, second.size());
+    CHECK_EQUAL(0U, second.count(first));
+}
+
+TEST(endpoint_table_test, attempts_at_a_host_that_leaves_the_list_and_returns_still_count)
+{
+    osu_table known(1, 1);
+    known.start("e0");
+    known.table.set_hosts({}, known.now);
+    CHECK_FALSE(known.table.serves(a_lookup, known.now));
+    known.table.set_hosts(known.hosts, known.now);
+    CHECK_EQUAL(std::string("none"), known.choose());
+}
+
+namespace {
+
+// Plays random events on a table beside a count of what is under way.
+class played_table {
+public:
+    void play_one_event()
+    {
+        this->known.now += std::chrono::milliseconds(*rc::gen::inRange(0, 800));
+        const auto address = "e" + std::to_string(*rc::gen::inRange(0, 5));
+        switch (*rc::gen::inRange(0, 9)) {
+        case 0:
+            this->known.table.mark_leaving(address, 0, this->known.now);
+            this->leaving.insert(address);
+            break;
+        case 1:
+            this->known.table.set_hosts(this->known.hosts, this->known.now);
+            break;
+        case 2:
+            this->end_one(address);
+            break;
+        default:
+            this->start_one(address);
+            break;
+        }
+    }
+
+private:
+    void end_one(const std::string& address)
+    {
+        if (this->running[address].empty()) {
+            return;
+        }
+        const auto result = *rc::gen::element(
+            attempt_result::finished, attempt_result::refused, attempt_result::unreachable,
+            attempt_result::failed, attempt_result::went_silent, attempt_result::cancelled);
+        this->known.end(address, result, quick, this->running[address].back());
+        this->running[address].pop_back();
+    }
+
+    void start_one(const std::string& avoided)
+    {
+        placement wanted = wanting(*rc::gen::element(work_class::lookup, work_class::reading));
+        wanted.prefix_hash = *rc::gen::inRange<std::uint64_t>(0, 3);
+        wanted.avoid = {avoided};
+        const auto address = this->known.choose(wanted);
+        if (address == "none") {
+            return;
+        }
+        RC_ASSERT(address != avoided);
+        RC_ASSERT(this->leaving.count(address) == 0U);
+        RC_ASSERT(!this->known.status_of(address).ejected);
+        auto& here = this->running[address];
+        RC_ASSERT(static_cast<double>(here.size() + 1) <= this->known.status_of(address).limit);
+        const auto readings = std::count(here.begin(), here.end(), work_class::reading);
+        RC_ASSERT(wanted.kind == work_class::lookup || readings < 2);
+        here.push_back(wanted.kind);
+        this->known.start(address, wanted.kind);
+    }
+
+    osu_table known{5, 4};
+    std::set<std::string> leaving;
+    std::map<std::string, std::vector<work_class>> running;
+};
+
+} // namespace
+
+TEST(endpoint_table_test, no_endpoint_that_is_leaving_ejected_avoided_or_full_is_chosen)
+{
+    CHECK_TRUE(holds("choice", [] {
+        played_table played;
+        for (int event = 0; event < 150; ++event) {
+            played.play_one_event();
+        }
+    }));
+}
