Hold a router's copy of the configuration, and know how fresh it is

Cause: a router must follow accepted changes within seconds, never go back, and stop taking new work once it may be cut off from changes that are in force elsewhere. Ruled out: counting freshness from the arrival of an answer (a slow answer then makes old knowledge look new); hints pushed between routers when the store begins to fail (with them removed, all tests of outages still passed); a start during an outage on three peers' answers (random schedules found a fourth that alone held the last revision). On a scratch copy: without the majority rule the test of the minority fails; without the check of lower revisions, or of pull starts, or of readiness, the random schedules fail; without the peers' word on the store the test of the reachable peer fails; without patience for unanswered reads the silent outage fails; with no own reads while unconfirmed three tests fail. Conclusion: agreement on an outage asks every live peer, so it is quick for some tens of routers only; the header says so.

--- /dev/null
+++ b/coordination/include/pearhaven/coordination/config_head.hpp
@@ -0,0 +1,74 @@
+#ifndef PEARHAVEN_COORDINATION_CONFIG_HEAD_HPP
+#define PEARHAVEN_COORDINATION_CONFIG_HEAD_HPP
+
+#include "pearhaven/coordination/peer_message.hpp"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pearhaven::coordination {
+
+inline constexpr std::string_view config_head_key = "config/head";
+inline constexpr std::string_view config_page_prefix = "config/page/";
+
+// The one value that every accepted change goes through, so that all changes have a total order.
+// The configuration is the snapshot in the pages, at `snapshot_revision`, with every later change
+// on top. `changes` always holds all of those, and older ones as long as there is room.
+struct config_head {
+    std::uint64_t revision = 0;
+    std::string write_id;
+    std::vector<config_change> changes; // oldest first, without gaps, up to `revision`
+    std::vector<std::string> pages;     // keys of the snapshot's pages
+    std::uint64_t snapshot_revision = 0;
+
+    friend bool operator==(const config_head&, const config_head&) = default;
+};
+
+// Port to the stored form of the head and of the snapshot's pages. Pure: equal values give equal
+// text, since pages are named by their content.
+class config_head_codec {
+public:
+    virtual ~config_head_codec() = default;
+    [[nodiscard]] virtual std::string write_head(const config_head& head) const = 0;
+    [[nodiscard]] virtual std::optional<config_head> read_head(std::string_view text) const = 0;
+    [[nodiscard]] virtual std::string
+    write_page(const std::vector<config_object>& objects) const = 0;
+    [[nodiscard]] virtual std::optional<std::vector<config_object>>
+    read_page(std::string_view text) const = 0;
+};
+
+// All objects at one revision, in order of kind and name. Immutable; shared by count.
+class config_state : public boost::intrusive_ref_counter<config_state> {
+public:
+    config_state() = default;
+
+    // The objects need not be sorted; of two with the same kind and name the later one holds.
+    config_state(std::uint64_t revision, const std::vector<config_object>& objects);
+
+    [[nodiscard]] std::uint64_t revision() const { return this->revision_number; }
+    [[nodiscard]] const std::vector<config_object>& objects() const { return this->object_list; }
+
+    // Null where there is no such object.
+    [[nodiscard]] const config_object* find(std::string_view kind, std::string_view name) const;
+
+    // The state after those of the changes that follow this revision, in order. Stops before a gap:
+    // the caller sees by the revision how far it came.
+    [[nodiscard]] boost::intrusive_ptr<const config_state>
+    after(const std::vector<config_change>& changes) const;
+
+private:
+    std::uint64_t revision_number = 0;
+    std::vector<config_object> object_list;
+};
+
+using config_state_ptr = boost::intrusive_ptr<const config_state>;
+
+} // namespace pearhaven::coordination
+
+#endif
--- /dev/null
+++ b/coordination/src/config_replica.cpp
@@ -0,0 +1,520 @@
+#include "pearhaven/coordination/config_replica.hpp"
+
+#include "mix.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace pearhaven::coordination {
+
+using decision::duration;
+using decision::instant;
+
+namespace {
+
+// Each so many rounds anybody at all is asked as well, so that wrong knowledge of who reads cannot
+// hold a router back for ever.
+constexpr std::uint64_t rounds_to_any = 4;
+
+std::size_t size_of(const config_change& change)
+{
+    std::size_t size = sizeof(change) + change.author.size() + change.write_id.size();
+    for (const config_object& object : change.objects) {
+        size += sizeof(object) + object.kind.size() + object.name.size() + object.body.size();
+    }
+    return size;
+}
+
+} // namespace
+
+config_replica::config_replica(config_replica_settings chosen, const config_head_codec& head_codec,
+                               instant now)
+    : settings(std::move(chosen)), codec(head_codec), started_at(now),
+      retry_delay(this->settings.first_retry), next_read(now)
+{}
+
+void config_replica::set_reader(bool is_reader, instant now)
+{
+    this->reader = is_reader;
+    this->read_when_due(now);
+}
+
+void config_replica::set_peers(std::vector<config_peer> live, instant now)
+{
+    this->peers = std::move(live);
+    if (!this->was_fresh) {
+        this->note_members();
+    }
+    const auto is_live = [this](const incarnation_id& id) {
+        return std::any_of(this->peers.begin(), this->peers.end(),
+                           [&](const config_peer& peer) { return peer.address.id == id; });
+    };
+    std::erase_if(this->answers, [&](const auto& entry) { return !is_live(entry.first); });
+    std::erase_if(this->asked, [&](const auto& entry) { return !is_live(entry.first); });
+    this->pull_when_due(now);
+}
+
+void config_replica::on_tick(instant now)
+{
+    std::erase_if(this->pulls, [&](const auto& entry) {
+        return now - entry.second.start > this->settings.pull_expiry;
+    });
+    this->read_when_due(now);
+    this->pull_when_due(now);
+    this->check_startup_without_store(now);
+}
+
+std::vector<config_replica::action> config_replica::take_actions()
+{
+    return std::exchange(this->actions, {});
+}
+
+// Freshness.
+
+std::optional<duration> config_replica::confirmed_age(instant now) const
+{
+    if (!this->confirmed_at) {
+        return std::nullopt;
+    }
+    return now - *this->confirmed_at;
+}
+
+bool config_replica::is_fresh(instant now) const
+{
+    const auto age = this->confirmed_age(now);
+    return age && *age <= this->settings.freshness_bound;
+}
+
+// Early enough for agreement on an outage to stand before the bound is reached, so that no work is
+// refused in between; late enough not to be reached while all is well.
+bool config_replica::is_fading(instant now) const
+{
+    const auto age = this->confirmed_age(now);
+    return !age || *age > this->settings.freshness_bound * 2 / 3;
+}
+
+bool config_replica::is_store_failing(instant now) const
+{
+    if (this->last_read_failed) {
+        return true;
+    }
+    return std::any_of(this->reads.begin(), this->reads.end(), [&](const auto& entry) {
+        const pending_read& read = entry.second;
+        return now - read.start > read.wait + this->settings.store_patience;
+    });
+}
+
+bool config_replica::may_take_new_work(instant now) const
+{
+    return this->ready && (this->is_fresh(now) || this->is_outage_agreed(now));
+}
+
+bool config_replica::is_outage_agreed(instant now) const
+{
+    if (!this->is_store_failing(now)) {
+        return false;
+    }
+    for (const config_peer& peer : this->peers) {
+        const peer_answer* heard = this->valid_answer(peer.address.id, now);
+        if (heard == nullptr || heard->store_reachable ||
+            heard->revision > this->state->revision()) {
+            return false;
+        }
+    }
+    const std::set<incarnation_id>& known = this->members_at_confirmation;
+    const auto agreeing = std::count_if(known.begin(), known.end(), [&](const incarnation_id& id) {
+        return id == this->settings.self || this->valid_answer(id, now) != nullptr;
+    });
+    return static_cast<std::size_t>(agreeing) * 2 > known.size();
+}
+
+duration config_replica::answer_validity() const
+{
+    const std::size_t rounds =
+        (this->peers.size() + this->settings.outage_pulls - 1) / this->settings.outage_pulls;
+    const auto to_ask_all = this->settings.pull_period * static_cast<std::int64_t>(rounds);
+    return std::max<duration>(this->settings.freshness_bound, 3 * to_ask_all);
+}
+
+const config_replica::peer_answer* config_replica::valid_answer(const incarnation_id& peer,
+                                                                instant now) const
+{
+    const auto found = this->answers.find(peer);
+    if (found == this->answers.end() || now - found->second.start > this->answer_validity()) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+// The copy holds `revision`, or more, and the store held no more than that at `start`.
+void config_replica::confirm(instant start, std::uint64_t revision, instant now)
+{
+    if (this->state->revision() < revision) {
+        return;
+    }
+    if (!this->confirmed_at || *this->confirmed_at < start) {
+        this->confirmed_at = start;
+    }
+    this->ready = this->ready || *this->confirmed_at >= this->started_at;
+    if (this->is_fresh(now)) {
+        this->was_fresh = true;
+        this->members_at_confirmation.clear();
+        this->note_members();
+    }
+}
+
+void config_replica::note_members()
+{
+    this->members_at_confirmation.insert(this->settings.self);
+    for (const config_peer& peer : this->peers) {
+        this->members_at_confirmation.insert(peer.address.id);
+    }
+}
+
+// A start during an outage. The lives before this one may have had any revision that some router
+// has, so that the highest of all live peers is taken. Peers that are starting themselves say
+// nothing about that, and a fleet of only such ones has no configuration to go on with.
+void config_replica::check_startup_without_store(instant now)
+{
+    if (this->ready || !this->is_outage_agreed(now)) {
+        return;
+    }
+    const auto informed = std::count_if(this->answers.begin(), this->answers.end(),
+                                        [](const auto& entry) { return entry.second.ready; });
+    const std::size_t wanted = std::min(this->settings.startup_peers, this->peers.size());
+    this->ready = informed > 0 && static_cast<std::size_t>(informed) >= wanted;
+}
+
+// Reading the store.
+
+call_tag config_replica::submit(kv_request request)
+{
+    const call_tag tag = this->next_tag++;
+    this->actions.emplace_back(store_call{tag, std::move(request)});
+    return tag;
+}
+
+void config_replica::read_when_due(instant now)
+{
+    const bool wanted =
+        this->reader || !this->ready || this->last_read_failed || this->is_fading(now);
+    if (!wanted || !this->reads.empty() || now < this->next_read) {
+        return;
+    }
+    const bool watches = this->reader && this->watch_after && !this->last_read_failed;
+    const std::string key(config_head_key);
+    if (watches) {
+        const duration wait = this->settings.watch_wait;
+        this->reads[this->submit(kv_watch{key, *this->watch_after, wait})] = {now, wait, true};
+    } else {
+        this->reads[this->submit(kv_get{key})] = {now, duration{}, false};
+    }
+    // Bounds the calls when changes, or a fault of the store, end each watch at once.
+    this->next_read = now + this->settings.watch_wait / 4;
+}
+
+void config_replica::on_reply(call_tag tag, const kv_reply& reply, instant now)
+{
+    const auto found = this->reads.find(tag);
+    if (found == this->reads.end()) {
+        this->on_page(tag, reply, now);
+        return;
+    }
+    const pending_read read = found->second;
+    this->reads.erase(found);
+    this->on_read(read, reply, now);
+    this->read_when_due(now);
+}
+
+void config_replica::on_read(const pending_read& read, const kv_reply& reply, instant now)
+{
+    if (reply.outcome != kv_outcome::ok && reply.outcome != kv_outcome::not_found) {
+        this->on_read_failed(now);
+        return;
+    }
+    this->last_read_failed = false;
+    this->retry_delay = this->settings.first_retry;
+    const auto head =
+        std::find_if(reply.entries.rbegin(), reply.entries.rend(),
+                     [](const kv_entry& entry) { return entry.key == config_head_key; });
+    if (head != reply.entries.rend()) {
+        this->on_head(*head, read, now);
+    } else if (read.watches) { // quiet: the head is still the one seen last
+        if (this->load) {
+            this->load->start = std::max(this->load->start, read.start);
+        }
+        this->confirm(read.start, this->seen_head, now);
+    } else { // no configuration was ever written
+        this->watch_after = reply.revision;
+        this->confirm(read.start, 0, now);
+    }
+}
+
+void config_replica::on_read_failed(instant now)
+{
+    this->last_read_failed = true;
+    this->next_read = now + this->retry_delay;
+    // Readers go on trying at the first pace: all the others learn of the store's return from them.
+    if (!this->reader) {
+        this->retry_delay = std::min(2 * this->retry_delay, this->settings.longest_retry);
+    }
+}
+
+void config_replica::on_head(const kv_entry& entry, const pending_read& read, instant now)
+{
+    const std::optional<config_head> head = this->codec.read_head(entry.value);
+    if (!head) {
+        this->actions.emplace_back(unreadable_value{entry.key});
+        this->next_read = now + this->retry_delay;
+        return;
+    }
+    this->watch_after = entry.revision;
+    this->seen_head = std::max(this->seen_head, head->revision);
+    this->apply(head->changes);
+    if (this->state->revision() >= head->revision) {
+        this->confirm(read.start, head->revision, now);
+        return;
+    }
+    this->load_snapshot(*head, read.start, now);
+}
+
+// Changes that follow the current revision come into force; false when none does.
+bool config_replica::apply(const std::vector<config_change>& changes)
+{
+    const bool follows = std::any_of(changes.begin(), changes.end(), [this](const auto& change) {
+        return change.revision == this->state->revision() + 1;
+    });
+    if (follows) {
+        this->put_in_force(this->state->after(changes), changes);
+    }
+    return follows;
+}
+
+void config_replica::put_in_force(config_state_ptr newer, const std::vector<config_change>& changes)
+{
+    if (newer->revision() <= this->state->revision()) {
+        return;
+    }
+    this->state = std::move(newer);
+    this->remember(changes);
+    this->actions.emplace_back(config_in_force{this->state});
+}
+
+// Keeps what peers that are a little behind will ask for.
+void config_replica::remember(const std::vector<config_change>& changes)
+{
+    for (const config_change& change : changes) {
+        if (!this->recent.empty() && change.revision <= this->recent.back().revision) {
+            continue;
+        }
+        if (!this->recent.empty() && change.revision != this->recent.back().revision + 1) {
+            this->recent.clear();
+            this->recent_bytes = 0;
+        }
+        this->recent.push_back(change);
+        this->recent_bytes += size_of(change);
+    }
+    const bool reaches =
+        !this->recent.empty() && this->recent.back().revision == this->state->revision();
+    while (!this->recent.empty() &&
+           (!reaches || this->recent.size() > this->settings.kept_changes ||
+            this->recent_bytes > this->settings.kept_bytes)) {
+        this->recent_bytes -= size_of(this->recent.front());
+        this->recent.pop_front();
+    }
+}
+
+// Snapshot pages.
+
+void config_replica::load_snapshot(const config_head& head, instant start, instant now)
+{
+    if (this->load && this->load->head.revision > head.revision) {
+        return;
+    }
+    if (this->load && this->load->head.pages == head.pages) {
+        this->load->head = head;
+        this->load->start = std::max(this->load->start, start);
+        return;
+    }
+    this->load = snapshot_load{head, start, {}, {}};
+    for (const std::string& page : head.pages) {
+        this->load->pending[this->submit(kv_get{page})] = page;
+    }
+    if (this->load->pending.empty()) {
+        this->finish_load(now);
+    }
+}
+
+// A page may be gone because the head has moved on meanwhile, or the store failed: either way the
+// load is given up and the next read of the head starts over.
+void config_replica::on_page(call_tag tag, const kv_reply& reply, instant now)
+{
+    if (!this->load) {
+        return;
+    }
+    const auto found = this->load->pending.find(tag);
+    if (found == this->load->pending.end()) {
+        return;
+    }
+    const std::string key = found->second;
+    const auto objects = reply.outcome == kv_outcome::ok && reply.entries.size() == 1
+                             ? this->codec.read_page(reply.entries.front().value)
+                             : std::nullopt;
+    if (!objects) {
+        if (reply.outcome == kv_outcome::ok) {
+            this->actions.emplace_back(unreadable_value{key});
+        }
+        this->load.reset();
+        this->watch_after.reset();
+        if (reply.outcome != kv_outcome::ok && reply.outcome != kv_outcome::not_found) {
+            this->on_read_failed(now);
+        }
+        return;
+    }
+    this->load->pages[key] = *objects;
+    this->load->pending.erase(found);
+    if (this->load->pending.empty()) {
+        this->finish_load(now);
+    }
+}
+
+void config_replica::finish_load(instant now)
+{
+    const snapshot_load done = std::move(*this->load);
+    this->load.reset();
+    std::vector<config_object> objects;
+    for (const auto& [key, page] : done.pages) {
+        objects.insert(objects.end(), page.begin(), page.end());
+    }
+    const config_state_ptr snapshot(new config_state(done.head.snapshot_revision, objects));
+    this->put_in_force(snapshot->after(done.head.changes), done.head.changes);
+    if (this->state->revision() < done.head.revision) { // the head's changes have a gap
+        this->actions.emplace_back(unreadable_value{std::string(config_head_key)});
+        this->next_read = now + this->retry_delay;
+    }
+    this->confirm(done.start, done.head.revision, now);
+}
+
+// Peers.
+
+void config_replica::pull_when_due(instant now)
+{
+    const bool fading = this->is_fading(now);
+    const bool hurried = fading && !this->is_outage_agreed(now);
+    const duration period = hurried ? this->settings.pull_period / 2 : this->settings.pull_period;
+    if (this->peers.empty() || (this->last_pull && now - *this->last_pull < period)) {
+        return;
+    }
+    this->last_pull = now;
+    ++this->pull_round;
+    if (!fading) {
+        this->pull_from(*this->choose_peer(now, true), now);
+        if (this->pull_round % rounds_to_any == 0) {
+            this->pull_from(*this->choose_peer(now, false), now);
+        }
+        return;
+    }
+    for (const config_peer& peer : this->longest_unasked(this->settings.outage_pulls)) {
+        this->pull_from(peer, now);
+    }
+}
+
+void config_replica::pull_from(const config_peer& peer, instant now)
+{
+    const std::uint64_t nonce = this->next_nonce++;
+    this->pulls[nonce] = {now, peer.address.id};
+    this->asked[peer.address.id] = now;
+    this->actions.emplace_back(
+        send_message{peer.address, config_pull{nonce, this->state->revision()}});
+}
+
+// By preference a reader of the own zone, else another reader, else anybody; one that could not
+// read the store comes last. Equals take turns.
+const config_peer* config_replica::choose_peer(instant now, bool by_preference) const
+{
+    const auto rank = [&](const config_peer& peer) {
+        const peer_answer* heard = this->valid_answer(peer.address.id, now);
+        const bool failing = heard != nullptr && !heard->store_reachable;
+        const bool elsewhere = peer.zone != this->settings.zone;
+        const int tier = !by_preference ? 0 : failing ? 3 : !peer.reader ? 2 : elsewhere ? 1 : 0;
+        return std::pair(tier, mix(this->settings.seed + this->pull_round, peer.address.id));
+    };
+    return &*std::min_element(
+        this->peers.begin(), this->peers.end(),
+        [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
+}
+
+std::vector<config_peer> config_replica::longest_unasked(std::size_t count) const
+{
+    const auto last_asked = [this](const config_peer& peer) {
+        const auto found = this->asked.find(peer.address.id);
+        return found == this->asked.end() ? instant::min() : found->second;
+    };
+    std::vector<config_peer> chosen = this->peers;
+    std::sort(chosen.begin(), chosen.end(), [&](const auto& left, const auto& right) {
+        return last_asked(left) < last_asked(right);
+    });
+    chosen.resize(std::min(count, chosen.size()));
+    return chosen;
+}
+
+void config_replica::on_message(const member_address& from, const peer_message& message,
+                                instant now)
+{
+    if (const auto* asked_for = std::get_if<config_pull>(&message)) {
+        this->answer(from, *asked_for, now);
+    } else if (const auto* update = std::get_if<config_update>(&message)) {
+        this->on_update(from, *update, now);
+    }
+}
+
+void config_replica::answer(const member_address& from, const config_pull& asked_for, instant now)
+{
+    config_update update;
+    update.nonce = asked_for.nonce;
+    update.revision = this->state->revision();
+    update.age = this->ready ? this->confirmed_age(now).value_or(duration::max()) : duration::max();
+    update.store_reachable = !this->is_store_failing(now);
+    const bool behind = asked_for.revision < update.revision;
+    const bool bridged =
+        !this->recent.empty() && this->recent.front().revision <= asked_for.revision + 1;
+    if (behind && bridged) {
+        std::copy_if(this->recent.begin(), this->recent.end(), std::back_inserter(update.changes),
+                     [&](const auto& change) { return change.revision > asked_for.revision; });
+    } else if (behind) {
+        update.snapshot.push_back({update.revision, this->state->objects()});
+    }
+    this->actions.emplace_back(send_message{from, std::move(update)});
+}
+
+// An answer is taken once, and only to a pull of this life: its age counts from that pull's start.
+void config_replica::on_update(const member_address& from, const config_update& update, instant now)
+{
+    const auto found = this->pulls.find(update.nonce);
+    if (found == this->pulls.end() || found->second.peer != from.id) {
+        return;
+    }
+    const instant start = found->second.start;
+    this->pulls.erase(found);
+    for (const config_snapshot& snapshot : update.snapshot) {
+        if (snapshot.revision > this->state->revision()) {
+            this->put_in_force(
+                config_state_ptr(new config_state(snapshot.revision, snapshot.objects)), {});
+        }
+    }
+    this->apply(update.changes);
+
+    const bool peer_ready = update.age != duration::max();
+    peer_answer& latest = this->answers[from.id];
+    if (latest.start <= start) {
+        latest = {start, update.revision, update.store_reachable, peer_ready};
+    }
+    if (peer_ready) {
+        this->confirm(start - std::max(update.age, duration{}), update.revision, now);
+    }
+    this->check_startup_without_store(now);
+    this->read_when_due(now);
+}
+
+} // namespace pearhaven::coordination
