--- a/decision/test/endpoint_table_test.cpp
+++ b/decision/test/endpoint_table_test.cpp
@@ -19,13 +19,14 @@
     return {address, "name-" + address, zone, 1, false, {{"role", "engine"}}};
 }
 
-configuration_ptr one_version(std::uint32_t slots)
+configuration_ptr one_version(std::uint32_t slots, double long_share = 0.5)
 {
     pool engines;
     engines.name = "engines";
     engines.hosts = selector().require("role", {"engine"});
     engines.versions = selector();
     engines.slots_per_host = slots;
+    engines.long_share = long_share;
     version only;
     only.name = "reader-1";
     only.model = "reader";
@@ -79,6 +80,12 @@
         return this->choose(wanted) == address;
     }
 
+    void start_many(const std::string& address, int count)
+    {
+        for (int started = 0; started < count; ++started) {
+            this->start(address);
+        }
+    }
     void start(const std::string& address, work_class kind = work_class::lookup)
     {
         this->table.started(address, kind, 100.0, 0, this->now);
@@ -132,6 +139,8 @@
     known.table.mark_leaving("e0", 0, known.now);
     known.table.set_hosts({known.hosts[1]}, known.now);
     known.now += std::chrono::minutes(1);
+    known.table.set_hosts({known.hosts[1]}, known.now);
+    known.now += std::chrono::minutes(1);
     known.table.set_hosts(known.hosts, known.now);
     CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
 }
@@ -197,6 +206,29 @@
     CHECK_EQUAL(std::string("e0"), known.choose(a_lookup));
 }
 
+TEST(endpoint_table_test, one_slot_in_several_is_left_to_lookups_whatever_the_share)
+{
+    osu_table known(1, 2);
+    known.table.configure(*one_version(2, 1.0));
+    known.start("e0", work_class::reading);
+    CHECK_FALSE(known.takes("e0", a_reading));
+}
+
+TEST(endpoint_table_test, a_reading_may_take_an_endpoints_only_slot)
+{
+    osu_table known(1, 1);
+    CHECK_TRUE(known.takes("e0", a_reading));
+}
+
+TEST(endpoint_table_test, the_less_loaded_of_two_is_chosen_by_requests_and_by_work)
+{
+    osu_table known(2, 16);
+    known.start_many("e0", 3);
+    CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
+    known.table.started("e1", work_class::reading, 5000.0, 0, known.now);
+    CHECK_TRUE((names{"e0"}) == known.chosen(a_lookup));
+}
+
 TEST(endpoint_table_test, readings_of_other_routers_count_by_the_own_mix)
 {
     // Lookups wait in the engine's own queue. Each router keeps readings to half of the slots it
@@ -213,9 +245,9 @@
     // Callers wait in an engine's queue while another engine is idle. A report that was taken
     // before this router sent eight requests says that the engine is empty.
     osu_table known(2, 64);
-    for (int count = 0; count < 10; ++count) {
-        known.start("e0");
-    }
+    known.run("e0", attempt_result::finished);
+    known.now += std::chrono::milliseconds(3200);
+    known.start_many("e0", 10);
     known.table.reported("e0", {0, 0, 8, std::chrono::milliseconds(500), false}, known.now);
     CHECK_FALSE(known.takes("e0", a_lookup));
 }
@@ -228,6 +260,17 @@
     CHECK_FALSE(known.takes("e0", a_lookup));
 }
 
+TEST(endpoint_table_test, what_ended_since_a_report_no_longer_counts)
+{
+    osu_table known(1, 64);
+    known.start_many("e0", 10);
+    known.now += std::chrono::milliseconds(600);
+    known.table.reported("e0", {10, 0, 8, std::chrono::milliseconds(500), false}, known.now);
+    CHECK_FALSE(known.takes("e0", a_lookup));
+    known.end("e0", attempt_result::finished);
+    CHECK_TRUE(known.takes("e0", a_lookup));
+}
+
 TEST(endpoint_table_test, an_old_report_no_longer_holds_work_back)
 {
     osu_table known(1, 4);
@@ -273,6 +316,16 @@
     DOUBLES_EQUAL(4.0, known.status_of("e0").limit, 0.5);
 }
 
+TEST(endpoint_table_test, lateness_that_no_caller_notices_lowers_no_limit)
+{
+    osu_table known(1, 16);
+    for (int count = 0; count < 100; ++count) {
+        known.now += std::chrono::seconds(1);
+        known.run("e0", attempt_result::finished, count < 20 ? quick / 50 : quick / 5);
+    }
+    DOUBLES_EQUAL(16.0, known.status_of("e0").limit, 1e-9);
+}
+
 TEST(endpoint_table_test, an_unreachable_endpoint_is_left_alone_then_tried_once)
 {
     osu_table known(2, 4);
@@ -286,15 +339,53 @@
     CHECK_EQUAL(2U, known.chosen(a_lookup).size());
 }
 
+TEST(endpoint_table_test, each_ejection_in_a_row_lasts_longer_until_the_endpoint_was_well_for_long)
+{
+    osu_table known(1, 16);
+    known.run("e0", attempt_result::unreachable);
+    known.now += std::chrono::milliseconds(1100);
+    known.run("e0", attempt_result::unreachable);
+    known.now += std::chrono::milliseconds(1100);
+    CHECK_TRUE(known.status_of("e0").ejected);
+    known.now += std::chrono::seconds(1);
+    known.run("e0", attempt_result::finished);
+    DOUBLES_EQUAL(4.0, known.status_of("e0").limit, 1e-9);
+    known.now += std::chrono::minutes(1);
+    known.run("e0", attempt_result::unreachable);
+    known.now += std::chrono::milliseconds(1100);
+    CHECK_FALSE(known.status_of("e0").ejected);
+}
+
+TEST(endpoint_table_test, one_failure_on_trial_is_enough_and_else_three_in_a_row)
+{
+    osu_table known(2, 16);
+    for (const auto result : {attempt_result::failed, attempt_result::failed,
+                              attempt_result::finished, attempt_result::failed}) {
+        known.run("e0", result);
+    }
+    CHECK_FALSE(known.status_of("e0").ejected);
+    known.run("e0", attempt_result::unreachable);
+    known.now += std::chrono::milliseconds(1100);
+    known.run("e0", attempt_result::failed);
+    CHECK_TRUE(known.status_of("e0").ejected);
+}
+
+TEST(endpoint_table_test, a_new_process_at_the_address_starts_with_a_clean_record)
+{
+    osu_table known(1, 16);
+    known.run("e0", attempt_result::unreachable);
+    known.hosts[0].incarnation = 2;
+    known.table.set_hosts(known.hosts, known.now);
+    CHECK_TRUE(known.takes("e0", a_lookup));
+}
+
 TEST(endpoint_table_test, attempts_that_fail_together_are_one_ejection)
 {
     // An engine that was replaced within seconds gets no work for much longer. Ten requests were
     // under way when it stopped; each counted as an ejection, the wait would have doubled ten
     // times.
     osu_table known(1, 16);
-    for (int count = 0; count < 10; ++count) {
-        known.start("e0");
-    }
+    known.start_many("e0", 10);
     for (int count = 0; count < 10; ++count) {
         known.end("e0", attempt_result::unreachable);
     }
@@ -348,9 +439,7 @@
     // connections; the endpoint is well. Resumed on fresh connections, they go on. Ejecting it
     // would move its load to the others for nothing.
     osu_table known(2, 8);
-    for (int count = 0; count < 5; ++count) {
-        known.start("e0");
-    }
+    known.start_many("e0", 5);
     for (int count = 0; count < 5; ++count) {
         known.end("e0", attempt_result::went_silent);
         known.start("e0");
@@ -364,9 +453,7 @@
 TEST(endpoint_table_test, an_endpoint_whose_fresh_connections_go_silent_too_is_ejected)
 {
     osu_table known(2, 8);
-    for (int count = 0; count < 3; ++count) {
-        known.start("e0");
-    }
+    known.start_many("e0", 3);
     for (int count = 0; count < 3; ++count) {
         known.end("e0", attempt_result::went_silent);
         known.start("e0");
@@ -375,16 +462,29 @@
     CHECK_FALSE(known.takes("e0", a_lookup));
 }
 
+TEST(endpoint_table_test, attempts_that_ended_otherwise_forgive_no_later_silence)
+{
+    osu_table known(1, 16);
+    known.start_many("e0", 4);
+    known.end("e0", attempt_result::went_silent);
+    for (int count = 0; count < 3; ++count) {
+        known.end("e0", attempt_result::cancelled);
+    }
+    known.run("e0", attempt_result::went_silent);
+    known.run("e0", attempt_result::went_silent);
+    CHECK_TRUE(known.status_of("e0").ejected);
+}
+
 TEST(endpoint_table_test, work_stays_in_the_zone_until_another_one_is_much_less_loaded)
 {
-    osu_table known(2, 4);
+    osu_table known(2, 16);
     known.hosts.push_back(host_at("far", "tema"));
     known.table.set_hosts(known.hosts, known.now);
+    known.start_many("e0", 2);
+    known.start_many("e1", 2);
     CHECK_EQUAL(0U, known.chosen(a_lookup).count("far"));
-    for (int count = 0; count < 3; ++count) {
-        known.start("e0");
-        known.start("e1");
-    }
+    known.start_many("e0", 10);
+    known.start_many("e1", 10);
     CHECK_TRUE((names{"far"}) == known.chosen(a_lookup));
 }
 
@@ -415,9 +515,7 @@
     const auto first = one.choose(warm);
     CHECK_TRUE((names{first}) == one.chosen(warm));
     CHECK_EQUAL(first, two.choose(warm));
-    for (int count = 0; count < 5; ++count) {
-        one.start(first);
-    }
+    one.start_many(first, 5);
     const auto second = one.chosen(warm);
     CHECK_EQUAL(1U, second.size());
     CHECK_EQUAL(0U, second.count(first));
