--- a/standins/src/behaviours.hpp
+++ b/standins/src/behaviours.hpp
@@ -40,6 +40,13 @@
         return *this;
     }
 
+    // The check says what is wrong with new settings as a whole, if anything is.
+    behaviour_table& check(std::function<std::optional<std::string>(const settings&)> wanted)
+    {
+        this->checker = std::move(wanted);
+        return *this;
+    }
+
     // Sets all the named members, or none and says why not.
     std::optional<std::string> apply(const nlohmann::json& wanted, settings& current) const
     {
@@ -56,6 +63,9 @@
                 return "wrong type for behaviour " + name + ": " + value.dump();
             }
         }
+        if (auto problem = this->checker ? this->checker(changed) : std::nullopt) {
+            return problem;
+        }
         current = std::move(changed);
         return std::nullopt;
     }
@@ -111,6 +121,7 @@
     }
 
     std::vector<entry> entries;
+    std::function<std::optional<std::string>(const settings&)> checker;
 };
 
 // The behaviours in force, shared by the handlers' threads.
--- a/standins/src/web_exchange.cpp
+++ b/standins/src/web_exchange.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t read_size = 16384;
+constexpr std::size_t read_size = 4096; // CivetWeb's threads have small stacks
 
 std::string text_or_empty(const char* text)
 {
