Write changes of the configuration by compare-and-swap on its head

Cause: two operators may change the same objects at once, and a swap can take effect though its reply is lost; no accepted change may be undone or applied twice. Ruled out: repeating a swap whose outcome is open on a newer head; treating an unchanged head after a lost reply as proof that the swap did not take effect (it may still be under way, so it is repeated on that same head only). Conclusion: pages that no head names any more are left in the store; removing them is not built yet.

--- a/coordination/include/pearhaven/coordination/config_head.hpp
+++ b/coordination/include/pearhaven/coordination/config_head.hpp
@@ -7,9 +7,11 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace pearhaven::coordination {
@@ -69,6 +71,27 @@
 
 using config_state_ptr = boost::intrusive_ptr<const config_state>;
 
+// Puts a head's state together from its snapshot's pages, as they come in.
+class snapshot_assembly {
+public:
+    explicit snapshot_assembly(config_head head) : target(std::move(head)) {}
+
+    [[nodiscard]] const config_head& head() const { return this->target; }
+
+    // A later head with the same snapshot can take the place of the first.
+    void set_head(config_head later) { this->target = std::move(later); }
+
+    void add_page(const std::string& key, std::vector<config_object> objects);
+    [[nodiscard]] bool is_complete() const;
+
+    // The state at the head's revision. Lower only where the head's changes have a gap.
+    [[nodiscard]] config_state_ptr build() const;
+
+private:
+    config_head target;
+    std::map<std::string, std::vector<config_object>> pages;
+};
+
 } // namespace pearhaven::coordination
 
 #endif
--- a/coordination/include/pearhaven/coordination/config_replica.hpp
+++ b/coordination/include/pearhaven/coordination/config_replica.hpp
@@ -138,10 +138,9 @@
         bool ready = false; // a router that is still starting answers, but knows nothing yet
     };
     struct snapshot_load {
-        config_head head;
+        snapshot_assembly assembly;
         decision::instant start; // of the newest read that gave this head
         std::map<call_tag, std::string> pending;
-        std::map<std::string, std::vector<config_object>> pages;
     };
 
     [[nodiscard]] bool is_fresh(decision::instant now) const;
--- a/coordination/src/config_head.cpp
+++ b/coordination/src/config_head.cpp
@@ -100,4 +100,24 @@
     return next;
 }
 
+void snapshot_assembly::add_page(const std::string& key, std::vector<config_object> objects)
+{
+    this->pages[key] = std::move(objects);
+}
+
+bool snapshot_assembly::is_complete() const
+{
+    return std::all_of(this->target.pages.begin(), this->target.pages.end(),
+                       [this](const std::string& key) { return this->pages.count(key) != 0; });
+}
+
+config_state_ptr snapshot_assembly::build() const
+{
+    std::vector<config_object> objects;
+    for (const auto& [key, page] : this->pages) {
+        objects.insert(objects.end(), page.begin(), page.end());
+    }
+    return config_state(this->target.snapshot_revision, objects).after(this->target.changes);
+}
+
 } // namespace pearhaven::coordination
--- a/coordination/src/config_replica.cpp
+++ b/coordination/src/config_replica.cpp
@@ -329,15 +329,15 @@
 
 void config_replica::load_snapshot(const config_head& head, instant start, instant now)
 {
-    if (this->load && this->load->head.revision > head.revision) {
+    if (this->load && this->load->assembly.head().revision > head.revision) {
         return;
     }
-    if (this->load && this->load->head.pages == head.pages) {
-        this->load->head = head;
+    if (this->load && this->load->assembly.head().pages == head.pages) {
+        this->load->assembly.set_head(head);
         this->load->start = std::max(this->load->start, start);
         return;
     }
-    this->load = snapshot_load{head, start, {}, {}};
+    this->load = snapshot_load{snapshot_assembly(head), start, {}};
     for (const std::string& page : head.pages) {
         this->load->pending[this->submit(kv_get{page})] = page;
     }
@@ -372,7 +372,7 @@
         }
         return;
     }
-    this->load->pages[key] = *objects;
+    this->load->assembly.add_page(key, *objects);
     this->load->pending.erase(found);
     if (this->load->pending.empty()) {
         this->finish_load(now);
@@ -383,17 +383,13 @@
 {
     const snapshot_load done = std::move(*this->load);
     this->load.reset();
-    std::vector<config_object> objects;
-    for (const auto& [key, page] : done.pages) {
-        objects.insert(objects.end(), page.begin(), page.end());
-    }
-    const config_state_ptr snapshot(new config_state(done.head.snapshot_revision, objects));
-    this->put_in_force(snapshot->after(done.head.changes), done.head.changes);
-    if (this->state->revision() < done.head.revision) { // the head's changes have a gap
+    const config_head& head = done.assembly.head();
+    this->put_in_force(done.assembly.build(), head.changes);
+    if (this->state->revision() < head.revision) { // the head's changes have a gap
         this->actions.emplace_back(unreadable_value{std::string(config_head_key)});
         this->next_read = now + this->retry_delay;
     }
-    this->confirm(done.start, done.head.revision, now);
+    this->confirm(done.start, head.revision, now);
 }
 
 // Peers.
--- /dev/null
+++ b/coordination/test/config_writer_test.cpp
@@ -0,0 +1,296 @@
+#include "pearhaven/coordination/config_writer.hpp"
+
+#include "property.hpp"
+#include "simulation.hpp"
+
+#include <memory>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::coordination;
+using namespace pearhaven::coordination::simulation;
+
+namespace {
+
+config_edit edit_of(const std::string& write_id, std::uint64_t seen, const std::string& name)
+{
+    return {write_id, "author of " + write_id, 7, seen, {{"team", name, "body " + write_id}}};
+}
+
+// Operators that write to one store, each one edit at a time.
+struct writer_bench {
+    explicit writer_bench(std::uint64_t seed) : clock(seed), store(clock)
+    {
+        this->settings.head_changes = 4;
+        this->settings.page_bytes = 1; // a page for each object, as far as hashes allow
+        this->store.on_write = [this](const kv_entry& entry) {
+            if (entry.key == config_head_key) {
+                this->accept(this->codec.read_head(entry.value).value());
+            }
+        };
+    }
+
+    // Each head follows the one before it by one change, and can be read in whole.
+    void accept(const config_head& head)
+    {
+        this->faults += head.revision != this->order.size() + 1 ? 1 : 0;
+        this->order.push_back(head.changes.back());
+        this->states.push_back(this->states.back()->after({head.changes.back()}));
+        snapshot_assembly assembly(head);
+        for (const std::string& key : head.pages) {
+            const kv_entry* page = this->store.find(key);
+            if (page != nullptr) {
+                assembly.add_page(key, this->codec.read_page(page->value).value());
+            }
+        }
+        const bool whole = assembly.is_complete() && assembly.build()->revision() == head.revision;
+        this->faults += whole ? 0 : 1;
+        this->faults += assembly.build()->objects() != this->states.back()->objects() ? 1 : 0;
+    }
+
+    void write(const config_edit& edit, const std::function<void()>& then = {})
+    {
+        auto writer = std::make_shared<config_writer>(this->settings, this->codec);
+        this->edits[edit.write_id] = edit;
+        writer->start(edit, this->clock.now());
+        this->carry_out(writer, edit.write_id);
+        this->tick(writer, edit.write_id, then);
+    }
+
+    void tick(const std::shared_ptr<config_writer>& writer, const std::string& write_id,
+              const std::function<void()>& then)
+    {
+        writer->on_tick(this->clock.now());
+        this->carry_out(writer, write_id);
+        if (!writer->is_done()) {
+            this->clock.after(milliseconds{10}, [this, writer, write_id, then] {
+                this->tick(writer, write_id, then);
+            });
+        } else if (then) {
+            then();
+        }
+    }
+
+    void carry_out(const std::shared_ptr<config_writer>& writer, const std::string& write_id)
+    {
+        for (const auto& action : writer->take_actions()) {
+            if (const auto* call = std::get_if<store_call>(&action)) {
+                const call_tag tag = call->tag;
+                this->store.submit(call->request, [this, writer, write_id, tag](const auto& reply) {
+                    writer->on_reply(tag, reply, this->clock.now());
+                    this->carry_out(writer, write_id);
+                });
+            } else if (const auto* done = std::get_if<config_write_done>(&action)) {
+                this->faults += this->results.count(write_id) != 0 ? 1 : 0;
+                this->results[write_id] = *done;
+            }
+        }
+    }
+
+    config_write_done write_and_wait(const config_edit& edit)
+    {
+        this->write(edit);
+        this->clock.run_for(seconds{60});
+        return this->results.at(edit.write_id);
+    }
+
+    // One operator: looks, ponders, writes, again and again.
+    void operate(const std::string& name, int writes)
+    {
+        if (writes == 0) {
+            return;
+        }
+        const std::uint64_t seen = this->order.size();
+        const std::string object = std::to_string(this->clock.below(4));
+        const std::string write_id = name + std::to_string(writes);
+        this->clock.after(this->clock.delay(milliseconds{100}), [=, this] {
+            this->write(edit_of(write_id, seen, object),
+                        [=, this] { this->operate(name, writes - 1); });
+        });
+    }
+
+    // Every accepted edit is in the order once, at its revision and on the objects that its
+    // author saw; none that was refused is there.
+    void check_history()
+    {
+        for (const auto& result : this->results) {
+            const std::string& write_id = result.first;
+            const config_write_done& done = result.second;
+            const auto places =
+                std::count_if(this->order.begin(), this->order.end(),
+                              [&](const auto& change) { return change.write_id == write_id; });
+            if (!done.error) {
+                const bool placed = done.revision - 1 < this->order.size() &&
+                                    this->order[done.revision - 1].write_id == write_id;
+                this->faults += placed && places == 1 ? 0 : 1;
+            } else if (done.error != coordination_error::outcome_unknown) {
+                this->faults += static_cast<int>(places);
+            }
+            this->faults += places > 1 ? 1 : 0;
+        }
+        for (const config_change& change : this->order) {
+            const std::uint64_t seen = this->edits[change.write_id].seen_revision;
+            for (std::uint64_t between = seen + 1; between < change.revision; ++between) {
+                const bool same =
+                    this->order[between - 1].objects[0].name == change.objects[0].name;
+                this->faults += same ? 1 : 0;
+            }
+        }
+    }
+
+    scheduler clock;
+    model_store store;
+    table_config_codec codec;
+    config_writer_settings settings;
+    std::vector<config_change> order;
+    std::vector<config_state_ptr> states{config_state_ptr(new config_state)};
+    std::map<std::string, config_edit> edits;
+    std::map<std::string, config_write_done> results;
+    int faults = 0;
+};
+
+} // namespace
+
+TEST_GROUP(config_writer_test){};
+
+TEST(config_writer_test, an_edit_goes_through_though_the_head_moved_on_with_other_objects)
+{
+    writer_bench bench(1);
+    bench.write_and_wait(edit_of("w1", 0, "a"));
+    const auto done = bench.write_and_wait(edit_of("w2", 0, "b"));
+    CHECK_FALSE(static_cast<bool>(done.error));
+    CHECK_EQUAL(2U, done.revision);
+}
+
+// Two operators change one selector after both had looked at the same revision. The second is told
+// of the first's change and by whom, and the first's stands.
+TEST(config_writer_test, an_edit_of_an_object_that_was_changed_since_is_a_conflict)
+{
+    writer_bench bench(2);
+    bench.write_and_wait(edit_of("w1", 0, "a"));
+    const auto done = bench.write_and_wait(edit_of("w2", 0, "a"));
+    CHECK_TRUE(done.error == coordination_error::conflict);
+    CHECK_TRUE(done.conflicts ==
+               std::vector<config_conflict>({{"team", "a", 1, "author of w1", 7}}));
+    CHECK_EQUAL(1U, bench.order.size());
+}
+
+TEST(config_writer_test, old_changes_are_folded_into_pages_that_later_folds_reuse)
+{
+    writer_bench bench(3);
+    for (std::uint64_t write = 0; write < 12; ++write) {
+        bench.write_and_wait(edit_of(std::to_string(write), write, std::to_string(write % 6)));
+    }
+    CHECK_EQUAL(12U, bench.order.size());
+    CHECK_EQUAL(0, bench.faults);
+    const auto head = bench.codec.read_head(bench.store.find("config/head")->value);
+    CHECK_COMPARE(head->changes.size(), <=, 4U);
+    CHECK_COMPARE(head->snapshot_revision, >, 0U);
+}
+
+// A page with the wanted content is left over from an earlier snapshot. Whoever removes unused
+// pages may have found it unused, and is about to: its newer revision tells it that the page is
+// wanted.
+TEST(config_writer_test, a_page_that_is_there_already_is_written_again)
+{
+    writer_bench bench(7);
+    for (std::uint64_t write = 0; write < 5; ++write) {
+        bench.write_and_wait(edit_of(std::to_string(write), write, "a"));
+    }
+    const std::string page = bench.store.range("config/page/").at(0).key;
+    const store_revision first = bench.store.find(page)->revision;
+    bench.store.apply(kv_delete{"config/head", bench.store.find("config/head")->revision});
+    bench.order.clear();
+    bench.states.resize(1);
+    for (std::uint64_t write = 0; write < 5; ++write) {
+        bench.write_and_wait(edit_of(std::to_string(write), write, "a"));
+    }
+    CHECK_COMPARE(bench.store.find(page)->revision, >, first);
+}
+
+TEST(config_writer_test, a_head_is_not_swapped_in_long_after_its_pages_were_written)
+{
+    writer_bench bench(8);
+    bench.settings.page_validity = seconds{-1};
+    for (std::uint64_t write = 0; write < 5; ++write) {
+        bench.write_and_wait(edit_of(std::to_string(write), write, "a"));
+    }
+    CHECK_EQUAL(4U, bench.order.size());
+    CHECK_TRUE(bench.results["4"].error == coordination_error::store_unavailable);
+}
+
+TEST(config_writer_test, a_view_older_than_the_kept_changes_is_refused_as_stale)
+{
+    writer_bench bench(4);
+    for (std::uint64_t write = 0; write < 8; ++write) {
+        bench.write_and_wait(edit_of(std::to_string(write), write, "a"));
+    }
+    CHECK_TRUE(bench.write_and_wait(edit_of("old", 1, "b")).error ==
+               coordination_error::stale_view);
+}
+
+TEST(config_writer_test, an_edit_that_no_value_can_hold_is_refused)
+{
+    writer_bench bench(5);
+    bench.settings.value_bytes = 0;
+    CHECK_TRUE(bench.write_and_wait(edit_of("w", 0, "a")).error == coordination_error::too_large);
+    CHECK_EQUAL(0U, bench.order.size());
+}
+
+TEST(config_writer_test, without_the_store_the_write_ends_as_not_applied)
+{
+    writer_bench bench(6);
+    bench.store.down = true;
+    CHECK_TRUE(bench.write_and_wait(edit_of("w", 0, "a")).error ==
+               coordination_error::store_unavailable);
+}
+
+// The swap took effect, its reply was lost, and another operator's change of the same object
+// followed before the writer looked again. Were the swap repeated on the new head, the other's
+// change would be undone; were the edit judged anew, it would be told as a conflict with itself.
+TEST(config_writer_test, a_lost_reply_is_settled_by_the_write_id_though_others_followed)
+{
+    table_config_codec codec;
+    config_writer writer({}, codec);
+    const instant now{seconds{1}};
+    writer.start(edit_of("w1", 0, "a"), now);
+    const auto read = std::get<store_call>(writer.take_actions().at(0));
+    writer.on_reply(read.tag, {kv_outcome::not_found, 0, 0, {}}, now);
+    const auto swap = std::get<store_call>(writer.take_actions().at(0));
+    writer.on_reply(swap.tag, {kv_outcome::unknown, 0, 0, {}}, now);
+    writer.on_tick(now + seconds{1});
+    const auto again = std::get<store_call>(writer.take_actions().at(0));
+    CHECK_TRUE(std::holds_alternative<kv_get>(again.request));
+    const config_change first{1, "w1", "ama", 7, {{"team", "a", "1"}}};
+    const config_change second{2, "w2", "kofi", 8, {{"team", "a", "2"}}};
+    const config_head head{2, "w2", {first, second}, {}, 0};
+    writer.on_reply(again.tag, {kv_outcome::ok, 9, 0, {{"config/head", codec.write_head(head), 9}}},
+                    now);
+    CHECK_TRUE(std::get<config_write_done>(writer.take_actions().at(0)) ==
+               (config_write_done{{}, 1, {}}));
+}
+
+// Three operators race with lost and late replies and a store that fails now and then.
+TEST(config_writer_test, every_reported_outcome_agrees_with_the_order_of_changes)
+{
+    const bool held = holds_for_seeds("writers", [](std::uint64_t seed) {
+        writer_bench bench(seed);
+        bench.store.lost_percent = 25;
+        bench.store.longest_delay = milliseconds{60};
+        for (const std::string name : {"ama-", "kofi-", "esi-"}) {
+            bench.operate(name, 8);
+        }
+        for (int step = 0; step < 20; ++step) {
+            bench.store.down = bench.clock.chance(20);
+            bench.clock.run_for(milliseconds{300});
+        }
+        bench.store.down = false;
+        bench.clock.run_for(seconds{600});
+        bench.check_history();
+        RC_ASSERT(bench.results.size() == 24U);
+        RC_ASSERT(bench.faults == 0);
+        RC_ASSERT(!bench.order.empty());
+    });
+    CHECK_TRUE(held);
+}
--- a/coordination/test/simulation.hpp
+++ b/coordination/test/simulation.hpp
@@ -66,6 +66,7 @@
     bool down = false;
     duration time_to_fail{}; // how long a call waits for its failure while the store is down
     std::uint64_t calls = 0;
+    std::function<void(const kv_entry&)> on_write; // sees every write as it takes effect
 
     void submit(const kv_request& request, const std::function<void(const kv_reply&)>& done)
     {
@@ -143,6 +144,9 @@
             return this->conflict(current);
         }
         this->entries[swap.key] = {swap.key, swap.value, ++this->revision};
+        if (this->on_write) {
+            this->on_write(this->entries[swap.key]);
+        }
         this->holders[swap.key] = swap.lease;
         return this->ok();
     }
