--- /dev/null
+++ b/adapters/include/pearhaven/adapters/flags.hpp
@@ -0,0 +1,27 @@
+#ifndef PEARHAVEN_ADAPTERS_FLAGS_HPP
+#define PEARHAVEN_ADAPTERS_FLAGS_HPP
+
+#include <string>
+#include <vector>
+
+namespace pearhaven::adapters {
+
+// What came of a command line beside the flags that were set.
+struct read_flags_result {
+    std::vector<std::string> positional;
+    std::vector<std::string> faults; // one sentence each: what was found and what is allowed
+    bool help_wanted = false;
+};
+
+// Sets the program's gflags from the command line, then from environment variables PREFIX_NAME (in
+// capitals) those that the command line left out. All faults come back together, where gflags' own
+// parser would end the process at the first.
+read_flags_result read_flags(int argc, char** argv, const std::string& environment_prefix);
+
+// The flags that the program itself defines, with type, default and meaning, one a line.
+// `source_part` is a part of the path of the file that defines them.
+std::string describe_flags(const std::string& source_part);
+
+} // namespace pearhaven::adapters
+
+#endif
--- /dev/null
+++ b/adapters/include/pearhaven/adapters/stored_values.hpp
@@ -0,0 +1,18 @@
+#ifndef PEARHAVEN_ADAPTERS_STORED_VALUES_HPP
+#define PEARHAVEN_ADAPTERS_STORED_VALUES_HPP
+
+#include "pearhaven/coordination/bill_ledger.hpp"
+#include "pearhaven/coordination/config_head.hpp"
+
+#include <memory>
+
+namespace pearhaven::adapters {
+
+// The stored forms of coordination's values: JSON, so that operators can read them in the store. Equal
+// values give equal text. Text that is not such a value gives nothing, never an exception.
+std::unique_ptr<coordination::config_head_codec> make_config_head_codec();
+std::unique_ptr<coordination::bill_page_codec> make_bill_page_codec();
+
+} // namespace pearhaven::adapters
+
+#endif
--- /dev/null
+++ b/router/src/answer_relay.hpp
@@ -0,0 +1,117 @@
+#ifndef PEARHAVEN_ROUTER_ANSWER_RELAY_HPP
+#define PEARHAVEN_ROUTER_ANSWER_RELAY_HPP
+
+#include "exchange.hpp"
+#include "http_reply.hpp"
+
+#include "pearhaven/adapters/http_client.hpp"
+
+#include <functional>
+#include <string>
+
+struct mg_connection;
+
+namespace pearhaven::router {
+
+// How an exchange ended on the caller's side.
+struct relay_end {
+    bool caller_gone = false;
+    bool completed = false;
+    decision::failure why; // where it was neither
+    int status = 0;
+    std::string version;
+    std::chrono::microseconds first_piece{}; // since arrival; zero where none came
+    std::string outcome;                     // what a later resend of a claimed request may be told
+};
+
+// Takes the events of one exchange and writes the answer to its caller, until the exchange ends or
+// the caller is gone. Subclasses know the form of the answer.
+class answer_relay {
+public:
+    answer_relay(mg_connection* caller_connection, exchange_ptr of_request,
+                 adapters::http_client& http_client);
+    virtual ~answer_relay() = default;
+    answer_relay(const answer_relay&) = delete;
+    answer_relay& operator=(const answer_relay&) = delete;
+
+    // Header fields that go with the answer for the version that runs.
+    using version_headers = std::function<header_list(const std::string& version)>;
+    relay_end run(const version_headers& headers_of);
+
+protected:
+    // Each returns false when the caller is gone.
+    virtual bool on_piece(answer_piece& piece) = 0;
+    virtual bool on_complete(const answer_complete& ending) = 0;
+    virtual bool on_failure_midway(const failure_form& form) = 0;
+    virtual void on_restart() {}
+    virtual void on_head(service_head& /*head*/) {}
+    virtual bool keep_alive() { return true; } // shows whether the caller is still there
+
+    [[nodiscard]] mg_connection* connection() const { return this->caller; }
+    [[nodiscard]] const exchange& request() const { return *this->source; }
+    [[nodiscard]] const header_list& headers() const { return this->answer_headers; }
+
+    bool begun = false; // the head of the answer is with the caller
+    int status = status_ok;
+
+private:
+    bool take(exchange_event& event, const version_headers& headers_of, relay_end& end);
+    bool take_failure(const answer_failed& failed, relay_end& end);
+
+    mg_connection* caller;
+    exchange_ptr source;
+    adapters::http_client& client;
+    header_list answer_headers;
+};
+
+// An engine's answer as server-sent events, the way they come.
+class streamed_chat : public answer_relay {
+public:
+    using answer_relay::answer_relay;
+
+protected:
+    bool on_piece(answer_piece& piece) override;
+    bool on_complete(const answer_complete& ending) override;
+    bool on_failure_midway(const failure_form& form) override;
+    bool keep_alive() override;
+
+private:
+    bool begin();
+};
+
+// An engine's answer as one JSON object, once it is whole.
+class collected_chat : public answer_relay {
+public:
+    using answer_relay::answer_relay;
+
+protected:
+    bool on_piece(answer_piece& piece) override;
+    bool on_complete(const answer_complete& ending) override;
+    bool on_failure_midway(const failure_form& form) override;
+    void on_restart() override;
+
+private:
+    std::string content;
+    std::string model;
+};
+
+// A plain service's answer, passed on as it is.
+class service_answer : public answer_relay {
+public:
+    using answer_relay::answer_relay;
+
+protected:
+    bool on_piece(answer_piece& piece) override;
+    bool on_complete(const answer_complete& ending) override;
+    bool on_failure_midway(const failure_form& form) override;
+    void on_head(service_head& head) override;
+    void on_restart() override;
+
+private:
+    service_head head;
+    std::string held; // a small body goes out with its head in one write
+};
+
+} // namespace pearhaven::router
+
+#endif
--- /dev/null
+++ b/router/src/caller_server.cpp
@@ -0,0 +1,428 @@
+#include "caller_server.hpp"
+
+#include "answer_relay.hpp"
+#include "clock.hpp"
+
+#include "pearhaven/adapters/authenticator.hpp"
+
+#include <civetweb.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <system_error>
+#include <utility>
+
+namespace pearhaven::router {
+
+namespace {
+
+// Threads beyond the callers' bound, which turn further callers away at once.
+constexpr std::uint32_t spare_threads = 16;
+
+constexpr int closes_connection =
+    1; // any status above 0 tells CivetWeb that the request was handled
+constexpr std::size_t affinity_prefix =
+    512; // bytes of the prompt's beginning that engines likely cache
+constexpr decision::duration claim_patience = std::chrono::seconds(5);
+constexpr std::string_view services_prefix = "/services/";
+
+int on_malformed(mg_connection* connection, int status, const char* message)
+{
+    const auto form = turned_away(status, "bad_request", message == nullptr ? "" : message);
+    send_failure(connection, form, {{"Connection", "close"}});
+    return 0;
+}
+
+std::string class_name(decision::work_class kind)
+{
+    return kind == decision::work_class::lookup ? "lookup" : "reading";
+}
+
+} // namespace
+
+// Counts a caller from its request to its answer's end.
+class caller_server::active_guard {
+public:
+    explicit active_guard(std::atomic<std::size_t>& counted) : count(counted), place(++counted) {}
+    ~active_guard() { --this->count; }
+    active_guard(const active_guard&) = delete;
+    active_guard& operator=(const active_guard&) = delete;
+
+    [[nodiscard]] std::size_t position() const { return this->place; }
+
+private:
+    std::atomic<std::size_t>& count;
+    std::size_t place;
+};
+
+caller_server::caller_server(const caller_ports& all_ports) : ports(all_ports)
+{
+    const auto& settings = this->ports.settings;
+    const auto listen = settings.host + ":" + std::to_string(settings.caller_port);
+    const auto threads = std::to_string(settings.caller_threads + spare_threads);
+    const auto timeout = std::to_string(settings.caller_read_timeout.count());
+    const char* options[] = {"listening_ports",
+                             listen.c_str(),
+                             "num_threads",
+                             threads.c_str(),
+                             "request_timeout_ms",
+                             timeout.c_str(),
+                             "enable_keep_alive",
+                             "yes",
+                             "keep_alive_timeout_ms",
+                             "2000",
+                             "tcp_nodelay",
+                             "1",
+                             nullptr};
+    mg_callbacks callbacks{};
+    callbacks.http_error = on_malformed;
+    this->context = mg_start(&callbacks, this, options);
+    if (this->context == nullptr) {
+        throw std::system_error(std::make_error_code(std::errc::address_in_use),
+                                "callers' port " + listen + " cannot be listened on");
+    }
+    mg_set_request_handler(this->context, "/v1/chat/completions$", handle_chat, this);
+    mg_set_request_handler(this->context, "/v1/models$", handle_models, this);
+    mg_set_request_handler(this->context, "/services/", handle_service, this);
+    mg_set_request_handler(this->context, "/", handle_unknown, this);
+}
+
+caller_server::~caller_server()
+{
+    this->stop();
+}
+
+void caller_server::stop()
+{
+    if (this->context != nullptr) {
+        mg_stop(std::exchange(this->context, nullptr));
+    }
+}
+
+std::uint16_t caller_server::port() const
+{
+    mg_server_port port{};
+    mg_get_server_ports(this->context, 1, &port);
+    return static_cast<std::uint16_t>(port.port);
+}
+
+int caller_server::handle_chat(mg_connection* connection, void* self)
+{
+    static_cast<caller_server*>(self)->serve_chat(connection);
+    return closes_connection;
+}
+
+int caller_server::handle_models(mg_connection* connection, void* self)
+{
+    static_cast<caller_server*>(self)->serve_models(connection);
+    return closes_connection;
+}
+
+int caller_server::handle_service(mg_connection* connection, void* self)
+{
+    static_cast<caller_server*>(self)->serve_service(connection);
+    return closes_connection;
+}
+
+int caller_server::handle_unknown(mg_connection* connection, void* self)
+{
+    return static_cast<caller_server*>(self)->refuse(
+        connection,
+        turned_away(status_not_found, "unknown_path",
+                    "allowed are /v1/chat/completions, /v1/models and /services/NAME/"));
+}
+
+int caller_server::refuse(mg_connection* connection, const failure_form& form)
+{
+    this->ports.counts.add("pearhaven_turned_away_total",
+                           {{"status", std::to_string(form.status)}});
+    // Closing spares reading what is left of a body that is not wanted.
+    send_failure(connection, form, {{"Connection", "close"}});
+    mg_disable_connection_keep_alive(connection);
+    return form.status;
+}
+
+std::optional<caller_server::admitted> caller_server::admit(mg_connection* connection)
+{
+    auto fields = read_fields(connection);
+    if (const auto* fault = std::get_if<failure_form>(&fields)) {
+        this->refuse(connection, *fault);
+        return std::nullopt;
+    }
+    admitted caller;
+    caller.fields = std::get<caller_fields>(std::move(fields));
+    caller.configuration = this->ports.configuration.get();
+    if (!caller.configuration) {
+        this->refuse(connection, form_of(decision::failure{decision::failure_code::not_in_touch,
+                                                           decision::run_state::not_run, true,
+                                                           std::chrono::seconds(1),
+                                                           "no configuration has come yet"}));
+        return std::nullopt;
+    }
+    caller.team = caller.configuration->find_team_by_key(caller.fields.key_digest);
+    if (caller.team == nullptr) {
+        this->refuse(connection, turned_away(status_unauthorized, "unknown_key",
+                                             "Authorization: found no key of a team"));
+        return std::nullopt;
+    }
+    auto body = read_body(connection, this->ports.settings.max_body_bytes);
+    if (const auto* fault = std::get_if<failure_form>(&body)) {
+        this->refuse(connection, *fault);
+        return std::nullopt;
+    }
+    caller.body = std::get<std::string>(std::move(body));
+    return caller;
+}
+
+exchange_ptr caller_server::make_exchange(const admitted& from)
+{
+    exchange_ptr request(new exchange);
+    request->ticket = this->next_ticket++;
+    request->team = from.team->name;
+    request->request_id = request_id_of(from.team->name, from.fields.idempotency_key);
+    request->priority = from.fields.priority;
+    request->content_type = from.fields.content_type;
+    request->arrived_at = std::chrono::steady_clock::now();
+    return request;
+}
+
+decision::instant caller_server::deadline_of(const caller_fields& fields) const
+{
+    const auto& settings = this->ports.settings;
+    return now() +
+           std::min(fields.deadline.value_or(settings.default_deadline), settings.longest_deadline);
+}
+
+bool caller_server::claim_if_needed(mg_connection* connection, const exchange_ptr& request,
+                                    const caller_fields& fields, bool idempotent)
+{
+    if (idempotent || fields.idempotency_key.empty()) {
+        return true;
+    }
+    this->ports.fleet.submit(claim_wanted{request->team, fields.idempotency_key, request});
+    const auto event = request->events.pop_for(claim_patience);
+    const auto* answer = event ? std::get_if<claim_answer>(&*event) : nullptr;
+    if (answer != nullptr && answer->granted) {
+        return true;
+    }
+    if (answer == nullptr) {
+        this->refuse(connection, form_of(decision::failure{decision::failure_code::not_in_touch,
+                                                           decision::run_state::not_run, true,
+                                                           std::chrono::seconds(1),
+                                                           "the claim could not be made in time"}));
+        return false;
+    }
+    this->refuse(connection, form_of(answer->why));
+    return false;
+}
+
+bool caller_server::hand_on(mg_connection* connection, decision::arrival arrival,
+                            const exchange_ptr& request)
+{
+    routing_event event = request_arrived{std::move(arrival), request};
+    if (this->ports.routing.offer(event)) {
+        return true;
+    }
+    this->refuse(connection, form_of(decision::failure{decision::failure_code::overloaded,
+                                                       decision::run_state::not_run, true,
+                                                       std::chrono::seconds(1),
+                                                       "this router has too many events waiting"}));
+    return false;
+}
+
+void caller_server::serve_chat(mg_connection* connection)
+{
+    const active_guard guard(this->active);
+    if (guard.position() > this->ports.settings.caller_threads) {
+        this->refuse(connection, form_of(decision::failure{decision::failure_code::overloaded,
+                                                           decision::run_state::not_run, true,
+                                                           std::chrono::seconds(1),
+                                                           "this router has too many callers"}));
+        return;
+    }
+    const auto caller = this->admit(connection);
+    if (!caller) {
+        return;
+    }
+    auto chat = read_chat(caller->body);
+    if (const auto* fault = std::get_if<failure_form>(&chat)) {
+        this->refuse(connection, *fault);
+        return;
+    }
+    const auto& read = std::get<chat_body>(chat);
+    const auto request = this->make_exchange(*caller);
+    request->streamed = read.streamed;
+    request->body = read.rest;
+
+    decision::arrival arrival;
+    arrival.ticket = request->ticket;
+    arrival.team = request->team;
+    arrival.asked = read.asked;
+    arrival.idempotent = caller->fields.idempotent.value_or(true);
+    arrival.streamed = read.streamed;
+    arrival.priority = request->priority;
+    arrival.work =
+        decision::estimate_work(read.prompt.size(), read.max_tokens, caller->fields.kind);
+    arrival.deadline = this->deadline_of(caller->fields);
+    arrival.prefix_hash = decision::fingerprint("", "", read.prompt.substr(0, affinity_prefix));
+    arrival.fingerprint = decision::fingerprint(request->team, read.asked, read.rest);
+    const auto& session = caller->fields.session;
+    std::string session_id = adapters::random_identifier();
+    if (!session.empty() && session != "new") {
+        arrival.bound = decision::open_session(session, caller->configuration->session_keys(),
+                                               this->ports.session_keys);
+        if (!arrival.bound || arrival.bound->team != request->team) {
+            this->refuse(connection,
+                         turned_away(status_bad_request, "bad_session",
+                                     "Pearhaven-Session: found a token that is not this team's"));
+            return;
+        }
+        session_id = arrival.bound->id;
+    }
+    if (!this->claim_if_needed(connection, request, caller->fields, arrival.idempotent)) {
+        return;
+    }
+    const bool claimed = !arrival.idempotent && !caller->fields.idempotency_key.empty();
+    const auto kind = class_name(arrival.work.kind);
+    const auto asked = read.asked;
+    if (!this->hand_on(connection, std::move(arrival), request)) {
+        return;
+    }
+    const auto headers_of = [&](const std::string& version) {
+        header_list headers = {{"Pearhaven-Request", request->request_id},
+                               {"Pearhaven-Version", version}};
+        if (!session.empty()) {
+            const decision::session bound{session_id, request->team, asked, version};
+            const auto newest = caller->configuration->session_keys().front();
+            headers.emplace_back("Pearhaven-Session",
+                                 decision::seal_session(bound, newest, this->ports.session_keys));
+        }
+        return headers;
+    };
+    relay_end end;
+    if (read.streamed) {
+        end = streamed_chat(connection, request, this->ports.client).run(headers_of);
+    } else {
+        end = collected_chat(connection, request, this->ports.client).run(headers_of);
+    }
+    this->finish(connection, request, caller->fields, end, kind, claimed);
+}
+
+void caller_server::finish(mg_connection* connection, const exchange_ptr& request,
+                           const caller_fields& fields, const relay_end& end,
+                           const std::string& kind, bool claimed)
+{
+    if (end.caller_gone) {
+        this->ports.routing.submit(caller_gone{request->ticket});
+    }
+    if (claimed) {
+        const auto run = end.completed     ? decision::run_state::ran
+                         : end.caller_gone ? decision::run_state::unknown
+                                           : end.why.run;
+        this->ports.fleet.submit(
+            claim_settled{request->team, fields.idempotency_key, run, end.outcome});
+    }
+    if (!end.completed) {
+        mg_disable_connection_keep_alive(connection);
+    }
+    const std::string result = end.completed     ? "completed"
+                               : end.caller_gone ? "caller_gone"
+                                                 : "failed";
+    const adapters::metric_labels labels = {{"team", request->team}, {"class", kind}};
+    this->ports.counts.add("pearhaven_requests_total",
+                           {{"team", request->team}, {"class", kind}, {"result", result}});
+    const auto whole = std::chrono::steady_clock::now() - request->arrived_at;
+    this->ports.counts.observe("pearhaven_request_seconds", labels,
+                               std::chrono::duration_cast<std::chrono::microseconds>(whole));
+    if (end.first_piece.count() > 0) {
+        this->ports.counts.observe("pearhaven_first_token_seconds", labels, end.first_piece);
+    }
+}
+
+void caller_server::serve_models(mg_connection* connection)
+{
+    const auto caller = this->admit(connection);
+    if (!caller) {
+        return;
+    }
+    auto list = nlohmann::json::array();
+    for (const auto& [name, version] : caller->configuration->versions()) {
+        if (caller->configuration->allows(*caller->team, version)) {
+            list.push_back({{"id", name}, {"object", "model"}, {"owned_by", version.model}});
+        }
+    }
+    const nlohmann::json body = {{"object", "list"}, {"data", list}};
+    send_answer(connection, status_ok, "application/json", {}, body.dump());
+}
+
+void caller_server::serve_service(mg_connection* connection)
+{
+    const active_guard guard(this->active);
+    if (guard.position() > this->ports.settings.caller_threads) {
+        this->refuse(connection, form_of(decision::failure{decision::failure_code::overloaded,
+                                                           decision::run_state::not_run, true,
+                                                           std::chrono::seconds(1),
+                                                           "this router has too many callers"}));
+        return;
+    }
+    const auto caller = this->admit(connection);
+    if (!caller) {
+        return;
+    }
+    const auto* info = mg_get_request_info(connection);
+    const std::string path = std::string(info->local_uri).substr(services_prefix.size());
+    const auto name = path.substr(0, path.find('/'));
+    const auto request = this->make_exchange(*caller);
+    request->is_service = true;
+    request->streamed = true;
+    request->method = info->request_method;
+    request->path = path.size() > name.size() ? path.substr(name.size()) : "/";
+    if (info->query_string != nullptr) {
+        request->path.append("?").append(info->query_string);
+    }
+    request->body = caller->body;
+
+    decision::arrival arrival;
+    arrival.ticket = request->ticket;
+    arrival.team = request->team;
+    arrival.asked = name;
+    arrival.is_service = true;
+    arrival.idempotent = this->is_idempotent_call(*caller, name, request->method);
+    arrival.streamed = true;
+    arrival.priority = request->priority;
+    arrival.work =
+        decision::work_estimate{caller->fields.kind.value_or(decision::work_class::lookup), 1.0};
+    arrival.deadline = this->deadline_of(caller->fields);
+    arrival.fingerprint =
+        decision::fingerprint(request->team, name, request->path + "\n" + request->body);
+    if (!this->claim_if_needed(connection, request, caller->fields, arrival.idempotent)) {
+        return;
+    }
+    const bool claimed = !arrival.idempotent && !caller->fields.idempotency_key.empty();
+    const auto kind = class_name(arrival.work.kind);
+    if (!this->hand_on(connection, std::move(arrival), request)) {
+        return;
+    }
+    const auto headers_of = [&](const std::string& /*target*/) {
+        return header_list{{"Pearhaven-Request", request->request_id}};
+    };
+    const auto end = service_answer(connection, request, this->ports.client).run(headers_of);
+    this->finish(connection, request, caller->fields, end, kind, claimed);
+}
+
+// The configuration wins over what the caller says, but for one way: a caller may always ask for
+// more care.
+bool caller_server::is_idempotent_call(const admitted& caller, const std::string& service_name,
+                                       const std::string& method)
+{
+    const auto found = caller.configuration->services().find(service_name);
+    if (found == caller.configuration->services().end()) {
+        return true; // it is refused for its name
+    }
+    const auto& repeatable = found->second.idempotent_methods;
+    const bool by_method =
+        std::find(repeatable.begin(), repeatable.end(), method) != repeatable.end();
+    return (found->second.idempotent || by_method) && caller.fields.idempotent.value_or(true);
+}
+
+} // namespace pearhaven::router
--- /dev/null
+++ b/router/src/caller_server.hpp
@@ -0,0 +1,91 @@
+#ifndef PEARHAVEN_ROUTER_CALLER_SERVER_HPP
+#define PEARHAVEN_ROUTER_CALLER_SERVER_HPP
+
+#include "answer_relay.hpp"
+#include "caller_request.hpp"
+#include "fleet_event.hpp"
+#include "published.hpp"
+#include "routing_event.hpp"
+
+#include "pearhaven/adapters/metrics.hpp"
+#include "pearhaven/decision/session_token.hpp"
+#include "pearhaven/router/settings.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+struct mg_connection;
+struct mg_context;
+
+namespace pearhaven::router {
+
+// What the callers' threads need of the rest of the router. All of it outlives the server.
+struct caller_ports {
+    const router_settings& settings;
+    const published<decision::configuration_ptr>& configuration;
+    const decision::token_authenticator& session_keys;
+    routing_sink& routing;
+    fleet_sink& fleet;
+    adapters::http_client& client;
+    adapters::metrics& counts;
+};
+
+// The callers' side: a CivetWeb server with a thread for each caller in flight.
+class caller_server {
+public:
+    // Throws std::system_error when the port cannot be listened on.
+    explicit caller_server(const caller_ports& all_ports);
+    ~caller_server();
+    caller_server(const caller_server&) = delete;
+    caller_server& operator=(const caller_server&) = delete;
+
+    // The port that callers reach.
+    [[nodiscard]] std::uint16_t port() const;
+
+    // Requests whose caller has not had the answer's end yet.
+    [[nodiscard]] std::size_t in_flight() const { return this->active.load(); }
+
+    // Closes the listener and ends the threads; requests in flight are cut off.
+    void stop();
+
+private:
+    class active_guard;
+    struct admitted {
+        decision::configuration_ptr configuration;
+        const decision::team* team = nullptr;
+        caller_fields fields;
+        std::string body;
+    };
+
+    static int handle_chat(mg_connection* connection, void* self);
+    static int handle_models(mg_connection* connection, void* self);
+    static int handle_service(mg_connection* connection, void* self);
+    static int handle_unknown(mg_connection* connection, void* self);
+
+    [[nodiscard]] std::optional<admitted> admit(mg_connection* connection);
+    bool claim_if_needed(mg_connection* connection, const exchange_ptr& request,
+                         const caller_fields& fields, bool idempotent);
+    void serve_chat(mg_connection* connection);
+    void serve_models(mg_connection* connection);
+    void serve_service(mg_connection* connection);
+    [[nodiscard]] exchange_ptr make_exchange(const admitted& from);
+    [[nodiscard]] decision::instant deadline_of(const caller_fields& fields) const;
+    bool hand_on(mg_connection* connection, decision::arrival arrival, const exchange_ptr& request);
+    void finish(mg_connection* connection, const exchange_ptr& request, const caller_fields& fields,
+                const relay_end& end, const std::string& kind, bool claimed);
+    [[nodiscard]] static bool is_idempotent_call(const admitted& caller,
+                                                 const std::string& service_name,
+                                                 const std::string& method);
+    int refuse(mg_connection* connection, const failure_form& form);
+
+    caller_ports ports;
+    std::atomic<std::size_t> active{0};
+    std::atomic<decision::ticket_number> next_ticket{1};
+    mg_context* context = nullptr;
+};
+
+} // namespace pearhaven::router
+
+#endif
--- /dev/null
+++ b/router/src/engine_attempt.cpp
@@ -0,0 +1,177 @@
+#include "engine_attempt.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace pearhaven::router {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr std::size_t max_error_body = 4096;
+
+bool is_closing(const json& event)
+{
+    const auto choices = event.find("choices");
+    if (choices == event.end() || !choices->is_array() || choices->empty()) {
+        return false;
+    }
+    const auto reason = choices->front().find("finish_reason");
+    return reason != choices->front().end() && reason->is_string();
+}
+
+usage read_usage(const json& event)
+{
+    const auto found = event.find("usage");
+    if (found == event.end() || !found->is_object()) {
+        return {};
+    }
+    return {found->value("prompt_tokens", std::uint64_t{0}),
+            found->value("completion_tokens", std::uint64_t{0})};
+}
+
+bool says_leaving(const std::string& error_body)
+{
+    const auto body = json::parse(error_body, nullptr, false);
+    if (!body.is_object() || !body.contains("error") || !body["error"].is_object()) {
+        return false;
+    }
+    return body["error"].value("code", "") == "draining";
+}
+
+} // namespace
+
+engine_run::engine_run(std::string identifier, std::string version_of)
+    : run_id(std::move(identifier)), version_name(std::move(version_of)),
+      started_at(std::chrono::steady_clock::now())
+{}
+
+bool engine_run::take(const std::string& event, std::vector<std::string>& for_caller)
+{
+    if (event == "[DONE]") {
+        this->end_marked = true;
+        return true;
+    }
+    const auto parsed = json::parse(event, nullptr, false);
+    if (!parsed.is_object() || parsed.value("id", "") != this->run_id) {
+        return false;
+    }
+    const auto index = parsed.find("index");
+    if (index == parsed.end() || !index->is_number_unsigned()) {
+        return false;
+    }
+    const auto position = index->get<std::uint64_t>();
+    if (is_closing(parsed)) {
+        this->used_up = read_usage(parsed);
+        this->closing_event = event;
+        return position == this->next_index;
+    }
+    // A resumed stream may repeat what has come already; a gap can never be filled.
+    if (position < this->next_index) {
+        return true;
+    }
+    if (position > this->next_index) {
+        return false;
+    }
+    if (this->next_index == 0) {
+        const auto elapsed = std::chrono::steady_clock::now() - this->started_at;
+        this->first_token_after = std::chrono::duration_cast<decision::duration>(elapsed);
+    }
+    ++this->next_index;
+    for_caller.push_back(event);
+    return true;
+}
+
+bool engine_run::is_whole() const
+{
+    return this->end_marked && !this->closing_event.empty() &&
+           this->used_up.completion_tokens == this->next_index;
+}
+
+engine_attempt::engine_attempt(routing_sink& events, exchange_ptr to_caller, engine_run_ptr of_run,
+                               decision::attempt_number attempt_of, bool resumes_run)
+    : sink(events), caller(std::move(to_caller)), run(std::move(of_run)), attempt(attempt_of),
+      resumed(resumes_run)
+{}
+
+void engine_attempt::on_head(int status,
+                             const std::vector<std::pair<std::string, std::string>>& headers)
+{
+    this->status_code = status;
+    for (const auto& [name, value] : headers) {
+        if (name == "x-not-run" && value == "true") {
+            this->not_run = true;
+        }
+    }
+}
+
+bool engine_attempt::on_body(std::string_view piece)
+{
+    if (this->status_code != status_ok) {
+        if (this->error_body.size() + piece.size() <= max_error_body) {
+            this->error_body.append(piece);
+        }
+        return true;
+    }
+    if (!this->caller->has_room()) {
+        // The flag goes up before the second look: else the caller's thread could empty the ring in
+        // between, see no flag, and the transfer would stay paused for good.
+        this->caller->paused.store(true);
+        if (!this->caller->has_room()) {
+            return false;
+        }
+        this->caller->paused.store(false);
+    }
+    answer_piece tokens;
+    for (const auto& event : this->reader.feed(piece)) {
+        this->malformed = this->malformed || !this->run->take(event, tokens.events);
+    }
+    this->malformed = this->malformed || this->reader.is_overflowing();
+    if (!tokens.events.empty()) {
+        this->caller->push(std::move(tokens));
+    }
+    return true;
+}
+
+decision::attempt_end engine_attempt::judge(const adapters::http_result& result) const
+{
+    using adapters::http_error;
+    using decision::attempt_result;
+    decision::attempt_end end;
+    end.ticket = this->caller->ticket;
+    end.attempt = this->attempt;
+    end.tokens = this->run->tokens();
+    end.first_token = this->run->first_token();
+    end.answer_began = this->status_code == status_ok;
+    if (this->run->is_whole() && !this->malformed) {
+        end.result = attempt_result::finished;
+    } else if (this->not_run && !this->resumed) {
+        end.result = attempt_result::refused;
+        end.endpoint_leaving = says_leaving(this->error_body);
+    } else if (result.error == http_error::connect_failed) {
+        end.result = attempt_result::unreachable;
+    } else if (result.error == http_error::first_byte_timeout ||
+               result.error == http_error::progress_timeout) {
+        end.result = attempt_result::went_silent;
+    } else if (result.error == http_error::cancelled) {
+        end.result = attempt_result::cancelled;
+    } else {
+        end.result = attempt_result::failed;
+        end.run_lost = this->resumed && this->status_code == status_not_found;
+        const bool other_status = this->status_code != 0 && this->status_code != status_ok;
+        end.answered_error = this->malformed || (other_status && !end.run_lost);
+    }
+    return end;
+}
+
+void engine_attempt::on_end(const adapters::http_result& result)
+{
+    this->sink.submit(
+        attempt_ended{this->judge(result), this->run->used(), this->run->last_event()});
+}
+
+} // namespace pearhaven::router
--- /dev/null
+++ b/router/src/exchange.hpp
@@ -0,0 +1,108 @@
+#ifndef PEARHAVEN_ROUTER_EXCHANGE_HPP
+#define PEARHAVEN_ROUTER_EXCHANGE_HPP
+
+#include "pearhaven/adapters/bounded_ring.hpp"
+#include "pearhaven/adapters/http_client.hpp"
+#include "pearhaven/coordination/peer_message.hpp"
+#include "pearhaven/decision/dispatcher.hpp"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace pearhaven::router {
+
+// What was used up by a run that came to its end.
+struct usage {
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t completion_tokens = 0;
+
+    friend bool operator==(const usage&, const usage&) = default;
+};
+
+// A run of the request was started; what came of earlier runs is void.
+struct run_started {
+    std::string version;
+};
+
+// Status and header fields of a plain service's answer.
+struct service_head {
+    int status = 0;
+    std::vector<std::pair<std::string, std::string>> headers;
+};
+
+// Part of the answer: whole server-sent events of an engine, or bytes of a plain service.
+struct answer_piece {
+    std::vector<std::string> events;
+    std::string bytes;
+};
+
+// The answer is whole and billed.
+struct answer_complete {
+    usage used;
+    std::string last_event; // the engine's closing event, held back until the bill was safe
+};
+
+struct answer_failed {
+    decision::failure why;
+};
+
+// What became of the claim of a request that must run at most once.
+struct claim_answer {
+    bool granted = false;
+    decision::failure why;        // where it was not granted
+    std::string recorded_outcome; // of the earlier run with the same key, if there was one
+};
+
+using exchange_event = std::variant<run_started, service_head, answer_piece, answer_complete,
+                                    answer_failed, claim_answer>;
+
+// One request on its way through the router's threads: the caller's thread waits at its ring, the
+// others push into it. Shared by count, since a late event may outlive the caller.
+class exchange : public boost::intrusive_ref_counter<exchange> {
+public:
+    // Places in the ring beyond those for pieces of the answer. The few events that end an exchange
+    // must always find a place: their pushers may not wait, and without them a caller would hang.
+    static constexpr std::size_t ring_size = 64;
+    static constexpr std::size_t reserved = 8;
+
+    [[nodiscard]] bool has_room() const { return this->events.size() + reserved < ring_size; }
+
+    void push(exchange_event event)
+    {
+        // A full ring here means that its caller has left.
+        static_cast<void>(this->events.try_push(event));
+    }
+
+    // Set by the HTTP client's thread when an answer has to wait for the caller.
+    std::atomic<bool> paused{false};
+    std::atomic<adapters::exchange_number> transfer{0};
+
+    // Set before the arrival is handed on; read-only afterwards.
+    decision::ticket_number ticket = 0;
+    std::string request_id;
+    std::string team;
+    bool is_service = false;
+    bool streamed = false;
+    std::string method; // of a plain service's call
+    std::string path;
+    std::string body; // of a chat request: the JSON object after its `model` field
+    std::string content_type;
+    std::uint32_t priority = 0;
+    std::chrono::steady_clock::time_point arrived_at;
+
+    adapters::bounded_ring<exchange_event> events{ring_size};
+};
+
+using exchange_ptr = boost::intrusive_ptr<exchange>;
+
+} // namespace pearhaven::router
+
+#endif
--- /dev/null
+++ b/router/src/fleet_duty.hpp
@@ -0,0 +1,112 @@
+#ifndef PEARHAVEN_ROUTER_FLEET_DUTY_HPP
+#define PEARHAVEN_ROUTER_FLEET_DUTY_HPP
+
+#include "fleet_event.hpp"
+#include "published.hpp"
+#include "routing_event.hpp"
+
+#include "pearhaven/adapters/bounded_ring.hpp"
+#include "pearhaven/adapters/metrics.hpp"
+#include "pearhaven/adapters/peer_link.hpp"
+#include "pearhaven/coordination/bill_ledger.hpp"
+#include "pearhaven/coordination/config_replica.hpp"
+#include "pearhaven/coordination/key_value.hpp"
+#include "pearhaven/router/settings.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace pearhaven::router {
+
+// What the operator port shows of the fleet thread.
+struct fleet_view {
+    std::uint64_t revision = 0;
+    std::optional<decision::duration> confirmed_age;
+    bool ready = false;
+    bool in_touch = false;
+    bool outage_agreed = false;
+    bool left = false; // the fleet has been told that this router is gone
+    std::size_t bills_waiting = 0;
+    std::vector<coordination::member> members;
+
+    friend bool operator==(const fleet_view&, const fleet_view&) = default;
+};
+
+// How a member's state is written on pages for people.
+std::string state_name(coordination::member_state state);
+
+// The thread on which the coordination parts run: the configuration's replica, and with it whatever
+// this router agrees on with the others or keeps in the store.
+class fleet_duty : public fleet_sink {
+public:
+    struct ports {
+        const router_settings& settings;
+        std::string incarnation;
+        std::uint64_t seed;
+        coordination::key_value_store& store;
+        adapters::metrics& counts;
+        published<decision::configuration_ptr>& configuration;
+    };
+
+    explicit fleet_duty(const ports& all_ports);
+    ~fleet_duty() override;
+    fleet_duty(const fleet_duty&) = delete;
+    fleet_duty& operator=(const fleet_duty&) = delete;
+
+    // Both outlive the duty's thread.
+    void start(routing_sink& routing_events, adapters::peer_link& peer_link,
+               std::uint16_t operator_port);
+    void stop();
+
+    bool submit(fleet_event event) override;
+
+    [[nodiscard]] fleet_view view() const { return this->latest_view.get(); }
+
+private:
+    void run();
+    void tick();
+    void handle(store_replied& event);
+    void handle(peer_spoke& event);
+    void handle(bill_due& event);
+    void handle(claim_wanted& event);
+    void handle(claim_settled& event);
+    void handle(fact_found& event);
+    void handle(leave_begun& event);
+
+    // Takes the actions of every part and carries them out.
+    void carry_out_all();
+    template <class Part>
+    void carry_out_part(fleet_part part, Part& source);
+    void carry_out(fleet_part part, const coordination::store_call& action);
+    void carry_out(fleet_part part, const coordination::send_message& action);
+    void carry_out(fleet_part part, const coordination::unreadable_value& action);
+    void carry_out(fleet_part part, const coordination::config_in_force& action);
+    void carry_out(fleet_part part, const coordination::bill_safe& action);
+
+    void tell_touch();
+    void publish_view();
+
+    ports all;
+    routing_sink* routing = nullptr;
+    adapters::peer_link* link = nullptr;
+    std::uint16_t own_operator_port = 0;
+    adapters::bounded_ring<fleet_event> ring;
+    std::unique_ptr<coordination::config_head_codec> head_codec;
+    std::unique_ptr<coordination::bill_page_codec> bill_codec;
+    coordination::config_replica replica;
+    coordination::bill_ledger ledger;
+    std::multimap<std::string, bill_due> unbilled; // by request
+    decision::instant next_tick;
+    bool left = false;
+    std::optional<bool> told_touch;
+    published<fleet_view> latest_view;
+    std::thread thread;
+};
+
+} // namespace pearhaven::router
+
+#endif
--- /dev/null
+++ b/router/src/http_reply.hpp
@@ -0,0 +1,56 @@
+#ifndef PEARHAVEN_ROUTER_HTTP_REPLY_HPP
+#define PEARHAVEN_ROUTER_HTTP_REPLY_HPP
+
+#include "pearhaven/decision/dispatcher.hpp"
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+struct mg_connection;
+
+namespace pearhaven::router {
+
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_unauthorized = 401;
+constexpr int status_forbidden = 403;
+constexpr int status_not_found = 404;
+constexpr int status_timeout = 408;
+constexpr int status_conflict = 409;
+constexpr int status_too_large = 413;
+constexpr int status_too_many = 429;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+
+// An answer that is ready as a whole. False when the caller is gone.
+bool send_answer(mg_connection* connection, int status, const std::string& content_type,
+                 const header_list& headers, std::string_view body);
+
+// Begins an answer whose length is not known yet; pieces follow, then the end.
+bool begin_stream(mg_connection* connection, int status, const std::string& content_type,
+                  const header_list& headers);
+bool send_piece(mg_connection* connection, std::string_view piece);
+bool end_stream(mg_connection* connection);
+
+// How a failure looks to the caller.
+struct failure_form {
+    int status = status_unavailable;
+    header_list headers;
+    std::string body;
+};
+failure_form form_of(const decision::failure& why);
+
+// A request that was turned away before it became one: malformed, without a known key, too large.
+failure_form turned_away(int status, std::string_view code, std::string_view message);
+
+bool send_failure(mg_connection* connection, const failure_form& form,
+                  const header_list& more = {});
+
+} // namespace pearhaven::router
+
+#endif
--- /dev/null
+++ b/router/src/published.hpp
@@ -0,0 +1,32 @@
+#ifndef PEARHAVEN_ROUTER_PUBLISHED_HPP
+#define PEARHAVEN_ROUTER_PUBLISHED_HPP
+
+#include <mutex>
+#include <utility>
+
+namespace pearhaven::router {
+
+// The newest value of something that one thread writes and many read.
+template <class Value>
+class published {
+public:
+    void set(Value value)
+    {
+        const std::lock_guard guard(this->mutex);
+        this->latest = std::move(value);
+    }
+
+    [[nodiscard]] Value get() const
+    {
+        const std::lock_guard guard(this->mutex);
+        return this->latest;
+    }
+
+private:
+    mutable std::mutex mutex;
+    Value latest{};
+};
+
+} // namespace pearhaven::router
+
+#endif
--- /dev/null
+++ b/router/src/routing_duty.cpp
@@ -0,0 +1,383 @@
+#include "routing_duty.hpp"
+
+#include "clock.hpp"
+#include "service_attempt.hpp"
+
+#include "pearhaven/adapters/authenticator.hpp"
+#include "pearhaven/adapters/platform.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <type_traits>
+#include <utility>
+
+namespace pearhaven::router {
+
+namespace {
+
+constexpr std::size_t ring_capacity = 16384;
+constexpr std::chrono::milliseconds tick_period{20};
+constexpr std::chrono::milliseconds view_period{200};
+constexpr std::chrono::milliseconds load_timeout{1000};
+constexpr std::size_t max_load_body = 4096;
+constexpr int status_not_found = 404;
+constexpr decision::duration leaving_lifetime = std::chrono::minutes(10);
+constexpr decision::duration standing_lifetime = std::chrono::hours(1);
+
+decision::dispatcher_settings dispatcher_settings_of(const router_settings& settings,
+                                                     std::uint64_t seed)
+{
+    decision::dispatcher_settings chosen;
+    chosen.endpoints.zone = settings.zone;
+    chosen.endpoints.router_seed = seed;
+    chosen.seed = seed;
+    return chosen;
+}
+
+std::optional<decision::load_report> read_load(const std::string& body)
+{
+    const auto report = nlohmann::json::parse(body, nullptr, false);
+    if (!report.is_object()) {
+        return std::nullopt;
+    }
+    decision::load_report load;
+    load.running = report.value("running", 0.0);
+    load.queued = report.value("queued", 0.0);
+    load.capacity = report.value("capacity", 0.0);
+    load.age = std::chrono::milliseconds(report.value("age_ms", std::int64_t{0}));
+    load.draining = report.value("draining", false);
+    return load;
+}
+
+decision::endpoint_host to_endpoint(const adapters::listed_host& host)
+{
+    return {host.address, host.name, host.zone, host.incarnation, host.leaving, host.tags};
+}
+
+} // namespace
+
+routing_duty::routing_duty(const router_settings& chosen, adapters::http_client& http_client,
+                           fleet_sink& fleet_events, adapters::metrics& process_metrics,
+                           std::uint64_t seed)
+    : settings(chosen), client(http_client), fleet(fleet_events), counts(process_metrics),
+      dispatcher(dispatcher_settings_of(chosen, seed)), ring(ring_capacity)
+{}
+
+routing_duty::~routing_duty()
+{
+    this->stop();
+}
+
+void routing_duty::start()
+{
+    this->thread = std::thread([this] { this->run(); });
+}
+
+void routing_duty::stop()
+{
+    this->ring.close();
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+bool routing_duty::submit(routing_event event)
+{
+    return this->ring.push(std::move(event));
+}
+
+bool routing_duty::offer(routing_event& event)
+{
+    return this->ring.try_push(event);
+}
+
+routing_view routing_duty::view() const
+{
+    const std::lock_guard guard(this->view_mutex);
+    return this->latest_view;
+}
+
+void routing_duty::run()
+{
+    while (!this->ring.is_closed_and_empty()) {
+        auto event = this->ring.pop_for(tick_period);
+        if (event) {
+            this->handle(*event);
+        }
+        if (now() >= this->next_tick) {
+            this->next_tick = now() + tick_period;
+            this->dispatcher.on_tick(now());
+            this->poll_when_due();
+        }
+        this->carry_out();
+    }
+}
+
+void routing_duty::handle(routing_event& event)
+{
+    const auto visitor = [this](auto& what) {
+        using event_type = std::decay_t<decltype(what)>;
+        if constexpr (std::is_same_v<event_type, request_arrived>) {
+            this->notes.emplace(what.what.ticket, request_note{what.caller, nullptr, {}, 0.0});
+            this->dispatcher.on_arrival(std::move(what.what), now());
+        } else if constexpr (std::is_same_v<event_type, attempt_ended>) {
+            this->handle_end(what);
+        } else if constexpr (std::is_same_v<event_type, caller_gone>) {
+            this->dispatcher.on_caller_gone(what.ticket, now());
+            this->carry_out();
+            this->notes.erase(what.ticket);
+        } else if constexpr (std::is_same_v<event_type, configuration_changed>) {
+            this->dispatcher.on_configuration(what.current, now());
+        } else if constexpr (std::is_same_v<event_type, touch_changed>) {
+            this->dispatcher.on_touch(what.in_touch, now());
+        } else if constexpr (std::is_same_v<event_type, hosts_listed>) {
+            this->dispatcher.on_hosts(what.hosts, now());
+        } else if constexpr (std::is_same_v<event_type, load_reported>) {
+            this->dispatcher.on_load_report(what.address, what.report, now());
+        } else if constexpr (std::is_same_v<event_type, leaving_told>) {
+            this->dispatcher.on_endpoint_leaving(what.address, what.incarnation, now());
+        } else if constexpr (std::is_same_v<event_type, standing_told>) {
+            this->dispatcher.on_standing_told(what.fingerprint, what.standing, now());
+        } else if constexpr (std::is_same_v<event_type, versions_tripped>) {
+            this->dispatcher.on_tripped_versions(std::move(what.versions), now());
+        } else {
+            this->dispatcher.begin_drain();
+        }
+    };
+    std::visit(visitor, event);
+}
+
+void routing_duty::handle_end(attempt_ended& ended)
+{
+    const auto found = this->notes.find(ended.end.ticket);
+    if (found == this->notes.end()) {
+        return;
+    }
+    if (ended.used.completion_tokens > 0) {
+        ended.end.actual_work =
+            decision::measured_work(ended.used.prompt_tokens, ended.used.completion_tokens);
+    }
+    const auto end = ended.end;
+    found->second.last = std::move(ended);
+    this->dispatcher.on_attempt_end(end, now());
+}
+
+void routing_duty::carry_out()
+{
+    for (const auto& action : this->dispatcher.take_actions()) {
+        std::visit([this](const auto& what) { this->carry_out(what); }, action);
+    }
+}
+
+void routing_duty::carry_out(const decision::start_attempt& action)
+{
+    auto& note = this->notes.at(action.ticket);
+    note.caller->push(run_started{action.version});
+    this->counts.add("pearhaven_attempts_total", {{"target", action.version}});
+    if (note.caller->is_service) {
+        this->start_service(note, action);
+        return;
+    }
+    this->start_engine(note, action);
+}
+
+void routing_duty::start_engine(request_note& note, const decision::start_attempt& action)
+{
+    const auto& caller = note.caller;
+    const auto suffix =
+        "." + adapters::random_identifier().substr(0, 8) + "." + std::to_string(action.attempt);
+    note.run = engine_run_ptr(new engine_run(caller->request_id + suffix, action.version));
+    const auto* version = this->dispatcher.current()->find_version(action.version);
+    note.cost_per_token = version == nullptr ? 0.0 : version->cost_per_token;
+    adapters::http_request request;
+    request.method = "POST";
+    request.url = "http://" + action.address + "/v1/chat/completions";
+    request.headers = {{"Content-Type", "application/json"},
+                       {"X-Run-Id", note.run->id()},
+                       {"X-Request-Id", caller->request_id},
+                       {"X-Priority", std::to_string(caller->priority)}};
+    request.body = "{\"model\":" + nlohmann::json(action.version).dump() + "," + caller->body;
+    request.connect_timeout = this->settings.connect_timeout;
+    request.first_byte_timeout = this->settings.first_byte_timeout;
+    request.progress_timeout = this->settings.progress_timeout;
+    caller->transfer = this->client.start(
+        std::move(request), new engine_attempt(*this, caller, note.run, action.attempt, false));
+}
+
+void routing_duty::start_service(request_note& note, const decision::start_attempt& action)
+{
+    const auto& caller = note.caller;
+    adapters::http_request request;
+    request.method = caller->method;
+    request.url = "http://" + action.address + caller->path;
+    request.headers = {{"X-Run-Id", caller->request_id + "." + std::to_string(action.attempt)},
+                       {"X-Request-Id", caller->request_id}};
+    if (!caller->content_type.empty()) {
+        request.headers.emplace_back("Content-Type", caller->content_type);
+    }
+    request.body = caller->body;
+    request.connect_timeout = this->settings.connect_timeout;
+    request.first_byte_timeout = this->settings.service_timeout;
+    request.progress_timeout = this->settings.service_timeout;
+    caller->transfer =
+        this->client.start(std::move(request), new service_attempt(*this, caller, action.attempt));
+}
+
+void routing_duty::carry_out(const decision::resume_attempt& action)
+{
+    auto& note = this->notes.at(action.ticket);
+    this->counts.add("pearhaven_resumes_total", {{"target", note.run->version()}});
+    adapters::http_request request;
+    request.url = "http://" + action.address + "/v1/runs/" + note.run->id() +
+                  "/resume?offset=" + std::to_string(action.offset);
+    request.connect_timeout = this->settings.connect_timeout;
+    request.first_byte_timeout = this->settings.first_byte_timeout;
+    request.progress_timeout = this->settings.progress_timeout;
+    request.fresh_connection = true;
+    note.caller->transfer = this->client.start(
+        std::move(request), new engine_attempt(*this, note.caller, note.run, action.attempt, true));
+}
+
+void routing_duty::carry_out(const decision::cancel_attempt& action)
+{
+    const auto& note = this->notes.at(action.ticket);
+    this->client.cancel(note.caller->transfer);
+    if (note.run) {
+        adapters::http_request request;
+        request.method = "DELETE";
+        request.url = "http://" + action.address + "/v1/runs/" + note.run->id();
+        request.total_timeout = load_timeout;
+        adapters::fetch(this->client, std::move(request), max_load_body,
+                        [](const adapters::http_answer&) {});
+    }
+}
+
+coordination::bill routing_duty::make_bill(const request_note& note,
+                                           const decision::complete_request& action) const
+{
+    coordination::bill bill;
+    bill.request = note.caller->request_id;
+    bill.team = note.caller->team;
+    bill.endpoint = action.address;
+    if (note.caller->is_service) {
+        bill.version = "services/" + action.version;
+        return bill;
+    }
+    bill.version = action.version;
+    bill.prompt_tokens = note.last.used.prompt_tokens;
+    bill.completion_tokens = note.last.used.completion_tokens;
+    bill.cost =
+        note.cost_per_token * static_cast<double>(bill.prompt_tokens + bill.completion_tokens);
+    return bill;
+}
+
+void routing_duty::carry_out(const decision::complete_request& action)
+{
+    const auto found = this->notes.find(action.ticket);
+    auto& note = found->second;
+    bill_due due;
+    due.what = this->make_bill(note, action);
+    due.caller = note.caller;
+    due.ending = answer_complete{note.last.used, std::move(note.last.last_event)};
+    this->fleet.submit(std::move(due));
+    this->notes.erase(found);
+}
+
+void routing_duty::carry_out(const decision::give_up_request& action)
+{
+    const auto found = this->notes.find(action.ticket);
+    found->second.caller->push(answer_failed{action.why});
+    this->notes.erase(found);
+}
+
+void routing_duty::carry_out(const decision::announce_leaving& action)
+{
+    coordination::fact news;
+    news.kind = coordination::fact_kind::endpoint_leaving;
+    news.subject = action.address;
+    news.value = static_cast<double>(action.incarnation);
+    news.time_to_live = leaving_lifetime;
+    this->fleet.submit(fact_found{std::move(news)});
+}
+
+void routing_duty::carry_out(const decision::announce_standing& action)
+{
+    using standing = decision::suspect_table::standing;
+    if (action.standing == standing::clear) {
+        return;
+    }
+    coordination::fact news;
+    news.kind = action.standing == standing::quarantined
+                    ? coordination::fact_kind::request_quarantined
+                    : coordination::fact_kind::request_suspect;
+    news.subject = std::to_string(action.fingerprint);
+    news.time_to_live = standing_lifetime;
+    this->fleet.submit(fact_found{std::move(news)});
+}
+
+void routing_duty::poll_when_due()
+{
+    const auto moment = now();
+    if (moment >= this->next_hosts) {
+        this->next_hosts = moment + this->settings.host_list_period;
+        this->poll_hosts();
+    }
+    if (moment >= this->next_loads) {
+        this->next_loads = moment + this->settings.load_period;
+        this->poll_loads();
+    }
+    if (moment >= this->next_view) {
+        this->next_view = moment + view_period;
+        this->publish_view();
+    }
+}
+
+void routing_duty::poll_hosts()
+{
+    adapters::fetch_host_list(this->client, this->settings.host_list_url,
+                              [this](const auto& listed) {
+                                  if (!listed) {
+                                      return;
+                                  }
+                                  hosts_listed news;
+                                  for (const auto& host : *listed) {
+                                      news.hosts.push_back(to_endpoint(host));
+                                  }
+                                  this->submit(std::move(news));
+                              });
+}
+
+void routing_duty::poll_loads()
+{
+    for (const auto& address : this->dispatcher.endpoints().addresses()) {
+        if (this->without_load.count(address) > 0) {
+            continue;
+        }
+        adapters::http_request request;
+        request.url = "http://" + address + "/v1/load";
+        request.total_timeout = load_timeout;
+        adapters::fetch(this->client, std::move(request), max_load_body,
+                        [this, address](const auto& answer) {
+                            if (answer.result.status == status_not_found) {
+                                this->submit(load_missing{address});
+                                return;
+                            }
+                            const auto load = read_load(answer.body);
+                            if (!answer.result.error && load) {
+                                this->submit(load_reported{address, *load});
+                            }
+                        });
+    }
+}
+
+void routing_duty::publish_view()
+{
+    routing_view fresh;
+    fresh.endpoints = this->dispatcher.endpoints().status(now());
+    fresh.in_flight = this->dispatcher.in_flight();
+    fresh.queued = this->dispatcher.queued();
+    const std::lock_guard guard(this->view_mutex);
+    this->latest_view = std::move(fresh);
+}
+
+} // namespace pearhaven::router
--- /dev/null
+++ b/router/src/routing_duty.hpp
@@ -0,0 +1,97 @@
+#ifndef PEARHAVEN_ROUTER_ROUTING_DUTY_HPP
+#define PEARHAVEN_ROUTER_ROUTING_DUTY_HPP
+
+#include "engine_attempt.hpp"
+#include "fleet_event.hpp"
+#include "routing_event.hpp"
+
+#include "pearhaven/adapters/bounded_ring.hpp"
+#include "pearhaven/adapters/http_client.hpp"
+#include "pearhaven/adapters/metrics.hpp"
+#include "pearhaven/router/settings.hpp"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace pearhaven::router {
+
+// What the operator port shows of the routing thread.
+struct routing_view {
+    std::vector<decision::endpoint_table::endpoint_status> endpoints;
+    std::size_t in_flight = 0;
+    std::size_t queued = 0;
+};
+
+// The thread that feeds the dispatcher with events and carries out its actions. It also keeps the
+// dispatcher's view of the endpoints fresh from the host list and from load reports.
+class routing_duty : public routing_sink {
+public:
+    // All references must outlive the duty.
+    routing_duty(const router_settings& chosen, adapters::http_client& http_client,
+                 fleet_sink& fleet_events, adapters::metrics& process_metrics, std::uint64_t seed);
+    ~routing_duty() override;
+    routing_duty(const routing_duty&) = delete;
+    routing_duty& operator=(const routing_duty&) = delete;
+
+    void start();
+    void stop();
+
+    bool submit(routing_event event) override;
+    bool offer(routing_event& event) override;
+
+    [[nodiscard]] routing_view view() const;
+
+private:
+    struct request_note {
+        exchange_ptr caller;
+        engine_run_ptr run;
+        attempt_ended last;
+        double cost_per_token = 0.0;
+    };
+
+    void run();
+    void handle(routing_event& event);
+    void handle_end(attempt_ended& ended);
+    void carry_out();
+    void carry_out(const decision::start_attempt& action);
+    void carry_out(const decision::resume_attempt& action);
+    void carry_out(const decision::cancel_attempt& action);
+    void carry_out(const decision::complete_request& action);
+    void carry_out(const decision::give_up_request& action);
+    void carry_out(const decision::announce_leaving& action);
+    void carry_out(const decision::announce_standing& action);
+    void start_engine(request_note& note, const decision::start_attempt& action);
+    void start_service(request_note& note, const decision::start_attempt& action);
+    [[nodiscard]] coordination::bill make_bill(const request_note& note,
+                                               const decision::complete_request& action) const;
+    void poll_when_due();
+    void poll_hosts();
+    void poll_loads();
+    void publish_view();
+
+    const router_settings& settings;
+    adapters::http_client& client;
+    fleet_sink& fleet;
+    adapters::metrics& counts;
+    decision::dispatcher dispatcher;
+    adapters::bounded_ring<routing_event> ring;
+    std::unordered_map<decision::ticket_number, request_note> notes;
+    std::set<std::string> without_load; // endpoints that give no load reports
+    decision::instant next_tick;
+    decision::instant next_hosts;
+    decision::instant next_loads;
+    decision::instant next_view;
+    mutable std::mutex view_mutex;
+    routing_view latest_view;
+    std::thread thread;
+};
+
+} // namespace pearhaven::router
+
+#endif
--- /dev/null
+++ b/router/src/routing_event.hpp
@@ -0,0 +1,89 @@
+#ifndef PEARHAVEN_ROUTER_ROUTING_EVENT_HPP
+#define PEARHAVEN_ROUTER_ROUTING_EVENT_HPP
+
+#include "exchange.hpp"
+
+#include "pearhaven/decision/configuration.hpp"
+#include "pearhaven/decision/dispatcher.hpp"
+
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pearhaven::router {
+
+struct request_arrived {
+    decision::arrival what;
+    exchange_ptr caller;
+};
+
+struct attempt_ended {
+    decision::attempt_end end;
+    usage used;
+    std::string last_event;
+};
+
+struct caller_gone {
+    decision::ticket_number ticket = 0;
+};
+
+struct configuration_changed {
+    decision::configuration_ptr current;
+};
+
+// Whether this router knows that its configuration is in force.
+struct touch_changed {
+    bool in_touch = false;
+};
+
+struct hosts_listed {
+    std::vector<decision::endpoint_host> hosts;
+};
+
+struct load_reported {
+    std::string address;
+    decision::load_report report;
+};
+
+// The endpoint has no load reports to give.
+struct load_missing {
+    std::string address;
+};
+
+struct leaving_told {
+    std::string address;
+    std::uint64_t incarnation = 0;
+};
+
+struct standing_told {
+    std::uint64_t fingerprint = 0;
+    decision::suspect_table::standing standing = decision::suspect_table::standing::clear;
+};
+
+struct versions_tripped {
+    std::set<std::string> versions;
+};
+
+struct drain_begun {};
+
+using routing_event =
+    std::variant<request_arrived, attempt_ended, caller_gone, configuration_changed, touch_changed,
+                 hosts_listed, load_reported, load_missing, leaving_told, standing_told,
+                 versions_tripped, drain_begun>;
+
+// Port through which the other duties reach the routing thread. Safe from any thread.
+class routing_sink {
+public:
+    virtual ~routing_sink() = default;
+
+    // Waits for room; false when the routing thread has stopped.
+    virtual bool submit(routing_event event) = 0;
+
+    // False at once when there is no room: for new work, which can be refused.
+    virtual bool offer(routing_event& event) = 0;
+};
+
+} // namespace pearhaven::router
+
+#endif
