Start whole fleets of real processes in tests

Cause: the promises have to be proved with real processes, and each test needs the same fleet. Ruled out: a shell harness (no typed answers, slow to look at streams); a fleet shared by tests (one test's fault would show up in another).

--- /dev/null
+++ b/tests/support/child_process.cpp
@@ -0,0 +1,168 @@
+#include "child_process.hpp"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <stdexcept>
+#include <system_error>
+#include <thread>
+
+namespace pearhaven::tests {
+
+namespace {
+
+constexpr std::chrono::milliseconds poll_step{10};
+constexpr int killed_by_signal = 128;
+
+std::vector<char*> to_pointers(std::vector<std::string>& texts)
+{
+    std::vector<char*> pointers;
+    for (auto& text : texts) {
+        pointers.push_back(text.data());
+    }
+    pointers.push_back(nullptr);
+    return pointers;
+}
+
+std::vector<std::string> to_list(const child_process::environment& variables)
+{
+    std::vector<std::string> list;
+    for (char** inherited = environ; *inherited != nullptr; ++inherited) {
+        list.emplace_back(*inherited);
+    }
+    for (const auto& [name, value] : variables) {
+        list.push_back(name + "=" + value);
+    }
+    return list;
+}
+
+} // namespace
+
+child_process::child_process(const std::vector<std::string>& arguments,
+                             const environment& variables, const std::string& error_file)
+{
+    int ends[2] = {-1, -1};
+    if (pipe2(ends, O_CLOEXEC) != 0) {
+        throw std::system_error(errno, std::generic_category(), "pipe");
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    constexpr int mode = 0644;
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, error_file.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, mode);
+    auto texts = arguments;
+    auto variable_texts = to_list(variables);
+    const auto error = posix_spawn(&this->pid, arguments.front().c_str(), &actions, nullptr,
+                                   to_pointers(texts).data(), to_pointers(variable_texts).data());
+    posix_spawn_file_actions_destroy(&actions);
+    close(ends[1]);
+    this->output = ends[0];
+    if (error != 0) {
+        close(this->output);
+        throw std::system_error(error, std::generic_category(), arguments.front());
+    }
+}
+
+child_process::~child_process()
+{
+    this->kill();
+    close(this->output);
+}
+
+bool child_process::read_more(std::chrono::milliseconds patience)
+{
+    pollfd waited{this->output, POLLIN, 0};
+    if (poll(&waited, 1, static_cast<int>(patience.count())) <= 0) {
+        return true;
+    }
+    char piece[4096];
+    const auto got = read(this->output, piece, sizeof piece);
+    if (got <= 0) {
+        return false;
+    }
+    this->buffer.append(piece, static_cast<std::size_t>(got));
+    for (auto end = this->buffer.find('\n'); end != std::string::npos;
+         end = this->buffer.find('\n')) {
+        this->lines.push_back(this->buffer.substr(0, end));
+        this->buffer.erase(0, end + 1);
+    }
+    return true;
+}
+
+std::string child_process::wait_for_line(const std::string& prefix, std::chrono::seconds patience)
+{
+    const auto deadline = std::chrono::steady_clock::now() + patience;
+    bool open = true;
+    while (true) {
+        for (const auto& line : this->lines) {
+            if (line.rfind(prefix, 0) == 0) {
+                return line.substr(prefix.size());
+            }
+        }
+        if (!open || std::chrono::steady_clock::now() > deadline) {
+            throw std::runtime_error("no line \"" + prefix + "...\" came from the process");
+        }
+        open = this->read_more(poll_step);
+    }
+}
+
+std::string child_process::read_output()
+{
+    while (this->read_more(std::chrono::seconds(60))) {
+    }
+    std::string text;
+    for (const auto& line : this->lines) {
+        text.append(line).append("\n");
+    }
+    return text + this->buffer;
+}
+
+void child_process::signal(int number) const
+{
+    if (!this->status) {
+        ::kill(this->pid, number);
+    }
+}
+
+void child_process::kill()
+{
+    if (this->status) {
+        return;
+    }
+    ::kill(this->pid, SIGCONT);
+    ::kill(this->pid, SIGKILL);
+    this->wait(std::chrono::seconds(30));
+}
+
+bool child_process::is_running()
+{
+    if (this->status) {
+        return false;
+    }
+    int raw = 0;
+    if (waitpid(this->pid, &raw, WNOHANG) == this->pid) {
+        this->status = WIFEXITED(raw) ? WEXITSTATUS(raw) : killed_by_signal + WTERMSIG(raw);
+    }
+    return !this->status;
+}
+
+int child_process::wait(std::chrono::seconds patience)
+{
+    const auto deadline = std::chrono::steady_clock::now() + patience;
+    while (this->is_running()) {
+        if (std::chrono::steady_clock::now() > deadline) {
+            throw std::runtime_error("process " + std::to_string(this->pid) +
+                                     " did not end in time");
+        }
+        std::this_thread::sleep_for(poll_step);
+    }
+    return *this->status;
+}
+
+} // namespace pearhaven::tests
--- /dev/null
+++ b/tests/support/child_process.hpp
@@ -0,0 +1,55 @@
+#ifndef PEARHAVEN_TESTS_CHILD_PROCESS_HPP
+#define PEARHAVEN_TESTS_CHILD_PROCESS_HPP
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pearhaven::tests {
+
+// A program that a test started. It is killed when the test lets go of it.
+class child_process {
+public:
+    using environment = std::map<std::string, std::string>;
+
+    // The first argument is the program. Standard error goes to the file; throws std::system_error
+    // when the process cannot be started.
+    child_process(const std::vector<std::string>& arguments, const environment& variables,
+                  const std::string& error_file);
+    ~child_process();
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+
+    // What stands behind the prefix on the first line of standard output that begins with it. Fails
+    // the test (by an exception) when the process ends or `patience` runs out first.
+    std::string wait_for_line(const std::string& prefix, std::chrono::seconds patience);
+
+    // Everything that is left of standard output, up to its end.
+    std::string read_output();
+
+    void signal(int number) const;
+    void kill();
+
+    // Exit status, or 128 and the signal's number. Throws when the process runs on after
+    // `patience`.
+    int wait(std::chrono::seconds patience);
+
+    [[nodiscard]] bool is_running();
+
+private:
+    bool read_more(std::chrono::milliseconds patience);
+
+    pid_t pid = -1;
+    int output = -1;
+    std::string buffer;
+    std::vector<std::string> lines;
+    std::optional<int> status;
+};
+
+} // namespace pearhaven::tests
+
+#endif
--- /dev/null
+++ b/tests/support/test_fleet.hpp
@@ -0,0 +1,137 @@
+#ifndef PEARHAVEN_TESTS_TEST_FLEET_HPP
+#define PEARHAVEN_TESTS_TEST_FLEET_HPP
+
+#include "chat_call.hpp"
+#include "child_process.hpp"
+
+#include "pearhaven/adapters/http_client.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pearhaven::tests {
+
+// A stand-in or the proxy before one. `address` is where it is to be reached (its proxy, if it has
+// one).
+struct running_standin {
+    std::unique_ptr<child_process> process;
+    std::string own_address;
+    std::unique_ptr<child_process> proxy;
+    std::string proxy_admin;
+    std::string address;
+};
+
+struct running_router {
+    std::unique_ptr<child_process> process;
+    std::string zone;
+    std::string callers;   // IP:port
+    std::string operators; // IP:port
+    std::string peers;     // IP:port
+    std::vector<std::string> flags;
+    std::unique_ptr<child_process> store_proxy; // between this router and the key-value service
+    std::string store_proxy_admin;
+    std::string store_url;
+};
+
+// What one command of pearhavenctl gave.
+struct command_result {
+    int status = -1;
+    std::string output;
+};
+
+// The platform's stand-ins, engines, plain services and routers of one test, all real processes on
+// 127.0.0.1 that end with the test.
+class test_fleet {
+public:
+    struct plan {
+        std::string name = "test"; // of the folder that the processes' logs go to
+        int engines = 2;
+        int plain_services = 0;
+        int routers = 3;
+        bool proxied_engines = false;
+        bool proxied_stores = false; // one proxy for each router, so that one can be cut off alone
+        std::vector<std::string> engine_flags = {"--step_us=2000", "--step_us_per_run=50"};
+        std::vector<std::string> router_flags;
+        std::vector<std::string> zones = {"osu", "tema", "legon"};
+        std::uint32_t host_list_lag_ms = 0;
+    };
+
+    explicit test_fleet(const plan& wanted);
+    ~test_fleet();
+    test_fleet(const test_fleet&) = delete;
+    test_fleet& operator=(const test_fleet&) = delete;
+
+    // Runs pearhavenctl against this fleet's store.
+    command_result command(const std::vector<std::string>& words);
+
+    // Applies the YAML text and waits until it is in force everywhere. Throws when that fails.
+    void apply(const std::string& yaml);
+
+    // Text of the configuration that every test begins with; tests append to it or replace parts.
+    static std::string base_configuration();
+
+    void wait_until_ready(const running_router& router);
+    running_router start_router(const std::string& zone, std::vector<std::string> more_flags = {});
+
+    // Starts a new process in place of this router, on the same callers' port.
+    void replace_router(running_router& router);
+
+    running_standin start_engine(bool proxied, std::vector<std::string> more_flags = {});
+
+    // Puts the hosts into the host list as they are now; `leaving` ones are marked so.
+    void list_hosts(const std::vector<std::string>& leaving = {});
+
+    static void behave(adapters::http_client& client, const std::string& address,
+                       const nlohmann::json& behaviours);
+    void behave(const std::string& address, const nlohmann::json& behaviours);
+    nlohmann::json get(const std::string& address, const std::string& path);
+    nlohmann::json status(const running_router& router);
+
+    // Every run on every engine or plain service, by the stand-ins' own record.
+    std::vector<nlohmann::json> runs();
+
+    // Bills by request, folded as the operators see them.
+    nlohmann::json bills();
+
+    std::unique_ptr<chat_call> call(std::size_t router, const chat_request& request);
+    chat_answer ask(std::size_t router, const chat_request& request);
+
+    // Any call of a plain service through a router.
+    adapters::http_answer call_service(std::size_t router, const std::string& method,
+                                       const std::string& path, const std::string& body,
+                                       const header_map& headers);
+
+    adapters::http_client& http() { return *this->client; }
+
+    running_standin store;
+    running_standin hosts;
+    std::vector<running_standin> engines;
+    std::vector<running_standin> services;
+    std::vector<running_router> routers;
+
+private:
+    running_standin start_standin(const std::string& program, const std::vector<std::string>& flags,
+                                  bool proxied);
+    std::unique_ptr<child_process> spawn(const std::string& program,
+                                         const std::vector<std::string>& flags);
+    void launch(running_router& router);
+
+    plan wanted;
+    std::string folder;
+    std::unique_ptr<adapters::http_client> client;
+};
+
+// Asks again and again until it is true; false when `patience` runs out first.
+bool eventually(const std::function<bool()>& asked,
+                std::chrono::seconds patience = std::chrono::seconds(30));
+
+// Position of the host in the list as the fleet names it: engines first, then services.
+std::string host_name(const std::string& kind, std::size_t position);
+
+} // namespace pearhaven::tests
+
+#endif
