Read stored values strictly, and store members' records

Cause: a head, page or bill with a field of another type was read as something else: a revision of -1 as a huge one, a page that held null as an empty configuration. Ruled out: relying on the JSON library's conversions, which take both without complaint. Conclusion: a text is read with every field of its type, or not at all.

--- a/adapters/src/stored_values.cpp
+++ b/adapters/src/stored_values.cpp
@@ -1,12 +1,8 @@
 #include "pearhaven/adapters/stored_values.hpp"
 
-#include <nlohmann/json.hpp>
+#include "stored_values_json.hpp"
 
-#include <functional>
-#include <optional>
-#include <string>
-#include <string_view>
-#include <vector>
+#include <array>
 
 namespace pearhaven::adapters {
 
@@ -16,118 +12,86 @@
 using coordination::config_change;
 using coordination::config_head;
 using coordination::config_object;
+using coordination::member;
+using coordination::member_state;
 using nlohmann::json;
 
-std::string dump(const json& value)
+json write_object(const config_object& object)
 {
-    constexpr int compact = -1;
-    return value.dump(compact, ' ', false, json::error_handler_t::replace);
+    return {{"kind", object.kind}, {"name", object.name}, {"body", object.body}};
 }
 
-// Runs the reader on the parsed text. Whatever is missing or of another type gives nothing: one
-// unreadable value must not end the process.
-template <class Value>
-std::optional<Value> read(std::string_view text, const std::function<Value(const json&)>& reader)
+config_object read_object(const json& value)
 {
-    const auto parsed = json::parse(text, nullptr, false);
-    if (parsed.is_discarded()) {
-        return std::nullopt;
-    }
-    try {
-        return reader(parsed);
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
+    return {text_field(value, "kind"), text_field(value, "name"), text_field(value, "body")};
 }
 
-json to_json(const config_object& object)
+std::vector<config_object> read_objects(const json& value)
 {
-    return {{"kind", object.kind}, {"name", object.name}, {"body", object.body}};
+    return read_list(value, read_object);
 }
 
-config_object to_object(const json& value)
+json write_change(const config_change& change)
 {
-    return {value.at("kind").get<std::string>(), value.at("name").get<std::string>(),
-            value.at("body").get<std::string>()};
+    return {{"revision", change.revision},
+            {"write_id", change.write_id},
+            {"author", change.author},
+            {"unix_ms", change.unix_ms},
+            {"objects", to_list(change.objects, write_object)}};
 }
 
-json to_json(const std::vector<config_object>& objects)
+config_change read_change(const json& value)
 {
-    auto list = json::array();
-    for (const auto& object : objects) {
-        list.push_back(to_json(object));
-    }
-    return list;
+    return {count_field(value, "revision"), text_field(value, "write_id"),
+            text_field(value, "author"), count_field(value, "unix_ms"),
+            read_objects(field(value, "objects"))};
 }
 
-std::vector<config_object> to_objects(const json& list)
+std::string read_page_key(const json& value)
 {
-    std::vector<config_object> objects;
-    for (const auto& value : list) {
-        objects.push_back(to_object(value));
+    if (!value.is_string()) {
+        throw malformed_value();
     }
-    return objects;
-}
-
-json to_json(const config_change& change)
-{
-    return {{"revision", change.revision},
-            {"write_id", change.write_id},
-            {"author", change.author},
-            {"unix_ms", change.unix_ms},
-            {"objects", to_json(change.objects)}};
+    return value.get<std::string>();
 }
 
-config_change to_change(const json& value)
+config_head read_head_value(const json& value)
 {
-    return {value.at("revision").get<std::uint64_t>(), value.at("write_id").get<std::string>(),
-            value.at("author").get<std::string>(), value.at("unix_ms").get<std::uint64_t>(),
-            to_objects(value.at("objects"))};
+    return {count_field(value, "revision"), text_field(value, "write_id"),
+            read_list(field(value, "changes"), read_change),
+            read_list(field(value, "pages"), read_page_key),
+            count_field(value, "snapshot_revision")};
 }
 
 class json_head_codec : public coordination::config_head_codec {
 public:
     [[nodiscard]] std::string write_head(const config_head& head) const override
     {
-        auto changes = json::array();
-        for (const auto& change : head.changes) {
-            changes.push_back(to_json(change));
-        }
-        return dump({{"revision", head.revision},
-                     {"write_id", head.write_id},
-                     {"changes", std::move(changes)},
-                     {"pages", head.pages},
-                     {"snapshot_revision", head.snapshot_revision}});
+        return to_stored_text({{"revision", head.revision},
+                               {"write_id", head.write_id},
+                               {"changes", to_list(head.changes, write_change)},
+                               {"pages", head.pages},
+                               {"snapshot_revision", head.snapshot_revision}});
     }
 
     [[nodiscard]] std::optional<config_head> read_head(std::string_view text) const override
     {
-        return read<config_head>(text, [](const json& value) {
-            config_head head;
-            head.revision = value.at("revision").get<std::uint64_t>();
-            head.write_id = value.at("write_id").get<std::string>();
-            for (const auto& change : value.at("changes")) {
-                head.changes.push_back(to_change(change));
-            }
-            head.pages = value.at("pages").get<std::vector<std::string>>();
-            head.snapshot_revision = value.at("snapshot_revision").get<std::uint64_t>();
-            return head;
-        });
+        return read_stored_text(text, read_head_value);
     }
 
     [[nodiscard]] std::string write_page(const std::vector<config_object>& objects) const override
     {
-        return dump(to_json(objects));
+        return to_stored_text(to_list(objects, write_object));
     }
 
     [[nodiscard]] std::optional<std::vector<config_object>>
     read_page(std::string_view text) const override
     {
-        return read<std::vector<config_object>>(text, to_objects);
+        return read_stored_text(text, read_objects);
     }
 };
 
-json to_json(const bill& one)
+json write_bill(const bill& one)
 {
     return {{"request", one.request},
             {"team", one.team},
@@ -139,40 +103,97 @@
             {"cost", one.cost}};
 }
 
-bill to_bill(const json& value)
+bill read_bill(const json& value)
+{
+    return {text_field(value, "request"),        text_field(value, "team"),
+            text_field(value, "version"),        text_field(value, "endpoint"),
+            count_field(value, "prompt_tokens"), count_field(value, "completion_tokens"),
+            count_field(value, "spent_tokens"),  number_field(value, "cost")};
+}
+
+std::vector<bill> read_bill_list(const json& value)
 {
-    bill one;
-    one.request = value.at("request").get<std::string>();
-    one.team = value.at("team").get<std::string>();
-    one.version = value.at("version").get<std::string>();
-    one.endpoint = value.at("endpoint").get<std::string>();
-    one.prompt_tokens = value.at("prompt_tokens").get<std::uint64_t>();
-    one.completion_tokens = value.at("completion_tokens").get<std::uint64_t>();
-    one.spent_tokens = value.at("spent_tokens").get<std::uint64_t>();
-    one.cost = value.at("cost").get<double>();
-    return one;
+    return read_list(value, read_bill);
 }
 
 class json_bill_codec : public coordination::bill_page_codec {
 public:
     [[nodiscard]] std::string write_bills(const std::vector<bill>& bills) const override
     {
-        auto list = json::array();
-        for (const auto& one : bills) {
-            list.push_back(to_json(one));
-        }
-        return dump(list);
+        return to_stored_text(to_list(bills, write_bill));
     }
 
     [[nodiscard]] std::optional<std::vector<bill>> read_bills(std::string_view text) const override
     {
-        return read<std::vector<bill>>(text, [](const json& list) {
-            std::vector<bill> bills;
-            for (const auto& value : list) {
-                bills.push_back(to_bill(value));
-            }
-            return bills;
-        });
+        return read_stored_text(text, read_bill_list);
+    }
+};
+
+struct state_name {
+    member_state state;
+    const char* name;
+};
+
+constexpr std::array<state_name, 4> state_names = {{{member_state::alive, "alive"},
+                                                    {member_state::suspect, "suspect"},
+                                                    {member_state::leaving, "leaving"},
+                                                    {member_state::dead, "dead"}}};
+
+std::string write_state(member_state state)
+{
+    for (const auto& known : state_names) {
+        if (known.state == state) {
+            return known.name;
+        }
+    }
+    return {};
+}
+
+member_state read_state(const std::string& name)
+{
+    for (const auto& known : state_names) {
+        if (known.name == name) {
+            return known.state;
+        }
+    }
+    throw malformed_value();
+}
+
+std::uint16_t port_field(const json& value, const char* name)
+{
+    return static_cast<std::uint16_t>(
+        count_field(value, name, std::numeric_limits<std::uint16_t>::max()));
+}
+
+member read_member_value(const json& value)
+{
+    return {text_field(value, "id"),
+            text_field(value, "host"),
+            port_field(value, "peer_port"),
+            port_field(value, "operator_port"),
+            text_field(value, "zone"),
+            count_field(value, "sequence"),
+            read_state(text_field(value, "state")),
+            count_field(value, "config_revision")};
+}
+
+class json_member_codec : public coordination::member_codec {
+public:
+    [[nodiscard]] std::string write_member(const member& record) const override
+    {
+        return to_stored_text({{"id", record.id},
+                               {"host", record.host},
+                               {"peer_port", record.peer_port},
+                               {"operator_port", record.operator_port},
+                               {"zone", record.zone},
+                               {"sequence", record.sequence},
+                               {"state", write_state(record.state)},
+                               {"config_revision", record.config_revision}});
+    }
+
+    [[nodiscard]] std::optional<member> read_member(std::string_view text) const override
+    {
+        return read_stored_text(text, read_member_value);
     }
 };
 
@@ -188,4 +209,9 @@
     return std::make_unique<json_bill_codec>();
 }
 
+std::unique_ptr<coordination::member_codec> make_member_codec()
+{
+    return std::make_unique<json_member_codec>();
+}
+
 } // namespace pearhaven::adapters
--- /dev/null
+++ b/adapters/src/stored_values_json.hpp
@@ -0,0 +1,65 @@
+#ifndef PEARHAVEN_ADAPTERS_STORED_VALUES_JSON_HPP
+#define PEARHAVEN_ADAPTERS_STORED_VALUES_JSON_HPP
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <exception>
+#include <limits>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pearhaven::adapters {
+
+// Thrown while a stored value is read that lacks a field or has one of another type.
+class malformed_value : public std::exception {};
+
+std::string to_stored_text(const nlohmann::json& value);
+
+// Strict: where nlohmann::json would turn -1 into a huge count or null into an empty list, these
+// throw `malformed_value`.
+const nlohmann::json& field(const nlohmann::json& object, const char* name);
+const nlohmann::json& list(const nlohmann::json& value);
+std::string text_field(const nlohmann::json& object, const char* name);
+double number_field(const nlohmann::json& object, const char* name);
+std::uint64_t count_field(const nlohmann::json& object, const char* name,
+                          std::uint64_t most = std::numeric_limits<std::uint64_t>::max());
+
+template <class Value>
+std::vector<Value> read_list(const nlohmann::json& value, Value (*read_one)(const nlohmann::json&))
+{
+    std::vector<Value> values;
+    for (const auto& one : list(value)) {
+        values.push_back(read_one(one));
+    }
+    return values;
+}
+
+template <class Value>
+nlohmann::json to_list(const std::vector<Value>& values, nlohmann::json (*write_one)(const Value&))
+{
+    nlohmann::json written = nlohmann::json::array();
+    for (const auto& value : values) {
+        written.push_back(write_one(value));
+    }
+    return written;
+}
+
+// One unreadable value must not end the process that came upon it.
+template <class Value>
+std::optional<Value> read_stored_text(std::string_view text,
+                                      Value (*read_value)(const nlohmann::json&))
+{
+    const auto parsed = nlohmann::json::parse(text, nullptr, false);
+    try {
+        return read_value(parsed);
+    } catch (const malformed_value&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace pearhaven::adapters
+
+#endif
--- /dev/null
+++ b/adapters/test/stored_values_test.cpp
@@ -0,0 +1,103 @@
+#include "pearhaven/adapters/stored_values.hpp"
+
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::adapters;
+using namespace pearhaven::coordination;
+
+namespace {
+
+config_head a_head()
+{
+    return {
+        9,
+        "w-9",
+        {{8, "w-8", "ama", 5, {{"team", "a", "{}"}}}, {9, "w-9", "efua", 6, {{"pool", "b", ""}}}},
+        {"config/page/ab"},
+        7};
+}
+
+bill a_bill()
+{
+    return {"r-1", "deposits", "adjudicator-1", "10.0.0.1:80", 12, 34, 5, 46.5};
+}
+
+member a_member()
+{
+    return {"i-1", "10.0.0.2", 7000, 7001, "osu", 3, member_state::leaving, 9};
+}
+
+} // namespace
+
+TEST_GROUP(stored_values_test){};
+
+TEST(stored_values_test, every_value_reads_back_as_it_was_written)
+{
+    const auto heads = make_config_head_codec();
+    const std::vector<config_object> objects = {{"team", "a", "{\"x\":1}"}, {"pool", "b", "{}"}};
+    const std::vector<bill> bills = {a_bill(), a_bill()};
+    CHECK_TRUE(heads->read_head(heads->write_head(a_head())) == a_head());
+    CHECK_TRUE(heads->read_page(heads->write_page(objects)) == objects);
+    CHECK_TRUE(make_bill_page_codec()->read_bills(make_bill_page_codec()->write_bills(bills)) ==
+               bills);
+    CHECK_TRUE(make_member_codec()->read_member(make_member_codec()->write_member(a_member())) ==
+               a_member());
+}
+
+TEST(stored_values_test, the_stored_form_of_a_head_is_what_operators_find_in_the_store)
+{
+    CHECK_EQUAL(std::string(R"({"changes":[],"pages":["p"],"revision":2,"snapshot_revision":1,)"
+                            R"("write_id":"w"})"),
+                make_config_head_codec()->write_head({2, "w", {}, {"p"}, 1}));
+}
+
+TEST(stored_values_test, a_field_that_is_missing_or_of_another_type_gives_nothing)
+{
+    const auto heads = make_config_head_codec();
+    const auto members = make_member_codec();
+    CHECK_FALSE(heads->read_head(R"({"revision":1})").has_value());
+    CHECK_FALSE(heads
+                    ->read_head(R"({"changes":[],"pages":[],"revision":-1,)"
+                                R"("snapshot_revision":0,"write_id":""})")
+                    .has_value());
+    CHECK_FALSE(heads
+                    ->read_head(R"({"changes":null,"pages":[],"revision":1,)"
+                                R"("snapshot_revision":0,"write_id":""})")
+                    .has_value());
+    CHECK_FALSE(heads->read_page("null").has_value());
+    CHECK_FALSE(heads->read_page("{}").has_value());
+    CHECK_FALSE(make_bill_page_codec()->read_bills("[1]").has_value());
+    std::string text = members->write_member(a_member());
+    text.replace(text.find("7000"), 4, "70000");
+    CHECK_FALSE(members->read_member(text).has_value());
+}
+
+TEST(stored_values_test, every_cut_of_a_text_gives_nothing)
+{
+    const std::string head = make_config_head_codec()->write_head(a_head());
+    const std::string record = make_member_codec()->write_member(a_member());
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        CHECK_FALSE(make_config_head_codec()->read_head(head.substr(0, length)).has_value());
+    }
+    for (std::size_t length = 0; length < record.size(); ++length) {
+        CHECK_FALSE(make_member_codec()->read_member(record.substr(0, length)).has_value());
+    }
+}
+
+TEST(stored_values_test, random_bytes_give_nothing_and_never_throw)
+{
+    const auto bytes = rc::gen::container<std::string>(rc::gen::inRange<char>('\x80', '\x7f'));
+    const bool held = rc::check([&bytes] {
+        const auto text = *bytes;
+        RC_ASSERT(!make_config_head_codec()->read_head(text));
+        RC_ASSERT(!make_member_codec()->read_member(text));
+        make_bill_page_codec()->read_bills(text);
+        make_config_head_codec()->read_page(text);
+    });
+    CHECK_TRUE(held);
+}
