Claim requests that must run at most once

Cause: a booking sent twice, to two routers, or again after a lost reply must run once. Measured: refused claims that land later: a_claim_that_lands_after_its_refusal_is_closed_as_not_run fails without the closing write. With write ids left out, the property finds a second run. Conclusion: only the writer of the claim may ever dispatch; gone holders leave `unknown`.

--- /dev/null
+++ b/coordination/include/pearhaven/coordination/once_claims.hpp
@@ -0,0 +1,155 @@
+#ifndef PEARHAVEN_COORDINATION_ONCE_CLAIMS_HPP
+#define PEARHAVEN_COORDINATION_ONCE_CLAIMS_HPP
+
+#include "pearhaven/coordination/actions.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace pearhaven::coordination {
+
+inline constexpr std::string_view claim_prefix = "claims/";
+
+// What is known of a request that must run at most once.
+enum class claim_state : std::uint8_t {
+    held,    // its holder may dispatch it, or has
+    ran,     // it ran to its end
+    unknown, // it may have run; final, but for a holder that comes back with the outcome
+    not_run, // it was not run and may be claimed again
+};
+
+struct claim_record {
+    claim_state state = claim_state::held;
+    incarnation_id holder;
+    std::string write_id; // of the claim, unique for ever
+    std::string outcome;  // of a run, as a resending caller is to be told
+
+    friend bool operator==(const claim_record&, const claim_record&) = default;
+};
+
+// Port to the stored form of a claim. Pure.
+class claim_codec {
+public:
+    virtual ~claim_codec() = default;
+    [[nodiscard]] virtual std::string write_claim(const claim_record& claim) const = 0;
+    [[nodiscard]] virtual std::optional<claim_record> read_claim(std::string_view text) const = 0;
+};
+
+struct once_claims_settings {
+    incarnation_id self;
+    decision::duration claim_patience = std::chrono::seconds{2}; // then the request is refused
+    decision::duration store_patience = std::chrono::milliseconds{700}; // for one call
+    decision::duration holder_patience = std::chrono::seconds{10}; // for a holder that nobody sees
+    decision::duration first_retry = std::chrono::milliseconds{50};
+    decision::duration longest_retry = std::chrono::seconds{2};
+    decision::duration abandoned_memory = std::chrono::minutes{2}; // for a claim that may yet land
+    std::size_t max_open = 20'000;                                 // claims with work left to do
+};
+
+// Names one claim of this process.
+using claim_number = std::uint64_t;
+
+enum class claim_verdict : std::uint8_t {
+    granted,     // this router, and no other ever, may dispatch the request
+    ran,         // it ran before; `outcome` says how it ended
+    unknown,     // it may have run before
+    in_progress, // another send of it is under way
+    unavailable, // the claim could not be made: the request was not run
+};
+
+struct claim_decided {
+    claim_number claim = 0;
+    claim_verdict verdict = claim_verdict::unavailable;
+    std::string outcome;
+
+    friend bool operator==(const claim_decided&, const claim_decided&) = default;
+};
+
+// Claims on requests that must run at most once, wherever and how often they are sent.
+//
+// A claim is a key that is created by compare-and-swap before the first byte of the request leaves.
+// Of all routers only the one whose write stands there may dispatch; an ambiguous write is read
+// again and told by its write id. A claim that is held is never taken over for running: when its
+// holder is gone, another router closes it as `unknown`, since nobody can tell whether the holder
+// had dispatched. That needs no clocks: a holder that was paused and wakes may still dispatch, and
+// it is the only one that ever could. Only its holder closes a claim as `not_run`.
+//
+// What remains: a holder that dies between claim and dispatch leaves `unknown`, although nothing
+// ran.
+class once_claims {
+public:
+    using action = std::variant<store_call, claim_decided, unreadable_value>;
+
+    // The codec must outlive the claims.
+    once_claims(once_claims_settings settings, const claim_codec& codec);
+
+    // Asks for the claim on the team's request with this key. `write_id` must be unique for ever.
+    claim_number claim(const std::string& team, const std::string& key, std::string write_id,
+                       decision::instant now);
+
+    // The granted claim has come to its end. Written until it stands, in the background.
+    void settle(claim_number claim, claim_state end, std::string outcome, decision::instant now);
+
+    void set_live(std::set<incarnation_id> live);
+    void on_tick(decision::instant now);
+    void on_reply(call_tag tag, const kv_reply& reply, decision::instant now);
+    [[nodiscard]] std::vector<action> take_actions();
+
+    // Claims that are open or whose end is not written yet.
+    [[nodiscard]] std::size_t open() const { return this->claims.size(); }
+
+private:
+    enum class phase : std::uint8_t {
+        creating,  // the claim is being written
+        granted,   // the request may run
+        settling,  // its end is being written
+        abandoned, // the caller was refused, but the claim's write may yet land
+    };
+    struct claim_work {
+        std::string key;
+        claim_record record;
+        phase step = phase::creating;
+        store_revision revision = 0; // on which the next write is made
+        bool loose_write = false;    // a write without a reply may land at any time
+        std::optional<call_tag> call;
+        decision::instant call_start;
+        decision::instant began;
+        decision::instant next_call;
+        decision::duration retry_delay{};
+    };
+
+    void advance(claim_number number, claim_work& work, decision::instant now);
+    void on_lost_reply(claim_work& work, decision::instant now);
+    bool on_entry(claim_number number, claim_work& work, const kv_entry& entry,
+                  decision::instant now);
+    bool on_absent(claim_work& work, decision::instant now);
+    bool on_written(claim_number number, claim_work& work, store_revision revision);
+    bool on_others_claim(claim_number number, claim_work& work, const kv_entry& entry,
+                         const claim_record& found, decision::instant now);
+    void close_for_gone_holder(const kv_entry& entry, claim_record found);
+    [[nodiscard]] bool is_gone(const incarnation_id& holder, decision::instant now);
+    bool give_up_creating(claim_number number, claim_work& work, decision::instant now);
+    void decide(claim_number number, claim_verdict verdict, const std::string& outcome);
+    void wait(claim_work& work, decision::instant now);
+
+    once_claims_settings settings;
+    const claim_codec& codec;
+    std::map<claim_number, claim_work> claims;
+    std::map<call_tag, claim_number> calls;
+    std::set<incarnation_id> live;
+    std::map<incarnation_id, decision::instant> unseen; // holders, since they were first missed
+    claim_number next_claim = 1;
+    call_tag next_tag = 1;
+    std::vector<action> actions;
+};
+
+} // namespace pearhaven::coordination
+
+#endif
