Join claims and membership to the router, and test its parts

Cause: work that must run at most once was refused for want of claims, and routers did not know each other. Ruled out: settling a claim on the fleet thread alone (it cannot know whether a caller's thread still waits; both sides close it, and closing twice does nothing).

--- a/adapters/include/pearhaven/adapters/stored_values.hpp
+++ b/adapters/include/pearhaven/adapters/stored_values.hpp
@@ -3,6 +3,7 @@
 
 #include "pearhaven/coordination/bill_ledger.hpp"
 #include "pearhaven/coordination/config_head.hpp"
+#include "pearhaven/coordination/once_claims.hpp"
 #include "pearhaven/coordination/registration.hpp"
 
 #include <memory>
@@ -15,6 +16,7 @@
 std::unique_ptr<coordination::config_head_codec> make_config_head_codec();
 std::unique_ptr<coordination::bill_page_codec> make_bill_page_codec();
 std::unique_ptr<coordination::member_codec> make_member_codec();
+std::unique_ptr<coordination::claim_codec> make_claim_codec();
 
 } // namespace pearhaven::adapters
 
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -45,6 +45,9 @@
     endpoint_failed,
     answer_broken, // part of the answer was delivered and the rest cannot be had
     stopping,
+    already_ran,     // a send of the same claimed request ran before
+    in_progress,     // another send of it is under way
+    outcome_unknown, // another send of it may have run
 };
 
 // The final answer to a request that was given up. It is due at once.
--- a/router/src/answer_relay.cpp
+++ b/router/src/answer_relay.cpp
@@ -99,6 +99,7 @@
             // The answer is whole and billed; whether its last bytes still reach the caller changes
             // nothing of that.
             end.completed = true;
+            end.outcome = this->outcome();
             static_cast<void>(this->on_complete(what));
             return true;
         } else if constexpr (std::is_same_v<event_type, answer_failed>) {
@@ -199,6 +200,13 @@
     return send_failure(this->connection(), form, this->headers());
 }
 
+std::string service_answer::outcome() const
+{
+    constexpr std::size_t largest_outcome = 1024;
+    return "status " + std::to_string(this->head.status) + ": " +
+           this->held.substr(0, largest_outcome);
+}
+
 void service_answer::on_restart()
 {
     this->head = {};
--- a/router/src/answer_relay.hpp
+++ b/router/src/answer_relay.hpp
@@ -45,6 +45,9 @@
     virtual bool on_failure_midway(const failure_form& form) = 0;
     virtual void on_restart() {}
     virtual void on_head(service_head& /*head*/) {}
+
+    // What a resend of a claimed request is told of this answer.
+    [[nodiscard]] virtual std::string outcome() const { return "it was answered"; }
     virtual bool keep_alive() { return true; } // shows whether the caller is still there
 
     [[nodiscard]] mg_connection* connection() const { return this->caller; }
@@ -105,6 +108,7 @@
     bool on_complete(const answer_complete& ending) override;
     bool on_failure_midway(const failure_form& form) override;
     void on_head(service_head& head) override;
+    [[nodiscard]] std::string outcome() const override;
     void on_restart() override;
 
 private:
--- a/router/src/caller_server.cpp
+++ b/router/src/caller_server.cpp
@@ -23,7 +23,6 @@
     1; // any status above 0 tells CivetWeb that the request was handled
 constexpr std::size_t affinity_prefix =
     512; // bytes of the prompt's beginning that engines likely cache
-constexpr decision::duration claim_patience = std::chrono::seconds(5);
 constexpr std::string_view services_prefix = "/services/";
 
 int on_malformed(mg_connection* connection, int status, const char* message)
@@ -193,29 +192,6 @@
            std::min(fields.deadline.value_or(settings.default_deadline), settings.longest_deadline);
 }
 
-bool caller_server::claim_if_needed(mg_connection* connection, const exchange_ptr& request,
-                                    const caller_fields& fields, bool idempotent)
-{
-    if (idempotent || fields.idempotency_key.empty()) {
-        return true;
-    }
-    this->ports.fleet.submit(claim_wanted{request->team, fields.idempotency_key, request});
-    const auto event = request->events.pop_for(claim_patience);
-    const auto* answer = event ? std::get_if<claim_answer>(&*event) : nullptr;
-    if (answer != nullptr && answer->granted) {
-        return true;
-    }
-    if (answer == nullptr) {
-        this->refuse(connection, form_of(decision::failure{decision::failure_code::not_in_touch,
-                                                           decision::run_state::not_run, true,
-                                                           std::chrono::seconds(1),
-                                                           "the claim could not be made in time"}));
-        return false;
-    }
-    this->refuse(connection, form_of(answer->why));
-    return false;
-}
-
 bool caller_server::hand_on(mg_connection* connection, decision::arrival arrival,
                             const exchange_ptr& request)
 {
@@ -279,10 +255,10 @@
         }
         session_id = arrival.bound->id;
     }
-    if (!this->claim_if_needed(connection, request, caller->fields, arrival.idempotent)) {
+    request_claim claim(this->ports.fleet, request);
+    if (!this->is_claimed(connection, claim, caller->fields, arrival.idempotent)) {
         return;
     }
-    const bool claimed = !arrival.idempotent && !caller->fields.idempotency_key.empty();
     const auto kind = class_name(arrival.work.kind);
     const auto asked = read.asked;
     if (!this->hand_on(connection, std::move(arrival), request)) {
@@ -305,22 +281,32 @@
     } else {
         end = collected_chat(connection, request, this->ports.client).run(headers_of);
     }
-    this->finish(connection, request, caller->fields, end, kind, claimed);
+    this->finish(connection, request, claim, end, kind);
+}
+
+// A request without a key cannot be told from another one; the dispatcher alone sees to it that
+// this send of it runs at most once.
+bool caller_server::is_claimed(mg_connection* connection, request_claim& claim,
+                               const caller_fields& fields, bool idempotent)
+{
+    if (idempotent || fields.idempotency_key.empty()) {
+        return true;
+    }
+    const auto refused = claim.take(fields.idempotency_key);
+    if (refused) {
+        this->refuse(connection, form_of(*refused));
+    }
+    return !refused;
 }
 
 void caller_server::finish(mg_connection* connection, const exchange_ptr& request,
-                           const caller_fields& fields, const relay_end& end,
-                           const std::string& kind, bool claimed)
+                           request_claim& claim, const relay_end& end, const std::string& kind)
 {
     if (end.caller_gone) {
         this->ports.routing.submit(caller_gone{request->ticket});
-    }
-    if (claimed) {
-        const auto run = end.completed     ? decision::run_state::ran
-                         : end.caller_gone ? decision::run_state::unknown
-                                           : end.why.run;
-        this->ports.fleet.submit(
-            claim_settled{request->team, fields.idempotency_key, run, end.outcome});
+        claim.settle(decision::run_state::unknown, end.outcome);
+    } else {
+        claim.settle(end.completed ? decision::run_state::ran : end.why.run, end.outcome);
     }
     if (!end.completed) {
         mg_disable_connection_keep_alive(connection);
@@ -395,10 +381,10 @@
     arrival.deadline = this->deadline_of(caller->fields);
     arrival.fingerprint =
         decision::fingerprint(request->team, name, request->path + "\n" + request->body);
-    if (!this->claim_if_needed(connection, request, caller->fields, arrival.idempotent)) {
+    request_claim claim(this->ports.fleet, request);
+    if (!this->is_claimed(connection, claim, caller->fields, arrival.idempotent)) {
         return;
     }
-    const bool claimed = !arrival.idempotent && !caller->fields.idempotency_key.empty();
     const auto kind = class_name(arrival.work.kind);
     if (!this->hand_on(connection, std::move(arrival), request)) {
         return;
@@ -407,7 +393,7 @@
         return header_list{{"Pearhaven-Request", request->request_id}};
     };
     const auto end = service_answer(connection, request, this->ports.client).run(headers_of);
-    this->finish(connection, request, caller->fields, end, kind, claimed);
+    this->finish(connection, request, claim, end, kind);
 }
 
 // The configuration wins over what the caller says, but for one way: a caller may always ask for
--- a/router/src/caller_server.hpp
+++ b/router/src/caller_server.hpp
@@ -5,6 +5,7 @@
 #include "caller_request.hpp"
 #include "fleet_event.hpp"
 #include "published.hpp"
+#include "request_claim.hpp"
 #include "routing_event.hpp"
 
 #include "pearhaven/adapters/metrics.hpp"
@@ -65,16 +66,16 @@
     static int handle_unknown(mg_connection* connection, void* self);
 
     [[nodiscard]] std::optional<admitted> admit(mg_connection* connection);
-    bool claim_if_needed(mg_connection* connection, const exchange_ptr& request,
-                         const caller_fields& fields, bool idempotent);
+    bool is_claimed(mg_connection* connection, request_claim& claim, const caller_fields& fields,
+                    bool idempotent);
     void serve_chat(mg_connection* connection);
     void serve_models(mg_connection* connection);
     void serve_service(mg_connection* connection);
     [[nodiscard]] exchange_ptr make_exchange(const admitted& from);
     [[nodiscard]] decision::instant deadline_of(const caller_fields& fields) const;
     bool hand_on(mg_connection* connection, decision::arrival arrival, const exchange_ptr& request);
-    void finish(mg_connection* connection, const exchange_ptr& request, const caller_fields& fields,
-                const relay_end& end, const std::string& kind, bool claimed);
+    void finish(mg_connection* connection, const exchange_ptr& request, request_claim& claim,
+                const relay_end& end, const std::string& kind);
     [[nodiscard]] static bool is_idempotent_call(const admitted& caller,
                                                  const std::string& service_name,
                                                  const std::string& method);
--- a/router/src/exchange.hpp
+++ b/router/src/exchange.hpp
@@ -3,7 +3,7 @@
 
 #include "pearhaven/adapters/bounded_ring.hpp"
 #include "pearhaven/adapters/http_client.hpp"
-#include "pearhaven/coordination/peer_message.hpp"
+#include "pearhaven/coordination/once_claims.hpp"
 #include "pearhaven/decision/dispatcher.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -56,9 +57,8 @@
 
 // What became of the claim of a request that must run at most once.
 struct claim_answer {
-    bool granted = false;
-    decision::failure why;        // where it was not granted
-    std::string recorded_outcome; // of the earlier run with the same key, if there was one
+    std::optional<coordination::claim_number> granted;
+    decision::failure why; // where it was not granted
 };
 
 using exchange_event = std::variant<run_started, service_head, answer_piece, answer_complete,
@@ -81,6 +81,9 @@
         static_cast<void>(this->events.try_push(event));
     }
 
+    // Set by the caller's thread when it no longer waits for its claim.
+    std::atomic<bool> claim_dropped{false};
+
     // Set by the HTTP client's thread when an answer has to wait for the caller.
     std::atomic<bool> paused{false};
     std::atomic<adapters::exchange_number> transfer{0};
--- a/router/src/fleet_duty.cpp
+++ b/router/src/fleet_duty.cpp
@@ -2,11 +2,13 @@
 
 #include "clock.hpp"
 
+#include "pearhaven/adapters/authenticator.hpp"
 #include "pearhaven/adapters/configuration_codec.hpp"
 #include "pearhaven/adapters/log.hpp"
 #include "pearhaven/adapters/stored_values.hpp"
 
-#include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace pearhaven::router {
@@ -17,6 +19,7 @@
 
 constexpr std::size_t ring_capacity = 16384;
 constexpr std::chrono::milliseconds tick_period{20};
+constexpr std::chrono::milliseconds members_period{200};
 
 coordination::config_replica_settings replica_settings_of(const fleet_duty::ports& all)
 {
@@ -35,6 +38,46 @@
     return chosen;
 }
 
+coordination::once_claims_settings claims_settings_of(const fleet_duty::ports& all)
+{
+    coordination::once_claims_settings chosen;
+    chosen.self = all.incarnation;
+    return chosen;
+}
+
+// `IP:port` of a router that the settings name.
+coordination::member_address to_seed(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    return {"", text.substr(0, colon),
+            static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1)))};
+}
+
+decision::failure to_failure(const coordination::claim_decided& decided)
+{
+    using coordination::claim_verdict;
+    using decision::failure_code;
+    using decision::run_state;
+    constexpr decision::duration soon = std::chrono::seconds(1);
+    constexpr decision::duration later = std::chrono::seconds(5);
+    switch (decided.verdict) {
+    case claim_verdict::ran:
+        return {failure_code::already_ran, run_state::ran, false, decision::duration::zero(),
+                "an earlier send of this request ran: " + decided.outcome};
+    case claim_verdict::unknown:
+        return {failure_code::outcome_unknown, run_state::unknown, false,
+                decision::duration::zero(), "an earlier send of this request may have run"};
+    case claim_verdict::in_progress:
+        return {failure_code::in_progress, run_state::unknown, true, soon,
+                "another send of this request is under way"};
+    case claim_verdict::granted:
+    case claim_verdict::unavailable:
+        break;
+    }
+    return {failure_code::not_in_touch, run_state::not_run, true, later,
+            "the key-value service cannot be reached to claim this request"};
+}
+
 coordination::member_address to_member(const peer_spoke& event)
 {
     return {event.from, event.reply_to.host, event.reply_to.port};
@@ -74,9 +117,11 @@
 
 fleet_duty::fleet_duty(const ports& all_ports)
     : all(all_ports), ring(ring_capacity), head_codec(adapters::make_config_head_codec()),
-      bill_codec(adapters::make_bill_page_codec()),
+      bill_codec(adapters::make_bill_page_codec()), claim_codec(adapters::make_claim_codec()),
+      member_codec(adapters::make_member_codec()),
       replica(replica_settings_of(this->all), *this->head_codec, now()),
-      ledger(ledger_settings_of(this->all), *this->bill_codec)
+      ledger(ledger_settings_of(this->all), *this->bill_codec),
+      claims(claims_settings_of(this->all), *this->claim_codec)
 {}
 
 fleet_duty::~fleet_duty()
@@ -106,9 +151,44 @@
     return this->ring.push(std::move(event));
 }
 
+void fleet_duty::join_fleet()
+{
+    coordination::membership_settings chosen;
+    chosen.self.id = this->all.incarnation;
+    chosen.self.host = this->all.settings.host;
+    chosen.self.peer_port = this->link->port();
+    chosen.self.operator_port = this->own_operator_port;
+    chosen.self.zone = this->all.settings.zone;
+    chosen.seed = this->all.seed;
+    chosen.registration.time_to_live = this->all.settings.member_lease;
+    for (const auto& peer : this->all.settings.peers) {
+        chosen.seeds.push_back(to_seed(peer));
+    }
+    this->fleet.emplace(std::move(chosen), *this->member_codec, now());
+}
+
+// The parts that act on who is there are told again and again: it is cheap, and nothing can be
+// missed.
+void fleet_duty::tell_members()
+{
+    const auto moment = now();
+    const auto live = this->fleet->live();
+    const auto readers = this->fleet->readers();
+    std::vector<coordination::config_peer> peers;
+    std::set<coordination::incarnation_id> ids;
+    for (const auto& one : live) {
+        peers.push_back({coordination::address_of(one), one.zone, readers.count(one.id) > 0});
+        ids.insert(one.id);
+    }
+    this->replica.set_reader(this->fleet->is_reader(), moment);
+    this->replica.set_peers(std::move(peers), moment);
+    this->ledger.set_peers(live);
+    this->claims.set_live(std::move(ids));
+}
+
 void fleet_duty::run()
 {
-    this->replica.set_reader(true, now());
+    this->join_fleet();
     while (!this->ring.is_closed_and_empty()) {
         auto event = this->ring.pop_for(tick_period);
         if (event) {
@@ -125,7 +205,13 @@
 void fleet_duty::tick()
 {
     const auto moment = now();
+    this->fleet->on_tick(moment);
+    if (moment >= this->next_members) {
+        this->next_members = moment + members_period;
+        this->tell_members();
+    }
     this->replica.on_tick(moment);
+    this->claims.on_tick(moment);
     this->ledger.on_tick(moment);
     this->tell_touch();
     this->publish_view();
@@ -142,7 +228,10 @@
         this->ledger.on_reply(event.tag, event.reply, now());
         break;
     case fleet_part::membership:
+        this->fleet->on_reply(event.tag, event.reply, now());
+        break;
     case fleet_part::claims:
+        this->claims.on_reply(event.tag, event.reply, now());
         break;
     }
 }
@@ -150,6 +239,7 @@
 void fleet_duty::handle(peer_spoke& event)
 {
     const auto from = to_member(event);
+    this->fleet->on_message(from, event.message, now());
     this->replica.on_message(from, event.message, now());
     this->ledger.on_message(from, event.message, now());
 }
@@ -161,25 +251,67 @@
     this->ledger.on_bill(this->unbilled.find(request)->second.what, now());
 }
 
-// Claims are kept by a part of their own; without one, work that must run at most once is refused.
 void fleet_duty::handle(claim_wanted& event)
 {
-    claim_answer answer;
-    answer.why = {decision::failure_code::not_in_touch, decision::run_state::not_run, true,
-                  std::chrono::seconds(5), "claims cannot be made at present"};
-    event.caller->push(std::move(answer));
+    const auto number =
+        this->claims.claim(event.team, event.key, adapters::random_identifier(), now());
+    this->claimants.emplace(number, std::move(event.caller));
 }
 
-void fleet_duty::handle(claim_settled& /*event*/) {}
+void fleet_duty::handle(claim_settled& event)
+{
+    auto end = coordination::claim_state::unknown;
+    if (event.run == decision::run_state::ran) {
+        end = coordination::claim_state::ran;
+    } else if (event.run == decision::run_state::not_run) {
+        end = coordination::claim_state::not_run;
+    }
+    this->claims.settle(event.claim, end, event.outcome, now());
+}
 
 void fleet_duty::handle(fact_found& /*event*/) {}
 
-void fleet_duty::handle(leave_begun& /*event*/)
+void fleet_duty::handle(leave_begun& event)
 {
+    if (!event.is_over) {
+        this->fleet->leave(now());
+        return;
+    }
+    this->fleet->depart(now());
+    this->carry_out_all();
     this->left = true;
     this->publish_view();
 }
 
+void fleet_duty::carry_out(fleet_part /*part*/, const coordination::claim_decided& action)
+{
+    const auto found = this->claimants.find(action.claim);
+    const auto caller = found->second;
+    this->claimants.erase(found);
+    claim_answer answer;
+    if (action.verdict == coordination::claim_verdict::granted) {
+        answer.granted = action.claim;
+    } else {
+        answer.why = to_failure(action);
+    }
+    caller->push(answer);
+    // A caller that has stopped waiting dispatches nothing; its claim must not block the next send.
+    if (answer.granted && caller->claim_dropped.load()) {
+        this->claims.settle(action.claim, coordination::claim_state::not_run, "", now());
+    }
+}
+
+void fleet_duty::carry_out(fleet_part /*part*/, const coordination::member_changed& action)
+{
+    const auto& changed = action.changed;
+    adapters::log_change("member_changed",
+                         {{"member", changed.id}, {"state", state_name(changed.state)}});
+    if (changed.state == member_state::dead) {
+        this->ledger.on_member_dead(changed.id, now());
+    }
+    this->tell_members();
+}
+
 void fleet_duty::carry_out(fleet_part /*part*/, const coordination::bill_safe& action)
 {
     // Several callers may wait for one bill: resends of one request that all ran to their end.
@@ -219,6 +351,7 @@
     }
     this->all.configuration.set(built.configuration);
     this->routing->submit(configuration_changed{std::move(built.configuration)});
+    this->fleet->set_config_revision(action.state->revision());
     adapters::log_change("configuration_in_force",
                          {{"revision", std::to_string(action.state->revision())}});
 }
@@ -235,6 +368,8 @@
 {
     this->carry_out_part(fleet_part::configuration, this->replica);
     this->carry_out_part(fleet_part::bills, this->ledger);
+    this->carry_out_part(fleet_part::claims, this->claims);
+    this->carry_out_part(fleet_part::membership, *this->fleet);
 }
 
 void fleet_duty::tell_touch()
@@ -259,6 +394,7 @@
     fresh.in_touch = this->told_touch.value_or(false);
     fresh.outage_agreed = this->replica.is_outage_agreed(now());
     fresh.left = this->left;
+    fresh.members = this->fleet->live();
     fresh.bills_waiting = this->ledger.waiting();
     this->latest_view.set(std::move(fresh));
 }
--- a/router/src/fleet_duty.hpp
+++ b/router/src/fleet_duty.hpp
@@ -11,6 +11,8 @@
 #include "pearhaven/coordination/bill_ledger.hpp"
 #include "pearhaven/coordination/config_replica.hpp"
 #include "pearhaven/coordination/key_value.hpp"
+#include "pearhaven/coordination/membership.hpp"
+#include "pearhaven/coordination/once_claims.hpp"
 #include "pearhaven/router/settings.hpp"
 
 #include <cstdint>
@@ -86,6 +88,11 @@
     void carry_out(fleet_part part, const coordination::unreadable_value& action);
     void carry_out(fleet_part part, const coordination::config_in_force& action);
     void carry_out(fleet_part part, const coordination::bill_safe& action);
+    void carry_out(fleet_part part, const coordination::claim_decided& action);
+    void carry_out(fleet_part part, const coordination::member_changed& action);
+
+    void join_fleet();
+    void tell_members();
 
     void tell_touch();
     void publish_view();
@@ -97,10 +104,16 @@
     adapters::bounded_ring<fleet_event> ring;
     std::unique_ptr<coordination::config_head_codec> head_codec;
     std::unique_ptr<coordination::bill_page_codec> bill_codec;
+    std::unique_ptr<coordination::claim_codec> claim_codec;
+    std::unique_ptr<coordination::member_codec> member_codec;
     coordination::config_replica replica;
     coordination::bill_ledger ledger;
+    coordination::once_claims claims;
+    std::optional<coordination::membership> fleet; // from the start of the thread on
+    std::map<coordination::claim_number, exchange_ptr> claimants;
     std::multimap<std::string, bill_due> unbilled; // by request
     decision::instant next_tick;
+    decision::instant next_members;
     bool left = false;
     std::optional<bool> told_touch;
     published<fleet_view> latest_view;
--- a/router/src/fleet_event.hpp
+++ b/router/src/fleet_event.hpp
@@ -43,17 +43,19 @@
 
 // A claimed request has come to its end.
 struct claim_settled {
-    std::string team;
-    std::string key;
+    coordination::claim_number claim = 0;
     decision::run_state run = decision::run_state::unknown;
-    std::string outcome;
+    std::string outcome; // as a resend is to be told
 };
 
 struct fact_found {
     coordination::fact what;
 };
 
-struct leave_begun {};
+// A planned stop: first the router finishes its work, then it is gone.
+struct leave_begun {
+    bool is_over = false;
+};
 
 using fleet_event = std::variant<store_replied, peer_spoke, bill_due, claim_wanted, claim_settled,
                                  fact_found, leave_begun>;
--- a/router/src/http_reply.cpp
+++ b/router/src/http_reply.cpp
@@ -48,6 +48,12 @@
         return {"answer_broken", status_bad_gateway};
     case failure_code::stopping:
         return {"stopping", status_unavailable};
+    case failure_code::already_ran:
+        return {"already_ran", status_conflict};
+    case failure_code::in_progress:
+        return {"in_progress", status_conflict};
+    case failure_code::outcome_unknown:
+        return {"outcome_unknown", status_conflict};
     }
     return {"failed", status_unavailable};
 }
--- /dev/null
+++ b/router/src/request_claim.hpp
@@ -0,0 +1,36 @@
+#ifndef PEARHAVEN_ROUTER_REQUEST_CLAIM_HPP
+#define PEARHAVEN_ROUTER_REQUEST_CLAIM_HPP
+
+#include "exchange.hpp"
+#include "fleet_event.hpp"
+
+#include <optional>
+#include <string>
+
+namespace pearhaven::router {
+
+// The claim of a request that must run at most once, as its caller's thread holds it. A claim that
+// was granted and never settled is closed as not run: nothing was handed on then.
+class request_claim {
+public:
+    request_claim(fleet_sink& fleet_events, exchange_ptr of_request);
+    ~request_claim();
+    request_claim(const request_claim&) = delete;
+    request_claim& operator=(const request_claim&) = delete;
+
+    // Waits for the claim under the caller's key. Nothing when it is granted; else the final
+    // answer.
+    [[nodiscard]] std::optional<decision::failure> take(const std::string& key);
+
+    // How the request ended; does nothing where no claim was taken.
+    void settle(decision::run_state run, const std::string& outcome);
+
+private:
+    fleet_sink& fleet;
+    exchange_ptr request;
+    std::optional<coordination::claim_number> granted;
+};
+
+} // namespace pearhaven::router
+
+#endif
--- a/router/src/router.cpp
+++ b/router/src/router.cpp
@@ -196,6 +196,7 @@
 std::size_t router::parts::drain(const std::function<bool()>& hurry)
 {
     this->draining = true;
+    this->fleet.submit(leave_begun{false});
     adapters::log_change("drain_started",
                          {{"in_flight", std::to_string(this->callers.in_flight())}});
     const auto start = std::chrono::steady_clock::now();
@@ -212,7 +213,7 @@
         [this] { return this->callers.in_flight() == 0 && this->fleet.view().bills_waiting == 0; },
         this->settings.longest_drain);
     const auto cut_off = this->callers.in_flight();
-    this->fleet.submit(leave_begun{});
+    this->fleet.submit(leave_begun{true});
     waits_for([this] { return this->fleet.view().left; }, this->settings.longest_drain);
     if (cut_off > 0) {
         adapters::log_warning("requests_cut_off", {{"count", std::to_string(cut_off)}});
--- a/router/src/settings.cpp
+++ b/router/src/settings.cpp
@@ -102,6 +102,19 @@
     }
 }
 
+void check_peers(const std::vector<std::string>& peers, std::vector<std::string>& faults)
+{
+    for (const auto& peer : peers) {
+        const auto colon = peer.rfind(':');
+        const auto port = colon == std::string::npos ? "" : peer.substr(colon + 1);
+        const bool is_number = !port.empty() && port.size() <= 5 &&
+                               port.find_first_not_of("0123456789") == std::string::npos;
+        if (!is_number || colon == 0) {
+            faults.push_back("peers: found \"" + peer + "\", allowed IP:port, separated by commas");
+        }
+    }
+}
+
 void check_key(const std::string& value, const char* name, std::vector<std::string>& faults)
 {
     if (value.size() < shortest_key) {
@@ -151,6 +164,7 @@
     if (settings.zone.empty()) {
         faults.emplace_back("zone: found nothing, allowed the name of an availability zone");
     }
+    check_peers(settings.peers, faults);
     check_url(settings.key_value_url, "key_value_url", faults);
     check_url(settings.host_list_url, "host_list_url", faults);
     check_key(settings.fleet_key, "fleet key", faults);
--- /dev/null
+++ b/router/test/engine_attempt_test.cpp
@@ -0,0 +1,168 @@
+#include "engine_attempt.hpp"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::router;
+using pearhaven::adapters::http_error;
+using pearhaven::adapters::http_result;
+using pearhaven::decision::attempt_end;
+using pearhaven::decision::attempt_result;
+
+namespace {
+
+class kept_events : public routing_sink {
+public:
+    bool submit(routing_event event) override
+    {
+        this->events.push_back(std::move(event));
+        return true;
+    }
+
+    bool offer(routing_event& event) override { return this->submit(std::move(event)); }
+
+    [[nodiscard]] attempt_end only_end() const
+    {
+        return std::get<attempt_ended>(this->events.at(0)).end;
+    }
+
+    std::vector<routing_event> events;
+};
+
+std::string token(int index)
+{
+    return R"({"id":"run-1","index":)" + std::to_string(index) +
+           R"(,"choices":[{"delta":{"content":"x "},"finish_reason":null}]})";
+}
+
+std::string closing(int index)
+{
+    return R"({"id":"run-1","index":)" + std::to_string(index) +
+           R"(,"choices":[{"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":3,"completion_tokens":)" +
+           std::to_string(index) + "}}";
+}
+
+std::string events(const std::vector<std::string>& data)
+{
+    std::string text;
+    for (const auto& one : data) {
+        text += "data: " + one + "\n\n";
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_GROUP(engine_attempt_test)
+{
+    kept_events sink;
+    exchange_ptr caller{new exchange};
+    engine_run_ptr run{new engine_run("run-1", "adjudicator-1")};
+
+    boost::intrusive_ptr<engine_attempt> begin(bool resumed = false)
+    {
+        boost::intrusive_ptr<engine_attempt> attempt(
+            new engine_attempt(sink, caller, run, 1, resumed));
+        attempt->on_head(200, {});
+        return attempt;
+    }
+
+    std::size_t tokens_for_caller()
+    {
+        std::size_t count = 0;
+        while (auto event = caller->events.pop_for(std::chrono::seconds(0))) {
+            if (const auto* piece = std::get_if<answer_piece>(&*event)) {
+                count += piece->events.size();
+            }
+        }
+        return count;
+    }
+};
+
+TEST(engine_attempt_test, a_stream_with_all_its_tokens_and_its_end_is_finished)
+{
+    const auto attempt = this->begin();
+    CHECK_TRUE(attempt->on_body(events({token(0), token(1), closing(2), "[DONE]"})));
+    attempt->on_end({});
+    CHECK_TRUE(sink.only_end().result == attempt_result::finished);
+    LONGS_EQUAL(2, this->tokens_for_caller());
+}
+
+// The connection ends cleanly after some tokens. Without the end marker the answer is not whole,
+// however well the connection was closed.
+TEST(engine_attempt_test, a_stream_that_ends_early_is_not_finished)
+{
+    const auto attempt = this->begin();
+    CHECK_TRUE(attempt->on_body(events({token(0), token(1)})));
+    attempt->on_end({});
+    CHECK_TRUE(sink.only_end().result == attempt_result::failed);
+    LONGS_EQUAL(2, sink.only_end().tokens);
+}
+
+TEST(engine_attempt_test, a_gap_in_the_tokens_ends_the_run_for_good)
+{
+    const auto attempt = this->begin();
+    CHECK_TRUE(attempt->on_body(events({token(0), token(2), closing(3), "[DONE]"})));
+    attempt->on_end({});
+    CHECK_TRUE(sink.only_end().result == attempt_result::failed);
+    CHECK_TRUE(sink.only_end().answered_error);
+}
+
+TEST(engine_attempt_test, the_answer_of_another_run_is_not_taken)
+{
+    const auto attempt = this->begin();
+    auto other = token(0);
+    other.replace(other.find("run-1"), 5, "run-2");
+    CHECK_TRUE(attempt->on_body(events({other})));
+    attempt->on_end({});
+    CHECK_TRUE(sink.only_end().answered_error);
+    LONGS_EQUAL(0, this->tokens_for_caller());
+}
+
+TEST(engine_attempt_test, tokens_that_a_resumed_stream_repeats_reach_the_caller_once)
+{
+    CHECK_TRUE(this->begin()->on_body(events({token(0), token(1)})));
+    const auto resumed = this->begin(true);
+    CHECK_TRUE(resumed->on_body(events({token(1), token(2), closing(3), "[DONE]"})));
+    resumed->on_end({});
+    CHECK_TRUE(sink.only_end().result == attempt_result::finished);
+    LONGS_EQUAL(3, this->tokens_for_caller());
+}
+
+TEST(engine_attempt_test, a_run_that_the_engine_has_forgotten_is_lost)
+{
+    boost::intrusive_ptr<engine_attempt> resumed(new engine_attempt(sink, caller, run, 1, true));
+    resumed->on_head(404, {{"x-not-run", "true"}});
+    resumed->on_end({});
+    CHECK_TRUE(sink.only_end().result == attempt_result::failed);
+    CHECK_TRUE(sink.only_end().run_lost);
+}
+
+TEST(engine_attempt_test, a_refusal_that_says_draining_tells_that_the_endpoint_leaves)
+{
+    boost::intrusive_ptr<engine_attempt> attempt(new engine_attempt(sink, caller, run, 1, false));
+    attempt->on_head(503, {{"x-not-run", "true"}});
+    CHECK_TRUE(attempt->on_body(R"({"error":{"code":"draining","message":""}})"));
+    attempt->on_end({});
+    CHECK_TRUE(sink.only_end().result == attempt_result::refused);
+    CHECK_TRUE(sink.only_end().endpoint_leaving);
+}
+
+TEST(engine_attempt_test, silence_is_told_from_a_lost_connection)
+{
+    this->begin()->on_end({http_error::progress_timeout, 200, true});
+    CHECK_TRUE(sink.only_end().result == attempt_result::went_silent);
+}
+
+TEST(engine_attempt_test, a_full_ring_holds_the_transfer_back_and_says_so)
+{
+    const auto attempt = this->begin();
+    int index = 0;
+    while (attempt->on_body(events({token(index)}))) {
+        ++index;
+    }
+    CHECK_TRUE(caller->paused.load());
+    LONGS_EQUAL(index, this->tokens_for_caller());
+}
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-  g++ cmake ninja-build ccache clang-format clang-tidy pkg-config
+  curl g++ cmake ninja-build ccache clang-format clang-tidy pkg-config
   libcivetweb-dev libcurl4-openssl-dev libflatbuffers-dev libboost-dev libgflags-dev libspdlog-dev
   libcpputest-dev nlohmann-json3-dev libyaml-cpp-dev libxxhash-dev librapidcheck-dev libsodium-dev
 )
