Add pearhavenctl, the operators' command line

Cause: operators need to apply, look at and follow the configuration, with clashes shown and lost replies settled. Ruled out: a loop of its own around the head's compare-and-swap: coordination's config_writer is the only one, driven by blocking calls and ticks. gflags' parser, which knows no repeated -f.

--- /dev/null
+++ b/control/src/apply_command.cpp
@@ -0,0 +1,39 @@
+#include "change.hpp"
+#include "object_files.hpp"
+
+namespace pearhaven::control {
+
+namespace {
+
+class apply_command : public command {
+public:
+    [[nodiscard]] command_usage usage() const override
+    {
+        return {"apply",
+                "-f FILE... [--wait] [--timeout SECONDS] [--base REVISION]",
+                "makes the objects in the files the configuration, as one change",
+                {"apply -f teams.yaml -f pools.yaml --wait", "apply -f - --base 41 < teams.yaml"}};
+    }
+
+    [[nodiscard]] exit_code run(command_context& context) const override
+    {
+        if (context.settings.files.empty()) {
+            return refuse_usage(*this, context);
+        }
+        const auto wanted = read_object_files(context);
+        if (!wanted || !may_change(context)) {
+            return exit_code::usage;
+        }
+        const auto seen = context.store.load();
+        return seen.error ? refuse(context, seen.error) : make_change(context, seen, *wanted);
+    }
+};
+
+} // namespace
+
+command_ptr make_apply_command()
+{
+    return std::make_unique<apply_command>();
+}
+
+} // namespace pearhaven::control
--- /dev/null
+++ b/control/src/change.cpp
@@ -0,0 +1,314 @@
+#include "change.hpp"
+
+#include "fleet_wait.hpp"
+#include "object_difference.hpp"
+
+#include "pearhaven/adapters/authenticator.hpp"
+#include "pearhaven/adapters/configuration_codec.hpp"
+
+#include <algorithm>
+
+namespace pearhaven::control {
+
+namespace {
+
+using adapters::configuration_fault;
+using coordination::config_conflict;
+using coordination::config_edit;
+using coordination::config_object;
+using coordination::config_state;
+using coordination::config_write_done;
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds default_patience{30'000};
+
+std::vector<config_object> objects_after(const config_state& state,
+                                         const std::vector<object_change>& changes)
+{
+    std::vector<config_object> objects = state.objects();
+    for (const auto& change : changes) {
+        objects.push_back(change.after);
+    }
+    return config_state(state.revision(), objects).objects();
+}
+
+// Faults between objects that the change would bring in. Those that were there before do not keep
+// an operator from mending something else.
+std::vector<configuration_fault> new_reference_faults(const config_state& state,
+                                                      const std::vector<object_change>& changes)
+{
+    const auto before = adapters::check_references(state.objects());
+    auto after = adapters::check_references(objects_after(state, changes));
+    const auto was_there = [&before](const configuration_fault& fault) {
+        return std::find(before.begin(), before.end(), fault) != before.end();
+    };
+    after.erase(std::remove_if(after.begin(), after.end(), was_there), after.end());
+    return after;
+}
+
+json change_json(const object_change& change)
+{
+    return {{"kind", change.after.kind}, {"name", change.after.name}, {"change", change.verb()}};
+}
+
+std::string change_text(const object_change& change)
+{
+    return "  " + object_text(change.after.kind, change.after.name) + " " + change.verb() + "\n";
+}
+
+// One change on its way: written, explained where it was refused, and waited for.
+class change_in_progress {
+public:
+    change_in_progress(command_context& surroundings, const loaded_configuration& loaded,
+                       std::vector<object_change> wanted)
+        : context(surroundings), seen(loaded), changes(std::move(wanted)),
+          revision(loaded.head.revision)
+    {
+        this->result["changed"] = json::array();
+    }
+
+    exit_code run()
+    {
+        if (this->changes.empty()) {
+            this->text = "nothing changed: revision " + std::to_string(this->revision) +
+                         " holds all of it already\n";
+        } else {
+            const exit_code written = this->write();
+            if (written != exit_code::ok) {
+                return written;
+            }
+        }
+        this->result["revision"] = this->revision;
+        const exit_code end = this->context.settings.wait ? this->wait() : exit_code::ok;
+        this->context.out.show(this->text, this->result);
+        return end;
+    }
+
+private:
+    exit_code write()
+    {
+        const config_edit edit = this->make_edit();
+        const config_write_done done = this->context.store.write(edit);
+        if (done.error == control_error::conflict) {
+            return this->explain_conflict(edit, done);
+        }
+        if (done.error == control_error::outcome_unknown) {
+            return this->explain_unknown(edit);
+        }
+        if (done.error) {
+            return refuse(this->context, done.error);
+        }
+        this->revision = done.revision;
+        this->text = "accepted as revision " + std::to_string(this->revision) + ":\n";
+        for (const auto& change : this->changes) {
+            this->text += change_text(change);
+            this->result["changed"].push_back(change_json(change));
+        }
+        this->check_again();
+        return exit_code::ok;
+    }
+
+    [[nodiscard]] config_edit make_edit() const
+    {
+        config_edit edit;
+        edit.write_id = adapters::random_identifier();
+        edit.author = this->context.settings.author;
+        edit.unix_ms = this->context.clock.unix_ms();
+        edit.seen_revision = this->context.settings.base.value_or(this->seen.head.revision);
+        for (const auto& change : this->changes) {
+            edit.objects.push_back(change.after);
+        }
+        return edit;
+    }
+
+    // Others' changes to other objects may have come in between, and together with this one leave a
+    // reference to nothing: each was right when its author looked. It is told, not undone.
+    void check_again()
+    {
+        if (this->revision == this->seen.head.revision + 1) {
+            return;
+        }
+        const auto now = this->context.store.load();
+        if (now.error) {
+            return;
+        }
+        for (const auto& fault : adapters::check_references(now.state->objects())) {
+            this->context.out.complain("warning: " + adapters::to_string(fault));
+        }
+    }
+
+    exit_code explain_unknown(const config_edit& edit)
+    {
+        refuse(this->context, control_error::outcome_unknown);
+        this->context.out.complain(
+            "Give the same command again when the service answers: it says that nothing changed "
+            "when this change was accepted. In the history it is write " +
+            edit.write_id + ".");
+        this->context.out.show("", {{"error", "outcome_unknown"}, {"write_id", edit.write_id}});
+        return exit_code::unknown;
+    }
+
+    exit_code explain_conflict(const config_edit& edit, const config_write_done& done)
+    {
+        const auto now = this->context.store.load();
+        json conflicts = json::array();
+        for (const auto& conflict : latest_of_each(done.conflicts)) {
+            const config_object* const theirs =
+                now.error ? nullptr : now.state->find(conflict.kind, conflict.name);
+            conflicts.push_back(this->explain(edit, conflict, theirs, !now.error));
+        }
+        this->context.out.complain("Nothing was changed. Look at the objects (pearhavenctl get), "
+                                   "and give the command again.");
+        this->context.out.show("", {{"error", "conflict"}, {"conflicts", std::move(conflicts)}});
+        return exit_code::conflict;
+    }
+
+    // The conflicts come in order of revision within each object.
+    static std::vector<config_conflict> latest_of_each(const std::vector<config_conflict>& all)
+    {
+        std::vector<config_conflict> latest;
+        for (const auto& conflict : all) {
+            if (!latest.empty() && latest.back().kind == conflict.kind &&
+                latest.back().name == conflict.name) {
+                latest.back() = conflict;
+            } else {
+                latest.push_back(conflict);
+            }
+        }
+        return latest;
+    }
+
+    json explain(const config_edit& edit, const config_conflict& conflict,
+                 const config_object* theirs, bool is_known)
+    {
+        const std::string their_body = theirs == nullptr ? "" : theirs->body;
+        const std::string our_body = this->wanted_body(conflict);
+        this->context.out.complain(
+            "conflict: " + object_text(conflict.kind, conflict.name) + " was changed by " +
+            conflict.author + " at " + utc_text(conflict.unix_ms) + ", in revision " +
+            std::to_string(conflict.revision) + ", after revision " +
+            std::to_string(edit.seen_revision) + " that this change is based on");
+        json explained = {{"kind", conflict.kind},
+                          {"name", conflict.name},
+                          {"revision", conflict.revision},
+                          {"author", conflict.author},
+                          {"unix_ms", conflict.unix_ms},
+                          {"base", edit.seen_revision},
+                          {"yours", object_json({conflict.kind, conflict.name, our_body})}};
+        if (!is_known) {
+            return explained;
+        }
+        explained["theirs"] = object_json({conflict.kind, conflict.name, their_body});
+        for (const auto& difference : differences(their_body, our_body)) {
+            this->context.out.complain("  " + difference.path + ": theirs " +
+                                       value_text(difference.before) + ", yours " +
+                                       value_text(difference.after));
+        }
+        return explained;
+    }
+
+    [[nodiscard]] std::string wanted_body(const config_conflict& conflict) const
+    {
+        for (const auto& change : this->changes) {
+            if (change.after.kind == conflict.kind && change.after.name == conflict.name) {
+                return change.after.body;
+            }
+        }
+        return {};
+    }
+
+    exit_code wait()
+    {
+        const auto patience = this->context.settings.timeout.value_or(default_patience);
+        const auto waited = wait_for_fleet(this->context, this->revision, patience);
+        this->result["in_force"] = waited.in_force;
+        this->result["routers"] = waited.routers;
+        this->result["lagging"] = json::array();
+        if (waited.in_force) {
+            this->text += waited.routers == 0
+                              ? "no router is live\n"
+                              : "in force on every live router, of which there are " +
+                                    std::to_string(waited.routers) + "\n";
+            return exit_code::ok;
+        }
+        this->context.out.complain("not known to be in force everywhere after " +
+                                   std::to_string(patience.count()) + " ms:");
+        if (!waited.problem.empty()) {
+            this->context.out.complain("  the routers could not be listed: " + waited.problem);
+        }
+        for (const auto& lagging : waited.lagging) {
+            this->explain_lag(lagging);
+        }
+        return exit_code::not_everywhere;
+    }
+
+    void explain_lag(const lagging_router& lagging)
+    {
+        const auto& router = lagging.router;
+        const std::string address = router.host + ":" + std::to_string(router.operator_port);
+        this->context.out.complain("  router " + router.id + " (" + address + ", " + router.zone +
+                                   "): " + lagging.reason);
+        this->result["lagging"].push_back({{"incarnation", router.id},
+                                           {"address", address},
+                                           {"zone", router.zone},
+                                           {"reason", lagging.reason}});
+    }
+
+    command_context& context;
+    const loaded_configuration& seen;
+    std::vector<object_change> changes;
+    std::uint64_t revision;
+    std::string text;
+    json result = json::object();
+};
+
+} // namespace
+
+std::string object_change::verb() const
+{
+    if (this->after.body.empty()) {
+        return "deleted";
+    }
+    return this->before.body.empty() ? "created" : "changed";
+}
+
+std::vector<object_change> changes_to(const config_state& state,
+                                      const std::vector<config_object>& wanted)
+{
+    std::vector<object_change> changes;
+    for (const auto& object : wanted) {
+        const config_object* const current = state.find(object.kind, object.name);
+        const config_object before =
+            current == nullptr ? config_object{object.kind, object.name, ""} : *current;
+        if (before.body != object.body) {
+            changes.push_back({before, object});
+        }
+    }
+    return changes;
+}
+
+bool may_change(command_context& context)
+{
+    if (context.settings.wait && context.settings.operator_key.empty()) {
+        context.out.complain("--wait asks the routers and needs the operator key: found none, "
+                             "allowed is --operator_key_file or PEARHAVENCTL_OPERATOR_KEY");
+        return false;
+    }
+    return true;
+}
+
+exit_code make_change(command_context& context, const loaded_configuration& seen,
+                      const std::vector<config_object>& wanted)
+{
+    auto changes = changes_to(*seen.state, wanted);
+    const auto faults = new_reference_faults(*seen.state, changes);
+    for (const auto& fault : faults) {
+        context.out.complain(adapters::to_string(fault));
+    }
+    if (!faults.empty()) {
+        return exit_code::usage;
+    }
+    return change_in_progress(context, seen, std::move(changes)).run();
+}
+
+} // namespace pearhaven::control
--- a/control/src/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace pearhaven {}
--- /dev/null
+++ b/control/src/router_inspector.cpp
@@ -0,0 +1,144 @@
+#include "router_inspector.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+
+namespace pearhaven::control {
+
+namespace {
+
+using coordination::member;
+using nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_unauthorized = 401;
+constexpr std::size_t largest_status = std::size_t{4} << 20U;
+
+// Asking hundreds of routers at once would need as many connections at once.
+constexpr std::size_t asked_at_once = 64;
+
+router_status problem(std::string text)
+{
+    router_status status;
+    status.problem = std::move(text);
+    return status;
+}
+
+bool is_count(const json& page, const char* field)
+{
+    return page.contains(field) && page[field].is_number_unsigned();
+}
+
+bool is_flag(const json& page, const char* field)
+{
+    return page.contains(field) && page[field].is_boolean();
+}
+
+bool is_status_page(const json& page)
+{
+    return page.is_object() && page.contains("incarnation") && page["incarnation"].is_string() &&
+           is_count(page, "revision") && is_flag(page, "ready") && is_flag(page, "draining") &&
+           is_count(page, "in_flight");
+}
+
+// Collects answers that come on the HTTP client's thread.
+class gathered_answers {
+public:
+    gathered_answers(std::vector<router_status>& all, std::size_t expected)
+        : statuses(all), missing(expected)
+    {}
+
+    void put(std::size_t index, router_status status)
+    {
+        const std::lock_guard guard(this->mutex);
+        this->statuses[index] = std::move(status);
+        --this->missing;
+        this->arrived.notify_one();
+    }
+
+    void wait()
+    {
+        std::unique_lock guard(this->mutex);
+        this->arrived.wait(guard, [this] { return this->missing == 0; });
+    }
+
+private:
+    std::vector<router_status>& statuses;
+    std::size_t missing;
+    std::mutex mutex;
+    std::condition_variable arrived;
+};
+
+} // namespace
+
+router_status read_status(const adapters::http_answer& answer,
+                          const coordination::incarnation_id& expected)
+{
+    if (answer.result.error) {
+        return problem("no answer: " + answer.result.error.message());
+    }
+    if (answer.result.status == status_unauthorized) {
+        return problem("refused the operator key");
+    }
+    if (answer.result.status != status_ok) {
+        return problem("answered with status " + std::to_string(answer.result.status));
+    }
+    const json page = json::parse(answer.body, nullptr, false);
+    if (!is_status_page(page)) {
+        return problem("answered with something that is no status");
+    }
+    if (page["incarnation"] != expected) {
+        return problem("its address is now that of router " +
+                       page["incarnation"].get<std::string>());
+    }
+    router_status status;
+    status.revision = page["revision"];
+    status.ready = page["ready"];
+    status.draining = page["draining"];
+    status.in_flight = page["in_flight"];
+    if (is_count(page, "confirmed_age_ms")) {
+        status.confirmed_age_ms = page["confirmed_age_ms"].get<std::uint64_t>();
+    }
+    return status;
+}
+
+http_router_inspector::http_router_inspector(adapters::http_client& http, std::string key,
+                                             std::chrono::milliseconds patience)
+    : client(http), operator_key(std::move(key)), timeout(patience)
+{}
+
+std::vector<router_status> http_router_inspector::ask(const std::vector<member>& routers)
+{
+    std::vector<router_status> statuses(routers.size());
+    for (std::size_t first = 0; first < routers.size(); first += asked_at_once) {
+        const std::size_t end = std::min(first + asked_at_once, routers.size());
+        gathered_answers answers(statuses, end - first);
+        for (std::size_t index = first; index < end; ++index) {
+            const auto take = [&answers, index,
+                               id = routers[index].id](const adapters::http_answer& answer) {
+                answers.put(index, read_status(answer, id));
+            };
+            adapters::fetch(this->client, this->status_request(routers[index]), largest_status,
+                            take);
+        }
+        answers.wait();
+    }
+    return statuses;
+}
+
+adapters::http_request http_router_inspector::status_request(const member& router) const
+{
+    adapters::http_request request;
+    request.url =
+        "http://" + router.host + ":" + std::to_string(router.operator_port) + "/v1/status";
+    request.headers = {{"Authorization", "Bearer " + this->operator_key}};
+    request.connect_timeout = this->timeout;
+    request.first_byte_timeout = this->timeout;
+    request.total_timeout = this->timeout;
+    return request;
+}
+
+} // namespace pearhaven::control
--- /dev/null
+++ b/control/src/router_inspector.hpp
@@ -0,0 +1,60 @@
+#ifndef PEARHAVEN_CONTROL_ROUTER_INSPECTOR_HPP
+#define PEARHAVEN_CONTROL_ROUTER_INSPECTOR_HPP
+
+#include "pearhaven/adapters/http_client.hpp"
+#include "pearhaven/coordination/peer_message.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pearhaven::control {
+
+// What a router says of itself on its operator port.
+struct router_status {
+    std::string problem; // why there is no answer of that router; the rest is empty then
+    std::uint64_t revision = 0;
+    std::optional<std::uint64_t> confirmed_age_ms;
+    bool ready = false;
+    bool draining = false;
+    std::uint64_t in_flight = 0;
+
+    friend bool operator==(const router_status&, const router_status&) = default;
+};
+
+// Port to the routers' operator ports.
+class router_inspector {
+public:
+    virtual ~router_inspector() = default;
+
+    // Asks all of them; the answers come in the same order. Takes bounded time.
+    virtual std::vector<router_status> ask(const std::vector<coordination::member>& routers) = 0;
+};
+
+// Reads the answer of `GET /v1/status` that was expected of the router `expected`. An answer of
+// another incarnation is a problem: a replacement took over the address, and its revision says
+// nothing of the router that was meant.
+router_status read_status(const adapters::http_answer& answer,
+                          const coordination::incarnation_id& expected);
+
+class http_router_inspector : public router_inspector {
+public:
+    // The client must outlive the inspector.
+    http_router_inspector(adapters::http_client& client, std::string operator_key,
+                          std::chrono::milliseconds timeout);
+
+    std::vector<router_status> ask(const std::vector<coordination::member>& routers) override;
+
+private:
+    [[nodiscard]] adapters::http_request status_request(const coordination::member& router) const;
+
+    adapters::http_client& client;
+    std::string operator_key;
+    std::chrono::milliseconds timeout;
+};
+
+} // namespace pearhaven::control
+
+#endif
--- /dev/null
+++ b/control/src/status_command.cpp
@@ -0,0 +1,114 @@
+#include "command.hpp"
+
+namespace pearhaven::control {
+
+namespace {
+
+using coordination::member;
+using nlohmann::json;
+
+std::string yes_or_no(bool value)
+{
+    return value ? "yes" : "no";
+}
+
+std::string operator_address(const member& router)
+{
+    return router.host + ":" + std::to_string(router.operator_port);
+}
+
+std::vector<std::string> row(const member& router, const router_status& status)
+{
+    if (!status.problem.empty()) {
+        return {router.id,     operator_address(router), router.zone, "?", "?", "?", "?", "?",
+                status.problem};
+    }
+    const std::string age =
+        status.confirmed_age_ms ? std::to_string(*status.confirmed_age_ms) : "never";
+    return {router.id,
+            operator_address(router),
+            router.zone,
+            std::to_string(status.revision),
+            age,
+            yes_or_no(status.ready),
+            yes_or_no(status.draining),
+            std::to_string(status.in_flight),
+            ""};
+}
+
+json status_json(const member& router, const router_status& status)
+{
+    json value = {
+        {"incarnation", router.id}, {"address", operator_address(router)}, {"zone", router.zone}};
+    if (!status.problem.empty()) {
+        value["problem"] = status.problem;
+        return value;
+    }
+    value["revision"] = status.revision;
+    value["ready"] = status.ready;
+    value["draining"] = status.draining;
+    value["in_flight"] = status.in_flight;
+    if (status.confirmed_age_ms) {
+        value["confirmed_age_ms"] = *status.confirmed_age_ms;
+    }
+    return value;
+}
+
+class status_command : public command {
+public:
+    [[nodiscard]] command_usage usage() const override
+    {
+        return {"status",
+                "",
+                "shows the configuration's revision and what each live router says of itself",
+                {"status", "status --output json"}};
+    }
+
+    [[nodiscard]] exit_code run(command_context& context) const override
+    {
+        if (!context.settings.arguments.empty()) {
+            return refuse_usage(*this, context);
+        }
+        if (context.settings.operator_key.empty()) {
+            context.out.complain("the routers answer only to the operator key: found none, allowed "
+                                 "is --operator_key_file or PEARHAVENCTL_OPERATOR_KEY");
+            return exit_code::usage;
+        }
+        const auto seen = context.store.load();
+        const auto listed = context.store.members();
+        if (seen.error || listed.error) {
+            return refuse(context, seen.error ? seen.error : listed.error);
+        }
+        return show(context, seen.head.revision, listed.members);
+    }
+
+private:
+    static exit_code show(command_context& context, std::uint64_t revision,
+                          const std::vector<member>& routers)
+    {
+        text_table table({"ROUTER", "ADDRESS", "ZONE", "REVISION", "AGE_MS", "READY", "DRAINING",
+                          "IN_FLIGHT", "PROBLEM"});
+        json list = json::array();
+        exit_code end = exit_code::ok;
+        const auto statuses = context.routers.ask(routers);
+        for (std::size_t index = 0; index < routers.size(); ++index) {
+            table.add(row(routers[index], statuses[index]));
+            list.push_back(status_json(routers[index], statuses[index]));
+            if (!statuses[index].problem.empty()) {
+                end = exit_code::failed;
+            }
+        }
+        context.out.show("revision " + std::to_string(revision) + "\n" + table.text(),
+                         {{"revision", revision}, {"routers", std::move(list)}});
+        return end;
+    }
+};
+
+} // namespace
+
+command_ptr make_status_command()
+{
+    return std::make_unique<status_command>();
+}
+
+} // namespace pearhaven::control
