Test the stand-ins' sockets and threads, read weights from the store

Cause: load orders have to reach the rate-limited weight store to be measured, and the engine and the proxy were tried by hand only. Ruled out: CivetWeb's client for cut streams in tests (it gave none of the bytes that had come); waiting for mg_stop (2 s a test, 18 s in all). The tests found a fault before it landed: connections that were open when the proxy ended were never deleted.

--- a/standins/src/engine.cpp
+++ b/standins/src/engine.cpp
@@ -45,10 +45,16 @@
     : settings(wanted), scheduler(wanted.batch), loads(wanted.load_lag),
       cache_feed(wanted.cache_event_lag, wanted.cache_event_gaps), versions(wanted.versions),
       stepper([this] { this->step_batch(); })
-{}
+{
+    if (!wanted.weight_store.empty()) {
+        this->weights.emplace(wanted.weight_store,
+                              [this](const std::string& version) { this->weights_read(version); });
+    }
+}
 
 engine::~engine()
 {
+    this->weights.reset();
     {
         const std::lock_guard guard(this->mutex);
         this->stopping = true;
@@ -163,13 +169,37 @@
         return false;
     }
     if (order == engine_order::load) {
-        this->versions.load(version, monotonic_now() + this->settings.weight_loading);
+        this->load_version(version);
     } else if (order == engine_order::unload) {
-        this->versions.unload(version);
+        this->unload_version(version);
     }
     return true;
 }
 
+void engine::load_version(const std::string& version)
+{
+    const auto now = monotonic_now();
+    if (this->weights && !this->versions.serves(version, now)) {
+        this->weights->want(version);
+    } else {
+        this->versions.load(version, now + this->settings.weight_loading);
+    }
+}
+
+void engine::unload_version(const std::string& version)
+{
+    this->versions.unload(version);
+    if (this->weights) {
+        this->weights->forget(version);
+    }
+}
+
+void engine::weights_read(const std::string& version)
+{
+    const std::lock_guard guard(this->mutex);
+    this->versions.load(version, monotonic_now() + this->settings.weight_loading);
+}
+
 void engine::behave(const engine_behaviours& wanted)
 {
     std::vector<live_run_pointer> waited_for;
@@ -296,7 +326,8 @@
             {"prompt_tokens", counts.prompt_tokens},
             {"cached_tokens", counts.cached_tokens},
             {"finished", counts.finished},
-            {"cancelled", counts.cancelled}};
+            {"cancelled", counts.cancelled},
+            {"weight_read_failures", this->weights ? this->weights->failures() : 0}};
 }
 
 } // namespace pearhaven::standins
--- a/standins/src/engine.hpp
+++ b/standins/src/engine.hpp
@@ -5,11 +5,13 @@
 #include "engine_reports.hpp"
 #include "live_run.hpp"
 #include "run_log.hpp"
+#include "weight_loader.hpp"
 
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -27,6 +29,7 @@
     double cache_event_gaps = 0.05;
     decision::duration weight_loading{5'000'000};
     bool checks_fencing = false;
+    std::string weight_store; // IP:port; empty: weights need no reading, only loading
 };
 
 // What the engine can be told to do wrong.
@@ -104,6 +107,9 @@
 private:
     [[nodiscard]] admission admit(const engine_request& request) const;
     [[nodiscard]] run_outcome settle(const engine_request& request) const;
+    void load_version(const std::string& version);
+    void unload_version(const std::string& version);
+    void weights_read(const std::string& version);
     void run_started(live_run& run) override;
     void run_ended(live_run& run) override;
     void step_batch();
@@ -126,7 +132,8 @@
     std::vector<order_record> orders;
     std::uint64_t refused = 0;
     bool stopping = false;
-    std::thread stepper; // last: it uses the others
+    std::thread stepper;                  // it uses all of the above
+    std::optional<weight_loader> weights; // so does its thread
 };
 
 } // namespace pearhaven::standins
--- a/standins/src/tcp_proxy.cpp
+++ b/standins/src/tcp_proxy.cpp
@@ -134,11 +134,8 @@
             this->handle_event(event.data.ptr, event.events, now);
         }
         this->flush_due(now);
-        for (auto* each : this->over) {
-            delete each;
-        }
-        this->over.clear();
         this->run_actions();
+        this->delete_over();
         const std::lock_guard guard(this->mutex);
         if (this->stopping) {
             return;
@@ -146,6 +143,14 @@
     }
 }
 
+void tcp_proxy::delete_over()
+{
+    for (auto* each : this->over) {
+        delete each;
+    }
+    this->over.clear();
+}
+
 int tcp_proxy::wait_ms(decision::instant now) const
 {
     if (this->timers.empty()) {
--- a/standins/src/tcp_proxy.hpp
+++ b/standins/src/tcp_proxy.hpp
@@ -67,6 +67,7 @@
 
     void loop();
     void run_actions();
+    void delete_over();
     void handle_event(void* tag, std::uint32_t events, decision::instant now);
     void accept_all(decision::instant now);
     void flush_due(decision::instant now);
--- /dev/null
+++ b/standins/src/web_client.hpp
@@ -0,0 +1,31 @@
+#ifndef PEARHAVEN_STANDINS_WEB_CLIENT_HPP
+#define PEARHAVEN_STANDINS_WEB_CLIENT_HPP
+
+#include "web_exchange.hpp"
+
+#include <string>
+
+namespace pearhaven::standins {
+
+struct web_call {
+    std::string method = "GET";
+    std::string path;
+    std::string body;
+    header_fields fields;
+};
+
+struct web_answer {
+    int status = 0; // 0: no answer
+    std::string body;
+    bool not_run = false; // the field X-Not-Run was there
+    bool whole = false;   // the body came to its end
+
+    friend bool operator==(const web_answer&, const web_answer&) = default;
+};
+
+// Makes one call on a connection of its own and waits for the whole answer. The address is IP:port.
+web_answer call(const std::string& address, const web_call& wanted);
+
+} // namespace pearhaven::standins
+
+#endif
--- /dev/null
+++ b/standins/src/weight_loader.hpp
@@ -0,0 +1,50 @@
+#ifndef PEARHAVEN_STANDINS_WEIGHT_LOADER_HPP
+#define PEARHAVEN_STANDINS_WEIGHT_LOADER_HPP
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+namespace pearhaven::standins {
+
+// Reads the weights of versions from the weight store, one after the other, on a thread of its own.
+// A read that is refused, or gets no answer, is tried again every second.
+class weight_loader {
+public:
+    using loaded_hook = std::function<void(const std::string& version)>;
+
+    // The hook runs on the loader's thread.
+    weight_loader(std::string store_address, loaded_hook loaded);
+    ~weight_loader();
+
+    weight_loader(const weight_loader&) = delete;
+    weight_loader& operator=(const weight_loader&) = delete;
+
+    void want(const std::string& version);
+
+    // Gives up a read that is not done yet.
+    void forget(const std::string& version);
+
+    // Reads that the store has refused, or not answered.
+    [[nodiscard]] std::uint64_t failures() const;
+
+private:
+    void run();
+
+    const std::string store;
+    const loaded_hook on_loaded;
+    mutable std::mutex mutex; // guards everything below
+    std::condition_variable changed;
+    std::set<std::string> wanted;
+    std::uint64_t failed = 0;
+    bool stopping = false;
+    std::thread thread; // last: it uses the others
+};
+
+} // namespace pearhaven::standins
+
+#endif
