Find peers through the store, and know by probes and gossip which are alive

Cause: each router needs the live ones, and no mechanism's calls to the store may grow with the fleet; pauses, one-way cuts and replacements must be seen rightly.

--- a/coordination/include/pearhaven/coordination/actions.hpp
+++ b/coordination/include/pearhaven/coordination/actions.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 
 namespace pearhaven::coordination {
 
@@ -20,6 +21,9 @@
 // Submit the request to the key-value service, and hand the reply to the part's `on_reply` with the
 // same tag. Exactly one reply is expected for each call, however late.
 struct store_call {
+    store_call() = default;
+    store_call(call_tag call, kv_request what) : tag(call), request(std::move(what)) {}
+
     call_tag tag = 0;
     kv_request request;
 
--- a/coordination/test/config_replica_test.cpp
+++ b/coordination/test/config_replica_test.cpp
@@ -20,7 +20,7 @@
 // A fleet of replicas, each with a link to every other and to the store, that can be cut.
 struct replica_fleet {
     explicit replica_fleet(std::uint64_t seed, std::size_t size, std::size_t readers)
-        : clock(seed), store(clock), reader_count(readers), nodes(size), lives(size),
+        : clock(seed), store(clock), net(clock), reader_count(readers), nodes(size), lives(size),
           store_cut(size, false), group(size, 0), highest(size, 0)
     {
         for (std::size_t node = 0; node < size; ++node) {
@@ -118,19 +118,16 @@
     void send(std::size_t node, const send_message& message)
     {
         const std::size_t to = message.to.port;
-        if (this->clock.chance(this->lost_percent) || this->group[node] != this->group[to]) {
+        if (this->group[node] != this->group[to]) {
             return;
         }
         const member_address from{this->id(node), "", static_cast<std::uint16_t>(node)};
-        const unsigned copies = this->clock.chance(this->lost_percent) ? 2 : 1;
-        for (unsigned copy = 0; copy < copies; ++copy) {
-            this->clock.after(this->clock.delay(this->longest_delay), [=, this] {
-                if (this->nodes[to] && this->id(to) == message.to.id) {
-                    this->nodes[to]->on_message(from, message.message, this->clock.now());
-                    this->carry_out(to);
-                }
-            });
-        }
+        this->net.transmit(node, to, [=, this] {
+            if (this->nodes[to] && this->id(to) == message.to.id) {
+                this->nodes[to]->on_message(from, message.message, this->clock.now());
+                this->carry_out(to);
+            }
+        });
     }
 
     void write(bool fold)
@@ -208,6 +205,7 @@
 
     scheduler clock;
     model_store store;
+    network net;
     table_config_codec codec;
     std::size_t reader_count;
     std::vector<std::unique_ptr<config_replica>> nodes;
@@ -218,8 +216,6 @@
     std::map<incarnation_id, std::uint64_t> last_in_force;
     std::vector<config_state_ptr> states{config_state_ptr(new config_state)};
     std::vector<instant> written_at;
-    unsigned lost_percent = 0;
-    milliseconds longest_delay{2};
     int faults = 0;
 };
 
@@ -241,8 +237,8 @@
         fleet.group[node] = 1 - fleet.group[node];
         break;
     case 4:
-        fleet.longest_delay =
-            fleet.longest_delay > milliseconds{2} ? milliseconds{2} : milliseconds{4000};
+        fleet.net.longest_delay =
+            fleet.net.longest_delay > milliseconds{2} ? milliseconds{2} : milliseconds{4000};
         break;
     default:
         fleet.write(fleet.clock.chance(20));
@@ -291,7 +287,7 @@
 {
     for (int phase = 0; phase < 20; ++phase) {
         replica_fleet fleet(4, 9, 2);
-        fleet.longest_delay = milliseconds{50};
+        fleet.net.longest_delay = milliseconds{50};
         fleet.write(false);
         fleet.clock.run_for(seconds{5} + milliseconds{73} * phase);
         fleet.store.down = true;
@@ -447,7 +443,7 @@
 {
     const bool held = holds_for_seeds("replicas", [](std::uint64_t seed) {
         replica_fleet fleet(seed, 5, 2);
-        fleet.lost_percent = 10;
+        fleet.net.lost_percent = 10;
         fleet.store.lost_percent = 10;
         fleet.store.longest_delay = milliseconds{800};
         for (int step = 0; step < 60; ++step) {
@@ -456,7 +452,7 @@
             fleet.check_claims();
         }
         fleet.store.down = false;
-        fleet.lost_percent = fleet.store.lost_percent = 0;
+        fleet.net.lost_percent = fleet.store.lost_percent = 0;
         fleet.store_cut.assign(5, false);
         fleet.group.assign(5, 0);
         fleet.write(false);
--- /dev/null
+++ b/coordination/test/membership_test.cpp
@@ -0,0 +1,373 @@
+#include "pearhaven/coordination/membership.hpp"
+
+#include "property.hpp"
+#include "simulation.hpp"
+
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::coordination;
+using namespace pearhaven::coordination::simulation;
+
+namespace {
+
+// Routers of two zones, each at its own address, where a later life takes the place of the former.
+struct membership_fleet {
+    explicit membership_fleet(std::uint64_t seed, std::size_t size)
+        : clock(seed), store(clock), net(clock), nodes(size), lives(size), paused(size, false)
+    {
+        for (std::size_t node = 0; node < size; ++node) {
+            this->start(node);
+        }
+    }
+
+    std::string id(std::size_t node) const
+    {
+        return std::to_string(node) + "." + std::to_string(this->lives[node]);
+    }
+
+    void start(std::size_t node)
+    {
+        membership_settings settings;
+        settings.self.id = this->id(node);
+        settings.self.zone = node % 2 == 0 ? "osu" : "tema";
+        settings.self.peer_port = static_cast<std::uint16_t>(node);
+        settings.seeds = {{"", "", 0}, {"", "", 1}};
+        settings.seed = this->clock.below(1000);
+        this->nodes[node] = std::make_unique<membership>(settings, this->codec, this->clock.now());
+        this->tick(node, this->lives[node]);
+    }
+
+    void stop(std::size_t node)
+    {
+        this->nodes[node].reset();
+        ++this->lives[node];
+        this->paused[node] = false;
+    }
+
+    void tick(std::size_t node, std::uint64_t life)
+    {
+        if (this->lives[node] != life) {
+            return;
+        }
+        if (!this->paused[node]) {
+            this->nodes[node]->on_tick(this->clock.now());
+            this->carry_out(node);
+        }
+        this->clock.after(milliseconds{100}, [=, this] { this->tick(node, life); });
+    }
+
+    // What reaches a paused process waits until it wakes.
+    void when_awake(std::size_t node, const std::function<void()>& event)
+    {
+        const std::uint64_t life = this->lives[node];
+        if (this->paused[node]) {
+            this->clock.after(milliseconds{100}, [=, this] {
+                if (this->lives[node] == life) {
+                    this->when_awake(node, event);
+                }
+            });
+        } else if (this->nodes[node]) {
+            event();
+            this->carry_out(node);
+        }
+    }
+
+    void carry_out(std::size_t node)
+    {
+        const std::uint64_t life = this->lives[node];
+        const member_address from{this->id(node), "", static_cast<std::uint16_t>(node)};
+        for (const auto& action : this->nodes[node]->take_actions()) {
+            if (const auto* call = std::get_if<store_call>(&action)) {
+                const call_tag tag = call->tag;
+                this->store.submit(call->request, [=, this](const kv_reply& reply) {
+                    this->when_awake(node, [=, this] {
+                        if (this->lives[node] == life) {
+                            this->nodes[node]->on_reply(tag, reply, this->clock.now());
+                        }
+                    });
+                });
+            } else if (const auto* message = std::get_if<send_message>(&action)) {
+                this->largest = std::max(this->largest, updates_in(message->message));
+                const std::size_t to = message->to.port;
+                this->net.transmit(node, to, [=, this, body = message->message] {
+                    this->when_awake(to, [=, this] {
+                        this->nodes[to]->on_message(from, body, this->clock.now());
+                    });
+                });
+            } else if (const auto* change = std::get_if<member_changed>(&action)) {
+                this->deaths += change->changed.state == member_state::dead ? 1 : 0;
+            }
+        }
+    }
+
+    static std::size_t updates_in(const peer_message& message)
+    {
+        const auto* asked = std::get_if<probe>(&message);
+        return asked != nullptr ? asked->updates.size()
+                                : std::get<probe_reply>(message).updates.size();
+    }
+
+    // How many running routers see exactly the running ones as alive.
+    std::size_t seeing_rightly() const
+    {
+        std::set<std::string> running;
+        for (std::size_t node = 0; node < this->nodes.size(); ++node) {
+            if (this->nodes[node]) {
+                running.insert(this->id(node));
+            }
+        }
+        std::size_t count = 0;
+        for (const auto& node : this->nodes) {
+            if (node) {
+                std::set<std::string> seen{node->self().id};
+                for (const member& peer : node->live()) {
+                    if (peer.state == member_state::alive) {
+                        seen.insert(peer.id);
+                    }
+                }
+                count += seen == running ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
+    std::size_t live_for(std::size_t observer) const
+    {
+        return this->nodes[observer]->live().size();
+    }
+
+    void cut(std::size_t from, std::size_t to) { this->net.cuts.insert({from, to}); }
+
+    scheduler clock;
+    model_store store;
+    network net;
+    table_member_codec codec;
+    std::vector<std::unique_ptr<membership>> nodes;
+    std::vector<std::uint64_t> lives;
+    std::vector<bool> paused;
+    std::size_t largest = 0;
+    int deaths = 0;
+};
+
+void random_fault(membership_fleet& fleet)
+{
+    const std::size_t node = fleet.clock.below(fleet.nodes.size());
+    const std::size_t other = fleet.clock.below(fleet.nodes.size());
+    switch (fleet.clock.below(6)) {
+    case 0:
+        fleet.stop(node);
+        break;
+    case 1:
+        if (!fleet.nodes[node]) {
+            fleet.start(node);
+        }
+        break;
+    case 2:
+        fleet.paused[node] = !fleet.paused[node];
+        break;
+    case 3:
+        fleet.cut(node, other);
+        break;
+    case 4:
+        fleet.net.cuts.clear();
+        break;
+    default:
+        fleet.store.down = !fleet.store.down;
+    }
+}
+
+} // namespace
+
+TEST_GROUP(membership_test){};
+
+TEST(membership_test, routers_find_each_other_through_the_store)
+{
+    membership_fleet fleet(1, 6);
+    fleet.clock.run_for(seconds{20});
+    CHECK_EQUAL(6U, fleet.seeing_rightly());
+    CHECK_EQUAL(6U, fleet.store.range("routers/").size());
+}
+
+// The news of the older routers have long gone round, and the list in the store cannot be read.
+TEST(membership_test, a_router_that_starts_during_an_outage_soon_knows_a_large_fleet)
+{
+    membership_fleet fleet(2, 40);
+    fleet.clock.run_for(seconds{60});
+    fleet.store.down = true;
+    fleet.stop(5);
+    fleet.start(5);
+    fleet.clock.run_for(seconds{3});
+    CHECK_EQUAL(40U, fleet.live_for(5)); // its former life is not given up yet
+}
+
+// A host is lost and replaced. The former life must become dead to all, though the new one answers
+// at its address, and nobody else may.
+TEST(membership_test, a_replaced_router_is_dead_to_all_and_its_new_life_is_alive)
+{
+    membership_fleet fleet(3, 6);
+    fleet.clock.run_for(seconds{20});
+    fleet.stop(3);
+    fleet.start(3);
+    fleet.clock.run_for(seconds{20});
+    CHECK_EQUAL(6U, fleet.seeing_rightly());
+    CHECK_EQUAL(6, fleet.deaths); // one for each router
+}
+
+// The way from one router to another is cut, one way only. All others reach both, so nobody is
+// dead.
+TEST(membership_test, a_cut_between_two_routers_kills_neither)
+{
+    membership_fleet fleet(4, 6);
+    fleet.clock.run_for(seconds{20});
+    fleet.cut(1, 2);
+    fleet.clock.run_for(seconds{60});
+    CHECK_EQUAL(0, fleet.deaths);
+    CHECK_EQUAL(6U, fleet.seeing_rightly());
+}
+
+// A router still sends, but nothing reaches it. Its messages say that it is alive; it is of no use
+// to anybody all the same.
+TEST(membership_test, a_router_that_hears_nothing_is_dead_to_the_others_until_it_hears_again)
+{
+    membership_fleet fleet(5, 6);
+    fleet.clock.run_for(seconds{20});
+    for (std::size_t node = 0; node < 5; ++node) {
+        fleet.cut(node, 5);
+    }
+    fleet.clock.run_for(seconds{20});
+    for (std::size_t node = 0; node < 5; ++node) {
+        CHECK_EQUAL(4U, fleet.live_for(node));
+    }
+    fleet.net.cuts.clear();
+    fleet.clock.run_for(seconds{20});
+    CHECK_EQUAL(6U, fleet.seeing_rightly());
+}
+
+// A router is paused for half a minute, long enough to be held dead. When it wakes, an accuser
+// tells it so, and it refutes.
+TEST(membership_test, a_router_that_was_held_dead_comes_back_soon)
+{
+    membership_fleet fleet(6, 40);
+    fleet.clock.run_for(seconds{20});
+    fleet.paused[2] = true;
+    fleet.clock.run_for(seconds{30});
+    CHECK_EQUAL(39, fleet.deaths);
+    fleet.paused[2] = false;
+    fleet.clock.run_for(seconds{10});
+    CHECK_EQUAL(39, fleet.deaths);
+    CHECK_EQUAL(40U, fleet.seeing_rightly());
+    CHECK_EQUAL(40U, fleet.store.range("routers/").size());
+}
+
+// This router slept while another was suspected and could not hear that one refute. The suspicion
+// is as old as its sleep, and must not count as unanswered for so long.
+TEST(membership_test, a_paused_router_accuses_nobody_on_waking)
+{
+    table_member_codec codec;
+    membership_settings settings;
+    settings.self.id = "a";
+    instant now{seconds{100}};
+    membership self(settings, codec, now);
+    self.on_tick(now);
+    const member suspect{"b", "", 1, 1, "osu", 0, member_state::suspect, 0};
+    self.on_message({"c", "", 2}, probe{1, "", {suspect}}, now);
+    now += seconds{30};
+    self.on_tick(now);
+    CHECK_EQUAL(1U, self.live().size());
+    for (int step = 0; step < 50; ++step) {
+        now += milliseconds{100};
+        self.on_tick(now);
+    }
+    CHECK_EQUAL(0U, self.live().size());
+}
+
+// Two halves of a fleet lose each other and the store, hold each other dead, and find each other
+// again though neither has any live member of the other to ask.
+TEST(membership_test, two_halves_that_held_each_other_dead_join_again_without_the_store)
+{
+    membership_fleet fleet(10, 6);
+    fleet.clock.run_for(seconds{20});
+    fleet.store.down = true;
+    for (std::size_t pair = 0; pair < 9; ++pair) {
+        fleet.cut(pair / 3, 3 + pair % 3);
+        fleet.cut(3 + pair % 3, pair / 3);
+    }
+    fleet.clock.run_for(seconds{20});
+    CHECK_EQUAL(2U, fleet.live_for(0));
+    fleet.net.cuts.clear();
+    fleet.clock.run_for(seconds{25});
+    CHECK_EQUAL(6U, fleet.seeing_rightly());
+}
+
+TEST(membership_test, a_leaving_router_stays_a_member_and_is_gone_at_once_when_it_departs)
+{
+    membership_fleet fleet(7, 6);
+    fleet.clock.run_for(seconds{20});
+    fleet.nodes[0]->leave(fleet.clock.now());
+    fleet.clock.run_for(seconds{5});
+    CHECK_EQUAL(5U, fleet.live_for(1));
+    CHECK_FALSE(fleet.nodes[0]->is_reader());
+    fleet.nodes[0]->depart(fleet.clock.now());
+    fleet.carry_out(0);
+    fleet.stop(0);
+    fleet.clock.run_for(seconds{4});
+    CHECK_EQUAL(5U, fleet.seeing_rightly());
+    CHECK_EQUAL(5U, fleet.store.range("routers/").size());
+}
+
+TEST(membership_test, each_zone_has_two_readers_and_others_take_over)
+{
+    membership_fleet fleet(8, 10);
+    fleet.clock.run_for(seconds{20});
+    const auto readers = fleet.nodes[0]->readers();
+    CHECK_EQUAL(4U, readers.size());
+    for (std::size_t node = 0; node < 10; ++node) {
+        CHECK_TRUE(fleet.nodes[node]->readers() == readers);
+        if (fleet.nodes[node]->is_reader()) {
+            fleet.stop(node);
+        }
+    }
+    fleet.clock.run_for(seconds{20});
+    CHECK_EQUAL(6U, fleet.seeing_rightly());
+}
+
+TEST(membership_test, a_member_costs_the_same_in_a_fleet_of_any_size)
+{
+    for (const std::size_t size : {5U, 40U}) {
+        membership_fleet fleet(9, size);
+        fleet.clock.run_for(seconds{30});
+        const std::uint64_t before = fleet.net.sent;
+        fleet.clock.run_for(seconds{20});
+        const std::uint64_t messages = 41 * size; // a probe and an answer in each of 20 periods
+        CHECK_COMPARE(fleet.net.sent - before, <=, messages);
+        CHECK_COMPARE(fleet.largest, <=, 66U);
+    }
+}
+
+// Random crashes, replacements, pauses, one-way cuts, store outages and lost messages. When they
+// end, all running routers see exactly each other.
+TEST(membership_test, after_any_schedule_of_faults_all_routers_agree)
+{
+    const bool held = holds_for_seeds("members", [](std::uint64_t seed) {
+        membership_fleet fleet(seed, 6);
+        fleet.net.lost_percent = fleet.store.lost_percent = 10;
+        for (int step = 0; step < 30; ++step) {
+            random_fault(fleet);
+            fleet.clock.run_for(fleet.clock.delay(milliseconds{8000}));
+        }
+        fleet.net.cuts.clear();
+        fleet.net.lost_percent = fleet.store.lost_percent = 0;
+        fleet.store.down = false;
+        std::size_t running = 0;
+        for (std::size_t node = 0; node < 6; ++node) {
+            fleet.paused[node] = false;
+            running += fleet.nodes[node] ? 1 : 0;
+        }
+        fleet.clock.run_for(seconds{90});
+        RC_ASSERT(fleet.seeing_rightly() == running);
+        RC_ASSERT(fleet.store.range("routers/").size() == running);
+    });
+    CHECK_TRUE(held);
+}
--- a/coordination/test/simulation.hpp
+++ b/coordination/test/simulation.hpp
@@ -3,6 +3,7 @@
 
 #include "pearhaven/coordination/config_head.hpp"
 #include "pearhaven/coordination/key_value.hpp"
+#include "pearhaven/coordination/registration.hpp"
 #include "pearhaven/decision/time.hpp"
 
 #include "mix.hpp"
@@ -10,6 +11,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -55,6 +57,32 @@
     std::multimap<instant, std::function<void()>> events;
 };
 
+// Carries messages between numbered nodes: late, twice, or not at all.
+class network {
+public:
+    explicit network(scheduler& schedule) : clock(schedule) {}
+
+    unsigned lost_percent = 0;
+    milliseconds longest_delay{2};
+    std::set<std::pair<std::size_t, std::size_t>> cuts; // from one node to another
+    std::uint64_t sent = 0;
+
+    void transmit(std::size_t from, std::size_t to, const std::function<void()>& deliver)
+    {
+        ++this->sent;
+        if (this->clock.chance(this->lost_percent) || this->cuts.count({from, to}) != 0) {
+            return;
+        }
+        const unsigned copies = this->clock.chance(this->lost_percent) ? 2 : 1;
+        for (unsigned copy = 0; copy < copies; ++copy) {
+            this->clock.after(this->clock.delay(this->longest_delay), deliver);
+        }
+    }
+
+private:
+    scheduler& clock;
+};
+
 // Linearizable model of the key-value service. Each call takes effect at one instant, or not at
 // all, and its reply may be lost or late.
 class model_store {
@@ -266,6 +294,21 @@
     std::vector<Value> values;
 };
 
+class table_member_codec : public member_codec {
+public:
+    [[nodiscard]] std::string write_member(const member& record) const override
+    {
+        return this->records.write(record);
+    }
+    [[nodiscard]] std::optional<member> read_member(std::string_view text) const override
+    {
+        return this->records.read(text);
+    }
+
+private:
+    mutable value_table<member> records;
+};
+
 class table_config_codec : public config_head_codec {
 public:
     [[nodiscard]] std::string write_head(const config_head& head) const override
