Make the engine stand-in cheaper for thousands of streams

Cause: benchmarks need more than 100,000 tokens a second from an engine that leaves the machine to the router under test. Ruled out: a few threads that write for all streams; one caller that does not read would stop them all. A plain answer no longer wakes its thread for each token.

--- a/standins/src/engine_main.cpp
+++ b/standins/src/engine_main.cpp
@@ -15,6 +15,7 @@
 DEFINE_uint64(kv_tokens, 262144, "tokens of prompts and answers that the batch can hold");
 DEFINE_uint64(cache_tokens, 131072, "tokens of prompt prefixes that are kept after their runs");
 DEFINE_uint64(block_tokens, 16, "tokens of a block of the prefix cache");
+DEFINE_uint32(tokens_per_write, 1, "new tokens that a stream waits for before it is written");
 DEFINE_uint32(keep_runs_s, 60, "how long an ended run can be resumed");
 DEFINE_uint32(load_lag_ms, 500, "age of the load reports");
 DEFINE_uint32(cache_event_lag_ms, 1000, "how late cache events are published");
@@ -82,7 +83,7 @@
                                 standins::engine_behaviour_table().help());
     const auto web = standins::web_settings_from_flags();
     standins::engine engine(settings_from_flags());
-    standins::engine_service service(engine, web.threads);
+    standins::engine_service service(engine, web.threads, FLAGS_tokens_per_write);
     standins::web_server server(web);
     service.add_routes(server);
     standins::serve_until_terminated(server);
--- a/standins/src/engine_service.cpp
+++ b/standins/src/engine_service.cpp
@@ -110,8 +110,9 @@
     return table;
 }
 
-engine_service::engine_service(engine& served, unsigned threads)
-    : served_engine(served), control(engine_behaviour_table()), holder(threads)
+engine_service::engine_service(engine& served, unsigned threads, std::uint64_t batched)
+    : served_engine(served), tokens_per_write(batched), control(engine_behaviour_table()),
+      holder(threads)
 {}
 
 void engine_service::add_routes(web_server& server)
@@ -204,9 +205,9 @@
     exchange.answer(200, {{"state", state}, {"tokens", progress.tokens}});
 }
 
-run_progress engine_service::wait_unfrozen(live_run& run, std::uint64_t seen)
+run_progress engine_service::wait_unfrozen(live_run& run, std::uint64_t wanted)
 {
-    auto progress = run.wait_beyond(seen);
+    auto progress = run.wait_for_tokens(wanted);
     while (this->frozen) {
         constexpr std::chrono::milliseconds look_again{20};
         std::this_thread::sleep_for(look_again);
@@ -263,7 +264,8 @@
     const sse_events events(run);
     auto sent = offset;
     for (;;) {
-        const auto progress = this->wait_unfrozen(run, sent);
+        const auto wanted = sent + (sent == offset ? 1 : this->tokens_per_write);
+        const auto progress = this->wait_unfrozen(run, wanted);
         if (this->silencings != silencings_before) {
             this->holder.hold_while([] { return true; });
             return;
--- a/standins/src/engine_service.hpp
+++ b/standins/src/engine_service.hpp
@@ -18,7 +18,8 @@
 // The engine over HTTP.
 class engine_service {
 public:
-    engine_service(engine& served, unsigned threads);
+    // Streams are written when so many tokens are new; the first token always at once.
+    engine_service(engine& served, unsigned threads, std::uint64_t tokens_per_write = 1);
 
     void add_routes(web_server& server);
 
@@ -41,10 +42,11 @@
 
     // Waits until the run has ended and the engine is not frozen.
     run_progress wait_for_end(live_run& run);
-    run_progress wait_unfrozen(live_run& run, std::uint64_t seen);
+    run_progress wait_unfrozen(live_run& run, std::uint64_t wanted);
     std::uint64_t take_truncation(std::uint64_t sent, std::uint64_t end);
 
     engine& served_engine;
+    const std::uint64_t tokens_per_write;
     behaviour_control<engine_behaviours> control;
     call_holder holder;
     call_counts counts;
--- a/standins/src/live_run.cpp
+++ b/standins/src/live_run.cpp
@@ -2,6 +2,7 @@
 
 #include "answer_text.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace pearhaven::standins {
@@ -27,24 +28,37 @@
     this->observer.run_started(*this);
 }
 
+// Wakes the waiting threads only when it is of use to one of them: with thousands of runs, that is
+// most of what a step costs.
 void live_run::on_progress()
 {
+    const bool ended = has_ended(this->progress.state);
+    bool awaited = ended;
     {
         const std::lock_guard guard(this->mutex);
         this->published = this->progress;
+        awaited = awaited || this->published.tokens >= this->wake_at;
+        if (awaited) {
+            this->wake_at = nobody_waits;
+        }
     }
-    this->changed.notify_all();
-    if (has_ended(this->progress.state)) {
+    if (awaited) {
+        this->changed.notify_all();
+    }
+    if (ended) {
         this->observer.run_ended(*this);
     }
 }
 
-run_progress live_run::wait_beyond(std::uint64_t seen)
+run_progress live_run::wait_for_tokens(std::uint64_t wanted)
 {
     constexpr std::chrono::seconds longest{1};
     std::unique_lock lock(this->mutex);
     this->changed.wait_for(lock, longest, [&] {
-        return this->disturbed || this->published.tokens > seen || has_ended(this->published.state);
+        const bool there =
+            this->disturbed || this->published.tokens >= wanted || has_ended(this->published.state);
+        this->wake_at = there ? this->wake_at : std::min(this->wake_at, wanted);
+        return there;
     });
     this->disturbed = false;
     return this->published;
--- a/standins/src/live_run.hpp
+++ b/standins/src/live_run.hpp
@@ -5,6 +5,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <limits>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -53,9 +54,9 @@
     void on_start() override;
     void on_progress() override;
 
-    // Waits until there are more tokens than `seen`, the run has ended, or `disturb` was called;
-    // for a second at the longest. Returns the progress.
-    run_progress wait_beyond(std::uint64_t seen);
+    // Waits until there are as many tokens, the run has ended, or `disturb` was called; for a
+    // second at the longest. Returns the progress.
+    run_progress wait_for_tokens(std::uint64_t wanted);
 
     [[nodiscard]] run_progress seen_progress() const;
 
@@ -73,11 +74,14 @@
     decision::instant ended_at;
 
 private:
+    static constexpr auto nobody_waits = std::numeric_limits<std::uint64_t>::max();
+
     const std::uint64_t seed;
     run_observer& observer;
     mutable std::mutex mutex;
     std::condition_variable changed;
     run_progress published;
+    std::uint64_t wake_at = nobody_waits; // the fewest tokens that somebody waits for
     bool disturbed = false;
 };
 
--- a/standins/test/engine_test.cpp
+++ b/standins/test/engine_test.cpp
@@ -33,7 +33,7 @@
 {
     auto progress = run.seen_progress();
     while (!has_ended(progress.state)) {
-        progress = run.wait_beyond(progress.tokens);
+        progress = run.wait_for_tokens(run.request.max_tokens);
     }
     return progress;
 }
@@ -107,7 +107,7 @@
 TEST(engine, ends_a_cancelled_run)
 {
     const auto submitted = served.submit(request_for("r1", endless));
-    submitted.run->wait_beyond(0);
+    submitted.run->wait_for_tokens(1);
     CHECK_TRUE(served.cancel("r1") == submitted.run);
     CHECK_TRUE(wait_for_end(*submitted.run).state == run_state::cancelled);
     CHECK_EQUAL(std::string("cancelled"), state_of_run(0));
@@ -140,13 +140,13 @@
 TEST(engine, stands_still_while_it_is_frozen_and_goes_on_after)
 {
     const auto submitted = served.submit(request_for("r1", endless));
-    submitted.run->wait_beyond(0);
+    submitted.run->wait_for_tokens(1);
     behave([](engine_behaviours& wanted) { wanted.freeze = true; });
-    submitted.run->wait_beyond(endless); // woken by the change of behaviours
+    submitted.run->wait_for_tokens(endless); // woken by the change of behaviours
     const auto frozen_at = submitted.run->seen_progress().tokens;
-    LONGS_EQUAL(frozen_at, submitted.run->wait_beyond(frozen_at).tokens);
+    LONGS_EQUAL(frozen_at, submitted.run->wait_for_tokens(frozen_at + 1).tokens);
     behave([](engine_behaviours&) {});
-    while (submitted.run->wait_beyond(frozen_at).tokens == frozen_at) {
+    while (submitted.run->wait_for_tokens(frozen_at + 1).tokens == frozen_at) {
     }
     served.cancel("r1");
 }
