--- a/adapters/include/pearhaven/adapters/bounded_ring.hpp
+++ b/adapters/include/pearhaven/adapters/bounded_ring.hpp
@@ -55,7 +55,8 @@
         std::optional<Item> item;
         {
             std::unique_lock guard(this->mutex);
-            this->not_empty.wait_for(guard, wait, [this] { return this->closed || !this->items.empty(); });
+            this->not_empty.wait_for(guard, wait,
+                                     [this] { return this->closed || !this->items.empty(); });
             if (this->items.empty()) {
                 return item;
             }
--- /dev/null
+++ b/adapters/src/tcp_socket.cpp
@@ -0,0 +1,153 @@
+#include "tcp_socket.hpp"
+
+#include <cerrno>
+#include <memory>
+#include <netdb.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <system_error>
+#include <unistd.h>
+#include <utility>
+
+namespace pearhaven::adapters {
+
+namespace {
+
+constexpr int listen_backlog = 512;
+
+struct addrinfo_deleter {
+    void operator()(addrinfo* list) const { freeaddrinfo(list); }
+};
+using address_list = std::unique_ptr<addrinfo, addrinfo_deleter>;
+
+address_list find_address(const std::string& host, std::uint16_t port)
+{
+    addrinfo hints{};
+    hints.ai_socktype = SOCK_STREAM;
+    hints.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV;
+    addrinfo* found = nullptr;
+    if (getaddrinfo(host.c_str(), std::to_string(port).c_str(), &hints, &found) != 0) {
+        return nullptr;
+    }
+    return address_list(found);
+}
+
+tcp_socket open_for(const addrinfo& address)
+{
+    return tcp_socket(socket(address.ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+}
+
+void set_number(int socket, int level, int option, int value)
+{
+    setsockopt(socket, level, option, &value, sizeof value);
+}
+
+tcp_transfer transfer_of(ssize_t count)
+{
+    if (count >= 0) {
+        return {tcp_outcome::done, static_cast<std::size_t>(count)};
+    }
+    const bool again = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    return {again ? tcp_outcome::would_block : tcp_outcome::closed, 0};
+}
+
+} // namespace
+
+tcp_socket::tcp_socket(tcp_socket&& other) noexcept : number(std::exchange(other.number, -1)) {}
+
+tcp_socket& tcp_socket::operator=(tcp_socket&& other) noexcept
+{
+    if (this != &other) {
+        this->close();
+        this->number = std::exchange(other.number, -1);
+    }
+    return *this;
+}
+
+void tcp_socket::close()
+{
+    if (this->number >= 0) {
+        ::close(std::exchange(this->number, -1));
+    }
+}
+
+tcp_socket tcp_socket::listen(const std::string& host, std::uint16_t port)
+{
+    const address_list address = find_address(host, port);
+    if (!address) {
+        throw std::system_error(std::make_error_code(std::errc::address_not_available), host);
+    }
+    tcp_socket listener = open_for(*address);
+    set_number(listener.number, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (bind(listener.number, address->ai_addr, address->ai_addrlen) != 0 ||
+        ::listen(listener.number, listen_backlog) != 0) {
+        throw std::system_error(errno, std::system_category(), host + ":" + std::to_string(port));
+    }
+    return listener;
+}
+
+tcp_socket tcp_socket::connect(const std::string& host, std::uint16_t port)
+{
+    const address_list address = find_address(host, port);
+    if (!address) {
+        return {};
+    }
+    tcp_socket opened = open_for(*address);
+    const int outcome = ::connect(opened.number, address->ai_addr, address->ai_addrlen);
+    if (outcome != 0 && errno != EINPROGRESS) {
+        return {};
+    }
+    return opened;
+}
+
+tcp_socket tcp_socket::accept() const
+{
+    return tcp_socket(accept4(this->number, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+}
+
+void tcp_socket::set_options(std::chrono::milliseconds unacknowledged_timeout) const
+{
+    constexpr int idle_seconds = 5;
+    constexpr int probe_seconds = 1;
+    set_number(this->number, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_number(this->number, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_number(this->number, IPPROTO_TCP, TCP_KEEPIDLE, idle_seconds);
+    set_number(this->number, IPPROTO_TCP, TCP_KEEPINTVL, probe_seconds);
+    set_number(this->number, IPPROTO_TCP, TCP_USER_TIMEOUT,
+               static_cast<int>(unacknowledged_timeout.count()));
+}
+
+bool tcp_socket::is_connected() const
+{
+    sockaddr_storage peer{};
+    socklen_t length = sizeof peer;
+    return getpeername(this->number, reinterpret_cast<sockaddr*>(&peer), &length) == 0;
+}
+
+tcp_transfer tcp_socket::read(char* target, std::size_t room) const
+{
+    const tcp_transfer transfer = transfer_of(recv(this->number, target, room, 0));
+    if (transfer.outcome == tcp_outcome::done && transfer.bytes == 0) {
+        return {tcp_outcome::closed, 0};
+    }
+    return transfer;
+}
+
+tcp_transfer tcp_socket::write(std::string_view bytes) const
+{
+    return transfer_of(send(this->number, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+}
+
+std::uint16_t tcp_socket::port() const
+{
+    sockaddr_storage address{};
+    socklen_t length = sizeof address;
+    getsockname(this->number, reinterpret_cast<sockaddr*>(&address), &length);
+    if (address.ss_family == AF_INET6) {
+        return ntohs(reinterpret_cast<const sockaddr_in6&>(address).sin6_port);
+    }
+    return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
+}
+
+} // namespace pearhaven::adapters
--- /dev/null
+++ b/adapters/src/tcp_socket.hpp
@@ -0,0 +1,58 @@
+#ifndef PEARHAVEN_ADAPTERS_SRC_TCP_SOCKET_HPP
+#define PEARHAVEN_ADAPTERS_SRC_TCP_SOCKET_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace pearhaven::adapters {
+
+enum class tcp_outcome { done, would_block, closed };
+
+struct tcp_transfer {
+    tcp_outcome outcome = tcp_outcome::closed;
+    std::size_t bytes = 0;
+};
+
+// Owns one non-blocking TCP socket; may be empty. Hosts are IP numbers.
+class tcp_socket {
+public:
+    tcp_socket() = default;
+    explicit tcp_socket(int open_socket) : number(open_socket) {}
+    ~tcp_socket() { this->close(); }
+    tcp_socket(tcp_socket&& other) noexcept;
+    tcp_socket& operator=(tcp_socket&& other) noexcept;
+    tcp_socket(const tcp_socket&) = delete;
+    tcp_socket& operator=(const tcp_socket&) = delete;
+
+    // Throws std::system_error.
+    static tcp_socket listen(const std::string& host, std::uint16_t port);
+
+    // Begins to connect; empty when that fails at once.
+    static tcp_socket connect(const std::string& host, std::uint16_t port);
+
+    // The next waiting connection; empty with errno set when there is none.
+    [[nodiscard]] tcp_socket accept() const;
+
+    // No delay of small writes; probes when idle; an end with an error when the other host does not
+    // acknowledge for so long.
+    void set_options(std::chrono::milliseconds unacknowledged_timeout) const;
+
+    [[nodiscard]] bool is_connected() const;
+    [[nodiscard]] tcp_transfer read(char* target, std::size_t room) const;
+    [[nodiscard]] tcp_transfer write(std::string_view bytes) const;
+
+    [[nodiscard]] explicit operator bool() const { return this->number >= 0; }
+    [[nodiscard]] int get() const { return this->number; }
+    [[nodiscard]] std::uint16_t port() const;
+    void close();
+
+private:
+    int number = -1;
+};
+
+} // namespace pearhaven::adapters
+
+#endif
--- a/adapters/test/http_client_test.cpp
+++ b/adapters/test/http_client_test.cpp
@@ -396,6 +396,23 @@
     CHECK_FALSE(late.request_sent);
 }
 
+TEST(http_client, a_connection_that_acknowledges_nothing_is_lost_before_the_first_byte_timeout)
+{
+    // The caller sees `connection_lost` within the acknowledgement's time, not after the 30 s that
+    // an answer may take to begin. The other end takes nothing, so the request stays
+    // unacknowledged, as behind something that has lost track of the connection.
+    std::atomic<bool> found{false};
+    raw_server silent([&](raw_connection&, int) { wait_for(found); });
+    http_client_settings settings;
+    settings.unacknowledged_timeout = milliseconds(300);
+    const auto impatient = make_http_client(settings);
+    http_request request = post(silent.url(), std::string(32U << 20U, 'x'));
+    request.may_resend = false;
+    const http_result result = fetch_and_wait(*impatient, request, ample).result;
+    found = true;
+    CHECK_EQUAL(make_error_code(http_error::connection_lost), result.error);
+}
+
 TEST(http_client, many_streams_at_once_come_whole)
 {
     raw_server server([](raw_connection& connection, int) {
--- a/adapters/test/raw_server.hpp
+++ b/adapters/test/raw_server.hpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -48,6 +49,8 @@
 inline int connect_to_loopback(std::uint16_t port)
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const timeval longest_silence{20, 0}; // a test that waits in vain goes on and fails
+    setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &longest_silence, sizeof longest_silence);
     const sockaddr_in address = loopback(port);
     [[maybe_unused]] const int connected =
         connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address);
@@ -91,14 +94,20 @@
                    std::to_string(body.size()) + "\r\n\r\n" + std::string(body));
     }
 
-    // Returns once the other end has closed.
-    void wait_until_closed() const
+    // All bytes until the other end has closed.
+    [[nodiscard]] std::string read_until_closed() const
     {
+        std::string text;
         char piece[4096];
-        while (recv(this->socket, piece, sizeof piece, 0) > 0) {
+        ssize_t count = 0;
+        while ((count = recv(this->socket, piece, sizeof piece, 0)) > 0) {
+            text.append(piece, static_cast<std::size_t>(count));
         }
+        return text;
     }
 
+    void wait_until_closed() const { static_cast<void>(this->read_until_closed()); }
+
     void shut() const { shutdown(this->socket, SHUT_RDWR); }
 
 private:
@@ -113,7 +122,7 @@
 };
 
 // Accepts on 127.0.0.1 and holds one scripted conversation for each connection, on a thread of its
-// own. The destructor closes all connections and waits for their conversations.
+// own.
 class raw_server {
 public:
     using conversation = std::function<void(raw_connection& connection, int index)>;
@@ -125,6 +134,19 @@
 
     ~raw_server()
     {
+        this->finish();
+        for (const int socket : this->sockets) {
+            close(socket);
+        }
+        close(this->listener);
+    }
+
+    // Closes all connections and waits for their conversations.
+    void finish()
+    {
+        if (!this->acceptor.joinable()) {
+            return;
+        }
         shutdown(this->listener, SHUT_RDWR);
         this->acceptor.join();
         {
@@ -136,10 +158,6 @@
         for (std::thread& thread : this->threads) {
             thread.join();
         }
-        for (const int socket : this->sockets) {
-            close(socket);
-        }
-        close(this->listener);
     }
 
     raw_server(const raw_server&) = delete;
@@ -147,8 +165,9 @@
 
     [[nodiscard]] std::string url() const
     {
-        return "http://127.0.0.1:" + std::to_string(port_of(this->listener));
+        return "http://127.0.0.1:" + std::to_string(this->port());
     }
+    [[nodiscard]] std::uint16_t port() const { return port_of(this->listener); }
     [[nodiscard]] int connections() const { return this->accepted.load(); }
 
 private:
@@ -193,6 +212,14 @@
     return true;
 }
 
+// Holds a conversation open, without a bound of its own, until the test has what it waits for.
+inline void wait_for(const std::atomic<bool>& flag)
+{
+    while (!flag) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+}
+
 } // namespace pearhaven::adapters::test
 
 #endif
