Hold the configuration's promises under pauses, outages and races

Cause: two faults that the tests with real processes showed. (1) A router woken from SIGSTOP started a withdrawn version: its dispatcher had been told `in touch: yes` and handled waiting arrivals before the fleet thread told it otherwise. (2) A request that every engine had refused once was kept from all of them, and hung in the queue until its deadline. Conclusion: the dispatcher is told until when it may start work; keeping away from an endpoint ends after 200 ms (refused) or 2 s (lost).

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -187,8 +187,10 @@
     // Versions that guards have tripped: they get no new work here until the set changes.
     void on_tripped_versions(std::set<std::string> versions, instant now);
 
-    // Whether this router knows that its configuration is in force.
-    void on_touch(bool in_touch, instant now);
+    // Until when this router may take its configuration for the one in force. A time and not a yes
+    // or no: a process that was paused finds on waking that it has passed, before it hears
+    // anything.
+    void on_touch(instant until, instant now);
 
     void on_arrival(arrival request, instant now);
     void on_attempt_end(const attempt_end& end, instant now);
@@ -211,7 +213,8 @@
         attempt_number attempt = 0;
         std::string address; // where the attempt runs; empty while queued
         std::string version;
-        std::vector<std::string> avoid;
+        std::vector<std::string> avoid; // endpoints that refused or lost it
+        instant avoid_until;            // then it may go to them again, as the only ones left
         std::uint32_t resumes = 0;
         std::uint32_t losses = 0;          // runs that broke off
         attempt_number struck_attempt = 0; // attempt that was last counted as part of a crash
@@ -233,6 +236,8 @@
     [[nodiscard]] version_answer ask_version(const arrival& request) const;
     [[nodiscard]] placement place(const request_state& state, const std::string& target,
                                   instant now) const;
+    [[nodiscard]] bool is_in_touch(instant now) const { return now < this->in_touch_until; }
+    [[nodiscard]] bool is_long_out_of_touch(instant now) const;
     [[nodiscard]] bool is_suspect(const request_state& state, instant now) const;
     [[nodiscard]] duration expected_wait() const;
 
@@ -265,9 +270,8 @@
     std::map<std::string, std::uint32_t> team_in_flight;
     std::set<std::string> tripped;
     std::vector<dispatch_action> actions;
-    bool in_touch = false;
     bool draining = false;
-    instant out_of_touch_since;
+    instant in_touch_until;
     instant overdue_checked;
     instant rate_since;
     double work_in_period = 0.0;
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -10,6 +10,11 @@
 constexpr duration soon = std::chrono::seconds(1);
 constexpr duration later = std::chrono::seconds(5);
 
+// How long a request keeps away from an endpoint that refused it, or that it was lost with. For
+// ever would leave it without any endpoint once all have refused it, and queued until its deadline.
+constexpr duration refusal_avoidance = std::chrono::milliseconds(200);
+constexpr duration loss_avoidance = std::chrono::seconds(2);
+
 // Period over which the rate of finished work is measured.
 constexpr duration rate_period = std::chrono::seconds(1);
 
@@ -109,15 +114,15 @@
     this->dispatch(now);
 }
 
-void dispatcher::on_touch(bool now_in_touch, instant now)
+void dispatcher::on_touch(instant until, instant now)
 {
-    if (this->in_touch && !now_in_touch) {
-        this->out_of_touch_since = now;
-    }
-    this->in_touch = now_in_touch;
-    if (now_in_touch) {
-        this->dispatch(now);
-    }
+    this->in_touch_until = until;
+    this->dispatch(now);
+}
+
+bool dispatcher::is_long_out_of_touch(instant now) const
+{
+    return now - this->in_touch_until > this->settings.out_of_touch_patience;
 }
 
 void dispatcher::begin_drain()
@@ -151,8 +156,7 @@
     if (!this->config) {
         return passing(failure_code::not_in_touch, soon, "no configuration has come yet");
     }
-    const bool lost_touch = now - this->out_of_touch_since > this->settings.out_of_touch_patience;
-    if (!this->in_touch && lost_touch) {
+    if (this->is_long_out_of_touch(now)) {
         return passing(failure_code::not_in_touch, soon,
                        "the configuration in force cannot be confirmed");
     }
@@ -248,7 +252,9 @@
     wanted.kind = state.what.work.kind;
     wanted.work = state.what.work.tokens;
     wanted.prefix_hash = state.what.prefix_hash;
-    wanted.avoid = state.avoid;
+    if (now < state.avoid_until) {
+        wanted.avoid = state.avoid;
+    }
     // Two suspects on one endpoint: if it crashes again, nobody can tell which of them did it, and
     // the innocent one would be quarantined with the other. Apart, a second crash names exactly
     // one.
@@ -293,7 +299,7 @@
 {
     // Without knowledge that the configuration is in force, a withdrawn version might be given
     // work.
-    if (!this->in_touch || !this->config) {
+    if (!this->is_in_touch(now) || !this->config) {
         return;
     }
     const auto can_start = [this, now](const queue_entry& entry) {
@@ -402,6 +408,7 @@
     this->queue.settle(request.team, request.work.tokens, 0.0);
     // Nothing ran there, so another endpoint may take even work that must not be repeated.
     state.avoid.push_back(address);
+    state.avoid_until = std::max(state.avoid_until, now + refusal_avoidance);
     state.address.clear();
     const bool paid = end.endpoint_leaving || this->budget.try_spend();
     if (!paid || state.attempt >= this->settings.max_attempts) {
@@ -454,6 +461,7 @@
     this->queue.settle(request.team, request.work.tokens, request.work.tokens);
     state.address.clear();
     state.avoid.push_back(address);
+    state.avoid_until = std::max(state.avoid_until, now + loss_avoidance);
     state.may_have_run = true;
     ++state.losses;
     if (!request.idempotent) {
@@ -532,8 +540,7 @@
                       {failure_code::deadline_passed, run, true, this->expected_wait(),
                        "the deadline passed while the request was queued"});
     }
-    const bool lost_touch = now - this->out_of_touch_since > this->settings.out_of_touch_patience;
-    if (!this->in_touch && lost_touch) {
+    if (this->is_long_out_of_touch(now)) {
         this->give_up_all_queued(passing(failure_code::not_in_touch, soon,
                                          "the configuration in force cannot be confirmed"));
     }
--- a/router/src/fleet_duty.cpp
+++ b/router/src/fleet_duty.cpp
@@ -21,12 +21,22 @@
 constexpr std::chrono::milliseconds tick_period{20};
 constexpr std::chrono::milliseconds members_period{200};
 
+// How old the knowledge of the configuration may be for new work to start by it.
+constexpr decision::duration freshness_bound = std::chrono::seconds(3);
+
+// In an outage that all live peers agree on, each word of that holds for so long.
+constexpr decision::duration outage_word = std::chrono::milliseconds(500);
+
+// Smaller steps forward are not worth an event.
+constexpr decision::duration touch_step = std::chrono::milliseconds(100);
+
 coordination::config_replica_settings replica_settings_of(const fleet_duty::ports& all)
 {
     coordination::config_replica_settings chosen;
     chosen.self = all.incarnation;
     chosen.zone = all.settings.zone;
     chosen.seed = all.seed;
+    chosen.freshness_bound = freshness_bound;
     return chosen;
 }
 
@@ -372,17 +382,33 @@
     this->carry_out_part(fleet_part::membership, *this->fleet);
 }
 
+decision::instant fleet_duty::in_touch_until(decision::instant moment) const
+{
+    if (!this->replica.is_ready() || !this->replica.may_take_new_work(moment)) {
+        return moment;
+    }
+    const auto age = this->replica.confirmed_age(moment);
+    const bool is_confirmed = age && *age < freshness_bound;
+    return moment + (is_confirmed ? freshness_bound - *age : outage_word);
+}
+
 void fleet_duty::tell_touch()
 {
-    const bool in_touch = this->replica.is_ready() && this->replica.may_take_new_work(now());
-    if (this->told_touch == in_touch) {
+    const auto moment = now();
+    const auto until = this->in_touch_until(moment);
+    const bool in_touch = until > moment;
+    const bool is_news = until - this->told_until >= touch_step || in_touch != this->was_in_touch;
+    if (!is_news) {
         return;
     }
     this->carry_out_all(); // a newer configuration goes ahead of the word that it is in force
-    this->told_touch = in_touch;
-    this->routing->submit(touch_changed{in_touch});
-    adapters::log_change(in_touch ? "configuration_confirmed" : "configuration_unconfirmed",
-                         {{"revision", std::to_string(this->replica.current()->revision())}});
+    this->told_until = until;
+    this->routing->submit(touch_changed{until});
+    if (in_touch != this->was_in_touch) {
+        this->was_in_touch = in_touch;
+        adapters::log_change(in_touch ? "configuration_confirmed" : "configuration_unconfirmed",
+                             {{"revision", std::to_string(this->replica.current()->revision())}});
+    }
 }
 
 void fleet_duty::publish_view()
@@ -391,7 +417,7 @@
     fresh.revision = this->replica.current()->revision();
     fresh.confirmed_age = this->replica.confirmed_age(now());
     fresh.ready = this->replica.is_ready();
-    fresh.in_touch = this->told_touch.value_or(false);
+    fresh.in_touch = this->was_in_touch;
     fresh.outage_agreed = this->replica.is_outage_agreed(now());
     fresh.left = this->left;
     fresh.members = this->fleet->live();
--- a/router/src/fleet_duty.hpp
+++ b/router/src/fleet_duty.hpp
@@ -95,6 +95,7 @@
     void tell_members();
 
     void tell_touch();
+    [[nodiscard]] decision::instant in_touch_until(decision::instant moment) const;
     void publish_view();
 
     ports all;
@@ -115,7 +116,8 @@
     decision::instant next_tick;
     decision::instant next_members;
     bool left = false;
-    std::optional<bool> told_touch;
+    decision::instant told_until;
+    bool was_in_touch = false;
     published<fleet_view> latest_view;
     std::thread thread;
 };
--- a/router/src/router.cpp
+++ b/router/src/router.cpp
@@ -150,7 +150,7 @@
     }
     json page = {
         {"incarnation", this->incarnation},         {"zone", this->settings.zone},
-        {"revision", fleet_now.revision},           {"ready", this->is_ready()},
+        {"revision", this->routing.revision()},     {"ready", this->is_ready()},
         {"draining", this->draining.load()},        {"in_touch", fleet_now.in_touch},
         {"outage_agreed", fleet_now.outage_agreed}, {"bills_waiting", fleet_now.bills_waiting},
         {"in_flight", this->callers.in_flight()},   {"members", std::move(members)}};
--- a/router/src/routing_duty.cpp
+++ b/router/src/routing_duty.cpp
@@ -128,8 +128,12 @@
             this->notes.erase(what.ticket);
         } else if constexpr (std::is_same_v<event_type, configuration_changed>) {
             this->dispatcher.on_configuration(what.current, now());
+            this->carry_out();
+            // Only now: an operator who is told that a withdrawal is in force must not see a start
+            // of the withdrawn version afterwards.
+            this->revision_in_force.store(what.current->revision());
         } else if constexpr (std::is_same_v<event_type, touch_changed>) {
-            this->dispatcher.on_touch(what.in_touch, now());
+            this->dispatcher.on_touch(what.until, now());
         } else if constexpr (std::is_same_v<event_type, hosts_listed>) {
             this->dispatcher.on_hosts(what.hosts, now());
         } else if constexpr (std::is_same_v<event_type, load_reported>) {
--- a/router/src/routing_duty.hpp
+++ b/router/src/routing_duty.hpp
@@ -46,6 +46,9 @@
 
     [[nodiscard]] routing_view view() const;
 
+    // The configuration's revision that every start from now on is decided by.
+    [[nodiscard]] std::uint64_t revision() const { return this->revision_in_force.load(); }
+
 private:
     struct request_note {
         exchange_ptr caller;
@@ -88,6 +91,7 @@
     decision::instant next_view;
     mutable std::mutex view_mutex;
     routing_view latest_view;
+    std::atomic<std::uint64_t> revision_in_force{0};
     std::thread thread;
 };
 
--- a/router/src/routing_event.hpp
+++ b/router/src/routing_event.hpp
@@ -32,9 +32,9 @@
     decision::configuration_ptr current;
 };
 
-// Whether this router knows that its configuration is in force.
+// Until when this router may take its configuration for the one in force.
 struct touch_changed {
-    bool in_touch = false;
+    decision::instant until;
 };
 
 struct hosts_listed {
--- a/router/src/settings.cpp
+++ b/router/src/settings.cpp
@@ -47,6 +47,11 @@
 
 constexpr std::size_t shortest_key = 16;
 
+// A router that is paused stops taking work 3 s after its last confirmation, counted by its own
+// clock; its membership must not lapse before that, since an operator's command then waits for it
+// no longer.
+constexpr long shortest_member_lease = 5000;
+
 std::string trimmed(std::string text)
 {
     while (!text.empty() && std::isspace(static_cast<unsigned char>(text.back())) != 0) {
@@ -178,7 +183,8 @@
     check_range<long>(settings.store_timeout.count(), 50, 60000, "store_timeout_ms", faults);
     check_range<long>(settings.host_list_period.count(), 50, 60000, "host_list_period_ms", faults);
     check_range<long>(settings.load_period.count(), 50, 60000, "load_period_ms", faults);
-    check_range<long>(settings.member_lease.count(), 1000, 600000, "member_lease_ms", faults);
+    check_range<long>(settings.member_lease.count(), shortest_member_lease, 600000,
+                      "member_lease_ms", faults);
     check_range<long>(settings.default_deadline.count(), 1, settings.longest_deadline.count(),
                       "default_deadline_ms", faults);
     return faults;
