Test the operators' commands against a store that fails, races and loses replies

Cause: the commands' safeguards stood without tests. Ruled out: a port of its own between the commands and coordination's writer. The tests stand a fake key-value service below both, so that the one compare-and-swap loop is what they run.

--- a/adapters/test/configuration_codec_test.cpp
+++ b/adapters/test/configuration_codec_test.cpp
@@ -310,6 +310,21 @@
     CHECK_EQUAL(std::string("more values and text than that"), faults.at(0).found);
 }
 
+TEST(configuration_codec_test, a_digest_that_looks_like_a_number_is_text)
+{
+    const std::string digits(64, '7');
+    CHECK_EQUAL(R"({"labels":{},"spec":{"key_sha256":[")" + digits + R"("]}})",
+                body_of("kind: team\nname: a\nspec: {key_sha256: [" + digits + "]}\n"));
+}
+
+TEST(configuration_codec_test, a_deeply_nested_text_is_refused)
+{
+    CHECK_EQUAL(
+        std::string("a.yaml:3: spec[0][0][0][0][0][0][0][0][0][0][0][0][0][0][0]: found "
+                    "deeper nesting, allowed values nested 16 deep at most\n"),
+        faults_in("kind: team\nname: a\nspec: " + std::string(50, '[') + std::string(50, ']')));
+}
+
 TEST(configuration_codec_test, stored_objects_are_checked_like_written_ones)
 {
     CHECK_EQUAL(std::string(), faults_of(check_object({"team", "a", R"({"spec":{"weight":2}})"})));
--- a/control/src/change.cpp
+++ b/control/src/change.cpp
@@ -139,13 +139,13 @@
 
     exit_code explain_unknown(const config_edit& edit)
     {
-        refuse(this->context, control_error::outcome_unknown);
+        const exit_code end = refuse(this->context, control_error::outcome_unknown);
         this->context.out.complain(
             "Give the same command again when the service answers: it says that nothing changed "
             "when this change was accepted. In the history it is write " +
             edit.write_id + ".");
         this->context.out.show("", {{"error", "outcome_unknown"}, {"write_id", edit.write_id}});
-        return exit_code::unknown;
+        return end;
     }
 
     exit_code explain_conflict(const config_edit& edit, const config_write_done& done)
--- /dev/null
+++ b/control/test/fakes.hpp
@@ -0,0 +1,119 @@
+#ifndef PEARHAVEN_CONTROL_TEST_FAKES_HPP
+#define PEARHAVEN_CONTROL_TEST_FAKES_HPP
+
+#include "command.hpp"
+
+#include "pearhaven/adapters/stored_values.hpp"
+
+#include <functional>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace pearhaven::control::test {
+
+// A key-value service in memory, with the failures that the tests call for.
+class fake_store : public coordination::key_value_store {
+public:
+    void submit(const coordination::kv_request& request, completion done) override
+    {
+        done(this->down ? coordination::kv_reply{} : this->answer(request));
+    }
+
+    // Puts the value there, whatever was there before.
+    void put(const std::string& key, const std::string& value)
+    {
+        this->entries[key] = {key, value, ++this->revision};
+    }
+
+    std::map<std::string, coordination::kv_entry> entries;
+    coordination::store_revision revision = 0;
+    bool down = false;
+    int swaps = 0;                     // that took effect
+    std::function<void()> before_swap; // called once, before the next swap is looked at
+    std::function<void()> lost_reply;  // called once, after the next swap, whose reply is then lost
+    std::function<void()> on_watch;
+    std::function<void(const std::string& key)> before_get;
+
+private:
+    coordination::kv_reply answer(const coordination::kv_request& request);
+    coordination::kv_reply answer_read(const std::string& prefix, bool whole_key);
+    coordination::kv_reply answer_swap(const coordination::kv_compare_and_swap& swap);
+};
+
+// A clock that sleeps at once, and lets a test act as time goes by.
+class fake_clock : public process_clock {
+public:
+    [[nodiscard]] decision::instant now() const override { return this->time; }
+    [[nodiscard]] std::uint64_t unix_ms() const override { return 1'773'338'645'000; }
+    void sleep(decision::duration length) override
+    {
+        this->time += length;
+        if (this->on_sleep) {
+            this->on_sleep();
+        }
+    }
+
+    decision::instant time;
+    std::function<void()> on_sleep;
+};
+
+class fake_routers : public router_inspector {
+public:
+    std::vector<router_status> ask(const std::vector<coordination::member>& routers) override
+    {
+        std::vector<router_status> answers;
+        for (const auto& router : routers) {
+            this->asked.push_back(router.id);
+            answers.push_back(this->statuses[router.id]);
+        }
+        return answers;
+    }
+
+    std::map<std::string, router_status> statuses;
+    std::vector<std::string> asked;
+};
+
+class fake_input : public input_source {
+public:
+    std::optional<std::string> read(const std::string& file) override
+    {
+        const auto found = this->files.find(file);
+        return found == this->files.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    std::map<std::string, std::string> files;
+};
+
+// One operator at a terminal, beside the store and the routers that all operators share.
+class fake_operator {
+public:
+    fake_operator(fake_store& shared, std::string name);
+
+    // Runs a command: {"apply"}, {"label", "team", "a", "x=y"}.
+    exit_code run(const std::vector<std::string>& words);
+
+    // What the last command wrote.
+    [[nodiscard]] std::string results() const { return this->result_text; }
+    [[nodiscard]] std::string complaints() const { return this->complaint_text; }
+
+    // Applies a text, as from a file.
+    exit_code apply(const std::string& yaml);
+
+    control_settings settings;
+    fake_clock clock;
+    fake_routers routers;
+    fake_input input;
+
+private:
+    fake_store& store;
+    std::string result_text;
+    std::string complaint_text;
+};
+
+void register_router(fake_store& store, const std::string& id);
+
+} // namespace pearhaven::control::test
+
+#endif
--- /dev/null
+++ b/control/test/fleet_wait_test.cpp
@@ -0,0 +1,135 @@
+#include "fakes.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::control;
+using namespace pearhaven::control::test;
+
+namespace {
+
+router_status at_revision(std::uint64_t revision)
+{
+    router_status status;
+    status.revision = revision;
+    return status;
+}
+
+router_status silent()
+{
+    router_status status;
+    status.problem = "no answer";
+    return status;
+}
+
+} // namespace
+
+TEST_GROUP(fleet_wait_test)
+{
+    fake_store store;
+    fake_operator ama{store, "ama"};
+
+    void setup() override
+    {
+        register_router(this->store, "i1");
+        register_router(this->store, "i2");
+        this->ama.settings.wait = true;
+        this->ama.settings.timeout = std::chrono::seconds{5};
+    }
+
+    exit_code apply()
+    {
+        return this->ama.apply("kind: team\nname: a\n");
+    }
+};
+
+TEST(fleet_wait_test, a_change_is_waited_for_until_every_router_has_it)
+{
+    ama.routers.statuses = {{"i1", at_revision(1)}, {"i2", at_revision(0)}};
+    ama.clock.on_sleep = [this] { this->ama.routers.statuses["i2"] = at_revision(1); };
+    CHECK_TRUE(apply() == exit_code::ok);
+    CHECK_TRUE(ama.results().find("in force on every live router, of which there are 2") !=
+               std::string::npos);
+}
+
+TEST(fleet_wait_test, routers_that_do_not_have_it_in_time_are_named)
+{
+    ama.routers.statuses = {{"i1", silent()}, {"i2", at_revision(0)}};
+    CHECK_TRUE(apply() == exit_code::not_everywhere);
+    CHECK_EQUAL(std::string("not known to be in force everywhere after 5000 ms:\n"
+                            "  router i1 (10.0.0.1:2, osu): no answer\n"
+                            "  router i2 (10.0.0.1:2, osu): at revision 0 still\n"),
+                ama.complaints());
+    CHECK_TRUE(ama.clock.time >= pearhaven::decision::instant(std::chrono::seconds{5}));
+}
+
+TEST(fleet_wait_test, a_router_whose_record_vanishes_no_longer_counts)
+{
+    // A router dies while the operator waits. It never answers, and its record goes with its lease.
+    // The operator sees the change in force, not a failure for a router that is no more.
+    ama.routers.statuses = {{"i1", at_revision(1)}, {"i2", silent()}};
+    ama.clock.on_sleep = [this] { this->store.entries.erase("routers/i2"); };
+    CHECK_TRUE(apply() == exit_code::ok);
+    CHECK_TRUE(ama.results().find("of which there are 1") != std::string::npos);
+}
+
+TEST(fleet_wait_test, a_router_that_comes_while_waiting_counts)
+{
+    // A replacement starts while the operator waits for another router. It must have the change too
+    // before the operator is told that it is in force everywhere.
+    ama.routers.statuses = {{"i1", at_revision(1)}, {"i2", at_revision(0)}, {"i3", at_revision(0)}};
+    ama.clock.on_sleep = [this] {
+        register_router(this->store, "i3");
+        this->ama.routers.statuses["i2"] = at_revision(1);
+    };
+    CHECK_TRUE(apply() == exit_code::not_everywhere);
+    CHECK_TRUE(ama.complaints().find("router i3") != std::string::npos);
+}
+
+TEST(fleet_wait_test, a_router_that_had_the_revision_is_not_asked_again)
+{
+    ama.routers.statuses = {{"i1", at_revision(1)}, {"i2", at_revision(0)}};
+    apply();
+    const auto& asked = ama.routers.asked;
+    CHECK_EQUAL(1, std::count(asked.begin(), asked.end(), "i1"));
+}
+
+TEST(fleet_wait_test, an_unchanged_configuration_is_waited_for_as_well)
+{
+    // The first command gave up waiting, or its outcome was unknown; giving it again must tell
+    // whether what is accepted is in force by now.
+    ama.routers.statuses = {{"i1", at_revision(1)}, {"i2", at_revision(0)}};
+    CHECK_TRUE(apply() == exit_code::not_everywhere);
+    CHECK_TRUE(apply() == exit_code::not_everywhere);
+    ama.routers.statuses["i2"] = at_revision(1);
+    CHECK_TRUE(apply() == exit_code::ok);
+    CHECK_EQUAL(1, store.swaps);
+}
+
+TEST(fleet_wait_test, a_store_that_goes_away_after_the_change_leaves_it_not_known_in_force)
+{
+    ama.routers.statuses = {{"i1", at_revision(0)}, {"i2", at_revision(0)}};
+    ama.clock.on_sleep = [this] { this->store.down = true; };
+    CHECK_TRUE(apply() == exit_code::not_everywhere);
+    CHECK_TRUE(ama.complaints().find("the routers could not be listed") != std::string::npos);
+}
+
+TEST(fleet_wait_test, without_the_operator_key_nothing_is_changed)
+{
+    ama.settings.operator_key.clear();
+    CHECK_TRUE(apply() == exit_code::usage);
+    CHECK_EQUAL(0, store.swaps);
+}
+
+TEST(fleet_wait_test, status_shows_routers_that_do_not_answer)
+{
+    ama.routers.statuses = {{"i1", at_revision(0)}, {"i2", silent()}};
+    ama.settings.format = output_format::json;
+    CHECK_TRUE(ama.run({"status"}) == exit_code::failed);
+    const auto routers = nlohmann::json::parse(ama.results())["routers"];
+    CHECK_EQUAL(0U, routers[0]["revision"].get<std::uint64_t>());
+    CHECK_EQUAL(std::string("no answer"), routers[1]["problem"].get<std::string>());
+}
--- /dev/null
+++ b/control/test/router_inspector_test.cpp
@@ -0,0 +1,57 @@
+#include "router_inspector.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::control;
+using pearhaven::adapters::http_answer;
+using pearhaven::adapters::http_error;
+
+namespace {
+
+http_answer answer(int status, std::string body)
+{
+    http_answer made;
+    made.result.status = status;
+    made.body = std::move(body);
+    return made;
+}
+
+const std::string page = R"({"incarnation":"i1","revision":7,"ready":true,"draining":false,)"
+                         R"("in_flight":3,"confirmed_age_ms":40,"members":[]})";
+
+} // namespace
+
+TEST_GROUP(router_inspector_test){};
+
+TEST(router_inspector_test, a_status_page_is_read)
+{
+    const auto status = read_status(answer(200, page), "i1");
+    CHECK_EQUAL(std::string(), status.problem);
+    CHECK_EQUAL(7U, status.revision);
+    CHECK_EQUAL(40U, status.confirmed_age_ms.value());
+    CHECK_EQUAL(3U, status.in_flight);
+    CHECK_TRUE(status.ready);
+}
+
+TEST(router_inspector_test, the_answer_of_a_replacement_says_nothing_of_the_router_that_was_meant)
+{
+    // A router was replaced on the same address while its record still stands. Its successor's high
+    // revision would let a wait end while the old one, paused, still runs the old configuration.
+    CHECK_EQUAL(std::string("its address is now that of router i1"),
+                read_status(answer(200, page), "i0").problem);
+}
+
+TEST(router_inspector_test, whatever_is_no_status_page_is_a_problem)
+{
+    http_answer lost;
+    lost.result.error = http_error::connect_failed;
+    CHECK_FALSE(read_status(lost, "i1").problem.empty());
+    CHECK_EQUAL(std::string("refused the operator key"),
+                read_status(answer(401, ""), "i1").problem);
+    CHECK_EQUAL(std::string("answered with status 500"),
+                read_status(answer(500, ""), "i1").problem);
+    for (const char* body : {"", "[]", "{}", R"({"incarnation":"i1","revision":-1})"}) {
+        CHECK_EQUAL(std::string("answered with something that is no status"),
+                    read_status(answer(200, body), "i1").problem);
+    }
+}
