Store a claim's outcome byte for byte, and a duty's holder

Cause: an outcome that is not UTF-8 was stored with its bytes replaced, so that a caller who sends a non-idempotent request again would be answered with something else than the first time. Ruled out: base64 for every outcome, which operators could not read in the store. Conclusion: text stays text, other bytes are stored as base64 in a field of their own.

--- a/adapters/src/stored_values.cpp
+++ b/adapters/src/stored_values.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 using coordination::bill;
-using coordination::claim_record;
-using coordination::claim_state;
 using coordination::config_change;
 using coordination::config_head;
 using coordination::config_object;
@@ -131,35 +129,11 @@
     }
 };
 
-struct state_name {
-    member_state state;
-    const char* name;
-};
-
-constexpr std::array<state_name, 4> state_names = {{{member_state::alive, "alive"},
-                                                    {member_state::suspect, "suspect"},
-                                                    {member_state::leaving, "leaving"},
-                                                    {member_state::dead, "dead"}}};
-
-std::string write_state(member_state state)
-{
-    for (const auto& known : state_names) {
-        if (known.state == state) {
-            return known.name;
-        }
-    }
-    return {};
-}
-
-member_state read_state(const std::string& name)
-{
-    for (const auto& known : state_names) {
-        if (known.name == name) {
-            return known.state;
-        }
-    }
-    throw malformed_value();
-}
+constexpr std::array<stored_name<member_state>, 4> state_names = {
+    {{member_state::alive, "alive"},
+     {member_state::suspect, "suspect"},
+     {member_state::leaving, "leaving"},
+     {member_state::dead, "dead"}}};
 
 std::uint16_t port_field(const json& value, const char* name)
 {
@@ -175,7 +149,7 @@
             port_field(value, "operator_port"),
             text_field(value, "zone"),
             count_field(value, "sequence"),
-            read_state(text_field(value, "state")),
+            read_name(state_names, text_field(value, "state")),
             count_field(value, "config_revision")};
 }
 
@@ -189,7 +163,7 @@
                                {"operator_port", record.operator_port},
                                {"zone", record.zone},
                                {"sequence", record.sequence},
-                               {"state", write_state(record.state)},
+                               {"state", write_name(state_names, record.state)},
                                {"config_revision", record.config_revision}});
     }
 
@@ -199,65 +173,8 @@
     }
 };
 
-struct claim_state_name {
-    claim_state state;
-    const char* name;
-};
-
-constexpr std::array<claim_state_name, 4> claim_state_names = {{{claim_state::held, "held"},
-                                                                {claim_state::ran, "ran"},
-                                                                {claim_state::unknown, "unknown"},
-                                                                {claim_state::not_run, "not_run"}}};
-
-std::string write_claim_state(claim_state state)
-{
-    for (const auto& known : claim_state_names) {
-        if (known.state == state) {
-            return known.name;
-        }
-    }
-    return {};
-}
-
-claim_state read_claim_state(const std::string& name)
-{
-    for (const auto& known : claim_state_names) {
-        if (known.name == name) {
-            return known.state;
-        }
-    }
-    throw malformed_value();
-}
-
-claim_record read_claim_value(const json& value)
-{
-    return {read_claim_state(text_field(value, "state")), text_field(value, "holder"),
-            text_field(value, "write_id"), text_field(value, "outcome")};
-}
-
-class json_claim_codec : public coordination::claim_codec {
-public:
-    [[nodiscard]] std::string write_claim(const claim_record& claim) const override
-    {
-        return to_stored_text({{"state", write_claim_state(claim.state)},
-                               {"holder", claim.holder},
-                               {"write_id", claim.write_id},
-                               {"outcome", claim.outcome}});
-    }
-
-    [[nodiscard]] std::optional<claim_record> read_claim(std::string_view text) const override
-    {
-        return read_stored_text(text, read_claim_value);
-    }
-};
-
 } // namespace
 
-std::unique_ptr<coordination::claim_codec> make_claim_codec()
-{
-    return std::make_unique<json_claim_codec>();
-}
-
 std::unique_ptr<coordination::config_head_codec> make_config_head_codec()
 {
     return std::make_unique<json_head_codec>();
--- a/adapters/src/stored_values_json.hpp
+++ b/adapters/src/stored_values_json.hpp
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <exception>
 #include <limits>
@@ -47,6 +49,35 @@
     return written;
 }
 
+// The stored name of an enumerator.
+template <class Enum>
+struct stored_name {
+    Enum value;
+    const char* name;
+};
+
+template <class Enum, std::size_t Count>
+std::string write_name(const std::array<stored_name<Enum>, Count>& names, Enum value)
+{
+    for (const auto& known : names) {
+        if (known.value == value) {
+            return known.name;
+        }
+    }
+    return {};
+}
+
+template <class Enum, std::size_t Count>
+Enum read_name(const std::array<stored_name<Enum>, Count>& names, const std::string& name)
+{
+    for (const auto& known : names) {
+        if (known.name == name) {
+            return known.value;
+        }
+    }
+    throw malformed_value();
+}
+
 // One unreadable value must not end the process that came upon it.
 template <class Value>
 std::optional<Value> read_stored_text(std::string_view text,
--- a/adapters/test/stored_values_test.cpp
+++ b/adapters/test/stored_values_test.cpp
@@ -51,6 +51,37 @@
                a_member());
 }
 
+TEST(stored_values_test, claims_and_duties_read_back_as_they_were_written)
+{
+    const auto claims = make_claim_codec();
+    const claim_record claim{claim_state::ran, "i-1", "w-1", "booked \xc3\xa9"};
+    CHECK_EQUAL(std::string("{\"holder\":\"i-1\",\"outcome\":\"booked \xc3\xa9\","
+                            "\"state\":\"ran\",\"write_id\":\"w-1\"}"),
+                claims->write_claim(claim));
+    CHECK_TRUE(claims->read_claim(claims->write_claim(claim)) == claim);
+    const duty_record duty{"i-1", 7};
+    CHECK_TRUE(make_duty_codec()->read_duty(make_duty_codec()->write_duty(duty)) == duty);
+    CHECK_FALSE(make_duty_codec()->read_duty(R"({"holder":"i-1"})").has_value());
+    CHECK_FALSE(claims->read_claim(R"({"state":"lost","holder":"","write_id":"","outcome":""})")
+                    .has_value());
+}
+
+TEST(stored_values_test, an_outcome_that_is_not_utf8_comes_back_byte_for_byte)
+{
+    // A caller resends a booking whose answer was an image. What it gets is what the claim stores.
+    const auto bytes = rc::gen::container<std::string>(rc::gen::inRange<char>('\x80', '\x7f'));
+    const bool held = rc::check([&bytes] {
+        const claim_record claim{claim_state::ran, "i-1", "w-1", *bytes};
+        const auto read = make_claim_codec()->read_claim(make_claim_codec()->write_claim(claim));
+        RC_ASSERT(read == claim);
+    });
+    CHECK_TRUE(held);
+    CHECK_FALSE(make_claim_codec()
+                    ->read_claim(R"({"state":"ran","holder":"","write_id":"",)"
+                                 R"("outcome_base64":"*"})")
+                    .has_value());
+}
+
 TEST(stored_values_test, the_stored_form_of_a_head_is_what_operators_find_in_the_store)
 {
     CHECK_EQUAL(std::string(R"({"changes":[],"pages":["p"],"revision":2,"snapshot_revision":1,)"
@@ -98,6 +129,8 @@
         const auto text = *bytes;
         RC_ASSERT(!make_config_head_codec()->read_head(text));
         RC_ASSERT(!make_member_codec()->read_member(text));
+        RC_ASSERT(!make_claim_codec()->read_claim(text));
+        RC_ASSERT(!make_duty_codec()->read_duty(text));
         static_cast<void>(make_bill_page_codec()->read_bills(text));
         static_cast<void>(make_config_head_codec()->read_page(text));
     });
