Spread facts with a time to live by gossip

Cause: what one router sees, such as an endpoint that is leaving, all must soon know. Conclusion: nothing is sent while there is no news.

--- /dev/null
+++ b/coordination/include/pearhaven/coordination/fact_table.hpp
@@ -0,0 +1,103 @@
+#ifndef PEARHAVEN_COORDINATION_FACT_TABLE_HPP
+#define PEARHAVEN_COORDINATION_FACT_TABLE_HPP
+
+#include "pearhaven/coordination/actions.hpp"
+#include "pearhaven/decision/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace pearhaven::coordination {
+
+struct fact_table_settings {
+    incarnation_id self;
+    std::uint64_t seed = 0;       // of random choices; any number
+    std::size_t max_facts = 4096; // beyond it, what would be forgotten soonest goes first
+    std::size_t push_facts = 64;  // in one message
+    std::size_t push_peers = 2;   // told in one period, while there is news
+    decision::duration push_period = std::chrono::milliseconds{200};
+};
+
+// The fact is new, or newer than what was known.
+struct fact_learned {
+    fact learned;
+
+    friend bool operator==(const fact_learned&, const fact_learned&) = default;
+};
+
+// The fact's time is over, or it had to make room.
+struct fact_forgotten {
+    fact forgotten;
+
+    friend bool operator==(const fact_forgotten&, const fact_forgotten&) = default;
+};
+
+// Small statements that every router should soon know: spread by gossip, kept for a time, in
+// bounded memory. Nothing here is agreed on or kept for long; what has to be goes to the store.
+//
+// News are pushed to a few random peers each period, by everyone who hears them, a number of times
+// that grows with the logarithm of the fleet; without news nothing is sent. A router that joins is
+// sent all facts by two of its peers, chosen alike by all. A fact is passed on with the time that
+// it has left, so that it dies out everywhere. An author that wants it kept publishes it again.
+class fact_table {
+public:
+    using action = std::variant<send_message, fact_learned, fact_forgotten>;
+
+    explicit fact_table(fact_table_settings settings);
+
+    // States something as this router, in place of what it stated on the subject before.
+    void publish(fact_kind kind, std::string subject, double value, decision::duration time_to_live,
+                 decision::instant now);
+
+    // Live peers, without this router.
+    void set_peers(const std::vector<member_address>& live, decision::instant now);
+
+    // To be called every 100 ms or so.
+    void on_tick(decision::instant now);
+    void on_message(const peer_message& message, decision::instant now);
+    [[nodiscard]] std::vector<action> take_actions();
+
+    // What all authors say on the subject, one fact each.
+    [[nodiscard]] std::vector<fact> about(fact_kind kind, std::string_view subject) const;
+
+    [[nodiscard]] std::size_t size() const { return this->facts.size(); }
+
+private:
+    using fact_key = std::tuple<fact_kind, std::string, incarnation_id>;
+    struct known_fact {
+        fact stated;
+        decision::instant end;
+        int sends_left = 0;
+    };
+
+    void learn(const fact& stated, decision::instant now);
+    void make_room();
+    void forget_old(decision::instant now);
+    void push_news(decision::instant now);
+    void send_all(const member_address& joiner, decision::instant now);
+    [[nodiscard]] bool welcomes(const incarnation_id& joiner) const;
+    [[nodiscard]] std::vector<known_fact*> choose_news();
+    [[nodiscard]] std::vector<member_address> choose_peers();
+    void shuffle_peers();
+
+    fact_table_settings settings;
+    std::uint64_t random;
+    std::uint64_t last_sequence = 0;
+    std::map<fact_key, known_fact> facts;
+    std::vector<member_address> peers; // in the order in which they are pushed to
+    std::size_t next_peer = 0;
+    decision::instant next_push;
+    std::vector<action> actions;
+};
+
+} // namespace pearhaven::coordination
+
+#endif
--- /dev/null
+++ b/coordination/src/fact_table.cpp
@@ -0,0 +1,225 @@
+#include "pearhaven/coordination/fact_table.hpp"
+
+#include "mix.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace pearhaven::coordination {
+
+using decision::duration;
+using decision::instant;
+
+namespace {
+
+constexpr std::size_t welcoming_peers = 2;
+
+fact with_time_left(const fact& stated, instant end, instant now)
+{
+    fact copy = stated;
+    copy.time_to_live = end - now;
+    return copy;
+}
+
+} // namespace
+
+fact_table::fact_table(fact_table_settings chosen)
+    : settings(std::move(chosen)), random(mix(this->settings.seed, this->settings.self))
+{}
+
+void fact_table::publish(fact_kind kind, std::string subject, double value, duration time_to_live,
+                         instant now)
+{
+    const std::uint64_t sequence = ++this->last_sequence;
+    this->learn({kind, std::move(subject), this->settings.self, sequence, value, time_to_live},
+                now);
+}
+
+void fact_table::set_peers(const std::vector<member_address>& live, instant now)
+{
+    std::set<incarnation_id> before;
+    for (const member_address& peer : this->peers) {
+        before.insert(peer.id);
+    }
+    this->peers = live;
+    this->shuffle_peers();
+    for (const member_address& peer : this->peers) {
+        if (before.count(peer.id) == 0 && this->welcomes(peer.id)) {
+            this->send_all(peer, now);
+        }
+    }
+}
+
+// Whether this router is among the few that come first by a hash which all compute alike.
+bool fact_table::welcomes(const incarnation_id& joiner) const
+{
+    const auto rank = [&](const incarnation_id& id) { return mix(mix(0, joiner), id); };
+    const std::uint64_t own = rank(this->settings.self);
+    const auto ahead =
+        std::count_if(this->peers.begin(), this->peers.end(), [&](const member_address& peer) {
+            return peer.id != joiner && rank(peer.id) < own;
+        });
+    return static_cast<std::size_t>(ahead) < welcoming_peers;
+}
+
+void fact_table::on_tick(instant now)
+{
+    this->forget_old(now);
+    if (now >= this->next_push) {
+        this->push_news(now);
+    }
+}
+
+void fact_table::on_message(const peer_message& message, instant now)
+{
+    const auto* push = std::get_if<fact_push>(&message);
+    if (push == nullptr) {
+        return;
+    }
+    for (const fact& stated : push->facts) {
+        if (stated.author != this->settings.self) {
+            this->learn(stated, now);
+        }
+    }
+}
+
+std::vector<fact_table::action> fact_table::take_actions()
+{
+    return std::exchange(this->actions, {});
+}
+
+std::vector<fact> fact_table::about(fact_kind kind, std::string_view subject) const
+{
+    std::vector<fact> found;
+    const fact_key first(kind, std::string(subject), incarnation_id());
+    for (auto next = this->facts.lower_bound(first);
+         next != this->facts.end() && next->second.stated.kind == kind &&
+         next->second.stated.subject == subject;
+         ++next) {
+        found.push_back(next->second.stated);
+    }
+    return found;
+}
+
+// An equal sequence is the same fact come again: its time is not prolonged.
+void fact_table::learn(const fact& stated, instant now)
+{
+    if (stated.time_to_live <= duration{}) {
+        return;
+    }
+    const auto known = this->facts.find({stated.kind, stated.subject, stated.author});
+    if (known != this->facts.end() && known->second.stated.sequence >= stated.sequence) {
+        return;
+    }
+    constexpr double safety = 2;
+    const auto size = static_cast<double>(this->peers.size() + 2);
+    const int sends = static_cast<int>(std::ceil(safety * std::log2(size)));
+    this->facts[{stated.kind, stated.subject, stated.author}] = {stated, now + stated.time_to_live,
+                                                                 sends};
+    this->actions.emplace_back(fact_learned{stated});
+    this->make_room();
+}
+
+void fact_table::make_room()
+{
+    if (this->facts.size() <= this->settings.max_facts) {
+        return;
+    }
+    const auto soonest = std::min_element(
+        this->facts.begin(), this->facts.end(),
+        [](const auto& left, const auto& right) { return left.second.end < right.second.end; });
+    this->actions.emplace_back(fact_forgotten{soonest->second.stated});
+    this->facts.erase(soonest);
+}
+
+void fact_table::forget_old(instant now)
+{
+    for (auto next = this->facts.begin(); next != this->facts.end();) {
+        if (next->second.end > now) {
+            ++next;
+            continue;
+        }
+        this->actions.emplace_back(fact_forgotten{next->second.stated});
+        next = this->facts.erase(next);
+    }
+}
+
+void fact_table::push_news(instant now)
+{
+    this->next_push = now + this->settings.push_period;
+    const std::vector<known_fact*> news = this->choose_news();
+    if (news.empty()) {
+        return;
+    }
+    fact_push push;
+    for (known_fact* known : news) {
+        push.facts.push_back(with_time_left(known->stated, known->end, now));
+    }
+    for (const member_address& peer : this->choose_peers()) {
+        this->actions.emplace_back(send_message{peer, push});
+        for (known_fact* known : news) {
+            --known->sends_left;
+        }
+    }
+}
+
+// The least spread first.
+std::vector<fact_table::known_fact*> fact_table::choose_news()
+{
+    std::vector<known_fact*> news;
+    for (auto& [key, known] : this->facts) {
+        if (known.sends_left > 0) {
+            news.push_back(&known);
+        }
+    }
+    const std::size_t count = std::min(news.size(), this->settings.push_facts);
+    std::partial_sort(news.begin(), news.begin() + static_cast<std::ptrdiff_t>(count), news.end(),
+                      [](const known_fact* left, const known_fact* right) {
+                          return left->sends_left > right->sends_left;
+                      });
+    news.resize(count);
+    return news;
+}
+
+// Each peer once in a random order before any comes again: in a small fleet that reaches all, where
+// free choice would now and then leave one out.
+std::vector<member_address> fact_table::choose_peers()
+{
+    const std::size_t count = std::min(this->settings.push_peers, this->peers.size());
+    std::vector<member_address> chosen;
+    while (chosen.size() < count) {
+        if (this->next_peer >= this->peers.size()) {
+            this->shuffle_peers();
+        }
+        chosen.push_back(this->peers[this->next_peer++]);
+    }
+    return chosen;
+}
+
+void fact_table::shuffle_peers()
+{
+    this->next_peer = 0;
+    for (std::size_t left = this->peers.size(); left > 1; --left) {
+        std::swap(this->peers[left - 1], this->peers[next_random(this->random) % left]);
+    }
+}
+
+void fact_table::send_all(const member_address& joiner, instant now)
+{
+    fact_push push;
+    const auto send = [&] {
+        this->actions.emplace_back(send_message{joiner, std::exchange(push, {})});
+    };
+    for (const auto& [key, known] : this->facts) {
+        push.facts.push_back(with_time_left(known.stated, known.end, now));
+        if (push.facts.size() == this->settings.push_facts) {
+            send();
+        }
+    }
+    if (!push.facts.empty()) {
+        send();
+    }
+}
+
+} // namespace pearhaven::coordination
