Count routers that have no record but that others take for live

Cause: after an outage of the store that outlasted the leases, the records are gone while routers serve on. Ruled out: asking only the store (above); asking every router again each round for its view of the fleet, which at 740 routers moves each one's list of 740 each time. Two witnesses are asked.

--- a/control/src/change.cpp
+++ b/control/src/change.cpp
@@ -96,7 +96,9 @@
             return this->explain_unknown(edit);
         }
         if (done.error) {
-            return refuse(this->context, done.error);
+            const exit_code end = refuse(this->context, done.error);
+            this->context.out.complain("Nothing was changed.");
+            return end;
         }
         this->revision = done.revision;
         this->text = "accepted as revision " + std::to_string(this->revision) + ":\n";
@@ -225,16 +227,14 @@
         this->result["routers"] = waited.routers;
         this->result["lagging"] = json::array();
         if (waited.in_force) {
-            this->text += waited.routers == 0
-                              ? "no router is live\n"
-                              : "in force on every live router, of which there are " +
-                                    std::to_string(waited.routers) + "\n";
+            this->text += "in force on every live router, of which there are " +
+                          std::to_string(waited.routers) + "\n";
             return exit_code::ok;
         }
         this->context.out.complain("not known to be in force everywhere after " +
                                    std::to_string(patience.count()) + " ms:");
         if (!waited.problem.empty()) {
-            this->context.out.complain("  the routers could not be listed: " + waited.problem);
+            this->context.out.complain("  the routers cannot be listed: " + waited.problem);
         }
         for (const auto& lagging : waited.lagging) {
             this->explain_lag(lagging);
--- a/control/src/errors.cpp
+++ b/control/src/errors.cpp
@@ -18,16 +18,16 @@
     {
         switch (static_cast<control_error>(code)) {
         case control_error::store_unavailable:
-            return "the key-value service cannot be reached; nothing was changed";
+            return "the key-value service cannot be reached";
         case control_error::store_unreadable:
             return "the key-value service holds a configuration that this program cannot read";
         case control_error::conflict:
-            return "another operator changed the same objects first; nothing was changed";
+            return "another operator changed the same objects first";
         case control_error::stale_view:
             return "the revision looked at is too old, or not there yet, to tell what has changed "
-                   "since; nothing was changed";
+                   "since";
         case control_error::too_large:
-            return "the change is too large for the key-value service; nothing was changed";
+            return "the change is too large for the key-value service";
         case control_error::outcome_unknown:
             return "the key-value service stopped answering; the change may have been accepted";
         }
--- a/control/src/fleet_wait.cpp
+++ b/control/src/fleet_wait.cpp
@@ -1,5 +1,6 @@
 #include "fleet_wait.hpp"
 
+#include <map>
 #include <set>
 
 namespace pearhaven::control {
@@ -10,6 +11,9 @@
 
 constexpr decision::duration round_pause = std::chrono::milliseconds{200};
 
+// Routers that have the revision already and are asked all the same whom they take for live.
+constexpr std::size_t most_witnesses = 2;
+
 class fleet_wait {
 public:
     fleet_wait(command_context& surroundings, std::uint64_t wanted)
@@ -36,29 +40,41 @@
             result.problem = listed.error.message();
             return result;
         }
-        result.routers = listed.members.size();
-        const std::vector<member> open = this->not_seen(listed.members);
-        const auto statuses = this->context.routers.ask(open);
-        for (std::size_t index = 0; index < open.size(); ++index) {
-            this->judge(open[index], statuses[index], result);
+        if (listed.members.empty()) {
+            result.problem = "no router has a record in the key-value service";
+            return result;
         }
+        const auto statuses = this->ask(listed.members, result);
+        const std::vector<member> unlisted = unlisted_members(listed.members, statuses);
+        this->ask(unlisted, result);
+        result.routers = listed.members.size() + unlisted.size();
         result.in_force = result.lagging.empty();
         return result;
     }
 
-    [[nodiscard]] std::vector<member> not_seen(const std::vector<member>& routers) const
+    // Asks those that are not known to have the revision, and a few more for their view of the
+    // fleet.
+    std::vector<router_status> ask(const std::vector<member>& routers, fleet_wait_result& result)
     {
-        std::vector<member> open;
+        std::vector<member> asked;
+        std::size_t witnesses = 0;
         for (const auto& router : routers) {
-            if (this->seen.count(router.id) == 0) {
-                open.push_back(router);
+            if (this->seen.count(router.id) == 0 || ++witnesses <= most_witnesses) {
+                asked.push_back(router);
             }
         }
-        return open;
+        auto statuses = this->context.routers.ask(asked);
+        for (std::size_t index = 0; index < asked.size(); ++index) {
+            this->judge(asked[index], statuses[index], result);
+        }
+        return statuses;
     }
 
     void judge(const member& router, const router_status& status, fleet_wait_result& result)
     {
+        if (this->seen.count(router.id) > 0) {
+            return;
+        }
         if (!status.problem.empty()) {
             result.lagging.push_back({router, status.problem});
         } else if (status.revision < this->revision) {
@@ -76,6 +92,26 @@
 
 } // namespace
 
+std::vector<member> unlisted_members(const std::vector<member>& listed,
+                                     const std::vector<router_status>& statuses)
+{
+    std::map<coordination::incarnation_id, member> unlisted;
+    for (const auto& status : statuses) {
+        for (const auto& router : status.members) {
+            unlisted[router.id] = router;
+        }
+    }
+    for (const auto& router : listed) {
+        unlisted.erase(router.id);
+    }
+    std::vector<member> members;
+    members.reserve(unlisted.size());
+    for (auto& [id, router] : unlisted) {
+        members.push_back(std::move(router));
+    }
+    return members;
+}
+
 fleet_wait_result wait_for_fleet(command_context& context, std::uint64_t revision,
                                  decision::duration patience)
 {
--- a/control/src/fleet_wait.hpp
+++ b/control/src/fleet_wait.hpp
@@ -26,9 +26,16 @@
     std::string problem; // why the routers could not be listed
 };
 
-// Waits until every router that has a record in the store has the revision, or a higher one, in
-// force. The list is read anew each round: a router whose record is gone no longer counts, one that
-// has come does. A router that once had the revision is not asked again, since none goes back.
+// Routers that are not on the list, but that those which answered do not take for dead.
+std::vector<coordination::member> unlisted_members(const std::vector<coordination::member>& listed,
+                                                   const std::vector<router_status>& statuses);
+
+// Waits until every live router has the revision, or a higher one, in force. Live is a router that
+// has a record in the store, and one that a router with a record does not take for dead: during an
+// outage of the store, leases may end and records go while their routers serve on. Both are read
+// anew each round, so that a router that has gone no longer counts, and one that has come does. One
+// that once had the revision keeps it, since none goes back. Without a single record there is
+// nothing to go by, and the wait goes on.
 fleet_wait_result wait_for_fleet(command_context& context, std::uint64_t revision,
                                  decision::duration patience);
 
--- a/control/src/router_inspector.cpp
+++ b/control/src/router_inspector.cpp
@@ -37,11 +37,38 @@
     return page.contains(field) && page[field].is_boolean();
 }
 
+bool is_text(const json& page, const char* field)
+{
+    return page.contains(field) && page[field].is_string();
+}
+
 bool is_status_page(const json& page)
 {
-    return page.is_object() && page.contains("incarnation") && page["incarnation"].is_string() &&
-           is_count(page, "revision") && is_flag(page, "ready") && is_flag(page, "draining") &&
-           is_count(page, "in_flight");
+    return page.is_object() && is_text(page, "incarnation") && is_count(page, "revision") &&
+           is_flag(page, "ready") && is_flag(page, "draining") && is_count(page, "in_flight");
+}
+
+bool is_live_member(const json& value)
+{
+    return value.is_object() && is_text(value, "incarnation") && is_text(value, "host") &&
+           is_text(value, "zone") && is_text(value, "state") && is_count(value, "operator_port") &&
+           value["state"] != "dead";
+}
+
+std::vector<member> read_live_members(const json& page)
+{
+    std::vector<member> members;
+    for (const auto& value : page.value("members", json::array())) {
+        if (is_live_member(value)) {
+            member router;
+            router.id = value["incarnation"];
+            router.host = value["host"];
+            router.zone = value["zone"];
+            router.operator_port = value["operator_port"];
+            members.push_back(std::move(router));
+        }
+    }
+    return members;
 }
 
 // Collects answers that come on the HTTP client's thread.
@@ -99,6 +126,7 @@
     status.ready = page["ready"];
     status.draining = page["draining"];
     status.in_flight = page["in_flight"];
+    status.members = read_live_members(page);
     if (is_count(page, "confirmed_age_ms")) {
         status.confirmed_age_ms = page["confirmed_age_ms"].get<std::uint64_t>();
     }
--- a/control/src/router_inspector.hpp
+++ b/control/src/router_inspector.hpp
@@ -20,6 +20,7 @@
     bool ready = false;
     bool draining = false;
     std::uint64_t in_flight = 0;
+    std::vector<coordination::member> members; // other routers that it does not take for dead
 
     friend bool operator==(const router_status&, const router_status&) = default;
 };
--- a/control/src/status_command.cpp
+++ b/control/src/status_command.cpp
@@ -1,4 +1,5 @@
 #include "command.hpp"
+#include "fleet_wait.hpp"
 
 namespace pearhaven::control {
 
@@ -17,17 +18,21 @@
     return router.host + ":" + std::to_string(router.operator_port);
 }
 
-std::vector<std::string> row(const member& router, const router_status& status)
+std::vector<std::string> row(const member& router, const router_status& status, bool recorded)
 {
     if (!status.problem.empty()) {
-        return {router.id,     operator_address(router), router.zone, "?", "?", "?", "?", "?",
-                status.problem};
+        return {router.id,   operator_address(router),
+                router.zone, yes_or_no(recorded),
+                "?",         "?",
+                "?",         "?",
+                "?",         status.problem};
     }
     const std::string age =
         status.confirmed_age_ms ? std::to_string(*status.confirmed_age_ms) : "never";
     return {router.id,
             operator_address(router),
             router.zone,
+            yes_or_no(recorded),
             std::to_string(status.revision),
             age,
             yes_or_no(status.ready),
@@ -36,10 +41,12 @@
             ""};
 }
 
-json status_json(const member& router, const router_status& status)
+json status_json(const member& router, const router_status& status, bool recorded)
 {
-    json value = {
-        {"incarnation", router.id}, {"address", operator_address(router)}, {"zone", router.zone}};
+    json value = {{"incarnation", router.id},
+                  {"address", operator_address(router)},
+                  {"zone", router.zone},
+                  {"recorded", recorded}};
     if (!status.problem.empty()) {
         value["problem"] = status.problem;
         return value;
@@ -54,6 +61,24 @@
     return value;
 }
 
+// The routers in both forms.
+struct status_report {
+    text_table table{{"ROUTER", "ADDRESS", "ZONE", "RECORD", "REVISION", "AGE_MS", "READY",
+                      "DRAINING", "IN_FLIGHT", "PROBLEM"}};
+    json list = json::array();
+    bool all_answered = true;
+
+    void add(const std::vector<member>& routers, const std::vector<router_status>& statuses,
+             bool recorded)
+    {
+        for (std::size_t index = 0; index < routers.size(); ++index) {
+            this->table.add(row(routers[index], statuses[index], recorded));
+            this->list.push_back(status_json(routers[index], statuses[index], recorded));
+            this->all_answered = this->all_answered && statuses[index].problem.empty();
+        }
+    }
+};
+
 class status_command : public command {
 public:
     [[nodiscard]] command_usage usage() const override
@@ -84,23 +109,16 @@
 
 private:
     static exit_code show(command_context& context, std::uint64_t revision,
-                          const std::vector<member>& routers)
+                          const std::vector<member>& listed)
     {
-        text_table table({"ROUTER", "ADDRESS", "ZONE", "REVISION", "AGE_MS", "READY", "DRAINING",
-                          "IN_FLIGHT", "PROBLEM"});
-        json list = json::array();
-        exit_code end = exit_code::ok;
-        const auto statuses = context.routers.ask(routers);
-        for (std::size_t index = 0; index < routers.size(); ++index) {
-            table.add(row(routers[index], statuses[index]));
-            list.push_back(status_json(routers[index], statuses[index]));
-            if (!statuses[index].problem.empty()) {
-                end = exit_code::failed;
-            }
-        }
-        context.out.show("revision " + std::to_string(revision) + "\n" + table.text(),
-                         {{"revision", revision}, {"routers", std::move(list)}});
-        return end;
+        status_report report;
+        const auto statuses = context.routers.ask(listed);
+        report.add(listed, statuses, true);
+        const auto unlisted = unlisted_members(listed, statuses);
+        report.add(unlisted, context.routers.ask(unlisted), false);
+        context.out.show("revision " + std::to_string(revision) + "\n" + report.table.text(),
+                         {{"revision", revision}, {"routers", report.list}});
+        return report.all_answered ? exit_code::ok : exit_code::failed;
     }
 };
 
--- a/control/test/fleet_wait_test.cpp
+++ b/control/test/fleet_wait_test.cpp
@@ -2,8 +2,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-
 #include <CppUTest/TestHarness.h>
 
 using namespace pearhaven::control;
@@ -89,12 +87,51 @@
     CHECK_TRUE(ama.complaints().find("router i3") != std::string::npos);
 }
 
-TEST(fleet_wait_test, a_router_that_had_the_revision_is_not_asked_again)
+TEST(fleet_wait_test, a_router_that_had_the_revision_need_not_answer_again)
 {
     ama.routers.statuses = {{"i1", at_revision(1)}, {"i2", at_revision(0)}};
-    apply();
-    const auto& asked = ama.routers.asked;
-    CHECK_EQUAL(1, std::count(asked.begin(), asked.end(), "i1"));
+    ama.clock.on_sleep = [this] {
+        this->ama.routers.statuses = {{"i1", silent()}, {"i2", at_revision(1)}};
+    };
+    CHECK_TRUE(apply() == exit_code::ok);
+}
+
+TEST(fleet_wait_test, few_of_the_routers_that_had_the_revision_are_asked_again)
+{
+    for (int number = 3; number < 30; ++number) {
+        const auto id = "i" + std::to_string(number);
+        register_router(store, id);
+        ama.routers.statuses[id] = at_revision(1);
+    }
+    ama.routers.statuses["i1"] = at_revision(1);
+    ama.routers.statuses["i2"] = at_revision(0);
+    ama.clock.on_sleep = [this] { this->ama.routers.statuses["i2"] = at_revision(1); };
+    CHECK_TRUE(apply() == exit_code::ok);
+    CHECK_EQUAL(29U + 3U, ama.routers.asked.size());
+}
+
+TEST(fleet_wait_test, a_router_without_a_record_counts_while_others_take_it_for_live)
+{
+    // An outage of the store outlasted the leases: the records went, and only i1 and i2 have
+    // registered again when the operator withdraws a version. i3 serves on under the old
+    // configuration, and the operator must not be told that the change is in force everywhere.
+    auto knows_i3 = at_revision(1);
+    knows_i3.members.resize(1);
+    knows_i3.members[0].id = "i3";
+    knows_i3.members[0].host = "10.0.0.3";
+    ama.routers.statuses = {{"i1", knows_i3}, {"i2", at_revision(1)}, {"i3", at_revision(0)}};
+    CHECK_TRUE(apply() == exit_code::not_everywhere);
+    CHECK_TRUE(ama.complaints().find("router i3 (10.0.0.3") != std::string::npos);
+    ama.clock.on_sleep = [this] { this->ama.routers.statuses["i1"] = at_revision(1); };
+    CHECK_TRUE(apply() == exit_code::ok);
+}
+
+TEST(fleet_wait_test, without_any_record_nothing_is_taken_for_in_force)
+{
+    // The same outage, and no router has registered again yet: there is nobody to ask.
+    store.entries.clear();
+    CHECK_TRUE(apply() == exit_code::not_everywhere);
+    CHECK_TRUE(ama.complaints().find("no router has a record") != std::string::npos);
 }
 
 TEST(fleet_wait_test, an_unchanged_configuration_is_waited_for_as_well)
@@ -114,7 +151,7 @@
     ama.routers.statuses = {{"i1", at_revision(0)}, {"i2", at_revision(0)}};
     ama.clock.on_sleep = [this] { this->store.down = true; };
     CHECK_TRUE(apply() == exit_code::not_everywhere);
-    CHECK_TRUE(ama.complaints().find("the routers could not be listed") != std::string::npos);
+    CHECK_TRUE(ama.complaints().find("the routers cannot be listed") != std::string::npos);
 }
 
 TEST(fleet_wait_test, without_the_operator_key_nothing_is_changed)
@@ -124,12 +161,17 @@
     CHECK_EQUAL(0, store.swaps);
 }
 
-TEST(fleet_wait_test, status_shows_routers_that_do_not_answer)
+TEST(fleet_wait_test, status_shows_routers_that_do_not_answer_or_have_no_record)
 {
-    ama.routers.statuses = {{"i1", at_revision(0)}, {"i2", silent()}};
+    auto knows_i3 = at_revision(0);
+    knows_i3.members.resize(1);
+    knows_i3.members[0].id = "i3";
+    ama.routers.statuses = {{"i1", knows_i3}, {"i2", silent()}, {"i3", at_revision(0)}};
     ama.settings.format = output_format::json;
     CHECK_TRUE(ama.run({"status"}) == exit_code::failed);
     const auto routers = nlohmann::json::parse(ama.results())["routers"];
     CHECK_EQUAL(0U, routers[0]["revision"].get<std::uint64_t>());
     CHECK_EQUAL(std::string("no answer"), routers[1]["problem"].get<std::string>());
+    CHECK_EQUAL(std::string("i3"), routers[2]["incarnation"].get<std::string>());
+    CHECK_FALSE(routers[2]["recorded"].get<bool>());
 }
--- a/control/test/router_inspector_test.cpp
+++ b/control/test/router_inspector_test.cpp
@@ -17,7 +17,10 @@
 }
 
 const std::string page = R"({"incarnation":"i1","revision":7,"ready":true,"draining":false,)"
-                         R"("in_flight":3,"confirmed_age_ms":40,"members":[]})";
+                         R"("in_flight":3,"confirmed_age_ms":40,"members":[)"
+                         R"({"incarnation":"i2","zone":"osu","host":"10.0.0.2","operator_port":5,)"
+                         R"("state":"suspect"},{"incarnation":"i3","zone":"osu","host":"10.0.0.3",)"
+                         R"("operator_port":5,"state":"dead"}]})";
 
 } // namespace
 
@@ -31,6 +34,9 @@
     CHECK_EQUAL(40U, status.confirmed_age_ms.value());
     CHECK_EQUAL(3U, status.in_flight);
     CHECK_TRUE(status.ready);
+    CHECK_EQUAL(1U, status.members.size());
+    CHECK_EQUAL(std::string("i2"), status.members[0].id);
+    CHECK_EQUAL(5, status.members[0].operator_port);
 }
 
 TEST(router_inspector_test, the_answer_of_a_replacement_says_nothing_of_the_router_that_was_meant)
