--- a/benchmarks/slopes.sh
+++ b/benchmarks/slopes.sh
@@ -16,6 +16,8 @@
 seconds=${SLOPES_SECONDS:-8}              # of one repetition
 repetitions=${SLOPES_REPETITIONS:-3}      # in each phase
 engines=${SLOPES_ENGINES:-3}
+unused_hosts=${SLOPES_HOSTS:-0}            # further entries of the host list, which no pool takes
+teams=${SLOPES_TEAMS:-0}                   # further teams in the configuration
 requests_per_router=${SLOPES_REQUESTS:-5} # a second, in the phase with load
 seconds_per_change=${SLOPES_CHANGE:-1.35} # 64,000 changes a day are one each 1.35 s
 waited_changes=${SLOPES_WAITED:-6}        # changes whose time until in force everywhere is taken
@@ -37,6 +39,10 @@
     entries+="${entries:+,}{\"name\":\"engine-$number\",\"address\":\"$engine\",\"zone\":\"zone-$((number % zones + 1))\","
     entries+="\"incarnation\":1,\"state\":\"live\",\"labels\":{\"role\":\"engine\"}}"
   done
+  for ((number = 1; number <= unused_hosts; number++)); do
+    entries+=",{\"name\":\"spare-$number\",\"address\":\"127.0.0.1:$((number % 60000 + 1))\",\"zone\":\"zone-$((number % zones + 1))\","
+    entries+="\"incarnation\":1,\"state\":\"live\",\"labels\":{\"role\":\"spare\"}}"
+  done
   echo "[$entries]" >"$fleet_logs/hosts.json"
   start hosts "$build/standins/standin_hosts" --listen 127.0.0.1:0 --threads 4096 --file "$fleet_logs/hosts.json"
   hosts=$(line hosts 'listening on ')
@@ -76,6 +82,10 @@
 name: engines
 spec: {hosts: {role: engine}, versions: {model: adjudicator}}
 YAML
+  local number
+  for ((number = 1; number <= teams; number++)); do
+    printf -- "---\nkind: team\nname: team-%d\nspec: {key_sha256: [%064x], versions: {channel: stable}}\n" "$number" "$number"
+  done >>"$fleet_logs/fleet.yaml"
   pearhavenctl apply -f "$fleet_logs/fleet.yaml" >/dev/null
 }
 
@@ -219,6 +229,7 @@
 begun=$EPOCHREALTIME
 until_true is_joined
 record start 1 joined_s "$(awk -v a="$begun" -v b="$EPOCHREALTIME" 'BEGIN { printf "%.2f", b - a }')"
+record start 1 host_list_bytes "$(curl -sf "http://$hosts/v1/hosts" | wc -c)"
 sleep 3 # what follows a join, such as its gossip, is over
 measure idle
 measure_load
