--- a/adapters/src/configuration_codec_kinds.cpp
+++ b/adapters/src/configuration_codec_kinds.cpp
@@ -1,6 +1,7 @@
 #include "configuration_codec_kinds.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace pearhaven::adapters {
 
@@ -11,6 +12,9 @@
 constexpr std::uint64_t most_requests = 1'000'000;
 constexpr std::uint64_t most_traffic = 1'000'000;
 constexpr std::uint64_t most_callers = 1'000'000'000;
+constexpr std::uint64_t most_steps = 1'000'000;
+constexpr std::uint64_t most_runs = 1ULL << 53U; // revisions; numbers that JSON readers keep whole
+constexpr std::uint64_t most_routers = 1'000'000;
 constexpr std::uint64_t week_seconds = 604'800;
 constexpr std::uint64_t most_key_number = 0xffff'ffff;
 constexpr double most_weight = 1e6;
@@ -152,6 +156,49 @@
             add_service};
 }
 
+struct named_state {
+    const char* name;
+    decision::rollout_state state;
+};
+
+constexpr named_state rollout_states[] = {{"running", decision::rollout_state::running},
+                                          {"done", decision::rollout_state::done},
+                                          {"rolled_back", decision::rollout_state::rolled_back}};
+
+// Null where no state has the name.
+const named_state* find_rollout_state(const std::string& name)
+{
+    const auto* const found =
+        std::find_if(std::begin(rollout_states), std::end(rollout_states),
+                     [&name](const named_state& candidate) { return candidate.name == name; });
+    return found == std::end(rollout_states) ? nullptr : found;
+}
+
+// `running`, `done` or `rolled_back`.
+class rollout_state_rule : public value_rule {
+public:
+    [[nodiscard]] std::string allowed() const override
+    {
+        return "one of running, done, rolled_back";
+    }
+
+    json check(const json& value, const std::string& path, fault_collector& faults) const override
+    {
+        if (!value.is_string() || find_rollout_state(value.get<std::string>()) == nullptr) {
+            faults.add(path, shown(value), this->allowed());
+        }
+        return value;
+    }
+};
+
+void read(const json& spec, const char* field, decision::rollout_state& member)
+{
+    const auto found = spec.find(field);
+    if (found != spec.end()) {
+        member = find_rollout_state(found->get<std::string>())->state;
+    }
+}
+
 decision::rollout make_rollout(const object_parts& object)
 {
     decision::rollout made;
@@ -163,6 +210,10 @@
     read(object.spec, "max_error_rate", made.max_error_rate);
     read(object.spec, "base_error_rate", made.base_error_rate);
     read(object.spec, "paused", made.paused);
+    read(object.spec, "state", made.state);
+    read(object.spec, "step", made.step);
+    read(object.spec, "run", made.run);
+    read(object.spec, "routers", made.routers);
     return made;
 }
 
@@ -196,7 +247,11 @@
              {"step_seconds", whole_number(1, week_seconds)},
              {"max_error_rate", number_between(0, 1)},
              {"base_error_rate", number_between(0, 1)},
-             {"paused", flag()}},
+             {"paused", flag()},
+             {"state", std::make_shared<rollout_state_rule>()},
+             {"step", whole_number(0, most_steps)},
+             {"run", whole_number(0, most_runs)},
+             {"routers", whole_number(0, most_routers)}},
             check_rollout,
             add_rollout};
 }
--- a/adapters/src/configuration_codec_rules.cpp
+++ b/adapters/src/configuration_codec_rules.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <iomanip>
+#include <limits>
 #include <sstream>
 #include <string_view>
 
@@ -69,7 +71,7 @@
 std::string plain(double number)
 {
     std::ostringstream text;
-    text << number;
+    text << std::setprecision(std::numeric_limits<double>::digits10) << number;
     return text.str();
 }
 
--- a/adapters/test/configuration_codec_test.cpp
+++ b/adapters/test/configuration_codec_test.cpp
@@ -158,7 +158,7 @@
 TEST(configuration_codec_test, a_wrong_type_is_named_with_its_line)
 {
     CHECK_EQUAL(std::string("a.yaml:5: spec.weight: found \"heavy\", allowed a number above 0, at "
-                            "most 1e+06\n"),
+                            "most 1000000\n"),
                 faults_in("kind: team\nname: a\nspec:\n  max_in_flight: 3\n  weight: heavy\n"));
 }
 
@@ -330,7 +330,7 @@
     CHECK_EQUAL(std::string(), faults_of(check_object({"team", "a", R"({"spec":{"weight":2}})"})));
     CHECK_EQUAL(std::string(), faults_of(check_object({"team", "a", ""})));
     CHECK_EQUAL(std::string("team/a: spec.weight: found \"x\", allowed a number above 0, at most "
-                            "1e+06\n"),
+                            "1000000\n"),
                 faults_of(check_object({"team", "a", R"({"spec":{"weight":"x"}})"})));
     CHECK_EQUAL(std::string("team/a: found text that is no JSON map, allowed a JSON map with "
                             "labels and spec\n"),
--- a/control/test/commands_test.cpp
+++ b/control/test/commands_test.cpp
@@ -72,9 +72,10 @@
     ama.input.files = {{"one", team_a}, {"two", "kind: team\nname: b\nspec: {weight: 0}\n"}};
     ama.settings.files = {"one", "two", "three"};
     CHECK_ENDS(exit_code::usage, ama.run({"apply"}));
-    CHECK_EQUAL(std::string("two:3: spec.weight: found 0, allowed a number above 0, at most 1e+06\n"
-                            "three: found no file that can be read, allowed a YAML file\n"),
-                ama.complaints());
+    CHECK_EQUAL(
+        std::string("two:3: spec.weight: found 0, allowed a number above 0, at most 1000000\n"
+                    "three: found no file that can be read, allowed a YAML file\n"),
+        ama.complaints());
     CHECK_EQUAL(0, store.swaps);
 }
 
