Count roll-outs' exposure in callers, and judge versions by Wald's test

Cause: roll-outs were parsed and had no effect; a version met half of all callers from the moment that it was configured. Ruled out: percentages of the traffic (evidence that comes late is overtaken by traffic: the harm has no bound), a test at each step alone (25 callers cannot decide Wald's test at 1% against 5%: 112 good answers do), a plain running count for versions in full use (a good past outweighs bad ends now). Conclusion: a router's part of each step is fixed when the step comes into force; steps are judged by all evidence since the attempt began, full use by Page's sum over the same steps.

--- a/decision/include/pearhaven/decision/configuration.hpp
+++ b/decision/include/pearhaven/decision/configuration.hpp
@@ -93,7 +93,14 @@
     friend bool operator==(const service&, const service&) = default;
 };
 
-// A staged move of a model's traffic from one version to another.
+enum class rollout_state : std::uint8_t {
+    running,
+    done,        // new work goes to the new version
+    rolled_back, // nothing new goes to it
+};
+
+// A staged move of a model's traffic from one version to another. The last four members are kept by
+// the routers: an operator who states a roll-out leaves them out, and so starts it anew.
 struct rollout {
     std::string name;
     std::string from;
@@ -104,6 +111,10 @@
     double max_error_rate = 0.05;    // guard: error rate that counts as bad
     double base_error_rate = 0.01;   // guard: error rate of a good version
     bool paused = false;
+    rollout_state state = rollout_state::running;
+    std::uint32_t step = 0;    // beyond the last one each grants the last number again
+    std::uint64_t run = 0;     // names this attempt, for its evidence; 0 until it begins
+    std::uint32_t routers = 0; // size of the fleet among which the step's grant is divided
 
     friend bool operator==(const rollout&, const rollout&) = default;
 };
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "pearhaven/decision/endpoint_table.hpp"
 #include "pearhaven/decision/fair_queue.hpp"
 #include "pearhaven/decision/retry_budget.hpp"
+#include "pearhaven/decision/rollout_exposure.hpp"
 #include "pearhaven/decision/session_token.hpp"
 #include "pearhaven/decision/suspects.hpp"
 #include "pearhaven/decision/time.hpp"
@@ -187,6 +188,9 @@
     // Versions that guards have tripped: they get no new work here until the set changes.
     void on_tripped_versions(std::set<std::string> versions, instant now);
 
+    // Another router's evidence has tripped this attempt at rolling the version out.
+    void on_trip_told(const std::string& version, std::uint64_t run, instant now);
+
     // Until when this router may take its configuration for the one in force. A time and not a yes
     // or no: a process that was paused finds on waking that it has passed, before it hears
     // anything.
@@ -209,6 +213,7 @@
     [[nodiscard]] std::size_t queued() const { return this->queue.size(); }
     [[nodiscard]] const endpoint_table& endpoints() const { return this->table; }
     [[nodiscard]] const configuration_ptr& current() const { return this->config; }
+    [[nodiscard]] std::vector<rollout_report> rollouts() const { return this->exposure.reports(); }
 
 private:
     struct request_state {
@@ -225,11 +230,13 @@
         attempt_number struck_attempt = 0; // attempt that was last counted as part of a crash
         bool delivered = false;            // tokens have reached the caller
         bool may_have_run = false;
+        rollout_note rollouts;
     };
 
     struct chosen_start {
         std::string address;
         std::string version;
+        std::string exposed_by;
     };
 
     [[nodiscard]] std::optional<failure> admission_failure(const arrival& request,
@@ -238,7 +245,7 @@
     [[nodiscard]] std::optional<failure> target_failure(const request_state& state,
                                                         instant now) const;
     [[nodiscard]] std::optional<chosen_start> find_start(const request_state& state, instant now);
-    [[nodiscard]] version_answer ask_version(const arrival& request) const;
+    [[nodiscard]] rollout_choice ask_version(const request_state& state, instant now) const;
     [[nodiscard]] placement place(const request_state& state, const std::string& target,
                                   instant now) const;
     [[nodiscard]] bool is_in_touch(instant now) const { return now < this->in_touch_until; }
@@ -257,6 +264,8 @@
     void after_loss(request_state& state, const attempt_end& end, instant now);
     void resume(request_state& state, const attempt_end& end);
     void retry(request_state& state);
+    void note_version_refused(request_state& state) const;
+    void note_version_lost(request_state& state, const attempt_end& end);
     void blame_crash(const std::string& address, instant now);
     void note_finished_work(double work, instant now);
     void give_up_all_queued(const failure& why);
@@ -275,6 +284,7 @@
     std::map<ticket_number, request_state> requests;
     std::map<std::string, std::uint32_t> team_in_flight;
     std::set<std::string> tripped;
+    rollout_exposure exposure;
     std::vector<dispatch_action> actions;
     bool draining = false;
     std::size_t fleet_rank = 0;
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -21,6 +21,10 @@
 // Period over which the rate of finished work is measured.
 constexpr duration rate_period = std::chrono::seconds(1);
 
+// Refusals after which a caller of a roll-out's step is not sent to its new version any more. That
+// version may be loaded nowhere yet, which must not cost the caller its answer.
+constexpr std::uint32_t max_refusals_of_new_version = 2;
+
 // Time between two looks for runs past their deadline.
 constexpr duration overdue_period = std::chrono::milliseconds(100);
 
@@ -82,6 +86,7 @@
 {
     this->config = std::move(current);
     this->table.configure(*this->config);
+    this->exposure.on_configuration(*this->config);
     this->dispatch(now);
 }
 
@@ -117,6 +122,12 @@
     this->dispatch(now);
 }
 
+void dispatcher::on_trip_told(const std::string& version, std::uint64_t run, instant now)
+{
+    this->exposure.on_trip_told(version, run);
+    this->dispatch(now);
+}
+
 void dispatcher::on_touch(instant until, instant now)
 {
     this->in_touch_until = until;
@@ -132,6 +143,7 @@
 {
     this->fleet_size = std::max<std::size_t>(size, 1);
     this->fleet_rank = std::min(rank, this->fleet_size - 1);
+    this->exposure.on_fleet(this->fleet_rank, this->fleet_size);
 }
 
 void dispatcher::begin_drain()
@@ -202,8 +214,9 @@
     return std::nullopt;
 }
 
-version_answer dispatcher::ask_version(const arrival& request) const
+rollout_choice dispatcher::ask_version(const request_state& state, instant now) const
 {
+    const auto& request = state.what;
     version_question question;
     question.current = this->config.get();
     question.caller = &this->config->teams().at(request.team);
@@ -211,7 +224,18 @@
     question.bound = request.bound;
     question.random = mixed(request.ticket ^ this->settings.seed);
     question.excluded.assign(this->tripped.begin(), this->tripped.end());
-    return choose_version(question);
+    for (const auto& version : this->exposure.tripped()) {
+        question.excluded.push_back(version);
+    }
+    auto note = state.rollouts;
+    auto chosen = this->exposure.choose(question, note);
+    // A new version that no endpoint serves yet must not cost its first callers their answers.
+    while (!chosen.exposed_by.empty() &&
+           !this->table.serves(this->place(state, chosen.answer.version, now), now)) {
+        note.lost_on.push_back(chosen.answer.version);
+        chosen = this->exposure.choose(question, note);
+    }
+    return chosen;
 }
 
 std::optional<failure> dispatcher::target_failure(const request_state& state, instant now) const
@@ -236,7 +260,7 @@
             return lasting(failure_code::not_allowed, "the team may not call " + request.asked);
         }
     } else {
-        const auto answer = this->ask_version(request);
+        const auto answer = this->ask_version(state, now).answer;
         if (auto refused = to_failure(answer, request.asked)) {
             return refused;
         }
@@ -301,14 +325,17 @@
                                                                instant now)
 {
     auto target = state.what.asked;
+    std::string exposed_by;
     if (!state.what.is_service) {
-        target = this->ask_version(state.what).version;
+        auto chosen = this->ask_version(state, now);
+        target = std::move(chosen.answer.version);
+        exposed_by = std::move(chosen.exposed_by);
     }
     auto address = this->table.choose(this->place(state, target, now), now, this->next_random());
     if (!address) {
         return std::nullopt;
     }
-    return chosen_start{std::move(*address), std::move(target)};
+    return chosen_start{std::move(*address), std::move(target), std::move(exposed_by)};
 }
 
 bool dispatcher::enqueue(const request_state& state)
@@ -368,6 +395,11 @@
     state.resumes = 0;
     state.address = where.address;
     state.version = where.version;
+    // A caller counts once, however often its request is sent there.
+    if (!where.exposed_by.empty() && where.exposed_by != state.rollouts.exposed_by) {
+        this->exposure.spend(where.exposed_by);
+        state.rollouts.exposed_by = where.exposed_by;
+    }
     this->table.started(where.address, request.work.kind, request.work.tokens, request.prefix_hash,
                         now);
     this->actions.emplace_back(
@@ -418,6 +450,9 @@
     this->queue.settle(request.team, request.work.tokens, work);
     this->budget.on_success();
     this->suspects.on_finished(request.fingerprint, now);
+    if (!request.is_service) {
+        this->exposure.on_end(state.version, true);
+    }
     this->note_finished_work(work, now);
     this->actions.emplace_back(complete_request{request.ticket, state.address, state.version});
     this->forget(request.ticket);
@@ -440,6 +475,7 @@
     state.avoid_until = std::max(state.avoid_until, now + refusal_avoidance);
     state.address.clear();
     ++state.refusals;
+    this->note_version_refused(state);
     // Another try at an endpoint that refused is load that the budget bounds. One that leaves or
     // cannot be reached takes no load, and its callers should not pay for its end.
     const bool is_free = end.endpoint_leaving || end.result == attempt_result::unreachable;
@@ -480,6 +516,27 @@
         resume_attempt{state.what.ticket, state.attempt, state.address, end.tokens});
 }
 
+void dispatcher::note_version_refused(request_state& state) const
+{
+    const bool is_new = !state.rollouts.exposed_by.empty() && this->exposure.watches(state.version);
+    if (is_new && state.refusals >= max_refusals_of_new_version) {
+        state.rollouts.lost_on.push_back(state.version);
+    }
+}
+
+// A run that a new version lost counts against it, and the request is repeated on another version.
+// An endpoint that cannot be reached says nothing of the version that it ran.
+void dispatcher::note_version_lost(request_state& state, const attempt_end& end)
+{
+    if (state.what.is_service || !this->exposure.watches(state.version)) {
+        return;
+    }
+    state.rollouts.lost_on.push_back(state.version);
+    if (end.result != attempt_result::unreachable) {
+        this->exposure.on_end(state.version, false);
+    }
+}
+
 // The run cannot be had any more: the endpoint is gone, has forgotten it, or stays silent.
 void dispatcher::after_loss(request_state& state, const attempt_end& end, instant now)
 {
@@ -499,6 +556,7 @@
     state.may_have_run = true;
     ++state.losses;
     state.lost_at = now;
+    this->note_version_lost(state, end);
     if (!request.idempotent) {
         this->give_up(ticket,
                       {failure_code::endpoint_failed, run_state::unknown, false, duration::zero(),
--- /dev/null
+++ b/decision/src/rollout_exposure.cpp
@@ -0,0 +1,226 @@
+#include "pearhaven/decision/rollout_exposure.hpp"
+
+#include <algorithm>
+
+namespace pearhaven::decision {
+
+namespace {
+
+// Half of the false alarms that a roll-out may have are for all the routers' own tests together,
+// half for the test of the holder, which sees everything.
+constexpr double false_alarm_of_routers = 0.005;
+
+bool contains(const std::vector<std::string>& names, const std::string& name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+bool is_model(const configuration& current, const std::string& name)
+{
+    const auto& versions = current.versions();
+    return std::any_of(versions.begin(), versions.end(),
+                       [&name](const auto& named) { return named.second.model == name; });
+}
+
+bool may_use(const version_question& question, const std::string& name)
+{
+    const auto* candidate = question.current->find_version(name);
+    return candidate != nullptr && candidate->model == question.asked &&
+           question.current->allows(*question.caller, *candidate) &&
+           !contains(question.excluded, name);
+}
+
+} // namespace
+
+std::uint64_t granted_by(const rollout& plan, std::uint32_t step)
+{
+    if (plan.step_callers.empty()) {
+        return 0;
+    }
+    if (step < plan.step_callers.size()) {
+        return plan.step_callers[step];
+    }
+    const std::uint64_t beyond = step - plan.step_callers.size() + 1;
+    return plan.step_callers.back() * (beyond + 1);
+}
+
+std::uint64_t share_of(std::uint64_t callers, std::size_t rank, std::size_t size)
+{
+    if (rank >= size) {
+        return 0;
+    }
+    return callers / size + (rank < callers % size ? 1 : 0);
+}
+
+void rollout_exposure::on_fleet(std::size_t rank, std::size_t size)
+{
+    this->fleet_rank = rank;
+    this->fleet_size = std::max<std::size_t>(size, 1);
+}
+
+void rollout_exposure::on_configuration(const configuration& current)
+{
+    std::map<std::string, tracked> next;
+    for (const auto& [name, plan] : current.rollouts()) {
+        auto& known = next[name];
+        const auto before = this->rollouts.find(name);
+        const bool goes_on = before != this->rollouts.end() &&
+                             before->second.plan.run == plan.run &&
+                             before->second.plan.to == plan.to;
+        if (goes_on) {
+            known = before->second;
+            this->take_up(known, plan, granted_by(known.plan, known.plan.step));
+        } else if (this->has_configuration) {
+            this->take_up(known, plan, 0);
+        }
+        known.plan = plan;
+    }
+    this->rollouts = std::move(next);
+    this->has_configuration = true;
+}
+
+// The size that is written in the configuration is the same for all. A router that has just started
+// and knows few of the others yet would, by its own count alone, take a part that is too large.
+void rollout_exposure::take_up(tracked& known, const rollout& plan, std::uint64_t before)
+{
+    const auto granted = granted_by(plan, plan.step);
+    if (plan.run == 0 || granted <= before) {
+        return;
+    }
+    const auto size = std::max<std::size_t>(this->fleet_size, plan.routers);
+    known.granted += share_of(granted - before, this->fleet_rank, size);
+}
+
+bool rollout_exposure::is_tripped(const tracked& known) const
+{
+    const auto told = this->told_trips.find(known.plan.to);
+    return known.tripped_here ||
+           (told != this->told_trips.end() && told->second == known.plan.run);
+}
+
+bool rollout_exposure::may_move(const tracked& known, const rollout_note& note) const
+{
+    const auto& plan = known.plan;
+    if (contains(note.lost_on, plan.to) || this->is_tripped(known)) {
+        return false;
+    }
+    if (plan.state == rollout_state::done) {
+        return true;
+    }
+    const bool has_grant = note.exposed_by == plan.name || known.spent < known.granted;
+    return plan.state == rollout_state::running && !plan.paused && plan.run != 0 && has_grant;
+}
+
+const rollout_exposure::tracked* rollout_exposure::find_move(const std::string& from,
+                                                             const rollout_note& note) const
+{
+    for (const auto& [name, known] : this->rollouts) {
+        if (known.plan.from == from && this->may_move(known, note)) {
+            return &known;
+        }
+    }
+    return nullptr;
+}
+
+rollout_choice rollout_exposure::choose(const version_question& question,
+                                        const rollout_note& note) const
+{
+    if (this->rollouts.empty() || question.bound || !is_model(*question.current, question.asked)) {
+        return {choose_version(question), {}};
+    }
+    version_question narrower = question;
+    for (const auto& [name, known] : this->rollouts) {
+        if (known.plan.state != rollout_state::done) {
+            narrower.excluded.push_back(known.plan.to);
+        }
+    }
+    narrower.excluded.insert(narrower.excluded.end(), note.lost_on.begin(), note.lost_on.end());
+    auto answer = choose_version(narrower);
+    if (answer.refusal != version_refusal::none) {
+        // The team may use nothing but new versions: there is nothing to decide between.
+        return {choose_version(question), {}};
+    }
+    rollout_choice chosen{std::move(answer), {}};
+    for (std::size_t left = this->rollouts.size(); left > 0; --left) {
+        const auto* move = this->find_move(chosen.answer.version, note);
+        if (move == nullptr || !may_use(question, move->plan.to)) {
+            break;
+        }
+        const bool by_grant = move->plan.state == rollout_state::running;
+        chosen.answer.version = move->plan.to;
+        chosen.exposed_by = by_grant ? move->plan.name : std::string();
+    }
+    return chosen;
+}
+
+void rollout_exposure::spend(const std::string& name)
+{
+    const auto found = this->rollouts.find(name);
+    if (found != this->rollouts.end()) {
+        ++found->second.spent;
+    }
+}
+
+void rollout_exposure::on_end(const std::string& version, bool good)
+{
+    for (auto& [name, known] : this->rollouts) {
+        if (known.plan.to == version && known.plan.state != rollout_state::rolled_back) {
+            ++(good ? known.seen.good : known.seen.bad);
+            this->test(known, good);
+        }
+    }
+}
+
+void rollout_exposure::test(tracked& known, bool good) const
+{
+    error_guard guard;
+    guard.base_rate = known.plan.base_error_rate;
+    guard.max_rate = known.plan.max_error_rate;
+    guard.false_alarm = false_alarm_of_routers /
+                        static_cast<double>(std::max<std::size_t>(this->fleet_size, 1));
+    const sequential_test wald(guard);
+    known.watch.on_end(wald, good);
+    const bool rejected = known.plan.state == rollout_state::running &&
+                          wald.judge(known.seen) == test_verdict::rejected;
+    known.tripped_here = known.tripped_here || rejected || known.watch.is_tripped();
+}
+
+void rollout_exposure::on_trip_told(const std::string& version, std::uint64_t run)
+{
+    auto& told = this->told_trips[version];
+    told = std::max(told, run);
+}
+
+bool rollout_exposure::watches(const std::string& version) const
+{
+    return std::any_of(this->rollouts.begin(), this->rollouts.end(),
+                       [&version](const auto& named) { return named.second.plan.to == version; });
+}
+
+std::set<std::string> rollout_exposure::tripped() const
+{
+    std::set<std::string> versions;
+    for (const auto& [name, known] : this->rollouts) {
+        if (known.plan.state != rollout_state::rolled_back && this->is_tripped(known)) {
+            versions.insert(known.plan.to);
+        }
+    }
+    return versions;
+}
+
+std::vector<rollout_report> rollout_exposure::reports() const
+{
+    std::vector<rollout_report> all;
+    for (const auto& [name, known] : this->rollouts) {
+        const auto& plan = known.plan;
+        if (plan.state == rollout_state::rolled_back) {
+            continue;
+        }
+        const auto left = known.granted - std::min(known.spent, known.granted);
+        all.push_back({name, plan.to, plan.state, plan.run, known.seen, known.spent, left,
+                       known.tripped_here});
+    }
+    return all;
+}
+
+} // namespace pearhaven::decision
--- /dev/null
+++ b/decision/test/rollout_dispatch_test.cpp
@@ -0,0 +1,163 @@
+#include "pearhaven/decision/dispatcher.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::decision;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct fleet_plan {
+    bool begun = true;
+    std::string served = "adjudicator"; // model whose versions the engines serve
+};
+
+configuration_ptr make_configuration(const fleet_plan& wanted)
+{
+    team deposits;
+    deposits.name = "deposits";
+    deposits.versions = selector().require("model", {"adjudicator"});
+    pool engines;
+    engines.name = "engines";
+    engines.hosts = selector().require("role", {"engine"});
+    engines.versions = selector().require("served", {"yes"});
+    rollout plan;
+    plan.name = "adjudicator";
+    plan.from = "adjudicator-1";
+    plan.to = "adjudicator-2";
+    plan.step_callers = {2};
+    plan.run = 3;
+    configuration_builder builder;
+    builder.add(deposits).add(engines);
+    if (wanted.begun) {
+        builder.add(plan);
+    }
+    for (const char* name : {"adjudicator-1", "adjudicator-2"}) {
+        version made;
+        made.name = name;
+        made.model = "adjudicator";
+        made.tags["served"] =
+            wanted.served == "adjudicator" || wanted.served == name ? "yes" : "no";
+        builder.add(made);
+    }
+    return builder.build();
+}
+
+} // namespace
+
+TEST_GROUP(rollout_dispatch_test)
+{
+    dispatcher router{dispatcher_settings{}};
+    instant now{seconds(100)};
+    ticket_number last_ticket = 0;
+
+    void begin(const std::string& served = "adjudicator")
+    {
+        std::vector<endpoint_host> hosts;
+        for (int i = 0; i < 4; ++i) {
+            hosts.push_back({"10.0.0." + std::to_string(i) + ":80", "engine-" + std::to_string(i),
+                             "osu", 1, false, {{"role", "engine"}}});
+        }
+        this->router.on_touch(this->now + seconds(1000), this->now);
+        this->router.on_fleet(0, 1);
+        this->router.on_configuration(make_configuration({false, served}), this->now);
+        this->router.on_configuration(make_configuration({true, served}), this->now);
+        this->router.on_hosts(hosts, this->now);
+    }
+
+    // The start that the last event led to; an empty version where it led to none.
+    start_attempt started()
+    {
+        start_attempt found;
+        for (const auto& action : this->router.take_actions()) {
+            if (const auto* start = std::get_if<start_attempt>(&action)) {
+                found = *start;
+            }
+        }
+        return found;
+    }
+
+    start_attempt arrive()
+    {
+        arrival request;
+        request.ticket = ++this->last_ticket;
+        request.team = "deposits";
+        request.asked = "adjudicator";
+        request.work.tokens = 10;
+        request.deadline = this->now + seconds(60);
+        request.fingerprint = request.ticket;
+        this->router.on_arrival(request, this->now);
+        return this->started();
+    }
+
+    start_attempt end(const start_attempt& attempt, attempt_result result, bool answered_error)
+    {
+        attempt_end ended;
+        ended.ticket = attempt.ticket;
+        ended.attempt = attempt.attempt;
+        ended.result = result;
+        ended.answered_error = answered_error;
+        this->router.on_attempt_end(ended, this->now);
+        return this->started();
+    }
+};
+
+TEST(rollout_dispatch_test, a_caller_whose_run_the_new_version_failed_is_answered_by_the_old)
+{
+    begin();
+    const auto first = arrive();
+    CHECK_EQUAL(std::string("adjudicator-2"), first.version);
+    const auto second = end(first, attempt_result::failed, true);
+    CHECK_EQUAL(std::string("adjudicator-1"), second.version);
+    LONGS_EQUAL(1, router.rollouts().at(0).seen.bad);
+    LONGS_EQUAL(1, router.rollouts().at(0).spent);
+}
+
+// The new version is not loaded yet: endpoints refuse its runs. Each refusal ran nothing and must
+// not use up the step's callers, nor leave the caller without an answer.
+TEST(rollout_dispatch_test, a_caller_that_the_new_versions_endpoints_refuse_goes_to_the_old)
+{
+    begin();
+    const auto first = arrive();
+    const auto second = end(first, attempt_result::refused, false);
+    CHECK_EQUAL(std::string("adjudicator-2"), second.version);
+    const auto third = end(second, attempt_result::refused, false);
+    CHECK_EQUAL(std::string("adjudicator-1"), third.version);
+    LONGS_EQUAL(1, router.rollouts().at(0).spent);
+    LONGS_EQUAL(0, router.rollouts().at(0).seen.total());
+}
+
+TEST(rollout_dispatch_test, callers_go_to_the_old_version_while_no_pool_serves_the_new)
+{
+    begin("adjudicator-1");
+    CHECK_EQUAL(std::string("adjudicator-1"), arrive().version);
+    LONGS_EQUAL(0, router.rollouts().at(0).spent);
+}
+
+TEST(rollout_dispatch_test, good_ends_count_and_callers_beyond_the_grant_stay_on_the_old_version)
+{
+    begin();
+    for (const char* expected : {"adjudicator-2", "adjudicator-2", "adjudicator-1"}) {
+        const auto attempt = arrive();
+        CHECK_EQUAL(std::string(expected), attempt.version);
+        end(attempt, attempt_result::finished, false);
+    }
+    LONGS_EQUAL(2, router.rollouts().at(0).seen.good);
+    LONGS_EQUAL(0, router.rollouts().at(0).left);
+}
+
+// An endpoint that cannot be reached in mid-run says nothing of the version that it ran.
+TEST(rollout_dispatch_test, an_unreachable_endpoint_is_no_evidence_against_the_version)
+{
+    begin();
+    const auto first = arrive();
+    end(first, attempt_result::went_silent, false); // resumed
+    const auto second = end(first, attempt_result::unreachable, false);
+    CHECK_EQUAL(std::string("adjudicator-1"), second.version);
+    LONGS_EQUAL(0, router.rollouts().at(0).seen.total());
+}
--- /dev/null
+++ b/decision/test/rollout_evidence_test.cpp
@@ -0,0 +1,99 @@
+#include "pearhaven/decision/rollout_evidence.hpp"
+
+#include <rapidcheck.h>
+
+#include <cmath>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::decision;
+
+namespace {
+
+run_counts counts(std::uint64_t good, std::uint64_t bad)
+{
+    return {good, bad};
+}
+
+} // namespace
+
+TEST_GROUP(rollout_evidence_test)
+{
+    sequential_test test{error_guard{}};
+};
+
+TEST(rollout_evidence_test, its_thresholds_are_those_of_walds_theory)
+{
+    DOUBLES_EQUAL(std::log(0.99 / 0.01), test.rejects_from(), 1e-9);
+    DOUBLES_EQUAL(std::log(0.01 / 0.99), test.accepts_from(), 1e-9);
+    DOUBLES_EQUAL(std::log(0.05 / 0.01), test.step_of(false), 1e-9);
+    DOUBLES_EQUAL(std::log(0.95 / 0.99), test.step_of(true), 1e-9);
+}
+
+// By hand: log 99 / log 5 = 2.86 errors reject, log 99 / log(99/95) = 111.4 good ends accept.
+TEST(rollout_evidence_test, errors_alone_reject_with_the_third_and_good_ends_accept_with_the_112th)
+{
+    CHECK_TRUE(test.judge(counts(0, 2)) == test_verdict::open);
+    CHECK_TRUE(test.judge(counts(0, 3)) == test_verdict::rejected);
+    CHECK_TRUE(test.judge(counts(111, 0)) == test_verdict::open);
+    CHECK_TRUE(test.judge(counts(112, 0)) == test_verdict::accepted);
+}
+
+TEST(rollout_evidence_test, good_ends_put_a_rejection_off_for_as_long_as_they_outweigh_an_error)
+{
+    CHECK_TRUE(test.judge(counts(10, 3)) == test_verdict::open);
+    CHECK_TRUE(test.judge(counts(10, 4)) == test_verdict::rejected);
+}
+
+// Versions at the base rate and at the bad rate are judged to the end by drawn seeds. Wald's bounds
+// hold for the sum of both errors; the counts allow for the spread of 400 trials.
+TEST(rollout_evidence_test, it_is_wrong_as_seldom_as_it_was_asked_to_be)
+{
+    const auto wrongs = [this](double rate, test_verdict wrong) {
+        std::uint64_t state = 7;
+        int count = 0;
+        for (int trial = 0; trial < 400; ++trial) {
+            run_counts seen;
+            while (test.judge(seen) == test_verdict::open) {
+                state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+                const double drawn = static_cast<double>(state >> 11U) * 0x1.0p-53;
+                ++(drawn < rate ? seen.bad : seen.good);
+            }
+            count += test.judge(seen) == wrong ? 1 : 0;
+        }
+        return count;
+    };
+    CHECK_TRUE(wrongs(0.01, test_verdict::rejected) <= 12);
+    CHECK_TRUE(wrongs(0.05, test_verdict::accepted) <= 12);
+}
+
+// A version runs well for a million answers and then fails each. A test over all of its answers
+// would need thousands of failures to turn; the watch takes as many as for a new version.
+TEST(rollout_evidence_test, a_watch_trips_as_soon_after_a_long_good_time_as_without_one)
+{
+    const auto errors_until_tripped = [this](int good) {
+        version_watch watch;
+        for (int i = 0; i < good; ++i) {
+            watch.on_end(test, true);
+        }
+        int errors = 0;
+        while (!watch.is_tripped()) {
+            watch.on_end(test, false);
+            ++errors;
+        }
+        return errors;
+    };
+    LONGS_EQUAL(13, errors_until_tripped(0));
+    LONGS_EQUAL(13, errors_until_tripped(1'000'000));
+}
+
+TEST(rollout_evidence_test, more_errors_never_speak_for_a_version)
+{
+    const bool held = rc::check("more errors, no lower ratio", [this] {
+        const auto good = *rc::gen::inRange<std::uint64_t>(0, 5000);
+        const auto bad = *rc::gen::inRange<std::uint64_t>(0, 500);
+        RC_ASSERT(test.log_ratio(counts(good, bad + 1)) > test.log_ratio(counts(good, bad)));
+        RC_ASSERT(test.log_ratio(counts(good + 1, bad)) < test.log_ratio(counts(good, bad)));
+    });
+    CHECK_TRUE(held);
+}
