--- a/router/src/fleet_duty.cpp
+++ b/router/src/fleet_duty.cpp
@@ -124,6 +124,8 @@
         return "bills";
     case fleet_part::facts:
         return "facts";
+    case fleet_part::rollouts:
+        return "rollouts";
     }
     return "other";
 }
@@ -148,10 +150,11 @@
 fleet_duty::fleet_duty(const ports& all_ports)
     : all(all_ports), ring(ring_capacity), head_codec(adapters::make_config_head_codec()),
       bill_codec(adapters::make_bill_page_codec()), claim_codec(adapters::make_claim_codec()),
-      member_codec(adapters::make_member_codec()),
+      member_codec(adapters::make_member_codec()), duty_codec(adapters::make_duty_codec()),
       replica(replica_settings_of(this->all), *this->head_codec, now()),
       ledger(ledger_settings_of(this->all), *this->bill_codec),
-      claims(claims_settings_of(this->all), *this->claim_codec), facts(facts_settings_of(this->all))
+      claims(claims_settings_of(this->all), *this->claim_codec), facts(facts_settings_of(this->all)),
+      rollouts(this->all.incarnation, this->all.seed, *this->duty_codec, *this->head_codec, now())
 {}
 
 fleet_duty::~fleet_duty()
@@ -213,6 +216,7 @@
         ids.insert(one.id);
     }
     this->replica.set_reader(this->fleet->is_reader(), moment);
+    this->rollouts.set_candidate(this->fleet->is_reader()); // few routers look at the duty's key
     this->replica.set_peers(std::move(peers), moment);
     this->ledger.set_peers(live);
     this->claims.set_live(std::move(ids));
@@ -256,10 +260,28 @@
     this->claims.on_tick(moment);
     this->facts.on_tick(moment);
     this->ledger.on_tick(moment);
+    this->keep_rollouts();
     this->tell_touch();
     this->publish_view();
 }
 
+void fleet_duty::keep_rollouts()
+{
+    const auto current = this->all.configuration.get();
+    const auto stored = this->replica.current();
+    rollout_scene scene;
+    scene.current = current.get();
+    scene.stored = stored.get();
+    scene.facts = &this->facts;
+    scene.live.insert(this->all.incarnation);
+    if (this->rollouts.holds_duty()) { // the list is long to copy so often, and only then looked at
+        for (const auto& one : this->fleet->live()) {
+            scene.live.insert(one.id);
+        }
+    }
+    this->rollouts.on_tick(scene, now());
+}
+
 void fleet_duty::handle(store_replied& event)
 {
     switch (event.part) {
@@ -276,6 +298,9 @@
     case fleet_part::claims:
         this->claims.on_reply(event.tag, event.reply, now());
         break;
+    case fleet_part::rollouts:
+        this->rollouts.on_reply(event.tag, event.reply, now());
+        break;
     case fleet_part::facts:
         break; // facts ask nothing of the store
     }
@@ -340,6 +365,8 @@
         this->routing->submit(standing_told{fingerprint_of(news), standing::suspect});
         break;
     case fact_kind::version_tripped:
+        this->routing->submit(trip_told{news.subject, static_cast<std::uint64_t>(news.value)});
+        break;
     case fact_kind::exposure_spent:
         break;
     }
@@ -352,6 +379,7 @@
 {
     if (!event.is_over) {
         this->fleet->leave(now());
+        this->rollouts.release();
         return;
     }
     this->fleet->depart(now());
@@ -448,6 +476,7 @@
     this->carry_out_part(fleet_part::claims, this->claims);
     this->carry_out_part(fleet_part::membership, *this->fleet);
     this->carry_out_part(fleet_part::facts, this->facts);
+    this->carry_out_part(fleet_part::rollouts, this->rollouts);
 }
 
 decision::instant fleet_duty::in_touch_until(decision::instant moment) const
--- a/router/src/fleet_duty.hpp
+++ b/router/src/fleet_duty.hpp
@@ -3,6 +3,7 @@
 
 #include "fleet_event.hpp"
 #include "published.hpp"
+#include "rollout_keeper.hpp"
 #include "routing_event.hpp"
 
 #include "pearhaven/adapters/bounded_ring.hpp"
@@ -96,6 +97,7 @@
 
     void join_fleet();
     void tell_members();
+    void keep_rollouts();
 
     void tell_touch();
     [[nodiscard]] decision::instant in_touch_until(decision::instant moment) const;
@@ -110,10 +112,12 @@
     std::unique_ptr<coordination::bill_page_codec> bill_codec;
     std::unique_ptr<coordination::claim_codec> claim_codec;
     std::unique_ptr<coordination::member_codec> member_codec;
+    std::unique_ptr<coordination::duty_codec> duty_codec;
     coordination::config_replica replica;
     coordination::bill_ledger ledger;
     coordination::once_claims claims;
     coordination::fact_table facts;
+    rollout_keeper rollouts;
     std::optional<coordination::membership> fleet; // from the start of the thread on
     std::map<coordination::claim_number, exchange_ptr> claimants;
     std::multimap<std::string, bill_due> unbilled; // by request
--- a/router/src/fleet_event.hpp
+++ b/router/src/fleet_event.hpp
@@ -13,7 +13,14 @@
 namespace pearhaven::router {
 
 // The parts that share the fleet thread; a reply of the store goes back to the part that asked.
-enum class fleet_part : std::uint8_t { configuration, membership, claims, bills, facts };
+enum class fleet_part : std::uint8_t {
+    configuration,
+    membership,
+    claims,
+    bills,
+    facts,
+    rollouts,
+};
 
 struct store_replied {
     fleet_part part = fleet_part::configuration;
--- a/router/src/main.cpp
+++ b/router/src/main.cpp
@@ -2,6 +2,8 @@
 
 #include "pearhaven/adapters/log.hpp"
 
+#include <sys/resource.h>
+
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -21,6 +23,17 @@
     return signals;
 }
 
+// Each stream takes two sockets; the usual soft limit of 1,024 would refuse callers long before the
+// threads run out. Where the hard limit is lower than wanted, it is what there is.
+void raise_open_files()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 void print_ports(const pearhaven::router::router& running)
 {
     std::printf("callers on %u\noperators on %u\npeers on %u\n", running.caller_port(),
@@ -32,6 +45,7 @@
 {
     const auto signals = stop_signals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    raise_open_files();
     std::signal(SIGPIPE, SIG_IGN); // a gone caller is told by the failed write
     pearhaven::router::router running(settings);
     print_ports(running);
--- /dev/null
+++ b/router/src/rollout_keeper.cpp
@@ -0,0 +1,287 @@
+#include "rollout_keeper.hpp"
+
+#include "rollout_subject.hpp"
+
+#include "pearhaven/adapters/authenticator.hpp"
+#include "pearhaven/adapters/log.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace pearhaven::router {
+
+namespace {
+
+using coordination::config_object;
+using coordination::fact_kind;
+using decision::rollout;
+using decision::rollout_move;
+using nlohmann::json;
+
+constexpr decision::duration look_period = std::chrono::milliseconds(100);
+
+// After a change that was not accepted. Whatever came in its way is in force by then, or is seen
+// then.
+constexpr decision::duration pause_after_change = std::chrono::milliseconds(500);
+
+coordination::lease_holder_settings duty_settings(const coordination::incarnation_id& self,
+                                                  std::uint64_t seed)
+{
+    coordination::lease_holder_settings chosen;
+    chosen.duty = "rollouts";
+    chosen.self = self;
+    chosen.seed = seed;
+    return chosen;
+}
+
+std::uint64_t sum_of(const rollout_scene& scene, const std::string& subject, bool of_live_only)
+{
+    std::uint64_t sum = 0;
+    for (const auto& told : scene.facts->about(fact_kind::exposure_spent, subject)) {
+        if (!of_live_only || scene.live.count(told.author) > 0) {
+            sum += static_cast<std::uint64_t>(told.value);
+        }
+    }
+    return sum;
+}
+
+bool is_tripped(const rollout& plan, const rollout_scene& scene)
+{
+    const auto told = scene.facts->about(fact_kind::version_tripped, plan.to);
+    return std::any_of(told.begin(), told.end(), [&plan](const coordination::fact& one) {
+        return static_cast<std::uint64_t>(one.value) == plan.run;
+    });
+}
+
+const char* name_of(rollout_move move)
+{
+    switch (move) {
+    case rollout_move::stay:
+        return "stay";
+    case rollout_move::begin:
+        return "begin";
+    case rollout_move::renew:
+        return "renew";
+    case rollout_move::advance:
+        return "advance";
+    case rollout_move::finish:
+        return "finish";
+    case rollout_move::roll_back:
+        return "roll_back";
+    }
+    return "other";
+}
+
+// The object as it is stored, with other values for some fields of its spec; nothing where it is
+// not stored or cannot be read.
+std::optional<config_object> edited(const rollout_scene& scene, const std::string& kind,
+                                    const std::string& name, const json& fields)
+{
+    const auto* const stored = scene.stored->find(kind, name);
+    if (stored == nullptr) {
+        return std::nullopt;
+    }
+    auto body = json::parse(stored->body, nullptr, false);
+    if (!body.is_object()) {
+        return std::nullopt;
+    }
+    body["spec"].update(fields);
+    return config_object{kind, name, body.dump()};
+}
+
+json fields_after(const rollout& plan, rollout_move move, const rollout_scene& scene)
+{
+    switch (move) {
+    case rollout_move::begin:
+    case rollout_move::renew:
+        return {{"state", "running"},
+                {"step", plan.step},
+                {"run", scene.stored->revision() + 1},
+                {"routers", scene.live.size()}};
+    case rollout_move::advance:
+        return {{"step", plan.step + 1}, {"routers", scene.live.size()}};
+    case rollout_move::finish:
+        return {{"state", "done"}};
+    case rollout_move::roll_back:
+        return {{"state", "rolled_back"}};
+    case rollout_move::stay:
+        break;
+    }
+    return json::object();
+}
+
+std::uint64_t unix_ms()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
+} // namespace
+
+rollout_keeper::rollout_keeper(const coordination::incarnation_id& self, std::uint64_t random_seed,
+                               const coordination::duty_codec& duties,
+                               const coordination::config_head_codec& heads, decision::instant now)
+    : seed(random_seed), head_codec(heads), duty(duty_settings(self, random_seed), duties, now)
+{}
+
+void rollout_keeper::on_tick(const rollout_scene& scene, decision::instant now)
+{
+    this->duty.on_tick(now);
+    if (this->writer) {
+        this->writer->on_tick(now);
+    }
+    this->collect();
+    if (!this->writer && now >= this->next_look) {
+        this->next_look = now + look_period;
+        this->look(scene, now);
+        this->collect();
+    }
+}
+
+void rollout_keeper::look(const rollout_scene& scene, decision::instant now)
+{
+    const bool is_ready = scene.current != nullptr && this->duty.may_order(now) &&
+                          scene.current->revision() == scene.stored->revision() &&
+                          scene.stored->revision() >= this->awaited_revision;
+    if (!is_ready) {
+        return;
+    }
+    for (const auto& [name, plan] : scene.current->rollouts()) {
+        const auto next = this->judge.judge(plan, sight_of(plan, scene), now);
+        if (next != rollout_move::stay) {
+            this->move(plan, next, scene, now);
+            return; // one change at a time
+        }
+    }
+}
+
+decision::rollout_sight rollout_keeper::sight_of(const rollout& plan, const rollout_scene& scene)
+{
+    const auto subject = [&plan](const char* what) {
+        return rollout_subject(plan.name, plan.run, what);
+    };
+    decision::rollout_sight sight;
+    sight.seen.good = sum_of(scene, subject(good_ends), false);
+    sight.seen.bad = sum_of(scene, subject(bad_ends), false);
+    sight.left = sum_of(scene, subject(callers_left), true);
+    sight.tripped = is_tripped(plan, scene);
+    return sight;
+}
+
+void rollout_keeper::move(const rollout& plan, rollout_move next, const rollout_scene& scene,
+                          decision::instant now)
+{
+    coordination::config_edit edit;
+    edit.write_id = adapters::random_identifier();
+    edit.author = "rollout " + plan.name;
+    edit.unix_ms = unix_ms();
+    edit.seen_revision = scene.stored->revision();
+    const auto object = edited(scene, "rollout", plan.name, fields_after(plan, next, scene));
+    if (!object) {
+        return;
+    }
+    edit.objects.push_back(*object);
+    const auto* const version = scene.current->find_version(plan.to);
+    if (next == rollout_move::roll_back && version != nullptr && !version->withdrawn) {
+        if (const auto withdrawn = edited(scene, "version", plan.to, {{"withdrawn", true}})) {
+            edit.objects.push_back(*withdrawn);
+        }
+    }
+    const auto sight = sight_of(plan, scene);
+    adapters::log_change("rollout_moving", {{"rollout", plan.name},
+                                            {"move", name_of(next)},
+                                            {"step", std::to_string(plan.step)},
+                                            {"good", std::to_string(sight.seen.good)},
+                                            {"bad", std::to_string(sight.seen.bad)}});
+    coordination::config_writer_settings chosen;
+    chosen.seed = this->seed + this->writers;
+    ++this->writers;
+    this->writer.emplace(chosen, this->head_codec);
+    this->writer->start(std::move(edit), now);
+    this->next_look = now + pause_after_change;
+}
+
+void rollout_keeper::on_reply(coordination::call_tag tag, const coordination::kv_reply& reply,
+                              decision::instant now)
+{
+    const auto found = this->calls.find(tag);
+    if (found == this->calls.end()) {
+        return;
+    }
+    const auto call = found->second;
+    this->calls.erase(found);
+    if (call.writer == 0) {
+        this->duty.on_reply(call.tag, reply, now);
+    } else if (this->writer && call.writer == this->writers) {
+        this->writer->on_reply(call.tag, reply, now);
+    }
+    this->collect();
+}
+
+void rollout_keeper::pass_on(std::uint64_t writer_number, const coordination::store_call& call)
+{
+    const auto tag = this->next_tag++;
+    this->calls.emplace(tag, open_call{writer_number, call.tag});
+    this->actions.emplace_back(coordination::store_call{tag, call.request});
+}
+
+void rollout_keeper::on_written(const coordination::config_write_done& done)
+{
+    if (done.error) {
+        adapters::log_warning("rollout_move_refused", {{"why", done.error.message()}});
+        return;
+    }
+    this->awaited_revision = done.revision;
+}
+
+void rollout_keeper::collect()
+{
+    using coordination::config_write_done;
+    using coordination::store_call;
+    using coordination::unreadable_value;
+    for (const auto& what : this->duty.take_actions()) {
+        if (const auto* call = std::get_if<store_call>(&what)) {
+            this->pass_on(0, *call);
+        } else if (const auto* bad = std::get_if<unreadable_value>(&what)) {
+            this->actions.emplace_back(*bad);
+        } else if (std::holds_alternative<coordination::duty_lost>(what)) {
+            this->judge.forget();
+            adapters::log_change("rollout_duty_lost", {});
+        } else {
+            adapters::log_change("rollout_duty_taken",
+                                 {{"number", std::to_string(this->duty.number())}});
+        }
+    }
+    if (!this->writer) {
+        return;
+    }
+    for (const auto& what : this->writer->take_actions()) {
+        if (const auto* call = std::get_if<store_call>(&what)) {
+            this->pass_on(this->writers, *call);
+        } else if (const auto* done = std::get_if<config_write_done>(&what)) {
+            this->on_written(*done);
+        } else {
+            this->actions.emplace_back(std::get<unreadable_value>(what));
+        }
+    }
+    if (this->writer->is_done()) {
+        this->writer.reset();
+    }
+}
+
+std::vector<rollout_keeper::action> rollout_keeper::take_actions()
+{
+    return std::exchange(this->actions, {});
+}
+
+void rollout_keeper::release()
+{
+    this->duty.release();
+    this->collect();
+}
+
+} // namespace pearhaven::router
--- /dev/null
+++ b/router/src/rollout_keeper.hpp
@@ -0,0 +1,85 @@
+#ifndef PEARHAVEN_ROUTER_ROLLOUT_KEEPER_HPP
+#define PEARHAVEN_ROUTER_ROLLOUT_KEEPER_HPP
+
+#include "pearhaven/coordination/config_head.hpp"
+#include "pearhaven/coordination/config_writer.hpp"
+#include "pearhaven/coordination/fact_table.hpp"
+#include "pearhaven/coordination/lease_holder.hpp"
+#include "pearhaven/decision/configuration.hpp"
+#include "pearhaven/decision/rollout_judge.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pearhaven::router {
+
+// What the keeper judges by, at one moment.
+struct rollout_scene {
+    const decision::configuration* current = nullptr;
+    const coordination::config_state* stored = nullptr; // the same configuration as stored
+    const coordination::fact_table* facts = nullptr;
+    std::set<coordination::incarnation_id> live; // with this router
+};
+
+// Moves the roll-outs, on the one router that holds that duty. Each move is a change of the
+// configuration like an operator's: it comes into force everywhere in one order with all others,
+// outlives every router, and loses against an operator who changed the roll-out meanwhile. That
+// also makes a holder harmless that was paused past its lease: its change is on an old revision of
+// the object, and is refused as a conflict.
+class rollout_keeper {
+public:
+    using action = std::variant<coordination::store_call, coordination::unreadable_value>;
+
+    // The codecs must outlive the keeper.
+    rollout_keeper(const coordination::incarnation_id& self, std::uint64_t random_seed,
+                   const coordination::duty_codec& duties,
+                   const coordination::config_head_codec& heads, decision::instant now);
+
+    void set_candidate(bool candidate) { this->duty.set_candidate(candidate); }
+    void on_tick(const rollout_scene& scene, decision::instant now);
+    void on_reply(coordination::call_tag tag, const coordination::kv_reply& reply,
+                  decision::instant now);
+    [[nodiscard]] std::vector<action> take_actions();
+
+    // This router stops: another takes the duty at once.
+    void release();
+
+    [[nodiscard]] bool holds_duty() const { return this->duty.number() != 0; }
+
+private:
+    // Whose call it was, and by which tag; writer 0 stands for the duty.
+    struct open_call {
+        std::uint64_t writer = 0;
+        coordination::call_tag tag = 0;
+    };
+
+    void look(const rollout_scene& scene, decision::instant now);
+    [[nodiscard]] static decision::rollout_sight sight_of(const decision::rollout& plan,
+                                                          const rollout_scene& scene);
+    void move(const decision::rollout& plan, decision::rollout_move next,
+              const rollout_scene& scene, decision::instant now);
+    void collect();
+    void pass_on(std::uint64_t writer_number, const coordination::store_call& call);
+    void on_written(const coordination::config_write_done& done);
+
+    std::uint64_t seed;
+    const coordination::config_head_codec& head_codec;
+    coordination::lease_holder duty;
+    decision::rollout_judge judge;
+    std::optional<coordination::config_writer> writer;
+    std::uint64_t writers = 0;
+    std::uint64_t awaited_revision = 0; // of the last change: judged again once it is in force
+    decision::instant next_look;
+    coordination::call_tag next_tag = 1;
+    std::map<coordination::call_tag, open_call> calls;
+    std::vector<action> actions;
+};
+
+} // namespace pearhaven::router
+
+#endif
--- a/router/src/routing_duty.cpp
+++ b/router/src/routing_duty.cpp
@@ -1,6 +1,7 @@
 #include "routing_duty.hpp"
 
 #include "clock.hpp"
+#include "rollout_subject.hpp"
 #include "service_attempt.hpp"
 
 #include "pearhaven/adapters/authenticator.hpp"
@@ -24,6 +25,11 @@
 constexpr decision::duration leaving_lifetime = std::chrono::minutes(10);
 constexpr decision::duration standing_lifetime = std::chrono::hours(1);
 
+// A roll-out's counts are told again now and then, so that they outlive the fact's time.
+constexpr std::chrono::milliseconds rollouts_period{200};
+constexpr decision::duration rollout_repeat = std::chrono::minutes(1);
+constexpr decision::duration rollout_lifetime = std::chrono::minutes(10);
+
 decision::dispatcher_settings dispatcher_settings_of(const router_settings& settings,
                                                      std::uint64_t seed)
 {
@@ -146,6 +152,8 @@
             this->dispatcher.on_fleet(what.rank, what.size);
         } else if constexpr (std::is_same_v<event_type, versions_tripped>) {
             this->dispatcher.on_tripped_versions(std::move(what.versions), now());
+        } else if constexpr (std::is_same_v<event_type, trip_told>) {
+            this->dispatcher.on_trip_told(what.version, what.run, now());
         } else {
             this->dispatcher.begin_drain();
         }
@@ -338,12 +346,59 @@
         this->next_loads = moment + this->settings.load_period;
         this->poll_loads();
     }
+    if (moment >= this->next_rollouts) {
+        this->next_rollouts = moment + rollouts_period;
+        this->tell_rollouts();
+    }
     if (moment >= this->next_view) {
         this->next_view = moment + view_period;
         this->publish_view();
     }
 }
 
+void routing_duty::tell_rollouts()
+{
+    const auto moment = now();
+    std::map<std::string, told_rollout> told;
+    for (auto& report : this->dispatcher.rollouts()) {
+        const auto before = this->told_rollouts.find(report.name);
+        const bool is_known = before != this->told_rollouts.end() &&
+                              before->second.report == report &&
+                              moment - before->second.at < rollout_repeat;
+        if (!is_known) {
+            this->tell_rollout(report);
+        }
+        const auto at = is_known ? before->second.at : moment;
+        auto name = report.name;
+        told.emplace(std::move(name), told_rollout{std::move(report), at});
+    }
+    this->told_rollouts = std::move(told);
+}
+
+void routing_duty::tell_rollout(const decision::rollout_report& report)
+{
+    using coordination::fact_kind;
+    const auto tell = [this](fact_kind kind, std::string subject, std::uint64_t value) {
+        coordination::fact news;
+        news.kind = kind;
+        news.subject = std::move(subject);
+        news.value = static_cast<double>(value);
+        news.time_to_live = rollout_lifetime;
+        this->fleet.submit(fact_found{std::move(news)});
+    };
+    if (report.tripped) {
+        tell(fact_kind::version_tripped, report.to, report.run);
+    }
+    if (report.state == decision::rollout_state::running && report.run != 0) {
+        const auto subject = [&report](const char* what) {
+            return rollout_subject(report.name, report.run, what);
+        };
+        tell(fact_kind::exposure_spent, subject(good_ends), report.seen.good);
+        tell(fact_kind::exposure_spent, subject(bad_ends), report.seen.bad);
+        tell(fact_kind::exposure_spent, subject(callers_left), report.left);
+    }
+}
+
 void routing_duty::poll_hosts()
 {
     adapters::fetch_host_list(this->client, this->settings.host_list_url,
@@ -375,7 +430,7 @@
 
 void routing_duty::poll_loads()
 {
-    for (const auto& address : this->dispatcher.endpoints().addresses()) {
+    for (const auto& address : this->dispatcher.endpoints().used_addresses(now())) {
         if (!this->gives_load_reports(address)) {
             continue;
         }
--- a/router/src/routing_duty.hpp
+++ b/router/src/routing_duty.hpp
@@ -57,6 +57,11 @@
         double cost_per_token = 0.0;
     };
 
+    struct told_rollout {
+        decision::rollout_report report;
+        decision::instant at;
+    };
+
     void run();
     void handle(routing_event& event);
     void handle_end(attempt_ended& ended);
@@ -73,6 +78,8 @@
     [[nodiscard]] coordination::bill make_bill(const request_note& note,
                                                const decision::complete_request& action) const;
     void poll_when_due();
+    void tell_rollouts();
+    void tell_rollout(const decision::rollout_report& report);
     void poll_hosts();
     void poll_loads();
     [[nodiscard]] bool gives_load_reports(const std::string& address) const;
@@ -89,6 +96,8 @@
     decision::instant next_hosts;
     decision::instant next_loads;
     decision::instant next_view;
+    decision::instant next_rollouts;
+    std::map<std::string, told_rollout> told_rollouts;
     mutable std::mutex view_mutex;
     routing_view latest_view;
     std::atomic<std::uint64_t> revision_in_force{0};
--- a/router/src/routing_event.hpp
+++ b/router/src/routing_event.hpp
@@ -60,6 +60,12 @@
     std::set<std::string> versions;
 };
 
+// Another router's evidence has tripped an attempt at rolling the version out.
+struct trip_told {
+    std::string version;
+    std::uint64_t run = 0;
+};
+
 // This router's place among all live routers.
 struct fleet_changed {
     std::size_t rank = 0;
@@ -73,7 +79,7 @@
 using routing_event =
     std::variant<request_arrived, attempt_ended, caller_gone, configuration_changed, touch_changed,
                  hosts_listed, load_reported, leaving_told, standing_told, versions_tripped,
-                 fleet_changed, drain_begun>;
+                 trip_told, fleet_changed, drain_begun>;
 
 // Port through which the other duties reach the routing thread. Safe from any thread.
 class routing_sink {
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -2,10 +2,12 @@
 # Measures on this machine, writes CSV and prints the tables that docs/MEASUREMENTS.md and
 # docs/CAPACITY.md quote.
 #
-#   scripts/measure.sh [overhead|slopes]
+#   scripts/measure.sh [overhead|slopes|sizes]
 #
 # slopes: what control costs at several sizes of the fleet, and the lines through it. From the
 #   environment: MEASURE_SIZES (numbers of routers), MEASURE_ZONES.
+# sizes: what one router of a small fleet spends as other things grow: the host list, the teams, the
+#   engines and the requests.
 # overhead: what a router adds to an answer, and what it carries.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -13,6 +15,7 @@
 results=${MEASURE_RESULTS:-$PEARHAVEN_BUILD/measured}
 sizes=${MEASURE_SIZES:-3 6 9 18 36}
 zones=${MEASURE_ZONES:-3}
+csv_head='phase,routers,zones,repetition,quantity,value,load_average'
 mkdir -p "$results"
 
 describe_run() {
@@ -21,7 +24,7 @@
 
 slopes() {
   local csv=$results/slopes.csv size
-  echo 'phase,routers,zones,repetition,quantity,value,load_average' >"$csv"
+  echo "$csv_head" >"$csv"
   for size in $sizes; do
     benchmarks/slopes.sh "$size" "$zones" "$csv"
   done
@@ -29,6 +32,30 @@
   echo "written: $csv"
 }
 
+# vary NAME VARIABLE PHASE VALUES...: fleets of 3 routers that differ in one setting of slopes.sh. In
+# the CSV the setting's value stands in place of the number of routers.
+vary() {
+  local name=$1 variable=$2 phase=$3 csv=$results/$1.csv value
+  shift 3
+  echo "$csv_head" >"$csv"
+  for value in "$@"; do
+    : >"$csv.one"
+    env "$variable=$value" SLOPES_PHASES="$phase" benchmarks/slopes.sh 3 3 "$csv.one"
+    awk -F, -v OFS=, -v value="$value" '{ $2 = value; print }' "$csv.one" >>"$csv"
+  done
+  rm -f "$csv.one"
+  echo "## $name ($variable=$*)"
+  benchmarks/fit.sh "$csv" 3
+  echo "written: $csv"
+}
+
+sizes() {
+  vary host_list SLOPES_HOSTS idle 0 1000 3000 10000
+  vary requests SLOPES_REQUESTS load 5 20 50 96
+  vary teams SLOPES_TEAMS changes 0 300 1000
+  vary engines SLOPES_ENGINES idle 3 12 24
+}
+
 overhead() {
   benchmarks/overhead.sh "$results/overhead.csv"
   echo "written: $results/overhead.csv"
@@ -37,13 +64,15 @@
 describe_run
 case "${1:-all}" in
 slopes) slopes ;;
+sizes) sizes ;;
 overhead) overhead ;;
 all)
   overhead
   slopes
+  sizes
   ;;
 *)
-  echo "measure.sh: found \"$1\", allowed are overhead and slopes" >&2
+  echo "measure.sh: found \"$1\", allowed are overhead, slopes and sizes" >&2
   exit 2
   ;;
 esac
--- a/tests/integration/configuration_test.cpp
+++ b/tests/integration/configuration_test.cpp
@@ -143,6 +143,7 @@
     CHECK_TRUE(this->fleet->ask(1, request).is_whole_answer_to(request));
     paused.process->signal(SIGSTOP);
     std::vector<std::unique_ptr<chat_call>> waiting;
+    waiting.reserve(8);
     for (int i = 0; i < 8; ++i) {
         waiting.push_back(this->fleet->call(1, request));
     }
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -11,6 +11,7 @@
 #include <stdexcept>
 #include <system_error>
 #include <thread>
+#include <utility>
 
 namespace pearhaven::tests {
 
@@ -22,6 +23,7 @@
 std::vector<char*> to_pointers(std::vector<std::string>& texts)
 {
     std::vector<char*> pointers;
+    pointers.reserve(texts.size() + 1);
     for (auto& text : texts) {
         pointers.push_back(text.data());
     }
@@ -36,7 +38,9 @@
         list.emplace_back(*inherited);
     }
     for (const auto& [name, value] : variables) {
-        list.push_back(name + "=" + value);
+        std::string variable = name;
+        variable.append("=").append(value);
+        list.push_back(std::move(variable));
     }
     return list;
 }
