Prove roll-outs with real processes

Cause: nothing showed that a roll-out works over several routers. Ruled out: reading the holder's log for what it did; the test reads the configuration's history and the engines' own record of runs.

--- a/decision/include/pearhaven/decision/rollout_evidence.hpp
+++ b/decision/include/pearhaven/decision/rollout_evidence.hpp
@@ -39,7 +39,10 @@
     [[nodiscard]] double accepts_from() const { return this->lower; }
 
     // What one end adds to the log ratio.
-    [[nodiscard]] double step_of(bool good) const { return good ? this->good_step : this->bad_step; }
+    [[nodiscard]] double step_of(bool good) const
+    {
+        return good ? this->good_step : this->bad_step;
+    }
 
 private:
     double upper;
--- a/decision/src/rollout_exposure.cpp
+++ b/decision/src/rollout_exposure.cpp
@@ -94,8 +94,7 @@
 bool rollout_exposure::is_tripped(const tracked& known) const
 {
     const auto told = this->told_trips.find(known.plan.to);
-    return known.tripped_here ||
-           (told != this->told_trips.end() && told->second == known.plan.run);
+    return known.tripped_here || (told != this->told_trips.end() && told->second == known.plan.run);
 }
 
 bool rollout_exposure::may_move(const tracked& known, const rollout_note& note) const
@@ -176,8 +175,8 @@
     error_guard guard;
     guard.base_rate = known.plan.base_error_rate;
     guard.max_rate = known.plan.max_error_rate;
-    guard.false_alarm = false_alarm_of_routers /
-                        static_cast<double>(std::max<std::size_t>(this->fleet_size, 1));
+    guard.false_alarm =
+        false_alarm_of_routers / static_cast<double>(std::max<std::size_t>(this->fleet_size, 1));
     const sequential_test wald(guard);
     known.watch.on_end(wald, good);
     const bool rejected = known.plan.state == rollout_state::running &&
--- a/decision/test/rollout_dispatch_test.cpp
+++ b/decision/test/rollout_dispatch_test.cpp
@@ -60,8 +60,12 @@
     {
         std::vector<endpoint_host> hosts;
         for (int i = 0; i < 4; ++i) {
-            hosts.push_back({"10.0.0." + std::to_string(i) + ":80", "engine-" + std::to_string(i),
-                             "osu", 1, false, {{"role", "engine"}}});
+            hosts.push_back({"10.0.0." + std::to_string(i) + ":80",
+                             "engine-" + std::to_string(i),
+                             "osu",
+                             1,
+                             false,
+                             {{"role", "engine"}}});
         }
         this->router.on_touch(this->now + seconds(1000), this->now);
         this->router.on_fleet(0, 1);
--- a/router/src/fleet_duty.cpp
+++ b/router/src/fleet_duty.cpp
@@ -153,7 +153,8 @@
       member_codec(adapters::make_member_codec()), duty_codec(adapters::make_duty_codec()),
       replica(replica_settings_of(this->all), *this->head_codec, now()),
       ledger(ledger_settings_of(this->all), *this->bill_codec),
-      claims(claims_settings_of(this->all), *this->claim_codec), facts(facts_settings_of(this->all)),
+      claims(claims_settings_of(this->all), *this->claim_codec),
+      facts(facts_settings_of(this->all)),
       rollouts(this->all.incarnation, this->all.seed, *this->duty_codec, *this->head_codec, now())
 {}
 
--- /dev/null
+++ b/tests/integration/rollout_test.cpp
@@ -0,0 +1,235 @@
+#include "test_fleet.hpp"
+
+#include <atomic>
+#include <csignal>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::tests;
+
+namespace {
+
+constexpr const char* old_version = "adjudicator-1";
+constexpr const char* new_version = "adjudicator-2";
+
+std::string with_rollout(const std::string& more_fields)
+{
+    return test_fleet::base_configuration() +
+           "---\nkind: rollout\nname: adjudicator\n"
+           "spec: {from: adjudicator-1, to: adjudicator-2, step_callers: [25, 100, 400], " +
+           more_fields + "}\n";
+}
+
+// Callers that go on asking for the model, through every router, until they are stopped.
+class model_callers {
+public:
+    explicit model_callers(test_fleet& fleet)
+    {
+        for (std::size_t i = 0; i < caller_count; ++i) {
+            this->threads.emplace_back([this, &fleet, i] {
+                while (!this->stopped) {
+                    this->call_once(fleet, i % fleet.routers.size());
+                }
+            });
+        }
+    }
+
+    ~model_callers() { this->stop(); }
+    model_callers(const model_callers&) = delete;
+    model_callers& operator=(const model_callers&) = delete;
+
+    void stop()
+    {
+        this->stopped = true;
+        for (auto& thread : this->threads) {
+            thread.join();
+        }
+        this->threads.clear();
+    }
+
+    std::atomic<int> by_old{0};
+    std::atomic<int> by_new{0};
+    std::atomic<int> failed{0};
+
+private:
+    static constexpr std::size_t caller_count = 12;
+
+    void call_once(test_fleet& fleet, std::size_t router)
+    {
+        const chat_request request;
+        const auto answer = fleet.ask(router, request);
+        if (!answer.is_whole_answer_to(request)) {
+            ++this->failed;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            return;
+        }
+        ++(answer.header("pearhaven-version") == new_version ? this->by_new : this->by_old);
+    }
+
+    std::atomic<bool> stopped{false};
+    std::vector<std::thread> threads;
+};
+
+} // namespace
+
+TEST_GROUP(rollout_test)
+{
+    std::unique_ptr<test_fleet> fleet;
+
+    void setup() override
+    {
+        test_fleet::plan plan;
+        plan.name = "rollout";
+        plan.router_flags.emplace_back("--member_lease_ms=5000");
+        this->fleet = std::make_unique<test_fleet>(plan);
+    }
+
+    void teardown() override
+    {
+        this->fleet.reset();
+    }
+
+    void break_new_version()
+    {
+        for (const auto& engine : this->fleet->engines) {
+            this->fleet->behave(engine.own_address, {{"fail_rate", 1.0}, {"version", new_version}});
+        }
+    }
+
+    nlohmann::json stored_value(const std::string& key)
+    {
+        const auto found = this->fleet->get(this->fleet->store.own_address, "/v1/kv?key=" + key);
+        return nlohmann::json::parse(found["entries"][0]["value"].get<std::string>());
+    }
+
+    // Every change of an object, oldest first, as its spec was then.
+    std::vector<nlohmann::json> specs_of(const std::string& kind, const std::string& name)
+    {
+        std::vector<nlohmann::json> specs;
+        const auto head = this->stored_value("config/head");
+        for (const auto& change : head["changes"]) {
+            for (const auto& object : change["objects"]) {
+                if (object["kind"] == kind && object["name"] == name) {
+                    const auto body = nlohmann::json::parse(object["body"].get<std::string>());
+                    specs.push_back(body["spec"]);
+                }
+            }
+        }
+        return specs;
+    }
+
+    nlohmann::json rollout()
+    {
+        return this->specs_of("rollout", "adjudicator").back();
+    }
+
+    bool is_in_state(const std::string& state)
+    {
+        return this->rollout().value("state", "running") == state;
+    }
+
+    bool is_withdrawn()
+    {
+        return this->specs_of("version", new_version).back().value("withdrawn", false);
+    }
+
+    // Requests that met the version, whatever came of them then.
+    std::size_t callers_that_met(const std::string& version)
+    {
+        std::set<std::string> requests;
+        for (const auto& run : this->fleet->runs()) {
+            if (run["version"] == version) {
+                requests.insert(run["request"].get<std::string>());
+            }
+        }
+        return requests.size();
+    }
+};
+
+// The new version answers each run with an error. Callers press on through all routers. No more
+// than the first step's 25 may meet it, in the whole fleet, and nobody has to act.
+TEST(rollout_test, a_version_that_fails_outright_meets_at_most_its_first_step_and_is_withdrawn)
+{
+    this->break_new_version();
+    this->fleet->apply(with_rollout("step_seconds: 1"));
+    model_callers callers(*this->fleet);
+    CHECK_TRUE(eventually([this] { return this->is_in_state("rolled_back"); }));
+    const int before = callers.by_old;
+    CHECK_TRUE(eventually([&] { return callers.by_old > before + 100; }));
+    callers.stop();
+    CHECK_TRUE(this->is_withdrawn());
+    const auto met = this->callers_that_met(new_version);
+    UT_PRINT(StringFromFormat("met the version: %d, failed: %d", static_cast<int>(met),
+                              callers.failed.load())
+                 .asCharString());
+    CHECK_TRUE(met > 0);
+    CHECK_TRUE_TEXT(met <= 25, std::to_string(met).c_str());
+    CHECK_TRUE(callers.failed <= 25);
+}
+
+TEST(rollout_test, a_good_version_reaches_all_traffic_by_its_steps)
+{
+    this->fleet->apply(with_rollout("step_seconds: 1"));
+    const auto begin = std::chrono::steady_clock::now();
+    model_callers callers(*this->fleet);
+    CHECK_TRUE(eventually([this] { return this->is_in_state("done"); }));
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begin;
+    UT_PRINT(StringFromFormat("done after %.1f s", took.count()).asCharString());
+    const auto settled = [&] {
+        const int old = callers.by_old;
+        const int fresh = callers.by_new;
+        return eventually([&] { return callers.by_new > fresh + 200; }) && callers.by_old == old;
+    };
+    CHECK_TRUE(eventually(settled));
+    callers.stop();
+    LONGS_EQUAL(0, callers.failed.load());
+}
+
+// The router that moves the roll-out is killed after the first step. The duty goes to another when
+// the lease has ended; that one goes on at the recorded step, with the same attempt.
+TEST(rollout_test, another_router_goes_on_where_a_killed_holder_stopped)
+{
+    this->fleet->apply(with_rollout("step_seconds: 3"));
+    model_callers callers(*this->fleet);
+    CHECK_TRUE(eventually([this] { return this->rollout().value("step", 0) == 1; }));
+    const auto holder = this->stored_value("duties/rollouts")["holder"].get<std::string>();
+    for (auto& router : this->fleet->routers) {
+        if (this->fleet->status(router)["incarnation"] == holder) {
+            router.process->signal(SIGKILL);
+        }
+    }
+    LONGS_EQUAL(1, this->rollout().value("step", 0));
+    const auto is_done = [this] { return this->is_in_state("done"); };
+    CHECK_TRUE(eventually(is_done, std::chrono::seconds(60)));
+    callers.stop();
+    CHECK_TRUE(this->stored_value("duties/rollouts")["holder"] != holder);
+    int last_step = 0;
+    std::set<std::uint64_t> attempts;
+    for (const auto& spec : this->specs_of("rollout", "adjudicator")) {
+        CHECK_TRUE(spec.value("step", 0) >= last_step);
+        last_step = spec.value("step", 0);
+        attempts.insert(spec.value("run", std::uint64_t{0}));
+    }
+    LONGS_EQUAL(2, attempts.size()); // none as the operator stated it, and one since
+    CHECK_FALSE(this->is_withdrawn());
+}
+
+// The version has been fully rolled out and answers well, then each run of it fails. Callers get
+// the old version again and the new one is withdrawn, though its roll-out was over.
+TEST(rollout_test, a_version_that_turns_bad_in_full_use_is_rolled_back)
+{
+    this->fleet->apply(with_rollout("state: done"));
+    model_callers callers(*this->fleet);
+    CHECK_TRUE(eventually([&] { return callers.by_new > 300; }));
+    this->break_new_version();
+    CHECK_TRUE(eventually([this] { return this->is_in_state("rolled_back"); }));
+    CHECK_TRUE(this->is_withdrawn());
+    const int before = callers.by_old;
+    CHECK_TRUE(eventually([&] { return callers.by_old > before + 100; }));
+    callers.stop();
+}
