--- a/control/src/change.cpp
+++ b/control/src/change.cpp
@@ -1,5 +1,6 @@
 #include "change.hpp"
 
+#include "conflict_report.hpp"
 #include "fleet_wait.hpp"
 #include "object_difference.hpp"
 
@@ -13,7 +14,6 @@
 namespace {
 
 using adapters::configuration_fault;
-using coordination::config_conflict;
 using coordination::config_edit;
 using coordination::config_object;
 using coordination::config_state;
@@ -90,7 +90,7 @@
         const config_edit edit = this->make_edit();
         const config_write_done done = this->context.store.write(edit);
         if (done.error == control_error::conflict) {
-            return this->explain_conflict(edit, done);
+            return report_conflict(this->context, edit, done);
         }
         if (done.error == control_error::outcome_unknown) {
             return this->explain_unknown(edit);
@@ -150,75 +150,6 @@
         return end;
     }
 
-    exit_code explain_conflict(const config_edit& edit, const config_write_done& done)
-    {
-        const auto now = this->context.store.load();
-        json conflicts = json::array();
-        for (const auto& conflict : latest_of_each(done.conflicts)) {
-            const config_object* const theirs =
-                now.error ? nullptr : now.state->find(conflict.kind, conflict.name);
-            conflicts.push_back(this->explain(edit, conflict, theirs, !now.error));
-        }
-        this->context.out.complain("Nothing was changed. Look at the objects (pearhavenctl get), "
-                                   "and give the command again.");
-        this->context.out.show("", {{"error", "conflict"}, {"conflicts", std::move(conflicts)}});
-        return exit_code::conflict;
-    }
-
-    // The conflicts come in order of revision within each object.
-    static std::vector<config_conflict> latest_of_each(const std::vector<config_conflict>& all)
-    {
-        std::vector<config_conflict> latest;
-        for (const auto& conflict : all) {
-            if (!latest.empty() && latest.back().kind == conflict.kind &&
-                latest.back().name == conflict.name) {
-                latest.back() = conflict;
-            } else {
-                latest.push_back(conflict);
-            }
-        }
-        return latest;
-    }
-
-    json explain(const config_edit& edit, const config_conflict& conflict,
-                 const config_object* theirs, bool is_known)
-    {
-        const std::string their_body = theirs == nullptr ? "" : theirs->body;
-        const std::string our_body = this->wanted_body(conflict);
-        this->context.out.complain(
-            "conflict: " + object_text(conflict.kind, conflict.name) + " was changed by " +
-            conflict.author + " at " + utc_text(conflict.unix_ms) + ", in revision " +
-            std::to_string(conflict.revision) + ", after revision " +
-            std::to_string(edit.seen_revision) + " that this change is based on");
-        json explained = {{"kind", conflict.kind},
-                          {"name", conflict.name},
-                          {"revision", conflict.revision},
-                          {"author", conflict.author},
-                          {"unix_ms", conflict.unix_ms},
-                          {"base", edit.seen_revision},
-                          {"yours", object_json({conflict.kind, conflict.name, our_body})}};
-        if (!is_known) {
-            return explained;
-        }
-        explained["theirs"] = object_json({conflict.kind, conflict.name, their_body});
-        for (const auto& difference : differences(their_body, our_body)) {
-            this->context.out.complain("  " + difference.path + ": theirs " +
-                                       value_text(difference.before) + ", yours " +
-                                       value_text(difference.after));
-        }
-        return explained;
-    }
-
-    [[nodiscard]] std::string wanted_body(const config_conflict& conflict) const
-    {
-        for (const auto& change : this->changes) {
-            if (change.after.kind == conflict.kind && change.after.name == conflict.name) {
-                return change.after.body;
-            }
-        }
-        return {};
-    }
-
     exit_code wait()
     {
         const auto patience = this->context.settings.timeout.value_or(default_patience);
--- /dev/null
+++ b/control/src/conflict_report.cpp
@@ -0,0 +1,91 @@
+#include "conflict_report.hpp"
+
+#include "object_difference.hpp"
+
+namespace pearhaven::control {
+
+namespace {
+
+using coordination::config_conflict;
+using coordination::config_edit;
+using coordination::config_object;
+using nlohmann::json;
+
+// The conflicts come in order of revision within each object.
+std::vector<config_conflict> latest_of_each(const std::vector<config_conflict>& all)
+{
+    std::vector<config_conflict> latest;
+    for (const auto& conflict : all) {
+        if (!latest.empty() && latest.back().kind == conflict.kind &&
+            latest.back().name == conflict.name) {
+            latest.back() = conflict;
+        } else {
+            latest.push_back(conflict);
+        }
+    }
+    return latest;
+}
+
+std::string wanted_body(const config_edit& edit, const config_conflict& conflict)
+{
+    for (const auto& object : edit.objects) {
+        if (object.kind == conflict.kind && object.name == conflict.name) {
+            return object.body;
+        }
+    }
+    return {};
+}
+
+void complain_of(command_context& context, const config_edit& edit, const config_conflict& conflict)
+{
+    context.out.complain("conflict: " + object_text(conflict.kind, conflict.name) +
+                         " was changed by " + conflict.author + " at " +
+                         utc_text(conflict.unix_ms) + ", in revision " +
+                         std::to_string(conflict.revision) + ", after revision " +
+                         std::to_string(edit.seen_revision) + " that this change is based on");
+}
+
+json conflict_json(const config_edit& edit, const config_conflict& conflict)
+{
+    return {{"kind", conflict.kind},
+            {"name", conflict.name},
+            {"revision", conflict.revision},
+            {"author", conflict.author},
+            {"unix_ms", conflict.unix_ms},
+            {"base", edit.seen_revision},
+            {"yours", object_json({conflict.kind, conflict.name, wanted_body(edit, conflict)})}};
+}
+
+void compare(command_context& context, const std::string& theirs, const std::string& yours)
+{
+    for (const auto& difference : differences(theirs, yours)) {
+        context.out.complain("  " + difference.path + ": theirs " + value_text(difference.before) +
+                             ", yours " + value_text(difference.after));
+    }
+}
+
+} // namespace
+
+exit_code report_conflict(command_context& context, const config_edit& edit,
+                          const coordination::config_write_done& refused)
+{
+    const auto now = context.store.load();
+    json conflicts = json::array();
+    for (const auto& conflict : latest_of_each(refused.conflicts)) {
+        complain_of(context, edit, conflict);
+        json explained = conflict_json(edit, conflict);
+        if (!now.error) {
+            const config_object* const theirs = now.state->find(conflict.kind, conflict.name);
+            const std::string body = theirs == nullptr ? "" : theirs->body;
+            explained["theirs"] = object_json({conflict.kind, conflict.name, body});
+            compare(context, body, wanted_body(edit, conflict));
+        }
+        conflicts.push_back(std::move(explained));
+    }
+    context.out.complain("Nothing was changed. Look at the objects (pearhavenctl get), and give "
+                         "the command again.");
+    context.out.show("", {{"error", "conflict"}, {"conflicts", std::move(conflicts)}});
+    return exit_code::conflict;
+}
+
+} // namespace pearhaven::control
