--- a/router/src/router.cpp
+++ b/router/src/router.cpp
@@ -132,7 +132,8 @@
 
 bool router::parts::is_ready() const
 {
-    return !this->draining && this->fleet.view().ready;
+    const auto fleet_now = this->fleet.view();
+    return !this->draining && fleet_now.ready && fleet_now.in_touch;
 }
 
 std::string router::parts::status_page() const
