Take the callers' server apart into steps

Cause: serve_chat and serve_service were 70 lines each and said the same thing twice. Ruled out: one class for both (a chat and a service's call share only what is now arrival_of and serve).

--- a/router/src/caller_server.cpp
+++ b/router/src/caller_server.cpp
@@ -32,6 +32,11 @@
     return 0;
 }
 
+decision::failure not_run_for_now(decision::failure_code code, std::string detail)
+{
+    return {code, decision::run_state::not_run, true, std::chrono::seconds(1), std::move(detail)};
+}
+
 std::string class_name(decision::work_class kind)
 {
     return kind == decision::work_class::lookup ? "lookup" : "reading";
@@ -141,8 +146,14 @@
     return form.status;
 }
 
-std::optional<caller_server::admitted> caller_server::admit(mg_connection* connection)
+std::optional<caller_server::admitted> caller_server::admit(mg_connection* connection,
+                                                            std::size_t position)
 {
+    if (position > this->ports.settings.caller_threads) {
+        this->refuse(connection, form_of(not_run_for_now(decision::failure_code::overloaded,
+                                                         "this router has too many callers")));
+        return std::nullopt;
+    }
     auto fields = read_fields(connection);
     if (const auto* fault = std::get_if<failure_form>(&fields)) {
         this->refuse(connection, *fault);
@@ -152,10 +163,8 @@
     caller.fields = std::get<caller_fields>(std::move(fields));
     caller.configuration = this->ports.configuration.get();
     if (!caller.configuration) {
-        this->refuse(connection, form_of(decision::failure{decision::failure_code::not_in_touch,
-                                                           decision::run_state::not_run, true,
-                                                           std::chrono::seconds(1),
-                                                           "no configuration has come yet"}));
+        this->refuse(connection, form_of(not_run_for_now(decision::failure_code::not_in_touch,
+                                                         "no configuration has come yet")));
         return std::nullopt;
     }
     caller.team = caller.configuration->find_team_by_key(caller.fields.key_digest);
@@ -199,24 +208,28 @@
     if (this->ports.routing.offer(event)) {
         return true;
     }
-    this->refuse(connection, form_of(decision::failure{decision::failure_code::overloaded,
-                                                       decision::run_state::not_run, true,
-                                                       std::chrono::seconds(1),
-                                                       "this router has too many events waiting"}));
+    this->refuse(connection, form_of(not_run_for_now(decision::failure_code::overloaded,
+                                                     "this router has too many events waiting")));
     return false;
 }
 
+// What the dispatcher is told of every request, whatever it asks for.
+decision::arrival caller_server::arrival_of(const admitted& from, const exchange_ptr& request) const
+{
+    decision::arrival arrival;
+    arrival.ticket = request->ticket;
+    arrival.team = request->team;
+    arrival.idempotent = request->idempotent;
+    arrival.streamed = request->streamed;
+    arrival.priority = request->priority;
+    arrival.deadline = this->deadline_of(from.fields);
+    return arrival;
+}
+
 void caller_server::serve_chat(mg_connection* connection)
 {
     const active_guard guard(this->active);
-    if (guard.position() > this->ports.settings.caller_threads) {
-        this->refuse(connection, form_of(decision::failure{decision::failure_code::overloaded,
-                                                           decision::run_state::not_run, true,
-                                                           std::chrono::seconds(1),
-                                                           "this router has too many callers"}));
-        return;
-    }
-    const auto caller = this->admit(connection);
+    const auto caller = this->admit(connection, guard.position());
     if (!caller) {
         return;
     }
@@ -226,62 +239,82 @@
         return;
     }
     const auto& read = std::get<chat_body>(chat);
+    auto session = this->read_session(*caller, read.asked);
+    if (!session) {
+        this->refuse(connection,
+                     turned_away(status_bad_request, "bad_session",
+                                 "Pearhaven-Session: found a token that is not this team's"));
+        return;
+    }
     const auto request = this->make_exchange(*caller);
     request->streamed = read.streamed;
+    request->idempotent = caller->fields.idempotent.value_or(true);
     request->body = read.rest;
 
-    decision::arrival arrival;
-    arrival.ticket = request->ticket;
-    arrival.team = request->team;
+    auto arrival = this->arrival_of(*caller, request);
     arrival.asked = read.asked;
-    arrival.idempotent = caller->fields.idempotent.value_or(true);
-    request->idempotent = arrival.idempotent;
-    arrival.streamed = read.streamed;
-    arrival.priority = request->priority;
     arrival.work =
         decision::estimate_work(read.prompt.size(), read.max_tokens, caller->fields.kind);
-    arrival.deadline = this->deadline_of(caller->fields);
     arrival.prefix_hash = decision::fingerprint("", "", read.prompt.substr(0, affinity_prefix));
     arrival.fingerprint = decision::fingerprint(request->team, read.asked, read.rest);
-    const auto& session = caller->fields.session;
-    std::string session_id = adapters::random_identifier();
-    if (!session.empty() && session != "new") {
-        arrival.bound = decision::open_session(session, caller->configuration->session_keys(),
-                                               this->ports.session_keys);
-        if (!arrival.bound || arrival.bound->team != request->team) {
-            this->refuse(connection,
-                         turned_away(status_bad_request, "bad_session",
-                                     "Pearhaven-Session: found a token that is not this team's"));
-            return;
-        }
-        session_id = arrival.bound->id;
-    }
-    request_claim claim(this->ports.fleet, request);
-    if (!this->is_claimed(connection, claim, caller->fields, arrival.idempotent)) {
-        return;
-    }
-    const auto kind = class_name(arrival.work.kind);
-    const auto asked = read.asked;
-    if (!this->hand_on(connection, std::move(arrival), request)) {
-        return;
+    if (!session->version.empty()) {
+        arrival.bound = *session;
     }
     const auto headers_of = [&](const std::string& version) {
         header_list headers = {{"Pearhaven-Request", request->request_id},
                                {"Pearhaven-Version", version}};
-        if (!session.empty()) {
-            const decision::session bound{session_id, request->team, asked, version};
-            const auto newest = caller->configuration->session_keys().front();
-            headers.emplace_back("Pearhaven-Session",
-                                 decision::seal_session(bound, newest, this->ports.session_keys));
+        if (!caller->fields.session.empty()) {
+            session->version = version;
+            headers.emplace_back("Pearhaven-Session", this->seal(*caller, *session));
         }
         return headers;
     };
-    relay_end end;
     if (read.streamed) {
-        end = streamed_chat(connection, request, this->ports.client).run(headers_of);
+        streamed_chat relay(connection, request, this->ports.client);
+        this->serve(connection, *caller, request, std::move(arrival), relay, headers_of);
     } else {
-        end = collected_chat(connection, request, this->ports.client).run(headers_of);
+        collected_chat relay(connection, request, this->ports.client);
+        this->serve(connection, *caller, request, std::move(arrival), relay, headers_of);
+    }
+}
+
+// The session that the caller names: a new one has no version yet. Nothing for a token that is
+// forged, or another team's.
+std::optional<decision::session> caller_server::read_session(const admitted& caller,
+                                                             const std::string& asked) const
+{
+    const auto& token = caller.fields.session;
+    if (token.empty() || token == "new") {
+        return decision::session{adapters::random_identifier(), caller.team->name, asked, ""};
+    }
+    auto bound = decision::open_session(token, caller.configuration->session_keys(),
+                                        this->ports.session_keys);
+    if (!bound || bound->team != caller.team->name) {
+        return std::nullopt;
+    }
+    return bound;
+}
+
+std::string caller_server::seal(const admitted& caller, const decision::session& session) const
+{
+    const auto newest = caller.configuration->session_keys().front();
+    return decision::seal_session(session, newest, this->ports.session_keys);
+}
+
+// Claims the request if need be, hands it to the dispatcher, and writes its answer.
+void caller_server::serve(mg_connection* connection, const admitted& caller,
+                          const exchange_ptr& request, decision::arrival arrival,
+                          answer_relay& relay, const answer_relay::version_headers& headers_of)
+{
+    request_claim claim(this->ports.fleet, request);
+    if (!this->is_claimed(connection, claim, caller.fields, request->idempotent)) {
+        return;
+    }
+    const auto kind = class_name(arrival.work.kind);
+    if (!this->hand_on(connection, std::move(arrival), request)) {
+        return;
     }
+    const auto end = relay.run(headers_of);
     this->finish(connection, request, claim, end, kind);
 }
 
@@ -328,7 +361,8 @@
 
 void caller_server::serve_models(mg_connection* connection)
 {
-    const auto caller = this->admit(connection);
+    const active_guard guard(this->active);
+    const auto caller = this->admit(connection, guard.position());
     if (!caller) {
         return;
     }
@@ -345,57 +379,37 @@
 void caller_server::serve_service(mg_connection* connection)
 {
     const active_guard guard(this->active);
-    if (guard.position() > this->ports.settings.caller_threads) {
-        this->refuse(connection, form_of(decision::failure{decision::failure_code::overloaded,
-                                                           decision::run_state::not_run, true,
-                                                           std::chrono::seconds(1),
-                                                           "this router has too many callers"}));
-        return;
-    }
-    const auto caller = this->admit(connection);
+    const auto caller = this->admit(connection, guard.position());
     if (!caller) {
         return;
     }
     const auto* info = mg_get_request_info(connection);
-    const std::string path = std::string(info->local_uri).substr(services_prefix.size());
+    // The path as the caller wrote it: the decoded one could not be sent on.
+    const auto path = std::string(info->request_uri).substr(services_prefix.size());
     const auto name = path.substr(0, path.find('/'));
     const auto request = this->make_exchange(*caller);
     request->is_service = true;
     request->streamed = true;
     request->method = info->request_method;
+    request->idempotent = this->is_idempotent_call(*caller, name, request->method);
     request->path = path.size() > name.size() ? path.substr(name.size()) : "/";
     if (info->query_string != nullptr) {
         request->path.append("?").append(info->query_string);
     }
     request->body = caller->body;
 
-    decision::arrival arrival;
-    arrival.ticket = request->ticket;
-    arrival.team = request->team;
+    auto arrival = this->arrival_of(*caller, request);
     arrival.asked = name;
     arrival.is_service = true;
-    arrival.idempotent = this->is_idempotent_call(*caller, name, request->method);
-    request->idempotent = arrival.idempotent;
-    arrival.streamed = true;
-    arrival.priority = request->priority;
     arrival.work =
         decision::work_estimate{caller->fields.kind.value_or(decision::work_class::lookup), 1.0};
-    arrival.deadline = this->deadline_of(caller->fields);
     arrival.fingerprint =
         decision::fingerprint(request->team, name, request->path + "\n" + request->body);
-    request_claim claim(this->ports.fleet, request);
-    if (!this->is_claimed(connection, claim, caller->fields, arrival.idempotent)) {
-        return;
-    }
-    const auto kind = class_name(arrival.work.kind);
-    if (!this->hand_on(connection, std::move(arrival), request)) {
-        return;
-    }
     const auto headers_of = [&](const std::string& /*target*/) {
         return header_list{{"Pearhaven-Request", request->request_id}};
     };
-    const auto end = service_answer(connection, request, this->ports.client).run(headers_of);
-    this->finish(connection, request, claim, end, kind);
+    service_answer relay(connection, request, this->ports.client);
+    this->serve(connection, *caller, request, std::move(arrival), relay, headers_of);
 }
 
 // The configuration wins over what the caller says, but for one way: a caller may always ask for
--- a/router/src/caller_server.hpp
+++ b/router/src/caller_server.hpp
@@ -65,9 +65,17 @@
     static int handle_service(mg_connection* connection, void* self);
     static int handle_unknown(mg_connection* connection, void* self);
 
-    [[nodiscard]] std::optional<admitted> admit(mg_connection* connection);
+    [[nodiscard]] std::optional<admitted> admit(mg_connection* connection, std::size_t position);
     bool is_claimed(mg_connection* connection, request_claim& claim, const caller_fields& fields,
                     bool idempotent);
+    [[nodiscard]] decision::arrival arrival_of(const admitted& from,
+                                               const exchange_ptr& request) const;
+    [[nodiscard]] std::optional<decision::session> read_session(const admitted& caller,
+                                                                const std::string& asked) const;
+    [[nodiscard]] std::string seal(const admitted& caller, const decision::session& session) const;
+    void serve(mg_connection* connection, const admitted& caller, const exchange_ptr& request,
+               decision::arrival arrival, answer_relay& relay,
+               const answer_relay::version_headers& headers_of);
     void serve_chat(mg_connection* connection);
     void serve_models(mg_connection* connection);
     void serve_service(mg_connection* connection);
