--- a/benchmarks/overhead.sh
+++ b/benchmarks/overhead.sh
@@ -13,6 +13,7 @@
 shift
 parts=${*:-latency streams tokens requests}
 repetitions=${OVERHEAD_REPETITIONS:-5}
+load_repetitions=${OVERHEAD_LOADS:-3}        # of each of the other parts
 seconds=${OVERHEAD_SECONDS:-10}          # of one repetition
 first_seed=${OVERHEAD_SEED:-1}
 rate=${OVERHEAD_RATE:-100}               # requests a second in the part about latency
@@ -144,7 +145,7 @@
   local repetition
   start_fleet 4 --step_us 100000 --step_us_per_run 0 --batch 1024 --queue 2048 --threads 2048 --kv_tokens 4000000 --prefill_tokens_per_s 10000000 --prefill_chunk 100000
   record streams 1 router_rss_mib_idle "$(awk '/^VmRSS/ { printf "%.1f", $2 / 1024 }' "/proc/$pid_router/status")"
-  for ((repetition = 1; repetition <= 3; repetition++)); do
+  for ((repetition = 1; repetition <= load_repetitions; repetition++)); do
     measured_load streams "$repetition" "" "callers=$streams,tokens=60,prompt=200"
   done
   end_fleet
@@ -154,7 +155,7 @@
   local repetition callers
   start_fleet 4 --step_us 5000 --step_us_per_run 0 --batch 1024 --queue 2048 --threads 2048 --kv_tokens 4000000 --prefill_tokens_per_s 10000000 --prefill_chunk 100000 --tokens_per_write 1
   for callers in $relay_callers; do
-    for ((repetition = 1; repetition <= 3; repetition++)); do
+    for ((repetition = 1; repetition <= load_repetitions; repetition++)); do
       measured_load tokens "$repetition" "callers_${callers}_" "callers=$callers,tokens=200,prompt=200"
     done
   done
@@ -164,7 +165,7 @@
 measure_requests() {
   local repetition
   start_fleet 2 --step_us 500 --step_us_per_run 0 --batch 512 --queue 1024 --threads 1024
-  for ((repetition = 1; repetition <= 3; repetition++)); do
+  for ((repetition = 1; repetition <= load_repetitions; repetition++)); do
     measured_load requests "$repetition" "" "callers=400,tokens=1,prompt=200"
     record requests "$repetition" requests_per_core_s "$(awk -F, -v r="$repetition" '
       $1 == "requests" && $2 == r { value[$3] = $4 }
--- a/benchmarks/slopes.sh
+++ b/benchmarks/slopes.sh
@@ -21,6 +21,7 @@
 requests_per_router=${SLOPES_REQUESTS:-5} # a second, in the phase with load
 seconds_per_change=${SLOPES_CHANGE:-1.35} # 64,000 changes a day are one each 1.35 s
 waited_changes=${SLOPES_WAITED:-6}        # changes whose time until in force everywhere is taken
+phases=${SLOPES_PHASES:-idle load changes}
 ulimit -n "$(ulimit -Hn)"
 source scripts/fleet.sh
 
@@ -144,10 +145,12 @@
         name = "router_cpu_percent"
         if (rate > busiest) busiest = rate
       }
+      if (name ~ /^router_peer/ && rate > most[name]) most[name] = rate
       sum[name] += rate
     }
     END {
       for (name in sum) printf "%s %.4f\n", name, (name ~ /^router_/ ? sum[name] / routers : sum[name])
+      for (name in most) printf "%s_busiest %.4f\n", name, most[name]
       printf "router_cpu_percent_busiest %.4f\n", busiest
     }' "$1" "$2"
 }
@@ -221,6 +224,17 @@
   }
 }
 
+measure_idle() { measure idle; }
+
+measure_changes() {
+  sleep 2
+  start change change_for_ever
+  sleep 2
+  measure changes
+  kill "$pid_change"
+  measure_time_in_force
+}
+
 operators=()
 pids=()
 start_platform
@@ -231,11 +245,4 @@
 record start 1 joined_s "$(awk -v a="$begun" -v b="$EPOCHREALTIME" 'BEGIN { printf "%.2f", b - a }')"
 record start 1 host_list_bytes "$(curl -sf "http://$hosts/v1/hosts" | wc -c)"
 sleep 3 # what follows a join, such as its gossip, is over
-measure idle
-measure_load
-sleep 2
-start change change_for_ever
-sleep 2
-measure changes
-kill "$pid_change"
-measure_time_in_force
+for phase in $phases; do "measure_$phase"; done
