--- a/coordination/test/bill_ledger_test.cpp
+++ b/coordination/test/bill_ledger_test.cpp
@@ -1,5 +1,7 @@
 #include "pearhaven/coordination/bill_ledger.hpp"
 
+#include "simulation.hpp"
+
 #include <rapidcheck.h>
 
 #include <algorithm>
@@ -50,44 +52,15 @@
 
 const name_codec codec;
 
-// A store in memory that answers one call at a time, when the test says so.
-class paper_store {
-public:
-    kv_reply apply(const kv_request& request)
-    {
-        if (const auto* get = std::get_if<kv_get>(&request)) {
-            const auto found = this->values.find(get->key);
-            if (found == this->values.end()) {
-                return {kv_outcome::not_found, this->revision, 0, {}};
-            }
-            return {kv_outcome::ok, this->revision, 0, {found->second}};
-        }
-        const auto& swap = std::get<kv_compare_and_swap>(request);
-        const auto found = this->values.find(swap.key);
-        const store_revision current = found == this->values.end() ? 0 : found->second.revision;
-        if (current != swap.expected) {
-            return {kv_outcome::conflict, this->revision, 0,
-                    current == 0 ? std::vector<kv_entry>{} : std::vector<kv_entry>{found->second}};
-        }
-        ++this->revision;
-        this->values[swap.key] = {swap.key, swap.value, this->revision};
-        return {kv_outcome::ok, this->revision, 0, {}};
-    }
-
-    [[nodiscard]] std::map<std::string, bill> folded() const
-    {
-        std::vector<bill> all;
-        for (const auto& [key, entry] : this->values) {
-            const auto bills = codec.read_bills(entry.value);
-            all.insert(all.end(), bills->begin(), bills->end());
-        }
-        return fold_bills(all);
+std::map<std::string, bill> folded(simulation::model_store& store)
+{
+    std::vector<bill> all;
+    for (const auto& entry : store.range(std::string(bill_page_prefix))) {
+        const auto bills = codec.read_bills(entry.value);
+        all.insert(all.end(), bills->begin(), bills->end());
     }
-
-private:
-    std::map<std::string, kv_entry> values;
-    store_revision revision = 0;
-};
+    return fold_bills(all);
+}
 
 struct split_actions {
     std::vector<store_call> calls;
@@ -124,7 +97,8 @@
 {
     bill_ledger_settings settings{"self", "osu"};
     instant now{};
-    paper_store store;
+    simulation::scheduler schedule{1};
+    simulation::model_store store{schedule};
 
     void setup() override
     {
@@ -215,7 +189,7 @@
         ledger.on_reply(calls[0].tag, store.apply(calls[0].request), now);
         LONGS_EQUAL(0, ledger.waiting());
     }
-    LONGS_EQUAL(1, store.folded().size());
+    LONGS_EQUAL(1, folded(store).size());
 }
 
 TEST(bill_ledger_test, a_landed_batch_is_dropped_by_its_holders)
@@ -233,7 +207,8 @@
 {
     const bool holds = rc::check("bills land once", [this] {
         bill_ledger ledger(settings, codec);
-        paper_store paper;
+        simulation::scheduler virtual_time{1};
+        simulation::model_store paper{virtual_time};
         instant clock{};
         std::size_t count = 0;
         const auto steps = *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 5));
@@ -254,7 +229,7 @@
             ledger.on_tick(clock);
             const auto split = take(ledger);
             for (const auto& request : split.safe) {
-                RC_ASSERT(paper.folded().count(request) == 1);
+                RC_ASSERT(folded(paper).count(request) == 1);
             }
             for (const auto& call : split.calls) {
                 answer(call, step);
@@ -268,7 +243,7 @@
             }
         }
         RC_ASSERT(ledger.waiting() == 0);
-        RC_ASSERT(paper.folded().size() == count);
+        RC_ASSERT(folded(paper).size() == count);
     });
     CHECK_TRUE(holds);
 }
--- a/coordination/test/once_claims_test.cpp
+++ b/coordination/test/once_claims_test.cpp
@@ -1,5 +1,7 @@
 #include "pearhaven/coordination/once_claims.hpp"
 
+#include "simulation.hpp"
+
 #include <rapidcheck.h>
 
 #include <map>
@@ -46,32 +48,6 @@
 
 const bar_codec codec;
 
-class paper_store {
-public:
-    kv_reply apply(const kv_request& request)
-    {
-        const auto* get = std::get_if<kv_get>(&request);
-        const auto* swap = std::get_if<kv_compare_and_swap>(&request);
-        const auto found = this->values.find(get != nullptr ? get->key : swap->key);
-        const bool there = found != this->values.end();
-        const std::vector<kv_entry> current =
-            there ? std::vector<kv_entry>{found->second} : std::vector<kv_entry>{};
-        if (get != nullptr) {
-            return {there ? kv_outcome::ok : kv_outcome::not_found, this->revision, 0, current};
-        }
-        if ((there ? found->second.revision : 0) != swap->expected) {
-            return {kv_outcome::conflict, this->revision, 0, current};
-        }
-        ++this->revision;
-        this->values[swap->key] = {swap->key, swap->value, this->revision};
-        return {kv_outcome::ok, this->revision, 0, {}};
-    }
-
-private:
-    std::map<std::string, kv_entry> values;
-    store_revision revision = 0;
-};
-
 once_claims_settings settings_of(const std::string& self)
 {
     once_claims_settings chosen;
@@ -86,7 +62,8 @@
 TEST_GROUP(once_claims_test)
 {
     instant now{seconds(100)};
-    paper_store store;
+    simulation::scheduler schedule{1};
+    simulation::model_store store{schedule};
     once_claims first{settings_of("first"), codec};
     once_claims second{settings_of("second"), codec};
     int write_ids = 0;
@@ -247,7 +224,8 @@
 TEST(once_claims_test, no_schedule_lets_a_request_run_twice)
 {
     const bool holds = rc::check("at most one run", [] {
-        paper_store paper;
+        simulation::scheduler virtual_time{1};
+        simulation::model_store paper{virtual_time};
         instant clock{seconds(100)};
         std::vector<std::unique_ptr<once_claims>> routers;
         routers.push_back(std::make_unique<once_claims>(settings_of("r0"), codec));
