--- a/tests/support/run_history.hpp
+++ b/tests/support/run_history.hpp
@@ -43,7 +43,8 @@
     // Requests with this key must run at most once.
     void expect_at_most_one_run(const std::string& idempotency_key);
 
-    // Sends the request, waits for its end and notes it.
+    // Sends the request, waits for its end and notes it. An answer that does not end in time counts
+    // as none, so that callers on threads of their own need not handle exceptions.
     chat_answer ask(test_fleet& fleet, std::size_t router, const chat_request& request);
 
     // What contradicts the runs: a request that ran although each send of it was answered
