Agree on an outage without the word of peers that do not answer

Cause: a router that died during an outage kept all others from agreeing until they had given it up, and they refused new work meanwhile. Ruled out: the same for a start during an outage: there a peer that is not heard may be the only one to hold what the host's former life had in force, so all live ones are still waited for. Measured: with the word of every peer asked for, the new test of a lost peer fails; with peers left out at a start, or starters counted as informed, the two other new tests fail; all pass as it is. Conclusion: a majority of the members known at the last confirmation decides; the header says what remains unsafe.

--- a/coordination/include/pearhaven/coordination/config_replica.hpp
+++ b/coordination/include/pearhaven/coordination/config_replica.hpp
@@ -66,22 +66,25 @@
 // a store that others still reach, and run a version that was withdrawn; so it stops, unless the
 // store is plainly out. That is held to be so when all of these are true:
 //   - this router's own reads fail;
-//   - every live peer answered a recent pull with the same, and none has a higher revision;
+//   - every live peer that answered a recent pull says the same, and none has a higher revision;
 //   - those that answered, and this router, are a majority of the members that were known at the
 //     last confirmation. A router cut off with a minority can therefore never conclude it, also
-//     after its membership has given up the others.
+//     after its membership has given up the others; and a majority is not held up by peers that
+//     were lost during the outage.
 // The reason: a change can be in force somewhere only through a router that read it from the store,
-// or heard it from one that did. When all live routers say that they cannot read, none can be
-// ahead.
+// or heard it from one that did. When most routers say that they cannot read, and none is ahead,
+// at most a minority that nobody hears could be.
 // What remains unsafe:
 //   - a change accepted in the last moment before the outage, that no router had read, comes into
 //     force only after it;
 //   - operators, or a minority of routers, that still reach the store while a majority is cut off
-//     from it: the majority goes on with its last revision until the cut heals;
-//   - a live peer's answer holds for the bound, or three times as long as it takes to ask all: with
-//     more than `outage_pulls` peers, agreement takes longer, in proportion to their number, and
-//     the router refuses new work in between;
-//   - when more than half of the known members were replaced during one outage, routers refuse.
+//     from it and from them: the majority goes on with its last revision until the cut heals;
+//   - a peer's answer holds for the bound, or three times as long as it takes to ask all: with more
+//     than `outage_pulls` peers, agreement takes longer, in proportion to their number, and the
+//     router refuses new work in between;
+//   - when more than half of the known members were replaced during one outage, routers refuse;
+//   - a revision that only a host's former life and messages on the way held when it was replaced
+//     during an outage.
 // A store that was set back to an older state is not followed: the copy stays at its revision. A
 // head that cannot be read confirms nothing, and is no outage: new work stops after the bound.
 class config_replica {
@@ -108,7 +111,7 @@
     [[nodiscard]] const config_state_ptr& current() const { return this->state; }
 
     // False from the start until the copy holds all that was accepted before the start. During an
-    // outage: until all live peers agree on it and the highest revision of theirs was taken, at
+    // outage: until that is agreed on and the highest revision of all live peers was taken, at
     // least `startup_peers` of them (or all, if fewer) being no starters themselves. Stays true.
     [[nodiscard]] bool is_ready() const { return this->ready; }
 
--- a/coordination/src/config_replica.cpp
+++ b/coordination/src/config_replica.cpp
@@ -123,10 +123,9 @@
     if (!this->is_store_failing(now)) {
         return false;
     }
-    for (const config_peer& peer : this->peers) {
-        const peer_answer* heard = this->valid_answer(peer.address.id, now);
-        if (heard == nullptr || heard->store_reachable ||
-            heard->revision > this->state->revision()) {
+    for (const auto& [peer, heard] : this->answers) {
+        const bool is_ahead = heard.revision > this->state->revision();
+        if (this->valid_answer(peer, now) != nullptr && (heard.store_reachable || is_ahead)) {
             return false;
         }
     }
@@ -188,10 +187,16 @@
     if (this->ready || !this->is_outage_agreed(now)) {
         return;
     }
-    const auto informed = std::count_if(this->answers.begin(), this->answers.end(),
-                                        [](const auto& entry) { return entry.second.ready; });
+    std::size_t informed = 0;
+    for (const config_peer& peer : this->peers) {
+        const peer_answer* heard = this->valid_answer(peer.address.id, now);
+        if (heard == nullptr) {
+            return;
+        }
+        informed += heard->ready ? 1 : 0;
+    }
     const std::size_t wanted = std::min(this->settings.startup_peers, this->peers.size());
-    this->ready = informed > 0 && static_cast<std::size_t>(informed) >= wanted;
+    this->ready = informed > 0 && informed >= wanted;
 }
 
 // Reading the store.
