Leave no process behind when a test ends in any way

Cause: tests that ended by an exception or a time-out left whole fleets running; at 32,000 threads on the machine no further router could start, and unrelated tests failed with it. Ruled out: catching the exception (this CppUTest ends the program on one and has no switch for it); ending children in a signal handler (a kill for a time-out runs none). Conclusion: children ask the kernel to end with their parent; each run has its own folder of logs, kept only when a test fails.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -2,7 +2,7 @@
 
 #include <fcntl.h>
 #include <poll.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -45,6 +45,21 @@
     return list;
 }
 
+// What the child does between fork and exec: nothing that allocates or locks, since the test's
+// other threads may hold any lock. It dies with the test, however that ends: a test that is killed
+// for its time-out would otherwise leave a fleet running.
+[[noreturn]] void become(const std::vector<char*>& arguments, const std::vector<char*>& variables,
+                         int output, const char* error_file)
+{
+    constexpr int mode = 0644;
+    constexpr int status_not_started = 127;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    dup2(output, STDOUT_FILENO);
+    dup2(open(error_file, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, mode), STDERR_FILENO);
+    execve(arguments.front(), arguments.data(), variables.data());
+    _exit(status_not_started);
+}
+
 } // namespace
 
 child_process::child_process(const std::vector<std::string>& arguments,
@@ -54,20 +69,18 @@
     if (pipe2(ends, O_CLOEXEC) != 0) {
         throw std::system_error(errno, std::generic_category(), "pipe");
     }
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-    constexpr int mode = 0644;
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, error_file.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, mode);
     auto texts = arguments;
     auto variable_texts = to_list(variables);
-    const auto error = posix_spawn(&this->pid, arguments.front().c_str(), &actions, nullptr,
-                                   to_pointers(texts).data(), to_pointers(variable_texts).data());
-    posix_spawn_file_actions_destroy(&actions);
+    const auto argument_pointers = to_pointers(texts);
+    const auto variable_pointers = to_pointers(variable_texts);
+    this->pid = fork();
+    if (this->pid == 0) {
+        become(argument_pointers, variable_pointers, ends[1], error_file.c_str());
+    }
+    const int error = errno;
     close(ends[1]);
     this->output = ends[0];
-    if (error != 0) {
+    if (this->pid < 0) {
         close(this->output);
         throw std::system_error(error, std::generic_category(), arguments.front());
     }
--- a/tests/support/test_fleet.cpp
+++ b/tests/support/test_fleet.cpp
@@ -1,5 +1,7 @@
 #include "test_fleet.hpp"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
@@ -7,6 +9,8 @@
 #include <thread>
 #include <utility>
 
+#include <CppUTest/TestHarness.h>
+
 namespace pearhaven::tests {
 
 namespace {
@@ -64,7 +68,8 @@
 }
 
 test_fleet::test_fleet(const plan& wanted_plan)
-    : wanted(wanted_plan), folder(std::string(PEARHAVEN_PROGRAMS) + "/logs/" + wanted_plan.name),
+    : wanted(wanted_plan), folder(std::string(PEARHAVEN_PROGRAMS) + "/logs/" + wanted_plan.name +
+                                  "-" + std::to_string(getpid())),
       client(adapters::make_http_client({}))
 {
     std::filesystem::remove_all(this->folder);
@@ -95,6 +100,11 @@
 test_fleet::~test_fleet()
 {
     this->client->stop();
+    // Logs of a failed test are kept; its folder is named after the process, so that several runs
+    // of one test do not overwrite each other's files.
+    if (!UtestShell::getCurrent()->hasFailed()) {
+        std::filesystem::remove_all(this->folder);
+    }
 }
 
 std::unique_ptr<child_process> test_fleet::spawn(const std::string& program,
