Write copies of bills whose owner is missing, whenever its death was told

Cause: a copy that came after its owner had been declared dead lay in the holder's memory for good. Ruled out: refusing copies of dead owners (a death may be told wrongly; the owner would wait for ever). Conclusion: copies of an owner that has not been among the live peers for 30 s go to the store.

--- a/coordination/include/pearhaven/coordination/bill_ledger.hpp
+++ b/coordination/include/pearhaven/coordination/bill_ledger.hpp
@@ -44,6 +44,9 @@
         std::chrono::milliseconds{50}; // between two writes at the least
     decision::duration store_patience = std::chrono::milliseconds{300}; // then copies go to peers
     decision::duration copy_resend = std::chrono::milliseconds{500};
+    // After it, the copies of an owner that is not among the live peers go to the store: its death
+    // may have been told before its last copy came, or while this router was not listening.
+    decision::duration owner_patience = std::chrono::seconds{30};
     decision::duration first_retry = std::chrono::milliseconds{200};
     decision::duration longest_retry = std::chrono::seconds{2};
 };
@@ -133,6 +136,7 @@
     [[nodiscard]] std::vector<const member*> copy_targets() const;
     [[nodiscard]] bool store_is_late(decision::instant now) const;
     void hold(const member_address& from, const bill_copy& copy);
+    void rescue_of_missing_owners(decision::instant now);
     void rescue_when_due(decision::instant now);
     void mark_safe(const std::string& request);
     [[nodiscard]] std::string page_key(std::uint64_t page) const;
@@ -158,6 +162,7 @@
     std::uint64_t next_batch = 1;
 
     std::map<incarnation_id, std::map<std::uint64_t, std::vector<bill>>> held;
+    std::map<incarnation_id, decision::instant> missing; // owners of copies, since they were missed
     std::size_t held_count = 0;
     std::deque<rescue_write> rescues;
     std::optional<call_tag> rescue_tag;
--- a/coordination/src/bill_ledger.cpp
+++ b/coordination/src/bill_ledger.cpp
@@ -33,6 +33,7 @@
 {
     this->commit_when_due(now);
     this->copy_when_due(now);
+    this->rescue_of_missing_owners(now);
     this->rescue_when_due(now);
 }
 
@@ -375,6 +376,25 @@
     this->rescue_when_due(now);
 }
 
+void bill_ledger::rescue_of_missing_owners(decision::instant now)
+{
+    std::vector<incarnation_id> gone;
+    for (const auto& [owner, pages] : this->held) {
+        const bool is_live = std::any_of(this->peers.begin(), this->peers.end(),
+                                         [&owner](const member& peer) { return peer.id == owner; });
+        if (is_live) {
+            this->missing.erase(owner);
+        } else if (now - this->missing.emplace(owner, now).first->second >=
+                   this->settings.owner_patience) {
+            gone.push_back(owner);
+        }
+    }
+    for (const auto& owner : gone) {
+        this->missing.erase(owner);
+        this->on_member_dead(owner, now);
+    }
+}
+
 void bill_ledger::rescue_when_due(decision::instant now)
 {
     if (this->rescues.empty() || this->rescue_tag || now < this->next_rescue) {
--- a/coordination/test/bill_ledger_test.cpp
+++ b/coordination/test/bill_ledger_test.cpp
@@ -16,6 +16,7 @@
 using pearhaven::decision::duration;
 using pearhaven::decision::instant;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -192,6 +193,20 @@
     LONGS_EQUAL(1, folded(store).size());
 }
 
+// The word of the owner's death comes before its last copy, which was slow on its way. Nobody will
+// tell of that death again, and the copy would lie in the holder's memory until that is replaced.
+TEST(bill_ledger_test, a_copy_that_comes_after_its_owners_death_is_written_too)
+{
+    bill_ledger holder(settings, codec);
+    holder.set_peers({peer("other", "osu")});
+    holder.on_member_dead("owner", now);
+    holder.on_message({"owner", "", 0}, bill_copy{"owner", 1, {name_codec::make("a")}}, now);
+    pass(holder, seconds(1));
+    LONGS_EQUAL(0, take(holder).calls.size());
+    pass(holder, seconds(31));
+    LONGS_EQUAL(1, take(holder).calls.size());
+}
+
 TEST(bill_ledger_test, a_landed_batch_is_dropped_by_its_holders)
 {
     bill_ledger holder(settings, codec);
