--- a/coordination/src/bill_ledger.cpp
+++ b/coordination/src/bill_ledger.cpp
@@ -378,14 +378,18 @@
 
 void bill_ledger::rescue_of_missing_owners(decision::instant now)
 {
+    std::set<incarnation_id> live;
+    for (const auto& peer : this->peers) {
+        live.insert(peer.id);
+    }
     std::vector<incarnation_id> gone;
     for (const auto& [owner, pages] : this->held) {
-        const bool is_live = std::any_of(this->peers.begin(), this->peers.end(),
-                                         [&owner](const member& peer) { return peer.id == owner; });
-        if (is_live) {
+        if (live.count(owner) > 0) {
             this->missing.erase(owner);
-        } else if (now - this->missing.emplace(owner, now).first->second >=
-                   this->settings.owner_patience) {
+            continue;
+        }
+        const auto since = this->missing.emplace(owner, now).first->second;
+        if (now - since >= this->settings.owner_patience) {
             gone.push_back(owner);
         }
     }
--- a/tests/integration/bad_input_test.cpp
+++ b/tests/integration/bad_input_test.cpp
@@ -29,7 +29,8 @@
         inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
         timeval patience{30, 0};
         setsockopt(this->socket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-        connect(this->socket, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+        const auto* target = reinterpret_cast<const sockaddr*>(&to);
+        CHECK_TRUE(connect(this->socket, target, sizeof to) == 0);
     }
 
     ~raw_connection() { close(this->socket); }
