Keep the engine stand-ins from limiting the requests of one router

Conclusion: the engines read prompts faster in that part; the aim for memory is 200 MB, stated in MiB.

--- a/benchmarks/overhead.sh
+++ b/benchmarks/overhead.sh
@@ -164,7 +164,7 @@
 
 measure_requests() {
   local repetition
-  start_fleet 2 --step_us 500 --step_us_per_run 0 --batch 512 --queue 1024 --threads 1024
+  start_fleet 2 --step_us 500 --step_us_per_run 0 --batch 512 --queue 1024 --threads 1024 --prefill_tokens_per_s 10000000 --prefill_chunk 100000
   for ((repetition = 1; repetition <= load_repetitions; repetition++)); do
     measured_load requests "$repetition" "" "callers=400,tokens=1,prompt=200"
     record requests "$repetition" requests_per_core_s "$(awk -F, -v r="$repetition" '
@@ -203,5 +203,5 @@
 print_table
 aim "added time to the first token, median, ms" under 0.5 '^latency added_first_token_ms_50$'
 aim "added time to the first token, 99th, ms" under 2 '^latency added_first_token_ms_99$'
-aim "memory of the router at $streams streams, MiB" under 200 '^streams router_rss_mib$'
+aim "memory of the router at $streams streams, MiB (190.7 are 200 MB)" under 190.7 '^streams router_rss_mib$'
 aim "tokens a second relayed by one router" "at least" 100000 '^tokens callers_[0-9]*_tokens_per_s$'
