Refuse a claim at once when the store refuses it, and drop a setting without effect

Ruled out: ending an answer after a wait without its bill (a kill would then lose the bill; with the store out and no live peer the end waits, and PROMISES.md says so).

--- a/coordination/include/pearhaven/coordination/once_claims.hpp
+++ b/coordination/include/pearhaven/coordination/once_claims.hpp
@@ -130,6 +130,7 @@
     bool on_entry(claim_number number, claim_work& work, const kv_entry& entry,
                   decision::instant now);
     bool on_absent(claim_work& work, decision::instant now);
+    bool on_unavailable(claim_number number, claim_work& work, decision::instant now);
     bool on_written(claim_number number, claim_work& work, store_revision revision);
     bool on_others_claim(claim_number number, claim_work& work, const kv_entry& entry,
                          const claim_record& found, decision::instant now);
--- a/coordination/src/once_claims.cpp
+++ b/coordination/src/once_claims.cpp
@@ -159,7 +159,7 @@
     }
     work.call.reset();
     if (reply.outcome == kv_outcome::unavailable) {
-        this->wait(work, now);
+        finished = this->on_unavailable(number, work, now);
     } else if (!reply.entries.empty()) {
         finished = this->on_entry(number, work, reply.entries.front(), now);
     } else if (reply.outcome == kv_outcome::ok) {
@@ -174,6 +174,18 @@
     this->advance(number, work, now);
 }
 
+// True when the claim needs no more work. Nothing was written, so the caller can be refused at once
+// and told when to come back; only an earlier write without a reply has to be settled first.
+bool once_claims::on_unavailable(claim_number number, claim_work& work, decision::instant now)
+{
+    if (work.step == phase::creating && !work.loose_write) {
+        this->decide(number, claim_verdict::unavailable, "");
+        return true;
+    }
+    this->wait(work, now);
+    return false;
+}
+
 // True when the claim needs no more work.
 bool once_claims::on_written(claim_number number, claim_work& work, store_revision revision)
 {
--- a/router/include/pearhaven/router/settings.hpp
+++ b/router/include/pearhaven/router/settings.hpp
@@ -43,7 +43,6 @@
     std::chrono::milliseconds quiet_before_close{
         500}; // after not ready, before the listeners close
     std::chrono::milliseconds longest_drain{600000};
-    std::chrono::milliseconds bill_wait{2000}; // longest wait for a bill before an answer's end
 
     bool json_log = false;
 
--- a/router/src/settings.cpp
+++ b/router/src/settings.cpp
@@ -38,7 +38,6 @@
 DEFINE_uint32(member_lease_ms, 10000, "lease of this router's membership record");
 DEFINE_uint32(quiet_before_close_ms, 500, "time between not ready and closed listeners at a stop");
 DEFINE_uint32(longest_drain_ms, 600000, "longest time that a stop waits for requests in flight");
-DEFINE_uint32(bill_wait_ms, 2000, "longest wait for a bill before an answer's end is sent");
 DEFINE_string(log_format, "text", "text or json");
 
 namespace pearhaven::router {
@@ -158,7 +157,6 @@
     settings.member_lease = to_ms(FLAGS_member_lease_ms);
     settings.quiet_before_close = to_ms(FLAGS_quiet_before_close_ms);
     settings.longest_drain = to_ms(FLAGS_longest_drain_ms);
-    settings.bill_wait = to_ms(FLAGS_bill_wait_ms);
 }
 
 } // namespace
