--- a/adapters/test/flags_test.cpp
+++ b/adapters/test/flags_test.cpp
@@ -15,7 +15,7 @@
 TEST_GROUP(flags_test){
     static pearhaven::adapters::read_flags_result read(std::vector<std::string> arguments){
         std::vector<char*> pointers;
-        pointers.reserve(arguments.size());
+pointers.reserve(arguments.size());
 for (auto& argument : arguments) {
     pointers.push_back(argument.data());
 }
