Give the stand-ins of a fleet only the threads that its size needs

Cause: 24 engines of 1,024 threads each and two stand-ins of 4,096 took all 32,768 process numbers of the machine for about 20 s (20:38:13 to 20:38:35); forks of others may have failed meanwhile. Conclusion: threads follow the number of routers.

--- a/benchmarks/slopes.sh
+++ b/benchmarks/slopes.sh
@@ -22,6 +22,10 @@
 seconds_per_change=${SLOPES_CHANGE:-1.35} # 64,000 changes a day are one each 1.35 s
 waited_changes=${SLOPES_WAITED:-6}        # changes whose time until in force everywhere is taken
 phases=${SLOPES_PHASES:-idle load changes}
+# A stand-in has a thread for each connection; with thousands in each of many engines the machine would have
+# no number left for a new process.
+store_threads=$((64 + 16 * routers))
+engine_threads=$((routers < 40 ? 64 + 24 * routers : 1024))
 ulimit -n "$(ulimit -Hn)"
 source scripts/fleet.sh
 
@@ -30,12 +34,12 @@
 ticks_per_second=$(getconf CLK_TCK)
 
 start_platform() {
-  start kv "$build/standins/standin_kv" --listen 127.0.0.1:0 --threads 4096
+  start kv "$build/standins/standin_kv" --listen 127.0.0.1:0 --threads "$store_threads"
   kv=$(line kv 'listening on ')
   local entries="" number engine
   for ((number = 1; number <= engines; number++)); do
     start "engine_$number" "$build/standins/standin_engine" --listen 127.0.0.1:0 --versions adjudicator-1 \
-      --step_us 2000 --step_us_per_run 0 --batch 256 --queue 1024 --threads 1024 --tokens_per_write 4
+      --step_us 2000 --step_us_per_run 0 --batch 256 --queue 1024 --threads "$engine_threads" --tokens_per_write 4
     engine=$(line "engine_$number" 'listening on ')
     entries+="${entries:+,}{\"name\":\"engine-$number\",\"address\":\"$engine\",\"zone\":\"zone-$((number % zones + 1))\","
     entries+="\"incarnation\":1,\"state\":\"live\",\"labels\":{\"role\":\"engine\"}}"
@@ -45,7 +49,7 @@
     entries+="\"incarnation\":1,\"state\":\"live\",\"labels\":{\"role\":\"spare\"}}"
   done
   echo "[$entries]" >"$fleet_logs/hosts.json"
-  start hosts "$build/standins/standin_hosts" --listen 127.0.0.1:0 --threads 4096 --file "$fleet_logs/hosts.json"
+  start hosts "$build/standins/standin_hosts" --listen 127.0.0.1:0 --threads "$store_threads" --file "$fleet_logs/hosts.json"
   hosts=$(line hosts 'listening on ')
 }
 
