Let one write take all the bills that wait

Cause: one router ended 992 answers a second at most, at 28% of a core: 64 bills a write, a write each 50 ms, and each end of an answer waits for its write. Ruled out: larger pages for every load (each write sends the whole page again, also for one bill); a shorter period (it costs the store a write each time). Conclusion: a page begins anew after 64 bills, a write takes up to 512.

--- a/coordination/include/pearhaven/coordination/bill_ledger.hpp
+++ b/coordination/include/pearhaven/coordination/bill_ledger.hpp
@@ -34,7 +34,8 @@
 struct bill_ledger_settings {
     incarnation_id self;
     std::string zone;
-    std::size_t page_bills = 64; // bills on one page
+    std::size_t page_bills = 64;   // bills on a page after which the next write begins a new one
+    std::size_t write_bills = 512; // bills in one write at the most
     std::size_t max_waiting =
         20'000;                    // bills not yet in the store, beyond which new work is to stop
     std::size_t max_held = 50'000; // bills held for other routers
--- a/coordination/src/bill_ledger.cpp
+++ b/coordination/src/bill_ledger.cpp
@@ -76,7 +76,9 @@
         this->page_revision = 0;
     }
     auto contents = this->landed;
-    const auto room = this->settings.page_bills - contents.size();
+    // Pages are small, since each write sends the whole page again; a write is not, since the bills
+    // that wait while one is under way would otherwise pile up for as long as the load lasts.
+    const auto room = this->settings.write_bills - contents.size();
     const auto count = static_cast<std::ptrdiff_t>(std::min(room, this->pending.size()));
     contents.insert(contents.end(), this->pending.begin(), this->pending.begin() + count);
     this->next_commit = now + this->settings.commit_period;
--- a/coordination/test/bill_ledger_test.cpp
+++ b/coordination/test/bill_ledger_test.cpp
@@ -125,6 +125,24 @@
     LONGS_EQUAL(0, ledger.waiting());
 }
 
+// Bills come faster than writes of four of them land. All that wait go out with the next write;
+// otherwise each answer's end would come later than the one before.
+TEST(bill_ledger_test, all_that_waits_goes_out_with_one_write)
+{
+    bill_ledger ledger(settings, codec);
+    for (int i = 0; i < 40; ++i) {
+        ledger.on_bill(name_codec::make(std::to_string(i)), now);
+    }
+    for (int write = 0; write < 2; ++write) {
+        pass(ledger, seconds(1));
+        for (const auto& call : take(ledger).calls) {
+            ledger.on_reply(call.tag, store.apply(call.request), now);
+        }
+    }
+    LONGS_EQUAL(0, ledger.waiting());
+    LONGS_EQUAL(40, folded(store).size());
+}
+
 // The caller of `b` would get its answer's end while `b` stands on no page: `b` comes while the
 // write of `a` is under way, and the reply to that write speaks of `a` alone. A kill now loses b's
 // bill.
