Pick a service's header fields in one place

Cause: the streamed and the whole answer of a plain service each had the same loop over its fields. Ruled out: one default content type for both (it would change what a caller of a large answer sees). Conclusion: passed_on_fields serves both; behaviour as before.

--- a/router/src/answer_relay.cpp
+++ b/router/src/answer_relay.cpp
@@ -218,6 +218,20 @@
     this->head = std::move(received);
 }
 
+// The router's own fields and the service's; the service's content type, if it has one, goes to
+// `type`.
+header_list service_answer::passed_on_fields(std::string& type) const
+{
+    header_list fields = this->headers();
+    for (const auto& [name, value] : this->head.headers) {
+        type = name == "content-type" ? value : type;
+        if (is_passed_on(name)) {
+            fields.emplace_back(name, value);
+        }
+    }
+    return fields;
+}
+
 bool service_answer::on_piece(answer_piece& piece)
 {
     constexpr std::size_t largest_held = 64U << 10U;
@@ -228,13 +242,7 @@
     if (!this->begun) {
         this->begun = true;
         std::string type;
-        header_list fields = this->headers();
-        for (const auto& [name, value] : this->head.headers) {
-            type = name == "content-type" ? value : type;
-            if (is_passed_on(name)) {
-                fields.emplace_back(name, value);
-            }
-        }
+        const auto fields = this->passed_on_fields(type);
         if (!begin_stream(this->connection(), this->head.status, type, fields)) {
             return false;
         }
@@ -249,13 +257,7 @@
         return send_piece(this->connection(), this->held) && end_stream(this->connection());
     }
     std::string type = "application/octet-stream";
-    header_list fields = this->headers();
-    for (const auto& [name, value] : this->head.headers) {
-        type = name == "content-type" ? value : type;
-        if (is_passed_on(name)) {
-            fields.emplace_back(name, value);
-        }
-    }
+    const auto fields = this->passed_on_fields(type);
     return send_answer(this->connection(), this->head.status, type, fields, this->held);
 }
 
--- a/router/src/answer_relay.hpp
+++ b/router/src/answer_relay.hpp
@@ -112,6 +112,8 @@
     void on_restart() override;
 
 private:
+    [[nodiscard]] header_list passed_on_fields(std::string& type) const;
+
     service_head head;
     std::string held; // a small body goes out with its head in one write
 };
