--- a/adapters/include/pearhaven/adapters/http_outbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_outbound.hpp
@@ -68,6 +68,10 @@
     [[nodiscard]] virtual head_verdict on_head(const http_response_head& head) = 0;
     virtual void on_body(std::string_view piece) = 0;
     virtual void on_end() = 0;
+
+    // Nothing came within the time allowed. Whether to give the exchange up; if not, the same time
+    // begins anew.
+    [[nodiscard]] virtual bool on_silence() { return true; }
     virtual void on_break(const outbound_break& how) = 0;
 };
 
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -127,8 +127,10 @@
     if (this->step == phase::connecting) {
         this->host.on_connected(false);
         this->fail(outbound_fault::not_connected);
-    } else if (this->step == phase::busy) {
+    } else if (this->step == phase::busy && this->listener->on_silence()) {
         this->fail(outbound_fault::silent);
+    } else if (this->step == phase::busy) {
+        this->arm(this->bound);
     }
 }
 
--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -14,7 +14,10 @@
 
 struct prefix_mirror_settings {
     std::string prefix;
-    decision::duration watch_wait = std::chrono::seconds{25}; // the store bounds it at 30 s
+    // A watch can go deaf: after the store drops its history, one that began meanwhile was seen to
+    // wait out its whole time although changes were made. Its end brings them, so the wait is what
+    // such a watch costs; a shorter one costs a call each time.
+    decision::duration watch_wait = std::chrono::seconds{2};
     decision::duration first_retry = std::chrono::milliseconds{50}; // doubles with each failure
     decision::duration longest_retry = std::chrono::milliseconds{500};
 
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -175,6 +175,7 @@
     double retry_share_on_arrival = 0.0; // retries that each admitted request pays for
     double retry_burst = 20.0;           // retries allowed beyond those shares
     size_choice_settings sizes;
+    double small_model_work = 0.15; // of the largest model's work, for the same request
     std::uint32_t max_refusals = 16; // endpoints that turned one request away before it ran
     std::uint32_t max_resumes = 3;   // fresh connections for one run
     std::uint32_t max_losses =
@@ -220,6 +221,10 @@
     // the dispatcher, its connection is to be closed, and a larger model gets the request.
     [[nodiscard]] bool accepts_answer(ticket_number ticket, attempt_number attempt,
                                       double confidence, instant now);
+
+    // Whether the request would get another attempt if its present one were given up now. If not,
+    // waiting on is its only hope.
+    [[nodiscard]] bool may_move(ticket_number ticket) const;
     void on_caller_gone(ticket_number ticket, instant now);
 
     // Refuses new work from now on; what is queued or running goes on to its end.
@@ -286,6 +291,7 @@
     void after_loss(request_state& state, const attempt_end& end, instant now);
     void resume(request_state& state, const attempt_end& end);
     void retry(request_state& state);
+    [[nodiscard]] double work_of(const request_state& state) const;
     [[nodiscard]] retry_budget& budget_of(const arrival& request);
     [[nodiscard]] bool may_run_once_more(const request_state& state) const;
     void note_version_refused(request_state& state) const;
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -19,12 +19,12 @@
 // as `address`, and `reached_at` says where it listens.
 struct endpoint_host {
     std::string address;
-    std::string reached_at; // IP:port; empty: `address` is that
     std::string name;
     std::string zone;
     std::uint64_t incarnation = 0;
     bool leaving = false;
     labels tags;
+    std::string reached_at = {}; // IP:port; empty: `address` is that
 
     friend bool operator==(const endpoint_host&, const endpoint_host&) = default;
 };
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -279,7 +279,7 @@
     wanted.version_or_service = target;
     wanted.is_service = state.what.is_service;
     wanted.kind = state.what.work.kind;
-    wanted.work = state.what.work.tokens;
+    wanted.work = this->work_of(state);
     wanted.prefix_hash = state.what.prefix_hash;
     if (now < state.avoid_until) {
         wanted.avoid = state.avoid;
@@ -395,8 +395,8 @@
         this->exposure.spend(where.exposed_by);
         state.rollouts.exposed_by = where.exposed_by;
     }
-    this->table.started(where.address, request.work.kind, request.work.tokens, request.prefix_hash,
-                        now);
+    this->table.started(where.address, request.work.kind, this->work_of(state),
+                        request.prefix_hash, now);
     this->actions.emplace_back(
         start_attempt{request.ticket, state.attempt, where.address, where.version, state.size});
 }
@@ -440,7 +440,7 @@
 {
     const auto& request = state.what;
     const double work = end.actual_work > 0.0 ? end.actual_work : request.work.tokens;
-    this->table.ended(state.address, request.work.kind, request.work.tokens, end.result,
+    this->table.ended(state.address, request.work.kind, this->work_of(state), end.result,
                       end.first_token, now);
     this->queue.settle(request.team, request.work.tokens, work);
     this->budget_of(request).on_success();
@@ -457,7 +457,7 @@
 {
     const auto& request = state.what;
     const auto address = state.address;
-    this->table.ended(address, request.work.kind, request.work.tokens, end.result, end.first_token,
+    this->table.ended(address, request.work.kind, this->work_of(state), end.result, end.first_token,
                       now);
     if (end.endpoint_leaving) {
         const auto host = this->table.find(address);
@@ -543,7 +543,7 @@
     if (crashed && !request.is_service && state.struck_attempt != state.attempt) {
         this->blame_crash(address, now);
     }
-    this->table.ended(address, request.work.kind, request.work.tokens, end.result, end.first_token,
+    this->table.ended(address, request.work.kind, this->work_of(state), end.result, end.first_token,
                       now);
     this->queue.settle(request.team, request.work.tokens, request.work.tokens);
     state.address.clear();
@@ -586,6 +586,28 @@
         .first->second;
 }
 
+bool dispatcher::may_move(ticket_number ticket) const
+{
+    const auto found = this->requests.find(ticket);
+    if (found == this->requests.end()) {
+        return false;
+    }
+    const auto& state = found->second;
+    const auto budget = this->budgets.find(state.what.asked);
+    auto next = state;
+    ++next.runs;
+    ++next.losses;
+    return state.what.idempotent && this->may_run_once_more(next) &&
+           budget != this->budgets.end() && budget->second.balance() >= 1.0;
+}
+
+// What the next or present attempt weighs on its endpoint.
+double dispatcher::work_of(const request_state& state) const
+{
+    const bool is_small = state.size + 1 < state.what.sizes;
+    return state.what.work.tokens * (is_small ? this->settings.small_model_work : 1.0);
+}
+
 bool dispatcher::may_run_once_more(const request_state& state) const
 {
     const auto stated = state.what.max_attempts;
@@ -615,10 +637,9 @@
     if (!drops) {
         return true;
     }
-    const auto work = request.work.tokens;
-    this->table.ended(state.address, request.work.kind, work, attempt_result::cancelled,
-                      duration::zero(), now);
-    this->queue.settle(request.team, work, work);
+    this->table.ended(state.address, request.work.kind, this->work_of(state),
+                      attempt_result::cancelled, duration::zero(), now);
+    this->queue.settle(request.team, request.work.tokens, this->work_of(state));
     state.address.clear();
     state.may_have_run = true;
     ++state.runs;
@@ -663,7 +684,7 @@
     } else {
         const auto& request = state.what;
         this->actions.emplace_back(cancel_attempt{ticket, state.attempt, state.address});
-        this->table.ended(state.address, request.work.kind, request.work.tokens,
+        this->table.ended(state.address, request.work.kind, this->work_of(state),
                           attempt_result::cancelled, duration::zero(), now);
         this->queue.settle(request.team, request.work.tokens, request.work.tokens);
     }
@@ -706,7 +727,7 @@
         const auto& state = this->requests.at(ticket);
         const auto& request = state.what;
         this->actions.emplace_back(cancel_attempt{ticket, state.attempt, state.address});
-        this->table.ended(state.address, request.work.kind, request.work.tokens,
+        this->table.ended(state.address, request.work.kind, this->work_of(state),
                           attempt_result::cancelled, duration::zero(), now);
         this->queue.settle(request.team, request.work.tokens, request.work.tokens);
         this->give_up(ticket,
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -166,9 +166,11 @@
     return open * this->own_part + unit_fraction(draw) >= 1.0;
 }
 
+// Requests held and work held, each against what the endpoint bears.
 double endpoint_choice::load_of(const endpoint& where) const
 {
-    return where.held(this->now, this->settings) / where.capacity();
+    const double work = where.work / this->settings.typical_work;
+    return (where.held(this->now, this->settings) + work) / where.capacity();
 }
 
 // The endpoint that is likely to hold the prompt's beginning in its cache, or the one that takes
@@ -228,8 +230,7 @@
 
 endpoint_choice::candidate endpoint_choice::weigh(const endpoint& where) const
 {
-    const double work = where.work / this->settings.typical_work;
-    return {&where, this->load_of(where) + work / where.capacity()};
+    return {&where, this->load_of(where)};
 }
 
 } // namespace pearhaven::decision
--- a/router/include/pearhaven/router/event_relay.hpp
+++ b/router/include/pearhaven/router/event_relay.hpp
@@ -30,6 +30,12 @@
     // it: the rest is for the new run's first piece.
     double pause_patience = 0.8;
 
+    // A piece on any connection of an endpoint shows for so long that the endpoint lives.
+    decision::duration sign_of_life = std::chrono::milliseconds(600);
+
+    // Waits in a row without a piece after which even an endpoint that lives is given up.
+    std::uint32_t most_silences = 4;
+
     // Of one answer, what its caller has not taken yet; beyond it the endpoint is not read.
     std::size_t most_unsent = 64U << 10U;
 
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -99,6 +99,7 @@
                          const adapters::http_response_head& head);
     void on_body(ticket_number ticket, decision::attempt_number attempt, std::string_view piece);
     void on_end(ticket_number ticket, decision::attempt_number attempt);
+    bool on_silence(ticket_number ticket, decision::attempt_number attempt);
     void on_break(ticket_number ticket, decision::attempt_number attempt,
                   const adapters::outbound_break& how);
 
@@ -132,6 +133,7 @@
     void forget(ticket_number ticket);
 
     ticket_number last_ticket = 0;
+    std::unordered_map<std::string, decision::instant> last_heard; // by endpoint
     bool running = false;
 };
 
@@ -145,6 +147,7 @@
     head_verdict on_head(const adapters::http_response_head& head) override;
     void on_body(std::string_view piece) override;
     void on_end() override;
+    bool on_silence() override;
     void on_break(const adapters::outbound_break& how) override;
 
 private:
@@ -241,8 +244,9 @@
     const bool has_other = decision::may_run_again(request.kind) &&
                            relayed.attempt.number < std::max(request.work.max_attempts, 1U);
     sent.connect_time = std::min(this->settings.connect_time, left);
-    sent.answer_time = left;
-    sent.progress_time = left;
+    // The dispatcher ends what is past its deadline; these are behind it.
+    sent.answer_time = left + this->settings.least_patience;
+    sent.progress_time = left + this->settings.least_patience;
     // A reused connection may have been closed at the other end a moment ago. What must not run
     // twice could then not be sent again, although it never arrived.
     sent.fresh_connection = !decision::may_run_again(request.kind);
@@ -365,6 +369,8 @@
     if (relayed == nullptr) {
         return;
     }
+    this->last_heard[relayed->attempt.endpoint.address] = this->loop.now();
+    relayed->attempt.silences = 0;
     if (relayed->attempt.use == answer_use::passed) {
         if (decision::is_streamed(relayed->request.kind)) {
             this->pass_events(ticket, *relayed, piece);
@@ -468,6 +474,25 @@
     this->end_attempt(*relayed, end);
 }
 
+// An endpoint that is silent here may be busy with other requests' prompts. It is given up while
+// nothing comes from it on any connection, or once its silence is long even for a busy one; and
+// only for a request that another endpoint may have.
+bool event_relay::state::on_silence(ticket_number ticket, decision::attempt_number attempt)
+{
+    auto* relayed = this->find(ticket, attempt);
+    if (relayed == nullptr) {
+        return true;
+    }
+    if (!this->dispatcher.may_move(ticket)) {
+        return false;
+    }
+    ++relayed->attempt.silences;
+    const auto heard = this->last_heard.find(relayed->attempt.endpoint.address);
+    const bool lives = heard != this->last_heard.end() &&
+                       this->loop.now() - heard->second < this->settings.sign_of_life;
+    return !lives || relayed->attempt.silences >= this->settings.most_silences;
+}
+
 void event_relay::state::on_break(ticket_number ticket, decision::attempt_number attempt,
                                   const adapters::outbound_break& how)
 {
@@ -616,6 +641,11 @@
     this->relay->on_end(this->ticket, this->attempt);
 }
 
+bool attempt_listener::on_silence()
+{
+    return this->relay->on_silence(this->ticket, this->attempt);
+}
+
 void attempt_listener::on_break(const adapters::outbound_break& how)
 {
     this->relay->on_break(this->ticket, this->attempt, how);
--- a/router/src/relayed_request.hpp
+++ b/router/src/relayed_request.hpp
@@ -31,6 +31,7 @@
     std::string held;
     event_splitter events;
     std::uint64_t tokens = 0; // events passed on
+    std::uint32_t silences = 0; // waits in a row that brought nothing
     bool spoiled = false;     // an event that does not follow the one before
 };
 
--- a/router/src/routing_duty.cpp
+++ b/router/src/routing_duty.cpp
@@ -57,7 +57,7 @@
 
 decision::endpoint_host to_endpoint(const adapters::listed_host& host)
 {
-    return {host.address, "", host.name, host.zone, host.incarnation, host.leaving, host.tags};
+    return {host.address, host.name, host.zone, host.incarnation, host.leaving, host.tags};
 }
 
 } // namespace
