--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -86,6 +86,7 @@
     continuation on_loss = continuation::same_run;
     std::uint32_t max_attempts = 0; // endpoints that may run it; 0: as the dispatcher's settings say
     std::uint32_t sizes = 0;        // models of different size that may answer; 0 or 1: no choice
+    bool long_prompt = false;       // reading it takes an engine longer than writing the answer
     duration objective{};           // time from arrival to the answer's beginning; zero: none
     friend bool operator==(const arrival&, const arrival&) = default;
 };
@@ -291,6 +292,7 @@
     void after_loss(request_state& state, const attempt_end& end, instant now);
     void resume(request_state& state, const attempt_end& end);
     void retry(request_state& state);
+    [[nodiscard]] static endpoint_lane lane_of(const request_state& state);
     [[nodiscard]] double work_of(const request_state& state) const;
     [[nodiscard]] retry_budget& budget_of(const arrival& request);
     [[nodiscard]] bool may_run_once_more(const request_state& state) const;
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -50,12 +50,23 @@
     cancelled,
 };
 
+// The part of a zone's endpoints that a request is meant for. An engine reads prompts between the
+// steps in which it writes: while a large model reads long prompts, each token of every answer that
+// runs beside them waits for a chunk, and a long answer pauses for seconds. So the two are kept on
+// different endpoints, while there is room.
+enum class endpoint_lane : std::uint8_t {
+    any,
+    quick, // small models, and answers that are long for their prompts
+    bulk,  // long prompts on the largest model
+};
+
 // What an endpoint is wanted for.
 struct placement {
     std::string version_or_service;
     bool is_service = false;
     work_class kind = work_class::lookup;
     double work = 0.0;
+    endpoint_lane lane = endpoint_lane::any;
     std::uint64_t prefix_hash = 0;  // of the prompt's beginning; 0: no affinity
     std::vector<std::string> avoid; // addresses not to be taken
 
@@ -67,6 +78,8 @@
     std::uint64_t router_seed = 0; // differs by router: spreads the routers' subsets
 
     std::size_t subset_size = 48;       // endpoints of a target that one router uses
+    double quick_share = 0.34; // of a zone's endpoints of a version that are the quick lane's
+    double lane_bias = 0.3;    // load, as a share of a limit, accepted to stay in the lane
     double zone_bias = 0.25;            // load, as a share of a limit, accepted to stay in the zone
     bool affinity_in_zone = false;      // prefixes are placed in the router's zone while it has room
     double affinity_free_share = 0.25;  // of an endpoint's capacity that affinity may always fill
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -281,6 +281,7 @@
     wanted.kind = state.what.work.kind;
     wanted.work = this->work_of(state);
     wanted.prefix_hash = state.what.prefix_hash;
+    wanted.lane = lane_of(state);
     if (now < state.avoid_until) {
         wanted.avoid = state.avoid;
     }
@@ -601,6 +602,15 @@
            budget != this->budgets.end() && budget->second.balance() >= 1.0;
 }
 
+endpoint_lane dispatcher::lane_of(const request_state& state)
+{
+    if (state.what.sizes < 2) {
+        return endpoint_lane::any;
+    }
+    const bool is_largest = state.size + 1 == state.what.sizes;
+    return is_largest && state.what.long_prompt ? endpoint_lane::bulk : endpoint_lane::quick;
+}
+
 // What the next or present attempt weighs on its endpoint.
 double dispatcher::work_of(const request_state& state) const
 {
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -89,23 +89,71 @@
     if (this->wanted.kind == work_class::reading) {
         this->own_part = part_of_work(subset, this->now, this->settings);
     }
-    if (const endpoint* warm = this->choose_warm(subset)) {
-        return warm;
-    }
     std::vector<endpoint*> local;
     std::vector<endpoint*> remote;
     for (endpoint* where : subset) {
-        if (this->has_room(*where)) {
-            const bool is_local = where->host.zone == this->settings.zone;
-            (is_local ? local : remote).push_back(where);
+        const bool is_local = where->host.zone == this->settings.zone;
+        (is_local ? local : remote).push_back(where);
+    }
+    if (!this->settings.affinity_in_zone) {
+        if (const endpoint* warm = this->choose_warm(subset)) {
+            return warm;
+        }
+    }
+    const auto lane = this->lane_of(local);
+    auto best = this->better_of_two(lane, random);
+    if (this->settings.affinity_in_zone && this->wanted.prefix_hash != 0) {
+        best = this->better_when_warm(lane, best);
+    }
+    const auto consider = [&best](const std::optional<candidate>& other, double bias) {
+        if (other && (!best || other->score + bias < best->score)) {
+            best = other;
+        }
+    };
+    if (lane.size() < local.size()) {
+        consider(this->better_of_two(local, random + 1), this->settings.lane_bias);
+    }
+    consider(this->better_of_two(remote, mix(random)), this->settings.zone_bias);
+    return best.value_or(candidate()).where;
+}
+
+// The endpoint that is likely to hold the prompt's beginning, unless its load is so much over the
+// other candidate's that reading the beginning anew there costs less than waiting.
+std::optional<endpoint_choice::candidate>
+endpoint_choice::better_when_warm(const std::vector<endpoint*>& lane,
+                                  std::optional<candidate> cold) const
+{
+    double bonus = this->settings.affinity_free_share;
+    for (const endpoint* where : ranked_first(lane, this->wanted.prefix_hash)) {
+        if (where != nullptr && this->has_room(*where)) {
+            const auto warm = this->weigh(*where);
+            if (!cold || warm.score - bonus < cold->score) {
+                return candidate{warm.where, std::max(0.0, warm.score - bonus)};
+            }
         }
+        bonus /= 2;
     }
-    const auto near = this->better_of_two(local, random);
-    const auto far = this->better_of_two(remote, mix(random));
-    if (!near || !far) {
-        return near ? near->where : far.value_or(candidate()).where;
+    return cold;
+}
+
+// The zone's endpoints for the wanted lane. All routers rank the endpoints alike, so that they agree
+// without talk on which ones are quick.
+std::vector<endpoint*> endpoint_choice::lane_of(const std::vector<endpoint*>& zone) const
+{
+    if (this->wanted.lane == endpoint_lane::any || zone.size() < 2) {
+        return zone;
     }
-    return near->score <= far->score + this->settings.zone_bias ? near->where : far->where;
+    auto ranked = zone;
+    std::sort(ranked.begin(), ranked.end(), [](const endpoint* left, const endpoint* right) {
+        return mix(left->identity) < mix(right->identity);
+    });
+    const double part = this->settings.quick_share * static_cast<double>(ranked.size());
+    const auto quick = std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(part)), 1,
+                                               ranked.size() - 1);
+    const auto middle = ranked.begin() + static_cast<std::ptrdiff_t>(quick);
+    return this->wanted.lane == endpoint_lane::quick
+               ? std::vector<endpoint*>(ranked.begin(), middle)
+               : std::vector<endpoint*>(middle, ranked.end());
 }
 
 bool endpoint_choice::has_room(const endpoint& where) const
@@ -181,23 +229,12 @@
         return nullptr;
     }
     const double most = this->most_load_when_warm(subset);
-    const auto find_among = [&](const std::vector<endpoint*>& candidates) -> const endpoint* {
-        for (const endpoint* where : ranked_first(candidates, this->wanted.prefix_hash)) {
-            if (where != nullptr && this->has_room(*where) && this->load_of(*where) < most) {
-                return where;
-            }
+    for (const endpoint* where : ranked_first(subset, this->wanted.prefix_hash)) {
+        if (where != nullptr && this->has_room(*where) && this->load_of(*where) < most) {
+            return where;
         }
-        return nullptr;
-    };
-    if (!this->settings.affinity_in_zone) {
-        return find_among(subset);
     }
-    // A prompt sent to another zone costs its bytes there each time; a prefix that each zone keeps
-    // for itself is read once for each zone.
-    std::vector<endpoint*> local;
-    std::copy_if(subset.begin(), subset.end(), std::back_inserter(local),
-                 [this](const endpoint* where) { return where->host.zone == this->settings.zone; });
-    return find_among(local);
+    return nullptr;
 }
 
 double endpoint_choice::most_load_when_warm(const std::vector<endpoint*>& subset) const
@@ -213,8 +250,11 @@
 // Power of two choices: of two drawn at random the one less loaded. Always taking the least loaded
 // would send all routers to the same endpoint until its next report.
 std::optional<endpoint_choice::candidate>
-endpoint_choice::better_of_two(const std::vector<endpoint*>& open, std::uint64_t random) const
+endpoint_choice::better_of_two(const std::vector<endpoint*>& among, std::uint64_t random) const
 {
+    std::vector<const endpoint*> open;
+    std::copy_if(among.begin(), among.end(), std::back_inserter(open),
+                 [this](const endpoint* where) { return this->has_room(*where); });
     if (open.empty()) {
         return std::nullopt;
     }
--- a/decision/src/endpoint_choice.hpp
+++ b/decision/src/endpoint_choice.hpp
@@ -44,6 +44,9 @@
     [[nodiscard]] bool reports_room(const endpoint& where) const;
     [[nodiscard]] bool may_add_reading(const endpoint& where, double held) const;
     [[nodiscard]] double load_of(const endpoint& where) const;
+    [[nodiscard]] std::vector<endpoint*> lane_of(const std::vector<endpoint*>& zone) const;
+    [[nodiscard]] std::optional<candidate> better_when_warm(const std::vector<endpoint*>& lane,
+                                                            std::optional<candidate> cold) const;
     [[nodiscard]] const endpoint* choose_warm(const std::vector<endpoint*>& subset) const;
     [[nodiscard]] double most_load_when_warm(const std::vector<endpoint*>& subset) const;
     [[nodiscard]] std::optional<candidate> better_of_two(const std::vector<endpoint*>& open,
