--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -532,7 +532,14 @@
         return;
     }
     state.rollouts.lost_on.push_back(state.version);
-    if (end.result != attempt_result::unreachable) {
+    // Silence under the load of all traffic is a full queue as likely as a bad version.
+    const bool busy =
+        end.result == attempt_result::went_silent && this->exposure.is_whole(state.version);
+    // Where a run ends with its connection, a crash of the endpoint ends many at once.
+    const bool crashed = end.result == attempt_result::failed && !end.answered_error &&
+                         state.what.on_loss != continuation::same_run;
+    const bool tells_nothing = end.result == attempt_result::unreachable || busy || crashed;
+    if (!tells_nothing) {
         this->exposure.on_end(state.version, false);
     }
 }
@@ -610,8 +617,9 @@
 // are no fault of the version, so that only answers late by seconds count.
 bool dispatcher::is_slow_for_new_version(const request_state& state, duration first_token)
 {
-    constexpr double slow_factor = 4.0;
+    constexpr double staged_factor = 4.0;
     constexpr double staged_allowance = 300'000.0; // microseconds
+    constexpr double whole_factor = 8.0;
     constexpr double whole_allowance = 2'000'000.0;
     constexpr double gain = 0.05;
     if (first_token <= duration::zero()) {
@@ -620,9 +628,10 @@
     const auto time = static_cast<double>(first_token.count());
     auto& usual = this->usual_first_token[{state.what.asked, state.size}];
     if (this->exposure.watches(state.version)) {
-        const double allowance =
-            this->exposure.is_whole(state.version) ? whole_allowance : staged_allowance;
-        return usual > 0.0 && time > slow_factor * usual + allowance;
+        const bool whole = this->exposure.is_whole(state.version);
+        const double factor = whole ? whole_factor : staged_factor;
+        const double allowance = whole ? whole_allowance : staged_allowance;
+        return usual > 0.0 && time > factor * usual + allowance;
     }
     usual += (usual <= 0.0 ? 1.0 : gain) * (time - usual);
     return false;
