Keep a request that has begun on its version while a roll-out is staged

Ruled out: the planned stop named by the rule (the router was still serving). Two tests fail without it.

--- a/decision/include/pearhaven/decision/rollout_exposure.hpp
+++ b/decision/include/pearhaven/decision/rollout_exposure.hpp
@@ -24,6 +24,7 @@
 struct rollout_note {
     std::string exposed_by;           // roll-out that counts it among its callers; may be empty
     std::vector<std::string> lost_on; // new versions that failed it
+    std::string ran_on;               // version of its last run; empty before the first
 };
 
 struct rollout_choice {
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -393,6 +393,7 @@
     state.resumes = 0;
     state.address = where.address;
     state.version = where.version;
+    state.rollouts.ran_on = where.version;
     // A caller counts once, however often its request is sent there.
     if (!where.exposed_by.empty() && where.exposed_by != state.rollouts.exposed_by) {
         this->exposure.spend(where.exposed_by);
--- a/decision/src/rollout_exposure.cpp
+++ b/decision/src/rollout_exposure.cpp
@@ -112,6 +112,11 @@
     if (contains(note.lost_on, plan.to)) {
         return false;
     }
+    // A request that has begun on another version stays there. Its caller may have a part of the
+    // answer already, and a bad version would break that off for good.
+    if (!note.ran_on.empty() && note.ran_on != plan.to) {
+        return false;
+    }
     // Routers keep no table of sessions, so none knows whether this one has run on the old version
     // a moment ago elsewhere. By its name alone all routers choose alike, so that it changes its
     // version once; and they choose few, so that few are changed in their midst.
--- a/decision/test/rollout_exposure_test.cpp
+++ b/decision/test/rollout_exposure_test.cpp
@@ -46,6 +46,7 @@
     rollout_exposure exposure;
     configuration_ptr current;
     rollout_note note;
+    std::uint64_t session_key = 0;
 
     explicit router_model(std::size_t rank = 0, std::size_t size = 1)
     {
@@ -65,6 +66,7 @@
         question.current = this->current.get();
         question.caller = &this->current->teams().at("deposits");
         question.asked = asked;
+        question.session_key = this->session_key;
         for (const auto& name : this->exposure.tripped()) {
             question.excluded.push_back(name);
         }
@@ -246,3 +248,44 @@
     LONGS_EQUAL(13, router.send(100, false));
     CHECK_EQUAL(std::string("adjudicator-1"), router.ask().answer.version);
 }
+
+// A stream has begun on the old version and its endpoint goes silent. The next endpoint must not be
+// one of a new version that may be bad: it broke the stream off for good when it was.
+TEST(rollout_exposure_test, a_request_that_has_begun_stays_on_its_version)
+{
+    router_model router;
+    router.see(make_plan(0));
+    router.note.ran_on = "adjudicator-1";
+    STRCMP_EQUAL("adjudicator-1", router.ask().answer.version.c_str());
+    router.note.ran_on = "adjudicator-2";
+    STRCMP_EQUAL("adjudicator-2", router.ask().answer.version.c_str());
+}
+
+TEST(rollout_exposure_test, sessions_move_early_by_their_name_alone)
+{
+    router_model one(0, 9);
+    router_model other(5, 9);
+    auto plan = make_plan(0);
+    plan.session_ppm = 40'000;
+    int moved = 0;
+    for (auto* router : {&one, &other}) {
+        router->see(plan);
+    }
+    for (std::uint64_t key = 1; key <= 1'000'000; key += 997) {
+        one.session_key = key;
+        other.session_key = key;
+        const auto chosen = one.ask();
+        STRCMP_EQUAL(chosen.answer.version.c_str(), other.ask().answer.version.c_str());
+        moved += chosen.answer.version == "adjudicator-2" ? 1 : 0;
+    }
+    CHECK_TRUE(moved >= 35 && moved <= 45); // 4 in 100 of 1,003
+}
+
+TEST(rollout_exposure_test, all_sessions_move_once_the_staged_part_is_over)
+{
+    router_model router;
+    router.see(make_plan(2, rollout_state::done));
+    router.session_key = 999'999;
+    router.note.lost_on = {"adjudicator-2"};
+    STRCMP_EQUAL("adjudicator-2", router.ask().answer.version.c_str());
+}
