--- a/adapters/src/course_codec.cpp
+++ b/adapters/src/course_codec.cpp
@@ -57,7 +57,9 @@
 
 std::string write_course_evidence(const coordination::course_evidence& evidence)
 {
-    return json{{"run", evidence.run}, {"good", evidence.seen.good}, {"bad", evidence.seen.bad}}
+    return json{{"run", evidence.run},        {"good", evidence.seen.good},
+                {"bad", evidence.seen.bad},   {"quick", evidence.speed.good},
+                {"slow", evidence.speed.bad}, {"whole", evidence.whole}}
         .dump();
 }
 
@@ -69,6 +71,9 @@
         evidence.run = body.at("run").get<std::uint64_t>();
         evidence.seen.good = body.at("good").get<std::uint64_t>();
         evidence.seen.bad = body.at("bad").get<std::uint64_t>();
+        evidence.speed.good = body.at("quick").get<std::uint64_t>();
+        evidence.speed.bad = body.at("slow").get<std::uint64_t>();
+        evidence.whole = body.at("whole").get<bool>();
         return evidence;
     } catch (const json::exception&) {
         return std::nullopt; // the caller logs it with the key
--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -37,6 +37,8 @@
 struct course_evidence {
     std::uint64_t run = 0;
     decision::run_counts seen;
+    decision::run_counts speed; // slow answers count as bad
+    bool whole = false;         // whether the speeds were seen with all traffic on the version
 
     friend bool operator==(const course_evidence&, const course_evidence&) = default;
 };
@@ -72,6 +74,13 @@
     double base_error_rate = 0.03; // of a good version
     double max_error_rate = 0.15;  // of a bad one
 
+    // Shares of answers that are slower than four of five of the old version's. A good version's
+    // begin with cold caches, and more so when all traffic comes at once.
+    double base_slow_rate = 0.25;
+    double max_slow_rate = 0.6;
+    double base_slow_rate_whole = 0.38;
+    double max_slow_rate_whole = 0.62;
+
     // Time between two reports of a router's evidence. It bounds the store's load.
     decision::duration report_period = std::chrono::milliseconds(700);
 
@@ -104,7 +113,8 @@
     void on_record(const std::optional<course_record>& record, store_revision revision,
                    decision::instant now);
     void on_evidence(const std::string& router, const course_evidence& told);
-    void on_own_evidence(const decision::run_counts& seen, bool tripped);
+    void on_own_evidence(const decision::run_counts& seen, const decision::run_counts& speed,
+                         bool tripped);
 
     // The answer to a write that was asked for; a lost one leads to another, on the record's next
     // revision.
@@ -116,12 +126,16 @@
                                          decision::instant now);
 
     [[nodiscard]] const std::optional<course_record>& record() const { return this->held; }
+    [[nodiscard]] const course_evidence& own_evidence() const { return this->own; }
 
     // For the router's configuration.
     [[nodiscard]] decision::rollout plan(const std::string& name) const;
 
 private:
     [[nodiscard]] bool is_bad() const;
+    [[nodiscard]] bool is_slow(const decision::run_counts& speed) const;
+    [[nodiscard]] bool is_whole() const;
+    [[nodiscard]] bool has_news() const;
     [[nodiscard]] std::optional<course_record> next_record(std::size_t size, double request_rate,
                                                            decision::instant now) const;
     [[nodiscard]] decision::duration part(double share) const;
@@ -132,11 +146,11 @@
     std::optional<course_record> held;
     store_revision held_revision = 0;
     decision::instant step_began;
-    std::map<std::string, decision::run_counts> others;
-    decision::run_counts own;
+    std::map<std::string, course_evidence> others; // by router
+    course_evidence own;
     bool own_tripped = false;
     bool told_trip = false;
-    std::optional<decision::run_counts> reported;
+    course_evidence reported;
     decision::instant next_report;
     bool writing = false;
     decision::instant retry_at;
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -62,16 +62,22 @@
 void rollout_course::on_evidence(const std::string& router, const course_evidence& told)
 {
     if (told.run == this->what.run) {
-        this->others[router] = told.seen;
+        this->others[router] = told;
     }
 }
 
-void rollout_course::on_own_evidence(const decision::run_counts& seen, bool tripped)
+void rollout_course::on_own_evidence(const decision::run_counts& seen,
+                                     const decision::run_counts& speed, bool tripped)
 {
-    this->own = seen;
+    this->own = {this->what.run, seen, speed, this->is_whole()};
     this->own_tripped = this->own_tripped || tripped;
 }
 
+bool rollout_course::is_whole() const
+{
+    return this->held && this->held->state == course_state::whole;
+}
+
 void rollout_course::on_written(bool settled, decision::instant now)
 {
     this->writing = false;
@@ -80,16 +86,48 @@
 
 bool rollout_course::is_bad() const
 {
-    decision::run_counts all = this->own;
-    for (const auto& [router, seen] : this->others) {
-        all.good += seen.good;
-        all.bad += seen.bad;
+    decision::run_counts seen = this->own.seen;
+    decision::run_counts speed = this->own.speed;
+    for (const auto& [router, told] : this->others) {
+        seen.good += told.seen.good;
+        seen.bad += told.seen.bad;
+        if (told.whole == this->is_whole()) {
+            speed.good += told.speed.good;
+            speed.bad += told.speed.bad;
+        }
     }
     decision::error_guard guard;
     guard.base_rate = this->settings.base_error_rate;
     guard.max_rate = this->settings.max_error_rate;
     const decision::sequential_test test(guard);
-    return this->own_tripped || test.judge(all) == decision::test_verdict::rejected;
+    return this->own_tripped || this->is_slow(speed) ||
+           test.judge(seen) == decision::test_verdict::rejected;
+}
+
+bool rollout_course::is_slow(const decision::run_counts& speed) const
+{
+    decision::error_guard guard;
+    guard.base_rate =
+        this->is_whole() ? this->settings.base_slow_rate_whole : this->settings.base_slow_rate;
+    guard.max_rate =
+        this->is_whole() ? this->settings.max_slow_rate_whole : this->settings.max_slow_rate;
+    return decision::sequential_test(guard).judge(speed) == decision::test_verdict::rejected;
+}
+
+// Good ends alone change nobody's mind: they go along with the next bad one. Slow answers are told
+// where they are more than a good version has; each report wakes every router.
+bool rollout_course::has_news() const
+{
+    const bool same_run = this->reported.run == this->what.run;
+    const auto told_bad = same_run ? this->reported.seen.bad : 0;
+    const bool same_part = same_run && this->reported.whole == this->own.whole;
+    const auto told_slow = same_part ? this->reported.speed.bad : 0;
+    const double slow_rate =
+        this->is_whole() ? this->settings.base_slow_rate_whole : this->settings.base_slow_rate;
+    const auto& speed = this->own.speed;
+    const bool leans_slow =
+        static_cast<double>(speed.bad) > (slow_rate + 0.05) * static_cast<double>(speed.total());
+    return this->own.seen.bad > told_bad || (speed.bad > told_slow && leans_slow);
 }
 
 std::optional<course_record> rollout_course::next_record(std::size_t size, double request_rate,
@@ -141,13 +179,10 @@
         this->told_trip = true;
         wanted.trip = true;
     }
-    // Good ends alone change nobody's mind: they go along with the next bad one.
-    const auto told_bad = this->reported ? this->reported->bad : 0;
-    const bool has_news = this->own.bad > told_bad;
-    if (has_news && now >= this->next_report) {
+    if (this->has_news() && now >= this->next_report) {
         this->reported = this->own;
         this->next_report = now + this->settings.report_period;
-        wanted.report = course_evidence{this->what.run, this->own};
+        wanted.report = this->own;
     }
     // What is wanted now was wanted a turn ago by those before this router: they have had theirs.
     const auto turns =
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -71,14 +71,14 @@
     void list_one()
     {
         this->tick(start);
-        this->answer(reply_of(kv_outcome::ok, 10, {{"servers/a", "1", 7}}), start);
+        this->answer(reply_of(kv_outcome::ok, 10, {{"things/a", "1", 7}}), start);
     }
 };
 
 TEST(prefix_mirror, lists_first_and_watches_from_the_lists_revision)
 {
     this->list_one();
-    CHECK_TRUE(this->saw(mirror_changed{{"servers/a", "1", 7}}));
+    CHECK_TRUE(this->saw(mirror_changed{{"things/a", "1", 7}}));
     CHECK_TRUE(this->saw(mirror_listed{}));
     CHECK_EQUAL(10U, this->last_watch()->after);
     CHECK_TRUE(this->mirror.is_in_touch());
@@ -87,18 +87,18 @@
 TEST(prefix_mirror, tells_changes_and_removals_of_a_watch)
 {
     this->list_one();
-    this->answer(reply_of(kv_outcome::ok, 12, {{"servers/b", "2", 11}, {"servers/a", "", 12}}),
+    this->answer(reply_of(kv_outcome::ok, 12, {{"things/b", "2", 11}, {"things/a", "", 12}}),
                  start);
-    CHECK_TRUE(this->saw(mirror_changed{{"servers/b", "2", 11}}));
-    CHECK_TRUE(this->saw(mirror_removed{"servers/a", 12}));
+    CHECK_TRUE(this->saw(mirror_changed{{"things/b", "2", 11}}));
+    CHECK_TRUE(this->saw(mirror_removed{"things/a", 12}));
     CHECK_EQUAL(12U, this->last_watch()->after);
 }
 
 TEST(prefix_mirror, an_older_value_never_replaces_a_newer_one)
 {
     this->list_one();
-    this->answer(reply_of(kv_outcome::ok, 12, {{"servers/a", "old", 6}}), start);
-    STRCMP_EQUAL("1", this->mirror.entries().at("servers/a").value.c_str());
+    this->answer(reply_of(kv_outcome::ok, 12, {{"things/a", "old", 6}}), start);
+    STRCMP_EQUAL("1", this->mirror.entries().at("things/a").value.c_str());
 }
 
 // The store drops its history while a router is cut off. The watch is refused; what was removed in
@@ -109,7 +109,7 @@
     this->answer(reply_of(kv_outcome::not_found), start + seconds(1));
     CHECK_TRUE(std::holds_alternative<kv_range>(this->calls.back().request));
     this->answer(reply_of(kv_outcome::ok, 30, {}), start + seconds(1));
-    CHECK_TRUE(this->saw(mirror_removed{"servers/a", 0}));
+    CHECK_TRUE(this->saw(mirror_removed{"things/a", 0}));
 }
 
 // The store is away and leases run out meanwhile. On its return the key is missing although its
@@ -121,12 +121,12 @@
     this->answer(reply_of(kv_outcome::unavailable), start + seconds(2));
     CHECK_TRUE(this->saw(mirror_lost{}));
     this->tick(start + seconds(6));
-    this->answer(reply_of(kv_outcome::ok, 20, {{"servers/a", "", 15}}), start + seconds(6));
+    this->answer(reply_of(kv_outcome::ok, 20, {{"things/a", "", 15}}), start + seconds(6));
     CHECK_TRUE(this->saw(mirror_regained{}));
-    CHECK_FALSE(this->saw(mirror_removed{"servers/a", 15}));
-    this->answer(reply_of(kv_outcome::ok, 21, {{"servers/a", "1", 21}}), start + seconds(7));
+    CHECK_FALSE(this->saw(mirror_removed{"things/a", 15}));
+    this->answer(reply_of(kv_outcome::ok, 21, {{"things/a", "1", 21}}), start + seconds(7));
     this->tick(start + seconds(20));
-    CHECK_FALSE(this->saw(mirror_removed{"servers/a", 15}));
+    CHECK_FALSE(this->saw(mirror_removed{"things/a", 15}));
 }
 
 TEST(prefix_mirror, a_lapsed_key_that_stays_away_is_gone)
@@ -134,11 +134,11 @@
     this->list_one();
     this->answer(reply_of(kv_outcome::unavailable), start + seconds(2));
     this->tick(start + seconds(6));
-    this->answer(reply_of(kv_outcome::ok, 20, {{"servers/a", "", 15}}), start + seconds(6));
+    this->answer(reply_of(kv_outcome::ok, 20, {{"things/a", "", 15}}), start + seconds(6));
     this->tick(start + seconds(6) + milliseconds(2499));
-    CHECK_FALSE(this->saw(mirror_removed{"servers/a", 15}));
+    CHECK_FALSE(this->saw(mirror_removed{"things/a", 15}));
     this->tick(start + seconds(6) + milliseconds(2500));
-    CHECK_TRUE(this->saw(mirror_removed{"servers/a", 15}));
+    CHECK_TRUE(this->saw(mirror_removed{"things/a", 15}));
 }
 
 TEST(prefix_mirror, failures_are_retried_with_growing_pauses)
@@ -164,7 +164,7 @@
     const auto old_tag = this->calls.back().tag;
     this->mirror.restart(start + seconds(1));
     this->collect();
-    this->mirror.on_reply(old_tag, reply_of(kv_outcome::ok, 10, {{"servers/a", "1", 7}}),
+    this->mirror.on_reply(old_tag, reply_of(kv_outcome::ok, 10, {{"things/a", "1", 7}}),
                           start + seconds(1));
     this->collect();
     CHECK_TRUE(this->mirror.entries().empty());
--- a/coordination/test/rollout_course_test.cpp
+++ b/coordination/test/rollout_course_test.cpp
@@ -62,7 +62,6 @@
         }
     }
 
-
     void write(const course_record& record, store_revision expected, instant now)
     {
         if (expected != this->revision) {
@@ -131,7 +130,7 @@
     const std::vector<bool> all(9, true);
     fleet.tick(start, all);
     for (int router = 0; router < 3; ++router) {
-        fleet.courses[router]->on_own_evidence({0, 1}, false);
+        fleet.courses[router]->on_own_evidence({0, 1}, {}, false);
     }
     fleet.tick(start + milliseconds(50), all);
     fleet.tick(start + milliseconds(100), all);
@@ -142,13 +141,41 @@
     }
 }
 
+// The version answers rightly, and half of its answers take several times as long. Errors alone
+// would never find it out.
+TEST(rollout_course, a_slow_version_is_found_out_while_it_is_staged)
+{
+    course_fleet fleet(3);
+    const std::vector<bool> all(3, true);
+    fleet.tick(start, all);
+    for (auto& course : fleet.courses) {
+        course->on_own_evidence({10, 0}, {3, 6}, false);
+    }
+    play(fleet, seconds(2), all);
+    CHECK_TRUE(course_state::bad == fleet.history.back().state);
+}
+
+// One answer in five of any version is slower than four of five of the old one's.
+TEST(rollout_course, a_version_as_quick_as_the_old_one_is_not_called_slow)
+{
+    course_fleet fleet(3);
+    const std::vector<bool> all(3, true);
+    fleet.tick(start, all);
+    for (auto& course : fleet.courses) {
+        course->on_own_evidence({50, 0}, {40, 10}, false);
+    }
+    play(fleet, seconds(2), all);
+    CHECK_TRUE(course_state::staged == fleet.history.back().state);
+    CHECK_EQUAL(0, fleet.reports);
+}
+
 TEST(rollout_course, good_ends_alone_are_not_reported)
 {
     course_fleet fleet(2);
-    fleet.courses[0]->on_own_evidence({50, 0}, false);
+    fleet.courses[0]->on_own_evidence({50, 0}, {}, false);
     fleet.tick(start, {true, true});
     CHECK_EQUAL(0, fleet.reports);
-    fleet.courses[0]->on_own_evidence({50, 1}, false);
+    fleet.courses[0]->on_own_evidence({50, 1}, {}, false);
     fleet.tick(start + seconds(1), {true, true});
     CHECK_EQUAL(1, fleet.reports);
 }
@@ -172,7 +199,7 @@
     course_fleet fleet(2);
     const std::vector<bool> all(2, true);
     fleet.tick(start, all);
-    fleet.courses[0]->on_own_evidence({0, 9}, true);
+    fleet.courses[0]->on_own_evidence({0, 9}, {}, true);
     play(fleet, seconds(40), all);
     CHECK_TRUE(course_state::bad == fleet.history.back().state);
     CHECK_TRUE(rollout_state::rolled_back == fleet.courses[1]->plan("model").state);
@@ -203,7 +230,7 @@
                 alive[router] = !alive[router];
             }
             if (random >> 26U == 1) {
-                fleet.courses[router]->on_own_evidence({20, (random >> 4U) % 4}, false);
+                fleet.courses[router]->on_own_evidence({20, (random >> 4U) % 4}, {}, false);
             }
             fleet.tick(now, alive);
         }
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "pearhaven/decision/rollout_exposure.hpp"
 #include "pearhaven/decision/session_token.hpp"
 #include "pearhaven/decision/size_choice.hpp"
+#include "pearhaven/decision/speed_reference.hpp"
 #include "pearhaven/decision/suspects.hpp"
 #include "pearhaven/decision/time.hpp"
 #include "pearhaven/decision/version_choice.hpp"
@@ -263,6 +264,7 @@
         std::uint32_t runs = 0; // attempts that were sent and not refused
         std::uint32_t size = 0; // of the model that the next attempt asks for
         instant arrived;
+        instant sent_at; // the present attempt
         rollout_note rollouts;
     };
 
@@ -297,7 +299,7 @@
     void after_loss(request_state& state, const attempt_end& end, instant now);
     void resume(request_state& state, const attempt_end& end);
     void retry(request_state& state);
-    [[nodiscard]] bool is_slow_for_new_version(const request_state& state, duration first_token);
+    void note_speed(const request_state& state, duration first_token);
     [[nodiscard]] static endpoint_lane lane_of(const request_state& state);
     [[nodiscard]] double work_of(const request_state& state) const;
     [[nodiscard]] retry_budget& budget_of(const arrival& request);
@@ -326,9 +328,7 @@
     };
     std::map<std::string, counted_arrivals> arrivals_by_target;
     std::map<std::string, std::uint32_t> team_in_flight;
-    // Mean time to the first token in microseconds, by model and size, of versions that no roll-out
-    // watches.
-    std::map<std::pair<std::string, std::uint32_t>, double> usual_first_token;
+    speed_reference speed;
     rollout_exposure exposure;
     std::vector<dispatch_action> actions;
     bool draining = false;
--- a/decision/include/pearhaven/decision/rollout_exposure.hpp
+++ b/decision/include/pearhaven/decision/rollout_exposure.hpp
@@ -44,6 +44,7 @@
     std::uint64_t spent = 0; // callers sent to the new version by the grant
     std::uint64_t left = 0;  // callers that may yet be sent
     bool tripped = false;    // by this router's own evidence
+    run_counts speed;        // of answers since the present state began; slow ones count as bad
 
     friend bool operator==(const rollout_report&, const rollout_report&) = default;
 };
@@ -71,6 +72,9 @@
     // A run of the version ended, whoever asked for it.
     void on_end(const std::string& version, bool good);
 
+    // An answer of the version began, more slowly than its predecessor's mostly do or not.
+    void on_speed(const std::string& version, bool slow);
+
     // Another router's evidence has tripped this attempt at rolling the version out.
     void on_trip_told(const std::string& version, std::uint64_t run);
 
@@ -90,6 +94,7 @@
         std::uint64_t granted = 0; // this router's part so far
         std::uint64_t spent = 0;
         run_counts seen;
+        run_counts speed;
         version_watch watch;
         bool tripped_here = false;
     };
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -394,6 +394,7 @@
     state.address = where.address;
     state.version = where.version;
     state.rollouts.ran_on = where.version;
+    state.sent_at = now;
     // A caller counts once, however often its request is sent there.
     if (!where.exposed_by.empty() && where.exposed_by != state.rollouts.exposed_by) {
         this->exposure.spend(where.exposed_by);
@@ -450,8 +451,7 @@
     this->budget_of(request).on_success();
     this->suspects.on_finished(request.fingerprint, now);
     if (!request.is_service) {
-        const bool slow = this->is_slow_for_new_version(state, end.first_token);
-        this->exposure.on_end(state.version, !end.answered_badly && !slow);
+        this->exposure.on_end(state.version, !end.answered_badly);
     }
     this->note_finished_work(work, now);
     this->actions.emplace_back(complete_request{request.ticket, state.address, state.version});
@@ -612,30 +612,21 @@
            budget != this->budgets.end() && budget->second.balance() >= 1.0;
 }
 
-// A bad version can answer rightly and several times too slowly. Its endpoints are measured against
-// the versions that served before, for the same size of model. While it is staged the allowance is
-// for a wait behind one long prompt; once all traffic has moved its caches are cold and full queues
-// are no fault of the version, so that only answers late by seconds count.
-bool dispatcher::is_slow_for_new_version(const request_state& state, duration first_token)
+// A bad version can answer rightly and several times too slowly. Its answers are measured against
+// those of the version that serves beside it or served before, for the same size of model.
+void dispatcher::note_speed(const request_state& state, duration first_token)
 {
-    constexpr double staged_factor = 4.0;
-    constexpr double staged_allowance = 300'000.0; // microseconds
-    constexpr double whole_factor = 8.0;
-    constexpr double whole_allowance = 2'000'000.0;
-    constexpr double gain = 0.05;
-    if (first_token <= duration::zero()) {
-        return false;
+    if (state.what.is_service || first_token <= duration::zero()) {
+        return;
     }
-    const auto time = static_cast<double>(first_token.count());
-    auto& usual = this->usual_first_token[{state.what.asked, state.size}];
-    if (this->exposure.watches(state.version)) {
-        const bool whole = this->exposure.is_whole(state.version);
-        const double factor = whole ? whole_factor : staged_factor;
-        const double allowance = whole ? whole_allowance : staged_allowance;
-        return usual > 0.0 && time > factor * usual + allowance;
+    if (!this->exposure.watches(state.version)) {
+        this->speed.learn(state.what.asked, state.size, first_token);
+        return;
+    }
+    const auto slow = this->speed.is_slow(state.what.asked, state.size, first_token);
+    if (slow) {
+        this->exposure.on_speed(state.version, *slow);
     }
-    usual += (usual <= 0.0 ? 1.0 : gain) * (time - usual);
-    return false;
 }
 
 endpoint_lane dispatcher::lane_of(const request_state& state)
@@ -670,6 +661,7 @@
     }
     auto& state = found->second;
     const auto& request = state.what;
+    this->note_speed(state, now - state.sent_at);
     size_question question;
     question.sizes = request.sizes;
     question.size = state.size;
--- a/decision/src/rollout_exposure.cpp
+++ b/decision/src/rollout_exposure.cpp
@@ -69,6 +69,8 @@
                              before->second.plan.to == plan.to;
         if (goes_on) {
             known = before->second;
+            // All traffic loads the endpoints otherwise than a few callers did.
+            known.speed = known.plan.state == plan.state ? known.speed : run_counts();
             this->take_up(known, plan, granted_by(known.plan, known.plan.step));
         } else if (this->has_configuration) {
             this->take_up(known, plan, 0);
@@ -190,6 +192,15 @@
     }
 }
 
+void rollout_exposure::on_speed(const std::string& version, bool slow)
+{
+    for (auto& [name, known] : this->rollouts) {
+        if (known.plan.to == version) {
+            ++(slow ? known.speed.bad : known.speed.good);
+        }
+    }
+}
+
 void rollout_exposure::test(tracked& known, bool good) const
 {
     error_guard guard;
@@ -245,7 +256,7 @@
         }
         const auto left = known.granted - std::min(known.spent, known.granted);
         all.push_back({name, plan.to, plan.state, plan.run, known.seen, known.spent, left,
-                       known.tripped_here});
+                       known.tripped_here, known.speed});
     }
     return all;
 }
--- a/decision/test/routed_dispatch_test.cpp
+++ b/decision/test/routed_dispatch_test.cpp
@@ -66,7 +66,10 @@
     std::unique_ptr<dispatcher> router;
     std::vector<dispatch_action> actions;
 
-    void setup() override { this->make(); }
+    void setup() override
+    {
+        this->make();
+    }
     void teardown() override
     {
         this->router.reset();
@@ -96,7 +99,8 @@
         return found;
     }
 
-    template <typename Action> [[nodiscard]] const Action* last_action() const
+    template <typename Action>
+    [[nodiscard]] const Action* last_action() const
     {
         return this->actions.empty() ? nullptr : std::get_if<Action>(&this->actions.back());
     }
--- /dev/null
+++ b/decision/test/speed_reference_test.cpp
@@ -0,0 +1,37 @@
+#include "pearhaven/decision/speed_reference.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::decision;
+using std::chrono::milliseconds;
+
+TEST_GROUP(speed_reference){};
+
+TEST(speed_reference, says_nothing_before_it_has_seen_enough)
+{
+    speed_reference reference;
+    reference.learn("model", 0, milliseconds(100));
+    CHECK_FALSE(reference.is_slow("model", 0, milliseconds(900)).has_value());
+    CHECK_FALSE(reference.is_slow("other", 0, milliseconds(900)).has_value());
+}
+
+TEST(speed_reference, lies_where_four_of_five_answers_are_quicker)
+{
+    speed_reference reference;
+    for (int i = 0; i < 2000; ++i) {
+        reference.learn("model", 0, milliseconds(1 + (i * 37) % 100));
+    }
+    CHECK_FALSE(*reference.is_slow("model", 0, milliseconds(60)));
+    CHECK_TRUE(*reference.is_slow("model", 0, milliseconds(98)));
+}
+
+TEST(speed_reference, keeps_sizes_apart)
+{
+    speed_reference reference;
+    for (int i = 0; i < 50; ++i) {
+        reference.learn("model", 0, milliseconds(10));
+        reference.learn("model", 2, milliseconds(1000));
+    }
+    CHECK_TRUE(*reference.is_slow("model", 0, milliseconds(100)));
+    CHECK_FALSE(*reference.is_slow("model", 2, milliseconds(100)));
+}
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -88,7 +88,7 @@
           counts(counted_in), settings(chosen)
     {}
 
-    void admit(adapters::inbound_exchange_ptr caller);
+    void admit(const adapters::inbound_exchange_ptr& caller);
     void run_actions();
     void caller_gone(adapters::inbound_exchange& caller);
     void room(adapters::inbound_exchange& caller);
@@ -165,7 +165,7 @@
     return current ? &found->second : nullptr;
 }
 
-void event_relay::state::admit(adapters::inbound_exchange_ptr caller)
+void event_relay::state::admit(const adapters::inbound_exchange_ptr& caller)
 {
     auto understood = this->dialect.read(*caller, this->dispatcher.current().get());
     if (const auto* own = std::get_if<local_answer>(&understood)) {
@@ -660,7 +660,7 @@
 
 void event_relay::on_request(adapters::inbound_exchange_ptr caller)
 {
-    this->inner->admit(std::move(caller));
+    this->inner->admit(caller);
 }
 
 void event_relay::on_caller_gone(adapters::inbound_exchange& caller)
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -3,5 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${PEARHAVEN_BUILD:-build}
-cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE="${PEARHAVEN_BUILD_TYPE:-RelWithDebInfo}" \
+  -DPEARHAVEN_WARNINGS_AS_ERRORS="${PEARHAVEN_WARNINGS_AS_ERRORS:-OFF}" >/dev/null
 cmake --build "$build"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,7 +4,9 @@
 cd "$(dirname "$0")/.."
 export PEARHAVEN_BUILD=${PEARHAVEN_BUILD:-build}
 scripts/packages.sh
+export PEARHAVEN_WARNINGS_AS_ERRORS=ON
 scripts/build.sh
+scripts/check_release.sh
 scripts/lint.sh
 scripts/check_sample.sh
 ctest --test-dir "$PEARHAVEN_BUILD" --output-on-failure --no-tests=error -j 4
