Ask more confidence of urgent routes' small models; explain each request in its log line

A refused request had no line, a cancelled attempt no trace. Ruled out: a bound of 60 to 80 for all (late answers), 45 (poor ones).

--- a/adapters/test/flags_test.cpp
+++ b/adapters/test/flags_test.cpp
@@ -2,7 +2,10 @@
 
 #include <gflags/gflags.h>
 
+#include <cstdio>
 #include <cstdlib>
+#include <fstream>
+#include <string>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -62,3 +65,17 @@
     CHECK_FALSE(FLAGS_flags_test_switch);
     LONGS_EQUAL(1, result.positional.size());
 }
+
+TEST(flags_test, a_flag_file_stands_for_the_arguments_in_it)
+{
+    const std::string path = "flags_test.flags";
+    std::ofstream(path) << "# a comment\n\n--flags_test_count=9\n";
+    read({"program", "--flagfile=" + path});
+    LONGS_EQUAL(9, FLAGS_flags_test_count);
+    std::remove(path.c_str());
+}
+
+TEST(flags_test, a_flag_file_that_cannot_be_read_is_a_fault)
+{
+    LONGS_EQUAL(1, read({"program", "--flagfile=no/such/file"}).faults.size());
+}
--- /dev/null
+++ b/adapters/test/http_outbound_test.cpp
@@ -0,0 +1,196 @@
+#include "pearhaven/adapters/http_outbound.hpp"
+
+#include "tcp_socket.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+using namespace pearhaven;
+using namespace pearhaven::adapters;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// An endpoint in a script: each connection is answered with the bytes given for it.
+class scripted_endpoint final : public socket_listener {
+public:
+    explicit scripted_endpoint(event_loop& runs_on)
+        : loop(runs_on), acceptor(tcp_socket::listen("127.0.0.1", 0))
+    {
+        this->loop.watch(this->acceptor.get(), *this, true, false);
+    }
+    ~scripted_endpoint() override
+    {
+        this->loop.forget(this->acceptor.get());
+        for (const auto& open : this->connections) {
+            this->loop.forget(open->socket.get());
+        }
+    }
+    scripted_endpoint(const scripted_endpoint&) = delete;
+    scripted_endpoint& operator=(const scripted_endpoint&) = delete;
+
+    void on_ready(bool /*readable*/, bool /*writable*/, bool /*failed*/) override
+    {
+        auto made = std::make_unique<connection>(*this, this->acceptor.accept());
+        this->loop.watch(made->socket.get(), *made, true, false);
+        this->connections.push_back(std::move(made));
+    }
+
+    [[nodiscard]] outbound_target target() const
+    {
+        return {"endpoint", "127.0.0.1", this->acceptor.port()};
+    }
+
+    std::vector<std::string> answers; // one for each request, in order
+    bool closes = false;              // after each answer
+    std::size_t requests = 0;
+    std::size_t accepted() const { return this->connections.size(); }
+
+private:
+    struct connection final : socket_listener {
+        connection(scripted_endpoint& to, tcp_socket accepted)
+            : owner(to), socket(std::move(accepted))
+        {}
+        void on_ready(bool /*readable*/, bool /*writable*/, bool /*failed*/) override
+        {
+            char buffer[4096];
+            const auto got = this->socket.read(buffer, sizeof buffer);
+            if (got.outcome != tcp_outcome::done || got.bytes == 0) {
+                this->owner.loop.forget(this->socket.get());
+                return;
+            }
+            if (this->owner.requests < this->owner.answers.size()) {
+                const auto sent = this->socket.write(this->owner.answers[this->owner.requests]);
+                CHECK_TRUE(sent.outcome == tcp_outcome::done);
+            }
+            ++this->owner.requests;
+            if (this->owner.closes) {
+                this->owner.loop.forget(this->socket.get());
+                this->socket.close();
+            }
+        }
+        scripted_endpoint& owner;
+        tcp_socket socket;
+    };
+
+    event_loop& loop;
+    tcp_socket acceptor;
+    std::vector<std::unique_ptr<connection>> connections;
+};
+
+// Notes what an exchange brings, and takes or skips heads as told.
+class noting_listener final : public outbound_listener {
+public:
+    head_verdict on_head(const http_response_head& head) override
+    {
+        this->statuses.push_back(head.status);
+        const auto* id = find_field(head.fields, "Id");
+        return id != nullptr && *id == "old" ? head_verdict::skip : head_verdict::take;
+    }
+    void on_body(std::string_view piece) override { this->body.append(piece); }
+    void on_end() override { this->ended = true; }
+    void on_break(const outbound_break& how) override { this->broken = how; }
+
+    std::vector<int> statuses;
+    std::string body;
+    bool ended = false;
+    std::optional<outbound_break> broken;
+};
+
+const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_GROUP(http_outbound)
+{
+    event_loop loop;
+    std::unique_ptr<scripted_endpoint> endpoint;
+    std::unique_ptr<http_outbound> client;
+
+    void setup() override
+    {
+        this->endpoint = std::make_unique<scripted_endpoint>(this->loop);
+        this->client = make_http_outbound(this->loop, {});
+    }
+
+    void teardown() override
+    {
+        this->client.reset();
+        this->endpoint.reset();
+    }
+
+    boost::intrusive_ptr<noting_listener> ask(outbound_request request = {})
+    {
+        boost::intrusive_ptr<noting_listener> listener(new noting_listener);
+        request.fields = {{"Host", "h"}};
+        this->client->start(this->endpoint->target(), std::move(request), listener);
+        this->run_for(milliseconds(80));
+        return listener;
+    }
+
+    void run_for(milliseconds time)
+    {
+        this->loop.after(time, [this] { this->loop.stop(); });
+        this->loop.run();
+    }
+};
+
+TEST(http_outbound, brings_a_whole_answer)
+{
+    this->endpoint->answers = {answer};
+    const auto seen = this->ask();
+    CHECK_TRUE(seen->ended);
+    STRCMP_EQUAL("ok", seen->body.c_str());
+}
+
+// An endpoint answers an earlier request late, where the answer to ours is due.
+TEST(http_outbound, passes_over_an_answer_to_another_request)
+{
+    this->endpoint->answers = {"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nbad" +
+                               answer};
+    const auto seen = this->ask();
+    CHECK_TRUE(seen->ended);
+    STRCMP_EQUAL("ok", seen->body.c_str());
+}
+
+TEST(http_outbound, an_answer_cut_short_is_broken)
+{
+    this->endpoint->answers = {answer.substr(0, answer.size() - 1)};
+    this->endpoint->closes = true;
+    const auto seen = this->ask();
+    CHECK_FALSE(seen->ended);
+    CHECK_TRUE(seen->broken->why == outbound_fault::connection_lost);
+    CHECK_TRUE(seen->broken->answer_began);
+}
+
+TEST(http_outbound, bytes_that_are_no_answer_are_broken)
+{
+    this->endpoint->answers = {"garbage\r\n\r\n"};
+    CHECK_TRUE(this->ask()->broken->why == outbound_fault::malformed);
+}
+
+TEST(http_outbound, silence_ends_after_its_time)
+{
+    outbound_request request;
+    request.answer_time = milliseconds(20);
+    CHECK_TRUE(this->ask(request)->broken->why == outbound_fault::silent);
+}
+
+TEST(http_outbound, nobody_listening_means_not_sent)
+{
+    auto target = this->endpoint->target();
+    this->endpoint.reset();
+    boost::intrusive_ptr<noting_listener> listener(new noting_listener);
+    this->client->start(target, {}, listener);
+    this->run_for(milliseconds(50));
+    CHECK_TRUE(listener->broken->why == outbound_fault::not_connected);
+}
--- a/decision/include/pearhaven/decision/size_choice.hpp
+++ b/decision/include/pearhaven/decision/size_choice.hpp
@@ -16,6 +16,10 @@
     // Opinion of its own answer, 0 to 100, from which a smaller model's answer is delivered.
     double least_confidence = 50.0;
 
+    // Taken off it for each step of priority below the most urgent: a dearer answer is worth more
+    // of the large models' time.
+    double confidence_step = 0.0;
+
     // Part of the objective after which an answer that has begun is delivered whatever its quality:
     // another run would be late.
     double latest_change = 0.6;
@@ -24,8 +28,9 @@
 };
 
 struct size_question {
-    std::uint32_t sizes = 0; // models that may answer
-    std::uint32_t size = 0;  // the one that has begun to, 0 the smallest
+    std::uint32_t sizes = 0;    // models that may answer
+    std::uint32_t size = 0;     // the one that has begun to, 0 the smallest
+    std::uint32_t priority = 0; // 0 is most urgent
     double confidence = 0.0;
     duration waited{};
     duration objective{}; // zero: none
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -665,6 +665,7 @@
     size_question question;
     question.sizes = request.sizes;
     question.size = state.size;
+    question.priority = request.priority;
     question.confidence = confidence;
     question.waited = now - state.arrived;
     question.objective = request.objective;
--- a/decision/test/size_choice_test.cpp
+++ b/decision/test/size_choice_test.cpp
@@ -7,7 +7,7 @@
 TEST_GROUP(size_choice)
 {
     size_choice_settings settings;
-    size_question question{3, 0, 20.0, std::chrono::milliseconds(100), std::chrono::seconds(3)};
+    size_question question{3, 0, 0, 20.0, std::chrono::milliseconds(100), std::chrono::seconds(3)};
 };
 
 TEST(size_choice, the_smallest_model_is_tried_first)
@@ -25,6 +25,15 @@
     CHECK_EQUAL(0U, next_size(this->question, this->settings));
 }
 
+TEST(size_choice, less_urgent_answers_are_believed_sooner)
+{
+    this->settings.confidence_step = 20.0;
+    this->question.priority = 1;
+    CHECK_EQUAL(2U, next_size(this->question, this->settings));
+    this->question.priority = 2;
+    CHECK_EQUAL(0U, next_size(this->question, this->settings));
+}
+
 TEST(size_choice, the_largest_model_is_always_believed)
 {
     this->question.size = 2;
--- a/router/include/pearhaven/router/caller_dialect.hpp
+++ b/router/include/pearhaven/router/caller_dialect.hpp
@@ -73,6 +73,9 @@
     read(const adapters::inbound_exchange& caller,
          const decision::configuration* current) const = 0;
 
+    // The request's id as the caller named it, for the log; empty where it names none.
+    [[nodiscard]] virtual std::string name_of(const adapters::inbound_exchange& caller) const = 0;
+
     [[nodiscard]] virtual adapters::outbound_request write(const adapters::inbound_exchange& caller,
                                                            const routed_request& request,
                                                            const attempt_terms& terms) const = 0;
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -17,9 +17,12 @@
 using decision::duration;
 using decision::ticket_number;
 
-// Where every whole answer is delivered, its status goes with it.
+// Of a broken stream, whose head has gone to the caller.
 constexpr int status_ok = 200;
 
+// Of a target that a caller chose, what goes into a log line.
+constexpr std::size_t longest_logged_target = 100;
+
 std::string milliseconds(duration time)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
@@ -129,7 +132,9 @@
     void begin_answer(relayed_request& relayed);
     void hold(relayed_request& relayed, std::string_view piece);
     void keep_failed_answer(relayed_request& relayed) const;
+    void note_local_answer(const adapters::inbound_exchange& caller, const local_answer& answer);
     void note_end(const relayed_request& relayed, const std::string& outcome, int status);
+    static void note_attempt(relayed_request& relayed, const std::string& result);
     void forget(ticket_number ticket);
 
     ticket_number last_ticket = 0;
@@ -169,8 +174,7 @@
 {
     auto understood = this->dialect.read(*caller, this->dispatcher.current().get());
     if (const auto* own = std::get_if<local_answer>(&understood)) {
-        this->counts.add("pearhaven_requests_answered_here",
-                         {{"status", std::to_string(own->status)}});
+        this->note_local_answer(*caller, *own);
         caller->answer(own->status, own->fields, own->body);
         return;
     }
@@ -220,12 +224,14 @@
         return;
     }
     relayed.attempt.endpoint = *endpoint;
+    relayed.attempt.choice = action.version;
     attempt_terms terms;
     terms.endpoint = *endpoint;
     terms.time_left = relayed.request.work.deadline - this->loop.now();
     terms.last_event = relayed.last_event;
     if (action.size < relayed.request.models.size()) {
         terms.model = relayed.request.models[action.size];
+        relayed.attempt.choice += "/" + std::to_string(action.size);
     }
     auto sent = this->dialect.write(*relayed.caller, relayed.request, terms);
     this->bound_times(relayed, sent);
@@ -281,6 +287,7 @@
 {
     if (auto* relayed = this->find(action.ticket, action.attempt)) {
         this->endpoints.cancel(relayed->attempt.exchange);
+        note_attempt(*relayed, "cancelled");
         relayed->attempt.number = 0;
     }
 }
@@ -349,7 +356,8 @@
         const bool takes = this->dispatcher.accepts_answer(
             ticket, attempt, current.facts.confidence, this->loop.now());
         if (!takes) {
-            relayed->history += " " + current.endpoint.address + ":poor";
+            note_attempt(*relayed,
+                         "poor" + std::to_string(static_cast<int>(current.facts.confidence)));
             current.number = 0;
             this->run_actions();
             return head_verdict::drop;
@@ -525,7 +533,7 @@
 {
     auto& current = relayed.attempt;
     end.tokens = current.tokens;
-    relayed.history += " " + current.endpoint.address + ":" + name_of(end.result);
+    note_attempt(relayed, name_of(end.result));
     if (end.result != attempt_result::finished) {
         this->counts.add("pearhaven_attempts_lost", {{"result", name_of(end.result)}});
         adapters::log_change("attempt_lost",
@@ -547,6 +555,28 @@
     this->run_actions();
 }
 
+void event_relay::state::note_attempt(relayed_request& relayed, const std::string& result)
+{
+    const auto& current = relayed.attempt;
+    relayed.history.append(relayed.history.empty() ? "" : " ");
+    relayed.history.append(current.endpoint.address).append("(").append(current.choice);
+    relayed.history.append("):").append(result);
+}
+
+void event_relay::state::note_local_answer(const adapters::inbound_exchange& caller,
+                                           const local_answer& answer)
+{
+    const auto revision = this->dispatcher.current() ? this->dispatcher.current()->revision() : 0;
+    this->counts.add("pearhaven_requests_answered_here",
+                     {{"status", std::to_string(answer.status)}});
+    adapters::log_change("request_refused",
+                         {{"id", this->dialect.name_of(caller)},
+                          {"target", caller.head().target.substr(0, longest_logged_target)},
+                          {"status", std::to_string(answer.status)},
+                          {"config", std::to_string(revision)},
+                          {"why", answer.body.substr(0, answer.body.find('\n'))}});
+}
+
 void event_relay::state::note_end(const relayed_request& relayed, const std::string& outcome,
                                   int status)
 {
--- a/router/src/relayed_request.hpp
+++ b/router/src/relayed_request.hpp
@@ -23,6 +23,7 @@
     decision::attempt_number number = 0; // 0: none is under way
     adapters::outbound_number exchange = 0;
     decision::endpoint_host endpoint;
+    std::string choice; // version, and size of the model where there is a choice, for the log
     decision::instant started;
     decision::duration first_token{};
     adapters::http_response_head head;
