--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -69,10 +69,6 @@
     void on_tick(decision::instant now);
     void on_reply(call_tag tag, const kv_reply& reply, decision::instant now);
 
-    // A mirror that is not wanted makes no calls; its keys stay as they were last told. It starts
-    // with a list when it is wanted again. Mirrors are wanted at first.
-    void set_wanted(bool yes);
-
     // The open call is given up, as when its connection has gone silent; the next one starts anew.
     void restart(decision::instant now);
     [[nodiscard]] std::vector<action> take_actions();
@@ -100,7 +96,6 @@
     std::map<std::string, kv_entry> known;
     std::map<std::string, lapse> lapsed;           // missing, but still taken to be there
     std::map<std::string, store_revision> removed; // of watched removals, until the next list
-    bool wanted = true;
     bool has_list = false;
     bool needs_list = true;
     store_revision watched = 0;
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -33,7 +33,7 @@
 void prefix_mirror::on_tick(decision::instant now)
 {
     this->drop_lapsed(now);
-    if (!this->wanted || this->open_call || now < this->due) {
+    if (this->open_call || now < this->due) {
         return;
     }
     if (this->needs_list) {
@@ -43,16 +43,6 @@
     }
 }
 
-void prefix_mirror::set_wanted(bool yes)
-{
-    if (yes && !this->wanted) {
-        this->open_call.reset();
-        this->has_list = false;
-        this->needs_list = true;
-    }
-    this->wanted = yes;
-}
-
 void prefix_mirror::restart(decision::instant now)
 {
     if (this->open_call) {
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -158,24 +158,6 @@
     CHECK_TRUE(spent < seconds(12));
 }
 
-// Keys that matter only now and then are not watched between: each change of one would wake every
-// router of the fleet.
-TEST(prefix_mirror, one_that_is_not_wanted_calls_nobody_and_lists_anew_later)
-{
-    this->list_one();
-    this->mirror.set_wanted(false);
-    this->answer(reply_of(kv_outcome::ok, 11, {}), start);
-    const auto before = this->calls.size();
-    this->tick(start + seconds(60));
-    CHECK_EQUAL(before, this->calls.size());
-    this->mirror.set_wanted(true);
-    CHECK_FALSE(this->mirror.is_in_touch());
-    this->tick(start + seconds(61));
-    CHECK_TRUE(std::holds_alternative<kv_range>(this->calls.back().request));
-    this->answer(reply_of(kv_outcome::ok, 50, {}), start + seconds(61));
-    CHECK_TRUE(this->saw(mirror_removed{"things/a", 0}));
-}
-
 TEST(prefix_mirror, a_reply_to_a_call_that_was_given_up_changes_nothing)
 {
     this->tick(start);
