--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -20,6 +20,9 @@
 // Of a broken stream, whose head has gone to the caller.
 constexpr int status_ok = 200;
 
+// Endpoints of which the last sign of life is kept.
+constexpr std::size_t most_heard = 4096;
+
 // Of a target that a caller chose, what goes into a log line.
 constexpr std::size_t longest_logged_target = 100;
 
@@ -122,6 +125,7 @@
     void carry_out(const decision::cancel_attempt& action);
     void carry_out(const decision::complete_request& action);
     void carry_out(const decision::give_up_request& action);
+    // For other routers; whoever embeds the relay with peers tells them.
     void carry_out(const decision::announce_leaving& /*action*/) {}
     void carry_out(const decision::announce_standing& /*action*/) {}
 
@@ -134,6 +138,7 @@
     void keep_failed_answer(relayed_request& relayed) const;
     void note_local_answer(const adapters::inbound_exchange& caller, const local_answer& answer);
     void note_end(const relayed_request& relayed, const std::string& outcome, int status);
+    void note_heard(relayed_attempt& attempt);
     static void note_attempt(relayed_request& relayed, const std::string& result);
     void forget(ticket_number ticket);
 
@@ -375,8 +380,7 @@
     if (relayed == nullptr) {
         return;
     }
-    this->last_heard[relayed->attempt.endpoint.address] = this->loop.now();
-    relayed->attempt.silences = 0;
+    this->note_heard(relayed->attempt);
     if (relayed->attempt.use == answer_use::passed) {
         if (decision::is_streamed(relayed->request.kind)) {
             this->pass_events(ticket, *relayed, piece);
@@ -555,6 +559,17 @@
     this->run_actions();
 }
 
+// Endpoints come and go for as long as the process runs; what is dropped here is known again with
+// the next piece.
+void event_relay::state::note_heard(relayed_attempt& attempt)
+{
+    if (this->last_heard.size() >= most_heard) {
+        this->last_heard.clear();
+    }
+    this->last_heard[attempt.endpoint.address] = this->loop.now();
+    attempt.silences = 0;
+}
+
 void event_relay::state::note_attempt(relayed_request& relayed, const std::string& result)
 {
     const auto& current = relayed.attempt;
