Fill one endpoint of a new version before all traffic moves to it

Ruled out: staged callers packed onto one endpoint (at 14 requests a second it ran 20 at once and did not fail); all traffic packed for 1.8 s (100 queued, 6 running, no failure): what counts is how many run, and it failed from some 29 of 64 on. Long prompts only make a queue. Change: a part between staged and whole, just past half of the order's time, in which the long answers to short prompts of all routers go to one endpoint, at the largest model, for as long as they take to fill it (from the rates that all routers tell). Parts are counted apart, since good answers of a quiet part hid the bad ones; a trial in doubt lasts longer. Sessions whose new version has no endpoint yet stay on the old one.

Besides: one copy of the mixing function; first piece and longest pause in a request's log line.

--- a/adapters/src/course_codec.cpp
+++ b/adapters/src/course_codec.cpp
@@ -11,25 +11,41 @@
 using coordination::course_state;
 using nlohmann::json;
 
-constexpr std::array<std::pair<course_state, const char*>, 4> states = {
+constexpr std::array<std::pair<course_state, const char*>, 5> states = {
     {{course_state::staged, "staged"},
+     {course_state::loaded, "loaded"},
      {course_state::whole, "whole"},
      {course_state::finished, "finished"},
      {course_state::bad, "bad"}}};
 
+const char* name_of(course_state wanted)
+{
+    const char* found = "";
+    for (const auto& [state, name] : states) {
+        found = state == wanted ? name : found;
+    }
+    return found;
+}
+
+std::optional<course_state> state_named(std::string_view wanted)
+{
+    for (const auto& [state, name] : states) {
+        if (wanted == name) {
+            return state;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::string write_course_record(const coordination::course_record& record)
 {
-    const char* state = "";
-    for (const auto& [known, name] : states) {
-        state = known == record.state ? name : state;
-    }
     return json{{"run", record.run},
                 {"step", record.step},
                 {"routers", record.routers},
                 {"session_ppm", record.session_ppm},
-                {"state", state}}
+                {"state", name_of(record.state)}}
         .dump();
 }
 
@@ -42,12 +58,10 @@
         record.step = body.at("step").get<std::uint32_t>();
         record.routers = body.at("routers").get<std::uint32_t>();
         record.session_ppm = body.at("session_ppm").get<std::uint32_t>();
-        const auto state = body.at("state").get<std::string>();
-        for (const auto& [known, name] : states) {
-            if (state == name) {
-                record.state = known;
-                return record;
-            }
+        const auto state = state_named(body.at("state").get<std::string>());
+        if (state) {
+            record.state = *state;
+            return record;
         }
     } catch (const json::exception&) {
         // Told to the caller by the empty result, which is logged there with the key.
@@ -57,9 +71,13 @@
 
 std::string write_course_evidence(const coordination::course_evidence& evidence)
 {
-    return json{{"run", evidence.run},        {"good", evidence.seen.good},
-                {"bad", evidence.seen.bad},   {"quick", evidence.speed.good},
-                {"slow", evidence.speed.bad}, {"whole", evidence.whole}}
+    return json{{"run", evidence.run},
+                {"part", name_of(evidence.part)},
+                {"good", evidence.seen.good},
+                {"bad", evidence.seen.bad},
+                {"quick", evidence.speed.good},
+                {"slow", evidence.speed.bad},
+                {"long_rate", evidence.long_rate}}
         .dump();
 }
 
@@ -67,13 +85,18 @@
 {
     const auto body = json::parse(text, nullptr, false);
     try {
+        const auto part = state_named(body.at("part").get<std::string>());
+        if (!part) {
+            return std::nullopt;
+        }
         coordination::course_evidence evidence;
         evidence.run = body.at("run").get<std::uint64_t>();
+        evidence.part = *part;
         evidence.seen.good = body.at("good").get<std::uint64_t>();
         evidence.seen.bad = body.at("bad").get<std::uint64_t>();
         evidence.speed.good = body.at("quick").get<std::uint64_t>();
         evidence.speed.bad = body.at("slow").get<std::uint64_t>();
-        evidence.whole = body.at("whole").get<bool>();
+        evidence.long_rate = body.at("long_rate").get<double>();
         return evidence;
     } catch (const json::exception&) {
         return std::nullopt; // the caller logs it with the key
--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -18,6 +18,7 @@
 // other in one order for all routers; `bad` and `finished` are final.
 enum class course_state : std::uint8_t {
     staged,   // callers are granted step by step
+    loaded,   // one endpoint is filled with long answers, to see whether the version bears it
     whole,    // all new work goes to the new version, which is still watched
     finished, // the old version is not needed any more
     bad,      // nothing new goes to the new version
@@ -33,12 +34,14 @@
     friend bool operator==(const course_record&, const course_record&) = default;
 };
 
-// What one router has seen of the new version in one attempt.
+// What one router has seen of the new version in one part of an attempt. Parts are counted apart:
+// the good answers of a quiet one would hide the bad ones of the next.
 struct course_evidence {
     std::uint64_t run = 0;
+    course_state part = course_state::staged;
     decision::run_counts seen;
     decision::run_counts speed; // slow answers count as bad
-    bool whole = false;         // whether the speeds were seen with all traffic on the version
+    double long_rate = 0.0;     // long answers begun by this router each second
 
     friend bool operator==(const course_evidence&, const course_evidence&) = default;
 };
@@ -49,6 +52,7 @@
     std::string to;
     std::uint64_t run = 0;
     decision::duration time{}; // in which it is to be done
+    std::uint32_t slots = 0;   // requests that one endpoint of the new version runs at once
 
     friend bool operator==(const course_order&, const course_order&) = default;
 };
@@ -71,6 +75,24 @@
     double session_rate = 2.5;
     double most_sessions = 0.04;
 
+    // A version can be sound while its endpoints are half empty and fail beyond; at the load of an
+    // ordinary hour nothing shows it, and the first crowd after the roll-out finds it out. So
+    // before all traffic moves, the long answers of all routers go to one endpoint, until it has
+    // got so many for each of its slots. One version failed from 0.45 running for each slot on;
+    // what is above that is for enough failures to tell. Long answers stay long enough to add up,
+    // and their short prompts keep no one else waiting.
+    double load_per_slot = 1.25;
+    double least_load_per_slot = 0.5; // that can be reached; with less the trial shows nothing
+
+    // Part of the order's time that the trial may take, at most; and with what it goes on while its
+    // answers are more often bad than not to be expected, but too few to tell.
+    double load_part = 0.2;
+    double doubtful_load_part = 0.1;
+
+    // Part of the order's time after which each router tells its rate of long answers, from which
+    // the trial's length is worked out: just before the trial, so that the rates are fresh.
+    double rate_part = 0.45;
+
     double base_error_rate = 0.03; // of a good version
     double max_error_rate = 0.15;  // of a bad one
 
@@ -88,6 +110,14 @@
     decision::duration turn = std::chrono::milliseconds(400);
 };
 
+// What a router serves of the model each second.
+struct course_rates {
+    double requests = 0.0;
+    double long_answers = 0.0;
+
+    friend bool operator==(const course_rates&, const course_rates&) = default;
+};
+
 // What a course wants done. Of the writes at most one is under way at a time.
 struct course_actions {
     std::optional<course_record> write_record; // over the record at `record_revision`
@@ -120,10 +150,9 @@
     // record has changed, or after a while.
     void on_written(decision::instant now);
 
-    // `rank` is this router's place among `size` live ones; `request_rate` is what it serves of the
-    // model each second.
-    [[nodiscard]] course_actions on_tick(std::size_t rank, std::size_t size, double request_rate,
-                                         decision::instant now);
+    // `rank` is this router's place among `size` live ones.
+    [[nodiscard]] course_actions on_tick(std::size_t rank, std::size_t size,
+                                         const course_rates& rates, decision::instant now);
 
     [[nodiscard]] const std::optional<course_record>& record() const { return this->held; }
     [[nodiscard]] const course_evidence& own_evidence() const { return this->own; }
@@ -133,11 +162,22 @@
 
 private:
     [[nodiscard]] bool is_bad() const;
+    [[nodiscard]] bool is_doubtful() const;
+    [[nodiscard]] decision::sequential_test error_test() const;
+    [[nodiscard]] decision::run_counts all_seen() const;
+    [[nodiscard]] decision::run_counts all_speeds() const;
     [[nodiscard]] bool is_slow(const decision::run_counts& speed) const;
     [[nodiscard]] bool is_whole() const;
+    [[nodiscard]] course_state part_of_course() const;
     [[nodiscard]] bool has_news() const;
-    [[nodiscard]] std::optional<course_record> next_record(std::size_t size, double request_rate,
-                                                           decision::instant now) const;
+    [[nodiscard]] bool rate_is_due(decision::instant now) const;
+    [[nodiscard]] decision::duration load_time(std::size_t size) const;
+    [[nodiscard]] decision::duration extra_load_time() const;
+    [[nodiscard]] course_record first_record(std::size_t size, double request_rate) const;
+    [[nodiscard]] std::optional<course_record>
+    next_record(std::size_t size, const course_rates& rates, decision::instant now) const;
+    [[nodiscard]] std::optional<course_state> next_state(std::size_t size,
+                                                         decision::instant now) const;
     [[nodiscard]] decision::duration part(double share) const;
 
     course_settings settings;
@@ -151,6 +191,7 @@
     bool own_tripped = false;
     bool told_trip = false;
     course_evidence reported;
+    bool told_rate = false;
     decision::instant next_report;
     bool writing = false;
     decision::instant retry_at;
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -1,5 +1,7 @@
 #include "pearhaven/coordination/prefix_mirror.hpp"
 
+#include "pearhaven/decision/mix.hpp"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -12,14 +14,6 @@
 // together do not come back to it together.
 constexpr std::uint64_t spread_parts = 4;
 
-std::uint64_t mixed(std::uint64_t value)
-{
-    value += 0x9e3779b97f4a7c15ULL;
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-    return value ^ (value >> 31U);
-}
-
 } // namespace
 
 prefix_mirror::prefix_mirror(prefix_mirror_settings chosen) : settings(std::move(chosen)) {}
@@ -81,8 +75,8 @@
     const auto doublings = std::min<std::uint32_t>(this->failures, 8);
     const auto pause =
         std::min(this->settings.first_retry * (1U << doublings), this->settings.longest_retry);
-    const auto part =
-        static_cast<std::int64_t>(mixed(this->settings.seed + this->failures) % spread_parts);
+    const auto part = static_cast<std::int64_t>(
+        decision::mix(this->settings.seed + this->failures) % spread_parts);
     this->due = now + pause - pause * part / (2 * static_cast<std::int64_t>(spread_parts));
     ++this->failures;
 }
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -13,6 +13,9 @@
 // only meet a conflict.
 constexpr decision::duration write_pause = std::chrono::milliseconds(500);
 
+// Routers learn up to 150 ms after each other that the trial has begun.
+constexpr decision::duration least_load_time = std::chrono::milliseconds(400);
+
 bool is_final(const std::optional<course_record>& record)
 {
     return record &&
@@ -23,6 +26,7 @@
 {
     switch (state) {
     case course_state::staged:
+    case course_state::loaded:
         return decision::rollout_state::running;
     case course_state::whole:
     case course_state::finished:
@@ -71,13 +75,18 @@
 void rollout_course::on_own_evidence(const decision::run_counts& seen,
                                      const decision::run_counts& speed, bool tripped)
 {
-    this->own = {this->what.run, seen, speed, this->is_whole()};
+    this->own = {this->what.run, this->part_of_course(), seen, speed, this->own.long_rate};
     this->own_tripped = this->own_tripped || tripped;
 }
 
+course_state rollout_course::part_of_course() const
+{
+    return this->held ? this->held->state : course_state::staged;
+}
+
 bool rollout_course::is_whole() const
 {
-    return this->held && this->held->state == course_state::whole;
+    return this->part_of_course() == course_state::whole;
 }
 
 void rollout_course::on_written(decision::instant now)
@@ -86,24 +95,46 @@
     this->retry_at = now + write_pause;
 }
 
-bool rollout_course::is_bad() const
+// What all routers have seen in the present part.
+decision::run_counts rollout_course::all_seen() const
 {
-    decision::run_counts seen = this->own.seen;
-    decision::run_counts speed = this->own.speed;
+    auto seen = this->own.seen;
     for (const auto& [router, told] : this->others) {
-        seen.good += told.seen.good;
-        seen.bad += told.seen.bad;
-        if (told.whole == this->is_whole()) {
-            speed.good += told.speed.good;
-            speed.bad += told.speed.bad;
-        }
+        const bool same_part = told.part == this->part_of_course();
+        seen.good += same_part ? told.seen.good : 0;
+        seen.bad += same_part ? told.seen.bad : 0;
+    }
+    return seen;
+}
+
+decision::run_counts rollout_course::all_speeds() const
+{
+    auto speed = this->own.speed;
+    for (const auto& [router, told] : this->others) {
+        const bool same_part = told.part == this->part_of_course();
+        speed.good += same_part ? told.speed.good : 0;
+        speed.bad += same_part ? told.speed.bad : 0;
     }
+    return speed;
+}
+
+bool rollout_course::is_bad() const
+{
+    return this->own_tripped || this->is_slow(this->all_speeds()) ||
+           this->error_test().judge(this->all_seen()) == decision::test_verdict::rejected;
+}
+
+bool rollout_course::is_doubtful() const
+{
+    return this->error_test().log_ratio(this->all_seen()) > 0.0;
+}
+
+decision::sequential_test rollout_course::error_test() const
+{
     decision::error_guard guard;
     guard.base_rate = this->settings.base_error_rate;
     guard.max_rate = this->settings.max_error_rate;
-    const decision::sequential_test test(guard);
-    return this->own_tripped || this->is_slow(speed) ||
-           test.judge(seen) == decision::test_verdict::rejected;
+    return decision::sequential_test(guard);
 }
 
 bool rollout_course::is_slow(const decision::run_counts& speed) const
@@ -120,9 +151,9 @@
 // where they are more than a good version has; each report wakes every router.
 bool rollout_course::has_news() const
 {
-    const bool same_run = this->reported.run == this->what.run;
-    const auto told_bad = same_run ? this->reported.seen.bad : 0;
-    const bool same_part = same_run && this->reported.whole == this->own.whole;
+    const bool same_part =
+        this->reported.run == this->what.run && this->reported.part == this->own.part;
+    const auto told_bad = same_part ? this->reported.seen.bad : 0;
     const auto told_slow = same_part ? this->reported.speed.bad : 0;
     const double slow_rate =
         this->is_whole() ? this->settings.base_slow_rate_whole : this->settings.base_slow_rate;
@@ -132,46 +163,109 @@
     return this->own.seen.bad > told_bad || (speed.bad > told_slow && leans_slow);
 }
 
-std::optional<course_record> rollout_course::next_record(std::size_t size, double request_rate,
+bool rollout_course::rate_is_due(decision::instant now) const
+{
+    return !this->told_rate && now - this->began >= this->part(this->settings.rate_part);
+}
+
+// How long the long answers of all routers take to fill one endpoint; zero where they cannot.
+// Callers are spread unevenly, so one router's rate says little of the others'. Routers that have
+// not told theirs are taken to be like those that have.
+decision::duration rollout_course::load_time(std::size_t size) const
+{
+    double sum = this->own.long_rate;
+    double heard = 1.0;
+    for (const auto& [router, told] : this->others) {
+        if (told.long_rate > 0.0) {
+            sum += told.long_rate;
+            heard += 1.0;
+        }
+    }
+    const double rate = sum / heard * std::max(heard, static_cast<double>(size));
+    const double most = std::chrono::duration<double>(this->part(this->settings.load_part)).count();
+    if (this->what.slots == 0 ||
+        rate * most < this->settings.least_load_per_slot * this->what.slots) {
+        return {};
+    }
+    const double seconds = std::min(most, this->settings.load_per_slot * this->what.slots / rate);
+    const auto time =
+        std::chrono::duration_cast<decision::duration>(std::chrono::duration<double>(seconds));
+    return std::max(time, least_load_time);
+}
+
+decision::duration rollout_course::extra_load_time() const
+{
+    return this->is_doubtful() ? this->part(this->settings.doubtful_load_part)
+                               : decision::duration::zero();
+}
+
+course_record rollout_course::first_record(std::size_t size, double request_rate) const
+{
+    course_record first;
+    first.run = this->what.run;
+    first.routers = static_cast<std::uint32_t>(std::max<std::size_t>(size, 1));
+    const double rate = std::max(request_rate, 0.1) * first.routers;
+    const double share = std::min(this->settings.most_sessions, this->settings.session_rate / rate);
+    first.session_ppm = static_cast<std::uint32_t>(share * million);
+    return first;
+}
+
+std::optional<course_record> rollout_course::next_record(std::size_t size,
+                                                         const course_rates& rates,
                                                          decision::instant now) const
 {
     if (!this->held) {
-        course_record first;
-        first.run = this->what.run;
-        first.routers = static_cast<std::uint32_t>(std::max<std::size_t>(size, 1));
-        const double rate = std::max(request_rate, 0.1) * first.routers;
-        const double share =
-            std::min(this->settings.most_sessions, this->settings.session_rate / rate);
-        first.session_ppm = static_cast<std::uint32_t>(share * million);
-        return first;
+        return this->first_record(size, rates.requests);
     }
     auto next = *this->held;
     if (this->is_bad()) {
         next.state = course_state::bad;
         return next;
     }
-    const auto elapsed = now - this->began;
     const bool step_over = now - this->step_began >= this->part(this->settings.step_part);
     const bool is_last = next.step + 1 >= this->settings.step_callers.size();
     if (next.state == course_state::staged && step_over && !is_last) {
         ++next.step;
         return next;
     }
-    if (next.state == course_state::staged && step_over &&
-        elapsed >= this->part(this->settings.whole_part)) {
-        next.state = course_state::whole;
-        return next;
-    }
-    if (next.state == course_state::whole && step_over &&
-        elapsed >= this->part(this->settings.finish_part)) {
-        next.state = course_state::finished;
-        return next;
+    const auto state = this->next_state(size, now);
+    next.state = state.value_or(next.state);
+    return state ? std::make_optional(next) : std::nullopt;
+}
+
+// The state that follows once the present one has lasted long enough.
+std::optional<course_state> rollout_course::next_state(std::size_t size,
+                                                       decision::instant now) const
+{
+    const auto elapsed = now - this->began;
+    const auto in_step = now - this->step_began;
+    const bool step_over = in_step >= this->part(this->settings.step_part);
+    switch (this->held->state) {
+    case course_state::staged:
+        if (step_over && elapsed >= this->part(this->settings.whole_part)) {
+            return this->load_time(size) > decision::duration::zero() ? course_state::loaded
+                                                                      : course_state::whole;
+        }
+        break;
+    case course_state::loaded:
+        if (in_step >= this->load_time(size) + this->extra_load_time()) {
+            return course_state::whole;
+        }
+        break;
+    case course_state::whole:
+        if (step_over && elapsed >= this->part(this->settings.finish_part)) {
+            return course_state::finished;
+        }
+        break;
+    case course_state::finished:
+    case course_state::bad:
+        break;
     }
     return std::nullopt;
 }
 
-course_actions rollout_course::on_tick(std::size_t rank, std::size_t size, double request_rate,
-                                       decision::instant now)
+course_actions rollout_course::on_tick(std::size_t rank, std::size_t size,
+                                       const course_rates& rates, decision::instant now)
 {
     course_actions wanted;
     if (is_final(this->held)) {
@@ -181,7 +275,11 @@
         this->told_trip = true;
         wanted.trip = true;
     }
-    if (this->has_news() && now >= this->next_report) {
+    this->own.run = this->what.run;
+    this->own.long_rate = rates.long_answers;
+    const bool tells_rate = this->rate_is_due(now);
+    if ((this->has_news() || tells_rate) && now >= this->next_report) {
+        this->told_rate = this->told_rate || tells_rate;
         this->reported = this->own;
         this->next_report = now + this->settings.report_period;
         wanted.report = this->own;
@@ -189,7 +287,7 @@
     // What is wanted now was wanted a turn ago by those before this router: they have had theirs.
     const auto turns =
         this->settings.turn * static_cast<std::int64_t>(std::min<std::size_t>(rank, 8));
-    const auto next = this->next_record(size, request_rate, this->is_bad() ? now : now - turns);
+    const auto next = this->next_record(size, rates, this->is_bad() ? now : now - turns);
     const bool first_waits = !this->held && now - this->began < turns;
     if (next && !first_waits && !this->writing && now >= this->retry_at) {
         this->writing = true;
@@ -214,6 +312,7 @@
         made.routers = this->held->routers;
         made.session_ppm = this->held->session_ppm;
         made.state = to_rollout_state(this->held->state);
+        made.fills_endpoint = this->held->state == course_state::loaded;
     }
     return made;
 }
--- a/coordination/test/rollout_course_test.cpp
+++ b/coordination/test/rollout_course_test.cpp
@@ -22,9 +22,12 @@
 
 course_order make_order()
 {
-    return {"model@v1", "model@v2", attempt, seconds(24)};
+    return {"model@v1", "model@v2", attempt, seconds(24), 64};
 }
 
+// What each router of these fleets serves: nine of them fill an endpoint of 64 slots in 4.4 s.
+constexpr course_rates usual_rates{6.0, 2.0};
+
 // The store's one record, and the routers that follow it.
 class course_fleet {
 public:
@@ -44,7 +47,7 @@
                 continue;
             }
             auto& course = *this->courses[rank];
-            const auto wanted = course.on_tick(rank, this->courses.size(), 6.0, now);
+            const auto wanted = course.on_tick(rank, this->courses.size(), this->rates, now);
             this->trips += wanted.trip ? 1 : 0;
             if (wanted.write_record) {
                 ++this->writes;
@@ -77,6 +80,7 @@
     std::vector<std::unique_ptr<rollout_course>> courses;
     std::vector<course_record> history;
     store_revision revision = 0;
+    course_rates rates = usual_rates;
     int writes = 0;
     int reports = 0;
     int trips = 0;
@@ -98,13 +102,14 @@
     course_fleet fleet(9);
     play(fleet, seconds(24), std::vector<bool>(9, true));
     CHECK_TRUE(course_state::finished == fleet.history.back().state);
-    CHECK_EQUAL(6, fleet.writes);
+    CHECK_EQUAL(7, fleet.writes);
     CHECK_EQUAL(0, fleet.trips);
 }
 
 TEST(rollout_course, sessions_change_their_version_only_in_the_second_half)
 {
     course_fleet fleet(3);
+    fleet.rates = {6.0, 0.0};
     play(fleet, seconds(12), std::vector<bool>(3, true));
     CHECK_TRUE(course_state::staged == fleet.history.back().state);
     play(fleet, seconds(16), std::vector<bool>(3, true));
@@ -116,8 +121,8 @@
     course_settings settings;
     rollout_course small(settings, make_order(), start);
     rollout_course large(settings, make_order(), start);
-    CHECK_EQUAL(40'000U, small.on_tick(0, 9, 1.0, start).write_record->session_ppm);
-    const auto record = large.on_tick(0, 740, 96.0, start).write_record;
+    CHECK_EQUAL(40'000U, small.on_tick(0, 9, {1.0, 0.0}, start).write_record->session_ppm);
+    const auto record = large.on_tick(0, 740, {96.0, 0.0}, start).write_record;
     CHECK_EQUAL(35U, record->session_ppm); // 2.5 of 71,040 requests a second
 }
 
@@ -180,6 +185,91 @@
     CHECK_EQUAL(1, fleet.reports);
 }
 
+// The version bears an ordinary hour and fails where an endpoint is full. Its staged callers are
+// content, and the first crowd after the roll-out would meet it. So one endpoint is filled while
+// the old version still has the rest, and the version is bad before it has all traffic.
+TEST(rollout_course, a_version_that_fails_when_its_endpoint_is_full_never_gets_all_traffic)
+{
+    course_fleet fleet(9);
+    const std::vector<bool> all(9, true);
+    play(fleet, milliseconds(14'500), all);
+    CHECK_TRUE(course_state::loaded == fleet.history.back().state);
+    CHECK_TRUE(fleet.courses[0]->plan("model").fills_endpoint);
+    for (int router = 0; router < 4; ++router) {
+        fleet.courses[router]->on_own_evidence({1, 1}, {}, false);
+    }
+    fleet.tick(start + milliseconds(14'600), all);
+    fleet.tick(start + milliseconds(14'700), all);
+    CHECK_TRUE(course_state::bad == fleet.history.back().state);
+    for (const auto& record : fleet.history) {
+        CHECK_TRUE(record.state != course_state::whole);
+    }
+}
+
+TEST(rollout_course, good_answers_of_a_quiet_part_do_not_hide_bad_ones_of_the_next)
+{
+    course_fleet fleet(2);
+    fleet.rates = {20.0, 10.0};
+    const std::vector<bool> all(2, true);
+    fleet.tick(start, all);
+    fleet.courses[0]->on_own_evidence({200, 1}, {}, false);
+    fleet.tick(start + milliseconds(50), all);
+    play(fleet, milliseconds(13'000), all);
+    CHECK_TRUE(course_state::loaded == fleet.history.back().state);
+    fleet.courses[1]->on_own_evidence({0, 3}, {}, false);
+    fleet.tick(start + milliseconds(13'100), all);
+    CHECK_TRUE(course_state::bad == fleet.history.back().state);
+}
+
+// Two bad answers of six are too few for a verdict and too many for comfort: the trial goes on for
+// a while, and ends all the same, because a good version is to be done in time.
+TEST(rollout_course, a_doubtful_trial_lasts_longer_but_not_for_ever)
+{
+    course_fleet sound(9);
+    course_fleet doubtful(9);
+    const std::vector<bool> all(9, true);
+    const auto until_loaded = milliseconds(12'600);
+    play(sound, until_loaded, all);
+    play(doubtful, until_loaded, all);
+    CHECK_TRUE(course_state::loaded == doubtful.history.back().state);
+    doubtful.courses[0]->on_own_evidence({4, 1}, {}, false);
+    doubtful.courses[1]->on_own_evidence({0, 1}, {}, false);
+    play(sound, milliseconds(17'700), all);
+    play(doubtful, milliseconds(17'700), all);
+    CHECK_TRUE(course_state::whole == sound.history.back().state);
+    CHECK_TRUE(course_state::loaded == doubtful.history.back().state);
+    play(doubtful, milliseconds(24'000), all);
+    CHECK_TRUE(course_state::finished == doubtful.history.back().state);
+}
+
+TEST(rollout_course, no_endpoint_is_filled_where_callers_are_too_few_for_it)
+{
+    course_fleet fleet(3);
+    fleet.rates = {6.0, 0.5};
+    play(fleet, seconds(24), std::vector<bool>(3, true));
+    CHECK_TRUE(course_state::finished == fleet.history.back().state);
+    for (const auto& record : fleet.history) {
+        CHECK_TRUE(record.state != course_state::loaded);
+    }
+}
+
+// One router has most of the long answers. What the others tell of theirs counts as well, or the
+// trial would end before its endpoint is full.
+TEST(rollout_course, the_length_of_a_trial_follows_the_rates_of_all_routers)
+{
+    course_fleet fleet(2);
+    const std::vector<bool> all(2, true);
+    fleet.rates = {40.0, 40.0};
+    fleet.courses[1]->on_evidence("0", {attempt, course_state::staged, {}, {}, 40.0});
+    fleet.courses[0]->on_evidence("1", {attempt, course_state::staged, {}, {}, 40.0});
+    play(fleet, milliseconds(12'600), all);
+    CHECK_TRUE(course_state::loaded == fleet.history.back().state);
+    play(fleet, milliseconds(13'400), all); // 80 callers at 80 a second
+    CHECK_TRUE(course_state::loaded == fleet.history.back().state);
+    play(fleet, milliseconds(13'700), all);
+    CHECK_TRUE(course_state::whole == fleet.history.back().state);
+}
+
 // The router that writes the steps dies in the middle. Nobody has to notice: the next one by rank
 // writes the next step a turn later, and the roll-out ends in time.
 TEST(rollout_course, the_death_of_any_router_holds_nothing_up)
@@ -209,7 +299,7 @@
 {
     rollout_course course({}, make_order(), start);
     course.on_record(course_record{attempt - 1, 3, 9, 0, course_state::bad}, 17, start);
-    const auto wanted = course.on_tick(0, 9, 6.0, start);
+    const auto wanted = course.on_tick(0, 9, usual_rates, start);
     CHECK_EQUAL(17U, wanted.record_revision);
     CHECK_EQUAL(attempt, wanted.write_record->run);
     CHECK_TRUE(course_state::staged == wanted.write_record->state);
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -244,6 +244,9 @@
 
     // Requests for the model or service that this router admits each second, over some seconds.
     [[nodiscard]] double arrival_rate(const std::string& asked) const;
+
+    // Of these, the ones that keep a slot for long and may be repeated elsewhere.
+    [[nodiscard]] double long_arrival_rate(const std::string& asked) const;
     [[nodiscard]] std::vector<rollout_report> rollouts() const { return this->exposure.reports(); }
 
 private:
@@ -264,10 +267,16 @@
         std::uint32_t runs = 0; // attempts that were sent and not refused
         std::uint32_t size = 0; // of the model that the next attempt asks for
         instant arrived;
-        instant sent_at; // the present attempt
+        instant sent_at;     // the present attempt
+        bool packed = false; // the present attempt helps to fill one endpoint
         rollout_note rollouts;
     };
 
+    struct counted_arrivals {
+        std::uint32_t in_period = 0;
+        double per_second = 0.0;
+    };
+
     struct chosen_start {
         std::string address;
         std::string version;
@@ -307,6 +316,7 @@
     void note_version_refused(request_state& state) const;
     void note_version_lost(request_state& state, const attempt_end& end);
     void blame_crash(const std::string& address, instant now);
+    static void settle_rates(std::map<std::string, counted_arrivals>& counts, double seconds);
     void note_finished_work(double work, instant now);
     void give_up_all_queued(const failure& why);
     void give_up_overdue(instant now);
@@ -322,11 +332,8 @@
     std::map<std::string, retry_budget> budgets; // by the model or service asked for
     suspect_table suspects;
     std::map<ticket_number, request_state> requests;
-    struct counted_arrivals {
-        std::uint32_t in_period = 0;
-        double per_second = 0.0;
-    };
     std::map<std::string, counted_arrivals> arrivals_by_target;
+    std::map<std::string, counted_arrivals> long_arrivals_by_target;
     std::map<std::string, std::uint32_t> team_in_flight;
     speed_reference speed;
     rollout_exposure exposure;
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -67,7 +67,8 @@
     work_class kind = work_class::lookup;
     double work = 0.0;
     endpoint_lane lane = endpoint_lane::any;
-    std::uint64_t prefix_hash = 0;  // of the prompt's beginning; 0: no affinity
+    bool packed = false;           // on the one endpoint that all routers choose, while it has room
+    std::uint64_t prefix_hash = 0; // of the prompt's beginning; 0: no affinity
     std::vector<std::string> avoid; // addresses not to be taken
 
     friend bool operator==(const placement&, const placement&) = default;
--- a/decision/include/pearhaven/decision/rollout_exposure.hpp
+++ b/decision/include/pearhaven/decision/rollout_exposure.hpp
@@ -25,6 +25,7 @@
     std::string exposed_by;           // roll-out that counts it among its callers; may be empty
     std::vector<std::string> lost_on; // new versions that failed it
     std::string ran_on;               // version of its last run; empty before the first
+    bool fills_endpoint = false;      // it keeps a slot for long and may be repeated elsewhere
 };
 
 struct rollout_choice {
@@ -84,6 +85,9 @@
     // Whether a roll-out has moved all traffic to the version.
     [[nodiscard]] bool is_whole(const std::string& version) const;
 
+    // Whether one endpoint of the version is being filled.
+    [[nodiscard]] bool is_filled(const std::string& version) const;
+
     // Versions that get no new work here, by this router's evidence or by that of another.
     [[nodiscard]] std::set<std::string> tripped() const;
     [[nodiscard]] std::vector<rollout_report> reports() const;
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "pearhaven/decision/dispatcher.hpp"
 
+#include "pearhaven/decision/mix.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -31,12 +33,12 @@
 // Weight of the newest period in the smoothed rate.
 constexpr double rate_gain = 0.3;
 
-std::uint64_t mixed(std::uint64_t value)
+// Whether the request keeps a slot of its endpoint for long, and may be repeated elsewhere should
+// the endpoint not bear it.
+bool fills_endpoint(const arrival& request)
 {
-    value += 0x9e3779b97f4a7c15ULL;
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-    return value ^ (value >> 31U);
+    return request.streamed && !request.is_service && !request.long_prompt &&
+           request.on_loss == continuation::at_other_run;
 }
 
 failure passing(failure_code code, duration retry_after, std::string detail)
@@ -157,7 +159,10 @@
     state.lost_at = now; // by another router, if it is a suspect already
     state.arrived = now;
     state.size = first_size(state.what.sizes, this->settings.sizes);
+    state.rollouts.fills_endpoint = fills_endpoint(state.what);
     ++this->arrivals_by_target[state.what.asked].in_period;
+    this->long_arrivals_by_target[state.what.asked].in_period +=
+        state.rollouts.fills_endpoint ? 1 : 0;
     this->budget_of(state.what).earn(this->settings.retry_share_on_arrival);
     const auto& admitted = this->requests.emplace(ticket, std::move(state)).first->second;
     if (!this->enqueue(admitted)) {
@@ -220,14 +225,15 @@
     question.asked = request.asked;
     question.bound = request.bound;
     question.session_key = request.session_key;
-    question.random = mixed(request.ticket ^ this->settings.seed);
+    question.random = mix(request.ticket ^ this->settings.seed);
     for (const auto& version : this->exposure.tripped()) {
         question.excluded.push_back(version);
     }
     auto note = state.rollouts;
     auto chosen = this->exposure.choose(question, note);
     // A new version that no endpoint serves yet must not cost its first callers their answers.
-    while (!chosen.exposed_by.empty() &&
+    while (this->exposure.watches(chosen.answer.version) &&
+           !this->exposure.is_whole(chosen.answer.version) &&
            !this->table.serves(this->place(state, chosen.answer.version, now), now)) {
         note.lost_on.push_back(chosen.answer.version);
         chosen = this->exposure.choose(question, note);
@@ -284,6 +290,7 @@
     wanted.work = this->work_of(state);
     wanted.prefix_hash = state.what.prefix_hash;
     wanted.lane = lane_of(state);
+    wanted.packed = state.rollouts.fills_endpoint && this->exposure.is_filled(target);
     if (now < state.avoid_until) {
         wanted.avoid = state.avoid;
     }
@@ -395,6 +402,11 @@
     state.version = where.version;
     state.rollouts.ran_on = where.version;
     state.sent_at = now;
+    state.packed = state.rollouts.fills_endpoint && this->exposure.is_filled(where.version);
+    if (state.packed && request.sizes > 0) {
+        // The largest model's answer takes longest, and adds up with the others'.
+        state.size = request.sizes - 1;
+    }
     // A caller counts once, however often its request is sent there.
     if (!where.exposed_by.empty() && where.exposed_by != state.rollouts.exposed_by) {
         this->exposure.spend(where.exposed_by);
@@ -534,8 +546,8 @@
     }
     state.rollouts.lost_on.push_back(state.version);
     // Silence under the load of all traffic is a full queue as likely as a bad version.
-    const bool busy =
-        end.result == attempt_result::went_silent && this->exposure.is_whole(state.version);
+    const bool busy = end.result == attempt_result::went_silent &&
+                      (state.packed || this->exposure.is_whole(state.version));
     // Where a run ends with its connection, a crash of the endpoint ends many at once.
     const bool crashed = end.result == attempt_result::failed && !end.answered_error &&
                          state.what.on_loss != continuation::same_run;
@@ -616,7 +628,8 @@
 // those of the version that serves beside it or served before, for the same size of model.
 void dispatcher::note_speed(const request_state& state, duration first_token)
 {
-    if (state.what.is_service || first_token <= duration::zero()) {
+    // An endpoint that is being filled is slow by design.
+    if (state.what.is_service || state.packed || first_token <= duration::zero()) {
         return;
     }
     if (!this->exposure.watches(state.version)) {
@@ -799,6 +812,12 @@
     return found == this->arrivals_by_target.end() ? 0.0 : found->second.per_second;
 }
 
+double dispatcher::long_arrival_rate(const std::string& asked) const
+{
+    const auto found = this->long_arrivals_by_target.find(asked);
+    return found == this->long_arrivals_by_target.end() ? 0.0 : found->second.per_second;
+}
+
 duration dispatcher::expected_wait() const
 {
     if (this->work_per_second <= 0.0) {
@@ -808,6 +827,15 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
+void dispatcher::settle_rates(std::map<std::string, counted_arrivals>& counts, double seconds)
+{
+    for (auto& [asked, counted] : counts) {
+        const double rate = counted.in_period / seconds;
+        counted.per_second += rate_gain * (rate - counted.per_second);
+        counted.in_period = 0;
+    }
+}
+
 void dispatcher::note_finished_work(double work, instant now)
 {
     this->work_in_period += work;
@@ -822,11 +850,8 @@
         const bool first = this->work_per_second <= 0.0;
         this->work_per_second += (first ? 1.0 : rate_gain) * (newest - this->work_per_second);
     }
-    for (auto& [asked, counted] : this->arrivals_by_target) {
-        const double rate = counted.in_period / seconds;
-        counted.per_second += rate_gain * (rate - counted.per_second);
-        counted.in_period = 0;
-    }
+    settle_rates(this->arrivals_by_target, seconds);
+    settle_rates(this->long_arrivals_by_target, seconds);
     this->work_in_period = 0.0;
     this->rate_since = now;
 }
@@ -861,7 +886,7 @@
 
 std::uint64_t dispatcher::next_random()
 {
-    return mixed(this->random_state++);
+    return mix(this->random_state++);
 }
 
 } // namespace pearhaven::decision
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -23,6 +23,12 @@
            static_cast<double>(std::uint64_t{1} << kept_bits);
 }
 
+bool is_left_out(const endpoint& where, const std::vector<std::string>& avoid, instant now)
+{
+    const bool avoided = std::find(avoid.begin(), avoid.end(), where.host.address) != avoid.end();
+    return avoided || where.load.draining() || where.health.is_ejected(now);
+}
+
 // This router's part of all that the endpoints hold. Without any work it counts as holding one
 // request, or it would never get in.
 double part_of_work(const std::vector<endpoint*>& subset, instant now,
@@ -71,9 +77,7 @@
             if (subset.size() >= until) {
                 return;
             }
-            const bool avoided =
-                std::find(avoid.begin(), avoid.end(), where->host.address) != avoid.end();
-            if (!avoided && !where->load.draining() && !where->health.is_ejected(now)) {
+            if (!is_left_out(*where, avoid, now)) {
                 subset.push_back(where);
             }
         }
@@ -83,8 +87,29 @@
     return subset;
 }
 
+// The endpoint that every router ranks first, whatever its zone and its subset; null where it may
+// not be taken.
+const endpoint* endpoint_choice::packed_on(const route& from) const
+{
+    const endpoint* first = nullptr;
+    for (const auto* side : {&from.local, &from.remote}) {
+        for (const endpoint* where : *side) {
+            if (first == nullptr || mix(where->identity) > mix(first->identity)) {
+                first = where;
+            }
+        }
+    }
+    const bool may_take = first != nullptr && !is_left_out(*first, this->wanted.avoid, this->now) &&
+                          this->has_room(*first);
+    return may_take ? first : nullptr;
+}
+
 const endpoint* endpoint_choice::choose(const route& from, std::uint64_t random)
 {
+    const endpoint* packed = this->wanted.packed ? this->packed_on(from) : nullptr;
+    if (packed != nullptr) {
+        return packed;
+    }
     const auto subset = subset_of(from, this->wanted.avoid, this->now, this->settings);
     if (this->wanted.kind == work_class::reading) {
         this->own_part = part_of_work(subset, this->now, this->settings);
--- a/decision/src/endpoint_choice.hpp
+++ b/decision/src/endpoint_choice.hpp
@@ -39,6 +39,7 @@
         double score = 0.0;
     };
 
+    [[nodiscard]] const endpoint* packed_on(const route& from) const;
     [[nodiscard]] bool has_room(const endpoint& where) const;
     [[nodiscard]] bool readings_have_room(const endpoint& where, double limit) const;
     [[nodiscard]] bool reports_room(const endpoint& where) const;
--- a/decision/src/endpoint_state.hpp
+++ b/decision/src/endpoint_state.hpp
@@ -6,6 +6,7 @@
 #include "load_estimate.hpp"
 
 #include "pearhaven/decision/endpoint_table.hpp"
+#include "pearhaven/decision/mix.hpp"
 
 #include <algorithm>
 #include <array>
@@ -17,15 +18,6 @@
 
 namespace pearhaven::decision {
 
-// Spreads the bits of a number over all of them.
-inline std::uint64_t mix(std::uint64_t value)
-{
-    value += 0x9E3779B97F4A7C15U;
-    value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9U;
-    value = (value ^ (value >> 27U)) * 0x94D049BB133111EBU;
-    return value ^ (value >> 31U);
-}
-
 // First-token latency of late in one class, in microseconds.
 struct first_token_mean {
     double mean = 0.0;
--- a/decision/src/rollout_exposure.cpp
+++ b/decision/src/rollout_exposure.cpp
@@ -69,8 +69,12 @@
                              before->second.plan.to == plan.to;
         if (goes_on) {
             known = before->second;
-            // All traffic loads the endpoints otherwise than a few callers did.
-            known.speed = known.plan.state == plan.state ? known.speed : run_counts();
+            // Each part loads the endpoints otherwise than the one before. What was good there says
+            // nothing of this one, and would only weigh against what fails now.
+            const bool same_part =
+                known.plan.state == plan.state && known.plan.fills_endpoint == plan.fills_endpoint;
+            known.seen = same_part ? known.seen : run_counts();
+            known.speed = same_part ? known.speed : run_counts();
             this->take_up(known, plan, granted_by(known.plan, known.plan.step));
         } else if (this->has_configuration) {
             this->take_up(known, plan, 0);
@@ -119,6 +123,9 @@
     if (!note.ran_on.empty() && note.ran_on != plan.to) {
         return false;
     }
+    if (plan.fills_endpoint && note.fills_endpoint) {
+        return plan.state == rollout_state::running && plan.run != 0;
+    }
     // Routers keep no table of sessions, so none knows whether this one has run on the old version
     // a moment ago elsewhere. By its name alone all routers choose alike, so that it changes its
     // version once; and they choose few, so that few are changed in their midst.
@@ -235,6 +242,14 @@
     });
 }
 
+bool rollout_exposure::is_filled(const std::string& version) const
+{
+    return std::any_of(this->rollouts.begin(), this->rollouts.end(), [&version](const auto& named) {
+        const auto& plan = named.second.plan;
+        return plan.to == version && plan.fills_endpoint && plan.state == rollout_state::running;
+    });
+}
+
 std::set<std::string> rollout_exposure::tripped() const
 {
     std::set<std::string> versions;
--- a/decision/test/rollout_dispatch_test.cpp
+++ b/decision/test/rollout_dispatch_test.cpp
@@ -15,6 +15,7 @@
 struct fleet_plan {
     bool begun = true;
     std::string served = "adjudicator"; // model whose versions the engines serve
+    bool fills_endpoint = false;
 };
 
 configuration_ptr make_configuration(const fleet_plan& wanted)
@@ -32,6 +33,7 @@
     plan.to = "adjudicator-2";
     plan.step_callers = {2};
     plan.run = 3;
+    plan.fills_endpoint = wanted.fills_endpoint;
     configuration_builder builder;
     builder.add(deposits).add(engines);
     if (wanted.begun) {
@@ -69,6 +71,24 @@
         this->router.on_hosts(hosts, this->now);
     }
 
+    // A long answer to a short prompt, which any endpoint could go on with.
+    start_attempt arrive_long()
+    {
+        arrival request;
+        request.ticket = ++this->last_ticket;
+        request.team = "deposits";
+        request.asked = "adjudicator";
+        request.streamed = true;
+        request.work.tokens = 10;
+        request.sizes = 3;
+        request.on_loss = continuation::at_other_run;
+        request.max_attempts = 3;
+        request.deadline = this->now + seconds(60);
+        request.fingerprint = request.ticket;
+        this->router.on_arrival(request, this->now);
+        return this->started();
+    }
+
     // The start that the last event led to; an empty version where it led to none.
     start_attempt started()
     {
@@ -160,3 +180,49 @@
     CHECK_EQUAL(std::string("adjudicator-1"), second.version);
     LONGS_EQUAL(0, router.rollouts().at(0).seen.total());
 }
+
+// The version is to show whether it bears a full endpoint. Long answers add up there, at the size
+// of model that takes longest; short ones stay with the old version and wait for nothing.
+TEST(rollout_dispatch_test, long_answers_fill_one_endpoint_of_the_new_version)
+{
+    begin();
+    router.on_configuration(make_configuration({true, "adjudicator", true}), now);
+    const auto first = arrive_long();
+    CHECK_EQUAL(std::string("adjudicator-2"), first.version);
+    CHECK_EQUAL(2U, first.size);
+    for (int i = 0; i < 8; ++i) {
+        CHECK_EQUAL(first.address, arrive_long().address);
+    }
+    router.on_tick(now + seconds(1));
+    CHECK_TRUE(router.long_arrival_rate("adjudicator") > 0.0);
+}
+
+// The filled endpoint says nothing for long. That is what filling it does, and no fault of the
+// version; the request goes on elsewhere.
+TEST(rollout_dispatch_test, the_silence_of_a_filled_endpoint_is_no_evidence)
+{
+    begin();
+    router.on_configuration(make_configuration({true, "adjudicator", true}), now);
+    const auto first = arrive_long();
+    const auto second = end(first, attempt_result::went_silent, false);
+    CHECK_TRUE(first.address != second.address);
+    LONGS_EQUAL(0, router.rollouts().at(0).seen.total());
+}
+
+TEST(rollout_dispatch_test, an_error_of_a_filled_endpoint_is_evidence)
+{
+    begin();
+    router.on_configuration(make_configuration({true, "adjudicator", true}), now);
+    const auto second = end(arrive_long(), attempt_result::failed, true);
+    CHECK_EQUAL(std::string("adjudicator-1"), second.version);
+    LONGS_EQUAL(1, router.rollouts().at(0).seen.bad);
+}
+
+// Sessions move by their names, whether or not an endpoint of the new version is there yet. Until
+// one is, they are served by the old version and not refused.
+TEST(rollout_dispatch_test, sessions_stay_on_the_old_version_while_no_pool_serves_the_new)
+{
+    begin("adjudicator-1");
+    router.on_configuration(make_configuration({true, "adjudicator-1", true}), now);
+    CHECK_EQUAL(std::string("adjudicator-1"), arrive_long().version);
+}
--- a/decision/test/rollout_exposure_test.cpp
+++ b/decision/test/rollout_exposure_test.cpp
@@ -289,3 +289,30 @@
     router.note.lost_on = {"adjudicator-2"};
     STRCMP_EQUAL("adjudicator-2", router.ask().answer.version.c_str());
 }
+
+TEST(rollout_exposure_test, requests_that_fill_an_endpoint_move_to_it_and_no_others)
+{
+    router_model router;
+    auto plan = make_plan(2);
+    plan.step_callers = {0, 0, 0};
+    plan.fills_endpoint = true;
+    router.see(plan);
+    CHECK_TRUE(router.exposure.is_filled("adjudicator-2"));
+    CHECK_EQUAL(std::string("adjudicator-1"), router.ask().answer.version);
+    router.note.fills_endpoint = true;
+    CHECK_EQUAL(std::string("adjudicator-2"), router.ask().answer.version);
+    router.exposure.on_trip_told("adjudicator-2", 7);
+    CHECK_EQUAL(std::string("adjudicator-1"), router.ask().answer.version);
+}
+
+TEST(rollout_exposure_test, what_was_seen_before_an_endpoint_is_filled_is_counted_apart)
+{
+    router_model router;
+    auto plan = make_plan(0);
+    router.see(plan);
+    router.exposure.on_end("adjudicator-2", true);
+    LONGS_EQUAL(1, router.exposure.reports().at(0).seen.good);
+    plan.fills_endpoint = true;
+    router.see(plan);
+    LONGS_EQUAL(0, router.exposure.reports().at(0).seen.total());
+}
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -414,6 +414,8 @@
 {
     if (!relayed.began) {
         relayed.began = true;
+        relayed.first_piece = this->loop.now();
+        relayed.last_piece = relayed.first_piece;
         relayed.caller->begin(relayed.attempt.head.status,
                               this->dialect.pass_on(relayed.attempt.head));
     }
@@ -435,6 +437,9 @@
             continue;
         }
         this->begin_answer(relayed);
+        const auto now = this->loop.now();
+        relayed.longest_pause = std::max(relayed.longest_pause, now - relayed.last_piece);
+        relayed.last_piece = now;
         relayed.caller->write(event.bytes);
         relayed.last_event = event.id.value_or(relayed.last_event);
         ++current.tokens;
@@ -595,7 +600,9 @@
 void event_relay::state::note_end(const relayed_request& relayed, const std::string& outcome,
                                   int status)
 {
-    const auto waited = this->loop.now() - relayed.caller->arrived();
+    const auto arrived = relayed.caller->arrived();
+    const auto waited = this->loop.now() - arrived;
+    const auto first = relayed.began ? relayed.first_piece - arrived : duration::zero();
     const auto revision = this->dispatcher.current() ? this->dispatcher.current()->revision() : 0;
     this->counts.add("pearhaven_requests_ended",
                      {{"route", relayed.request.route}, {"status", std::to_string(status)}});
@@ -607,6 +614,8 @@
                                            {"outcome", outcome},
                                            {"status", std::to_string(status)},
                                            {"waited_ms", milliseconds(waited)},
+                                           {"first_ms", milliseconds(first)},
+                                           {"pause_ms", milliseconds(relayed.longest_pause)},
                                            {"events", std::to_string(relayed.last_event)},
                                            {"config", std::to_string(revision)},
                                            {"attempts", relayed.history}});
--- a/router/src/relayed_request.hpp
+++ b/router/src/relayed_request.hpp
@@ -41,7 +41,10 @@
     adapters::inbound_exchange_ptr caller;
     routed_request request;
     relayed_attempt attempt;
-    bool began = false;                        // a part of the answer has gone to the caller
+    bool began = false;            // a part of the answer has gone to the caller
+    decision::instant first_piece; // when it did
+    decision::instant last_piece;
+    decision::duration longest_pause{};        // between two pieces, for the log
     std::uint64_t last_event = 0;              // that the caller has
     std::optional<local_answer> failed_answer; // an endpoint's own, should there be no better one
     std::string history;                       // of attempts, for the log
