--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -162,6 +162,39 @@
         return take_all(table.facts(), message.facts);
     }
 
+    static bool take(const wire::EndpointLoad& table, decision::endpoint_load& item)
+    {
+        item = {take(table.address()), table.requests(), table.work()};
+        return true;
+    }
+
+    static bool take(const wire::LoadPush& table, load_push& message)
+    {
+        return take_all(table.loads(), message.loads);
+    }
+
+    static bool take(const wire::MirrorPull& table, mirror_pull& message)
+    {
+        message = {table.nonce(), table.after()};
+        return true;
+    }
+
+    static bool take(const wire::StoreEntry& table, kv_entry& item)
+    {
+        item.key = take(table.key());
+        item.value.assign(table.value()->begin(), table.value()->end());
+        item.revision = table.revision();
+        return true;
+    }
+
+    static bool take(const wire::MirrorNews& table, mirror_news& message)
+    {
+        message.nonce = table.nonce();
+        message.as_of = table.as_of();
+        message.whole = table.whole();
+        return take_all(table.entries(), message.entries);
+    }
+
     template <class Message, class Table>
     static bool take_body(const Table* table, peer_message& message)
     {
@@ -187,6 +220,12 @@
             return take_body<bill_copy_drop>(frame.body_as_BillCopyDrop(), message);
         case wire::Body::FactPush:
             return take_body<fact_push>(frame.body_as_FactPush(), message);
+        case wire::Body::LoadPush:
+            return take_body<load_push>(frame.body_as_LoadPush(), message);
+        case wire::Body::MirrorPull:
+            return take_body<mirror_pull>(frame.body_as_MirrorPull(), message);
+        case wire::Body::MirrorNews:
+            return take_body<mirror_news>(frame.body_as_MirrorNews(), message);
         case wire::Body::NONE:
             break;
         }
--- a/adapters/src/peer_encoder.cpp
+++ b/adapters/src/peer_encoder.cpp
@@ -140,6 +140,37 @@
         return wire::CreateFactPush(this->out, this->put_all<wire::Fact>(message.facts));
     }
 
+    offset<wire::EndpointLoad> put(const decision::endpoint_load& item)
+    {
+        const text_offset address = this->put(item.address);
+        return wire::CreateEndpointLoad(this->out, address, item.requests, item.work);
+    }
+
+    offset<wire::LoadPush> put(const load_push& message)
+    {
+        return wire::CreateLoadPush(this->out, this->put_all<wire::EndpointLoad>(message.loads));
+    }
+
+    offset<wire::MirrorPull> put(const mirror_pull& message)
+    {
+        return wire::CreateMirrorPull(this->out, message.nonce, message.after);
+    }
+
+    offset<wire::StoreEntry> put(const kv_entry& item)
+    {
+        const text_offset key = this->put(item.key);
+        const auto* bytes = reinterpret_cast<const std::uint8_t*>(item.value.data());
+        const auto value = this->out.CreateVector(bytes, item.value.size());
+        return wire::CreateStoreEntry(this->out, key, value, item.revision);
+    }
+
+    offset<wire::MirrorNews> put(const mirror_news& message)
+    {
+        const auto entries = this->put_all<wire::StoreEntry>(message.entries);
+        return wire::CreateMirrorNews(this->out, message.nonce, message.as_of, message.whole,
+                                      entries);
+    }
+
     // The offset's own type names the union's member.
     template <class Table>
     offset<wire::Frame> put_frame(const peer_envelope& envelope, offset<Table> body)
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -59,6 +59,21 @@
 struct FactPush;
 struct FactPushBuilder;
 
+struct EndpointLoad;
+struct EndpointLoadBuilder;
+
+struct LoadPush;
+struct LoadPushBuilder;
+
+struct MirrorPull;
+struct MirrorPullBuilder;
+
+struct StoreEntry;
+struct StoreEntryBuilder;
+
+struct MirrorNews;
+struct MirrorNewsBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -72,11 +87,14 @@
   BillCopyAck = 6,
   BillCopyDrop = 7,
   FactPush = 8,
+  LoadPush = 9,
+  MirrorPull = 10,
+  MirrorNews = 11,
   MIN = NONE,
-  MAX = FactPush
+  MAX = MirrorNews
 };
 
-inline const Body (&EnumValuesBody())[9] {
+inline const Body (&EnumValuesBody())[12] {
   static const Body values[] = {
     Body::NONE,
     Body::Probe,
@@ -86,13 +104,16 @@
     Body::BillCopy,
     Body::BillCopyAck,
     Body::BillCopyDrop,
-    Body::FactPush
+    Body::FactPush,
+    Body::LoadPush,
+    Body::MirrorPull,
+    Body::MirrorNews
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[10] = {
+  static const char * const names[13] = {
     "NONE",
     "Probe",
     "ProbeReply",
@@ -102,13 +123,16 @@
     "BillCopyAck",
     "BillCopyDrop",
     "FactPush",
+    "LoadPush",
+    "MirrorPull",
+    "MirrorNews",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::FactPush)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::MirrorNews)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -149,6 +173,18 @@
   static const Body enum_value = Body::FactPush;
 };
 
+template<> struct BodyTraits<pearhaven::adapters::wire::LoadPush> {
+  static const Body enum_value = Body::LoadPush;
+};
+
+template<> struct BodyTraits<pearhaven::adapters::wire::MirrorPull> {
+  static const Body enum_value = Body::MirrorPull;
+};
+
+template<> struct BodyTraits<pearhaven::adapters::wire::MirrorNews> {
+  static const Body enum_value = Body::MirrorNews;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1466,6 +1502,384 @@
       facts__);
 }
 
+struct EndpointLoad FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndpointLoadBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESS = 4,
+    VT_REQUESTS = 6,
+    VT_WORK = 8
+  };
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint32_t requests() const {
+    return GetField<uint32_t>(VT_REQUESTS, 0);
+  }
+  double work() const {
+    return GetField<double>(VT_WORK, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
+           VerifyField<double>(verifier, VT_WORK, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct EndpointLoadBuilder {
+  typedef EndpointLoad Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(EndpointLoad::VT_ADDRESS, address);
+  }
+  void add_requests(uint32_t requests) {
+    fbb_.AddElement<uint32_t>(EndpointLoad::VT_REQUESTS, requests, 0);
+  }
+  void add_work(double work) {
+    fbb_.AddElement<double>(EndpointLoad::VT_WORK, work, 0.0);
+  }
+  explicit EndpointLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EndpointLoad> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndpointLoad>(end);
+    fbb_.Required(o, EndpointLoad::VT_ADDRESS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EndpointLoad> CreateEndpointLoad(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint32_t requests = 0,
+    double work = 0.0) {
+  EndpointLoadBuilder builder_(_fbb);
+  builder_.add_work(work);
+  builder_.add_requests(requests);
+  builder_.add_address(address);
+  return builder_.Finish();
+}
+
+struct EndpointLoad::Traits {
+  using type = EndpointLoad;
+  static auto constexpr Create = CreateEndpointLoad;
+};
+
+inline flatbuffers::Offset<EndpointLoad> CreateEndpointLoadDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *address = nullptr,
+    uint32_t requests = 0,
+    double work = 0.0) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return pearhaven::adapters::wire::CreateEndpointLoad(
+      _fbb,
+      address__,
+      requests,
+      work);
+}
+
+struct LoadPush FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadPushBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOADS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::EndpointLoad>> *loads() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::EndpointLoad>> *>(VT_LOADS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_LOADS) &&
+           verifier.VerifyVector(loads()) &&
+           verifier.VerifyVectorOfTables(loads()) &&
+           verifier.EndTable();
+  }
+};
+
+struct LoadPushBuilder {
+  typedef LoadPush Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_loads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::EndpointLoad>>> loads) {
+    fbb_.AddOffset(LoadPush::VT_LOADS, loads);
+  }
+  explicit LoadPushBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoadPush> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoadPush>(end);
+    fbb_.Required(o, LoadPush::VT_LOADS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoadPush> CreateLoadPush(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::EndpointLoad>>> loads = 0) {
+  LoadPushBuilder builder_(_fbb);
+  builder_.add_loads(loads);
+  return builder_.Finish();
+}
+
+struct LoadPush::Traits {
+  using type = LoadPush;
+  static auto constexpr Create = CreateLoadPush;
+};
+
+inline flatbuffers::Offset<LoadPush> CreateLoadPushDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<pearhaven::adapters::wire::EndpointLoad>> *loads = nullptr) {
+  auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<pearhaven::adapters::wire::EndpointLoad>>(*loads) : 0;
+  return pearhaven::adapters::wire::CreateLoadPush(
+      _fbb,
+      loads__);
+}
+
+struct MirrorPull FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MirrorPullBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_AFTER = 6
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct MirrorPullBuilder {
+  typedef MirrorPull Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(MirrorPull::VT_NONCE, nonce, 0);
+  }
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(MirrorPull::VT_AFTER, after, 0);
+  }
+  explicit MirrorPullBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MirrorPull> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MirrorPull>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MirrorPull> CreateMirrorPull(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    uint64_t after = 0) {
+  MirrorPullBuilder builder_(_fbb);
+  builder_.add_after(after);
+  builder_.add_nonce(nonce);
+  return builder_.Finish();
+}
+
+struct MirrorPull::Traits {
+  using type = MirrorPull;
+  static auto constexpr Create = CreateMirrorPull;
+};
+
+struct StoreEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreEntryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_VALUE = 6,
+    VT_REVISION = 8
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffsetRequired(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreEntryBuilder {
+  typedef StoreEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(StoreEntry::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(StoreEntry::VT_VALUE, value);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(StoreEntry::VT_REVISION, revision, 0);
+  }
+  explicit StoreEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreEntry>(end);
+    fbb_.Required(o, StoreEntry::VT_KEY);
+    fbb_.Required(o, StoreEntry::VT_VALUE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreEntry> CreateStoreEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    uint64_t revision = 0) {
+  StoreEntryBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+struct StoreEntry::Traits {
+  using type = StoreEntry;
+  static auto constexpr Create = CreateStoreEntry;
+};
+
+inline flatbuffers::Offset<StoreEntry> CreateStoreEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *value = nullptr,
+    uint64_t revision = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return pearhaven::adapters::wire::CreateStoreEntry(
+      _fbb,
+      key__,
+      value__,
+      revision);
+}
+
+struct MirrorNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MirrorNewsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_AS_OF = 6,
+    VT_WHOLE = 8,
+    VT_ENTRIES = 10
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  uint64_t as_of() const {
+    return GetField<uint64_t>(VT_AS_OF, 0);
+  }
+  bool whole() const {
+    return GetField<uint8_t>(VT_WHOLE, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>> *>(VT_ENTRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AS_OF, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
+           VerifyOffsetRequired(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           verifier.EndTable();
+  }
+};
+
+struct MirrorNewsBuilder {
+  typedef MirrorNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(MirrorNews::VT_NONCE, nonce, 0);
+  }
+  void add_as_of(uint64_t as_of) {
+    fbb_.AddElement<uint64_t>(MirrorNews::VT_AS_OF, as_of, 0);
+  }
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(MirrorNews::VT_WHOLE, static_cast<uint8_t>(whole), 0);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>>> entries) {
+    fbb_.AddOffset(MirrorNews::VT_ENTRIES, entries);
+  }
+  explicit MirrorNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MirrorNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MirrorNews>(end);
+    fbb_.Required(o, MirrorNews::VT_ENTRIES);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MirrorNews> CreateMirrorNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    uint64_t as_of = 0,
+    bool whole = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>>> entries = 0) {
+  MirrorNewsBuilder builder_(_fbb);
+  builder_.add_as_of(as_of);
+  builder_.add_nonce(nonce);
+  builder_.add_entries(entries);
+  builder_.add_whole(whole);
+  return builder_.Finish();
+}
+
+struct MirrorNews::Traits {
+  using type = MirrorNews;
+  static auto constexpr Create = CreateMirrorNews;
+};
+
+inline flatbuffers::Offset<MirrorNews> CreateMirrorNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    uint64_t as_of = 0,
+    bool whole = false,
+    const std::vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>>(*entries) : 0;
+  return pearhaven::adapters::wire::CreateMirrorNews(
+      _fbb,
+      nonce,
+      as_of,
+      whole,
+      entries__);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
@@ -1516,6 +1930,15 @@
   const pearhaven::adapters::wire::FactPush *body_as_FactPush() const {
     return body_type() == pearhaven::adapters::wire::Body::FactPush ? static_cast<const pearhaven::adapters::wire::FactPush *>(body()) : nullptr;
   }
+  const pearhaven::adapters::wire::LoadPush *body_as_LoadPush() const {
+    return body_type() == pearhaven::adapters::wire::Body::LoadPush ? static_cast<const pearhaven::adapters::wire::LoadPush *>(body()) : nullptr;
+  }
+  const pearhaven::adapters::wire::MirrorPull *body_as_MirrorPull() const {
+    return body_type() == pearhaven::adapters::wire::Body::MirrorPull ? static_cast<const pearhaven::adapters::wire::MirrorPull *>(body()) : nullptr;
+  }
+  const pearhaven::adapters::wire::MirrorNews *body_as_MirrorNews() const {
+    return body_type() == pearhaven::adapters::wire::Body::MirrorNews ? static_cast<const pearhaven::adapters::wire::MirrorNews *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_INCARNATION) &&
@@ -1562,6 +1985,18 @@
   return body_as_FactPush();
 }
 
+template<> inline const pearhaven::adapters::wire::LoadPush *Frame::body_as<pearhaven::adapters::wire::LoadPush>() const {
+  return body_as_LoadPush();
+}
+
+template<> inline const pearhaven::adapters::wire::MirrorPull *Frame::body_as<pearhaven::adapters::wire::MirrorPull>() const {
+  return body_as_MirrorPull();
+}
+
+template<> inline const pearhaven::adapters::wire::MirrorNews *Frame::body_as<pearhaven::adapters::wire::MirrorNews>() const {
+  return body_as_MirrorNews();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1671,6 +2106,18 @@
       auto ptr = reinterpret_cast<const pearhaven::adapters::wire::FactPush *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::LoadPush: {
+      auto ptr = reinterpret_cast<const pearhaven::adapters::wire::LoadPush *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::MirrorPull: {
+      auto ptr = reinterpret_cast<const pearhaven::adapters::wire::MirrorPull *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::MirrorNews: {
+      auto ptr = reinterpret_cast<const pearhaven::adapters::wire::MirrorNews *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/adapters/test/peer_message_generators.hpp
+++ b/adapters/test/peer_message_generators.hpp
@@ -18,7 +18,7 @@
     static coordination::peer_message message()
     {
         using namespace coordination;
-        switch (*rc::gen::inRange(0, 8)) {
+        switch (*rc::gen::inRange(0, 11)) {
         case 0:
             return probe{number(), text(), some(&message_source::one_member)};
         case 1:
@@ -35,6 +35,13 @@
             return bill_copy_ack{text(), number()};
         case 6:
             return bill_copy_drop{text(), number()};
+        case 7:
+            return load_push{some(&message_source::one_load)};
+        case 8:
+            return mirror_pull{number(), number()};
+        case 9:
+            return mirror_news{number(), number(), number() % 2 == 0,
+                               some(&message_source::one_entry)};
         default:
             return fact_push{some(&message_source::one_fact)};
         }
@@ -86,6 +93,13 @@
         return {text(), text(), text(), text(), number(), number(), number(), real()};
     }
 
+    static decision::endpoint_load one_load()
+    {
+        return {text(), *rc::gen::arbitrary<std::uint32_t>(), real()};
+    }
+
+    static coordination::kv_entry one_entry() { return {text(), text(), number()}; }
+
     static coordination::fact one_fact()
     {
         const auto kind = static_cast<coordination::fact_kind>(*rc::gen::inRange(0, 5));
--- /dev/null
+++ b/coordination/include/pearhaven/coordination/peer_exchange.hpp
@@ -0,0 +1,91 @@
+#ifndef PEARHAVEN_COORDINATION_PEER_EXCHANGE_HPP
+#define PEARHAVEN_COORDINATION_PEER_EXCHANGE_HPP
+
+#include "pearhaven/coordination/peer_message.hpp"
+#include "pearhaven/decision/endpoint_table.hpp"
+#include "pearhaven/decision/time.hpp"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pearhaven::coordination {
+
+// A router that can be talked to.
+struct peer_router {
+    std::string host; // IP number
+    std::uint16_t port = 0;
+    std::string zone; // availability zone
+
+    friend bool operator==(const peer_router&, const peer_router&) = default;
+};
+
+struct peer_exchange_settings {
+    std::string self; // name of this router among the peers
+    std::string zone;
+
+    // Time between two words about own loads. A choice between endpoints is as good as what it
+    // knows of them; in this time a fleet of nine begins some eight requests.
+    decision::duration load_period = std::chrono::milliseconds{100};
+
+    // The same word again, so that those who heard it go on counting it; a part of the time after
+    // which they would not.
+    decision::duration repeat_period = std::chrono::milliseconds{400};
+
+    // Peers that hear of own loads, those in the zone first. It bounds what a large fleet sends;
+    // most requests stay in their zone.
+    std::size_t most_told = 16;
+
+    // Time between two questions to peers while the store does not answer this router.
+    decision::duration pull_period = std::chrono::milliseconds{300};
+    std::uint64_t seed = 0; // spreads the routers' questions over the peers
+};
+
+// A message to a router.
+struct peer_send {
+    peer_router to;
+    peer_message message;
+
+    friend bool operator==(const peer_send&, const peer_send&) = default;
+};
+
+// What routers tell each other beside the store: how much each holds at the endpoints, all the
+// time; and what the store says, to one that the store turns away. Nothing here is agreed upon:
+// each word is somebody's own knowledge, and a lost one is made good by the next.
+class peer_exchange {
+public:
+    explicit peer_exchange(peer_exchange_settings chosen) : settings(std::move(chosen)) {}
+
+    // Peers by name. This router's own name is passed over.
+    void set_peer(const std::string& name, const peer_router& where);
+    void drop_peer(const std::string& name) { this->peers.erase(name); }
+
+    // `in_touch` says whether the store answers this router, `revision` up to where it has heard.
+    [[nodiscard]] std::vector<peer_send> on_tick(const std::vector<decision::endpoint_load>& own,
+                                                 bool in_touch, store_revision revision,
+                                                 decision::instant now);
+
+    // Whether the news answers the open question. One answer to each is taken.
+    [[nodiscard]] bool takes(const mirror_news& news);
+
+    [[nodiscard]] std::size_t size() const { return this->peers.size(); }
+
+private:
+    void add_loads(const std::vector<decision::endpoint_load>& own, std::vector<peer_send>& sends,
+                   decision::instant now);
+    void add_pull(store_revision revision, std::vector<peer_send>& sends, decision::instant now);
+
+    peer_exchange_settings settings;
+    std::map<std::string, peer_router> peers; // by name
+    std::vector<decision::endpoint_load> told;
+    decision::instant told_at;
+    decision::instant next_pull;
+    std::uint64_t questions = 0;
+    std::optional<std::uint64_t> open_question;
+};
+
+} // namespace pearhaven::coordination
+
+#endif
--- a/coordination/include/pearhaven/coordination/peer_message.hpp
+++ b/coordination/include/pearhaven/coordination/peer_message.hpp
@@ -1,6 +1,8 @@
 #ifndef PEARHAVEN_COORDINATION_PEER_MESSAGE_HPP
 #define PEARHAVEN_COORDINATION_PEER_MESSAGE_HPP
 
+#include "pearhaven/coordination/key_value.hpp"
+#include "pearhaven/decision/endpoint_table.hpp"
 #include "pearhaven/decision/time.hpp"
 
 #include <cstdint>
@@ -153,8 +155,33 @@
     friend bool operator==(const fact_push&, const fact_push&) = default;
 };
 
-using peer_message = std::variant<probe, probe_reply, config_pull, config_update, bill_copy,
-                                  bill_copy_ack, bill_copy_drop, fact_push>;
+// All that the sender holds at the endpoints.
+struct load_push {
+    std::vector<decision::endpoint_load> loads;
+    friend bool operator==(const load_push&, const load_push&) = default;
+};
+
+// Asks a peer for what has changed in the store after the revision, while the sender cannot read
+// the store itself.
+struct mirror_pull {
+    std::uint64_t nonce = 0;
+    store_revision after = 0;
+    friend bool operator==(const mirror_pull&, const mirror_pull&) = default;
+};
+
+// The sender's mirror of the store, as of the revision: all of it, or what has changed since the
+// one that was asked about. A key that was removed has an empty value.
+struct mirror_news {
+    std::uint64_t nonce = 0;
+    store_revision as_of = 0;
+    bool whole = false;
+    std::vector<kv_entry> entries;
+    friend bool operator==(const mirror_news&, const mirror_news&) = default;
+};
+
+using peer_message =
+    std::variant<probe, probe_reply, config_pull, config_update, bill_copy, bill_copy_ack,
+                 bill_copy_drop, fact_push, load_push, mirror_pull, mirror_news>;
 
 } // namespace pearhaven::coordination
 
--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -2,10 +2,13 @@
 #define PEARHAVEN_COORDINATION_PREFIX_MIRROR_HPP
 
 #include "pearhaven/coordination/actions.hpp"
+#include "pearhaven/coordination/peer_message.hpp"
 #include "pearhaven/decision/time.hpp"
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -74,6 +77,15 @@
     void on_tick(decision::instant now);
     void on_reply(call_tag tag, const kv_reply& reply, decision::instant now);
 
+    // What this mirror can tell one that has followed the store up to the revision; nothing while
+    // it does not follow the store itself.
+    [[nodiscard]] std::optional<mirror_news> news_after(store_revision after) const;
+
+    // Another router's mirror tells what it holds. The store may turn some routers away while it
+    // serves the others and the operator: these would keep what is no longer in force, for as long
+    // as that lasts. Revisions make it safe to hear of a change from anybody, in any order.
+    void on_told(const mirror_news& news);
+
     // The open call is given up, as when its connection has gone silent; the next one starts anew.
     void restart(decision::instant now);
     [[nodiscard]] std::vector<action> take_actions();
@@ -81,6 +93,9 @@
     [[nodiscard]] bool is_in_touch() const { return this->failures == 0 && this->has_list; }
     [[nodiscard]] const std::map<std::string, kv_entry>& entries() const { return this->known; }
 
+    // Everything up to it has been heard of.
+    [[nodiscard]] store_revision revision() const { return this->watched; }
+
 private:
     void call(kv_request request);
     void on_list(const kv_reply& reply, decision::instant now);
@@ -91,6 +106,13 @@
     void miss(const std::string& key, store_revision revision, decision::instant now);
     void drop(const std::string& key, store_revision revision);
     void drop_lapsed(decision::instant now);
+    void drop_missing(const std::set<std::string>& listed, store_revision as_of);
+    void note_change(const std::string& key, store_revision revision);
+
+    struct change {
+        store_revision revision = 0; // of the mirror when it heard of it, if not of the key itself
+        std::string key;
+    };
 
     struct lapse {
         store_revision revision = 0;
@@ -104,6 +126,8 @@
     bool has_list = false;
     bool needs_list = true;
     store_revision watched = 0;
+    std::deque<change> changes;       // the newest ones, for others, in no order of revision
+    store_revision changes_since = 0; // all after it are among them
     std::optional<call_tag> open_call;
     call_tag next_tag = 1;
     std::uint32_t failures = 0;
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -14,6 +14,9 @@
 // together do not come back to it together.
 constexpr std::uint64_t spread_parts = 4;
 
+// Changes of which others can be told; one that has missed more is told everything.
+constexpr std::size_t most_changes_kept = 512;
+
 } // namespace
 
 prefix_mirror::prefix_mirror(prefix_mirror_settings chosen) : settings(std::move(chosen)) {}
@@ -100,6 +103,7 @@
     this->lapsed.erase(entry.key);
     if (entry.revision > held.revision) {
         held = entry;
+        this->note_change(entry.key, entry.revision);
         this->actions.emplace_back(mirror_changed{entry});
     }
 }
@@ -126,9 +130,87 @@
     if (revision != 0) {
         this->removed[key] = revision;
     }
+    this->note_change(key, std::max(revision, this->watched));
     this->actions.emplace_back(mirror_removed{key, revision});
 }
 
+void prefix_mirror::note_change(const std::string& key, store_revision revision)
+{
+    this->changes.push_back({revision, key});
+    if (this->changes.size() > most_changes_kept) {
+        this->changes_since = std::max(this->changes_since, this->changes.front().revision);
+        this->changes.pop_front();
+    }
+}
+
+std::optional<mirror_news> prefix_mirror::news_after(store_revision after) const
+{
+    if (!this->is_in_touch()) {
+        return std::nullopt;
+    }
+    mirror_news news;
+    news.as_of = this->watched;
+    news.whole = after < this->changes_since;
+    if (news.whole) {
+        for (const auto& [key, entry] : this->known) {
+            news.entries.push_back(entry);
+        }
+        return news;
+    }
+    std::set<std::string> told;
+    for (const auto& one : this->changes) {
+        if (one.revision <= after || !told.insert(one.key).second) {
+            continue;
+        }
+        const auto held = this->known.find(one.key);
+        const auto gone = this->removed.find(one.key);
+        const auto removed_at = gone == this->removed.end() ? one.revision : gone->second;
+        news.entries.push_back(held == this->known.end() ? kv_entry{one.key, "", removed_at}
+                                                         : held->second);
+    }
+    return news;
+}
+
+void prefix_mirror::on_told(const mirror_news& news)
+{
+    if (news.as_of <= this->watched) {
+        return;
+    }
+    std::set<std::string> listed;
+    for (const auto& entry : news.entries) {
+        listed.insert(entry.key);
+        const auto held = this->known.find(entry.key);
+        const bool is_older = held != this->known.end() && held->second.revision > entry.revision;
+        if (!entry.value.empty()) {
+            this->adopt(entry);
+        } else if (held != this->known.end() && !is_older) {
+            this->drop(entry.key, entry.revision);
+        }
+    }
+    if (news.whole) {
+        this->drop_missing(listed, news.as_of);
+    }
+    this->watched = news.as_of;
+    if (news.whole && !this->has_list) {
+        this->has_list = true;
+        this->actions.emplace_back(mirror_listed{});
+    }
+}
+
+// A key that this mirror heard of after the list was made is not missing from it.
+void prefix_mirror::drop_missing(const std::set<std::string>& listed, store_revision as_of)
+{
+    std::vector<std::string> missing;
+    for (const auto& [key, held] : this->known) {
+        if (listed.count(key) == 0 && held.revision <= as_of) {
+            missing.push_back(key);
+        }
+    }
+    for (const auto& key : missing) {
+        this->drop(key, 0);
+    }
+}
+
 void prefix_mirror::drop_lapsed(decision::instant now)
 {
     for (auto at = this->lapsed.begin(); at != this->lapsed.end();) {
@@ -145,6 +227,9 @@
 void prefix_mirror::on_list(const kv_reply& reply, decision::instant now)
 {
     this->removed.clear();
+    this->watched = reply.revision;
+    // What was before the first list is not known change by change.
+    this->changes_since = this->has_list ? this->changes_since : reply.revision;
     std::set<std::string> listed;
     for (const auto& entry : reply.entries) {
         listed.insert(entry.key);
@@ -161,7 +246,6 @@
     }
     this->needs_list = false;
     this->has_list = true;
-    this->watched = reply.revision;
     this->actions.emplace_back(mirror_listed{});
 }
 
--- /dev/null
+++ b/coordination/test/peer_exchange_test.cpp
@@ -0,0 +1,138 @@
+#include "pearhaven/coordination/peer_exchange.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::coordination;
+using pearhaven::decision::endpoint_load;
+using pearhaven::decision::instant;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr instant start{seconds(100)};
+const std::vector<endpoint_load> some_load = {{"e1", 2, 80.0}};
+
+peer_exchange make_exchange(const std::string& self)
+{
+    peer_exchange_settings settings;
+    settings.self = self;
+    settings.zone = "osu";
+    return peer_exchange(settings);
+}
+
+std::string name_of(int number)
+{
+    return "edge-" + std::to_string(100 + number);
+}
+
+void set_peers(peer_exchange& exchange, int count, const std::string& zone = "osu")
+{
+    for (int number = 0; number < count; ++number) {
+        exchange.set_peer(name_of(number), {"10.0.0." + std::to_string(number), 7340, zone});
+    }
+}
+
+} // namespace
+
+TEST_GROUP(peer_exchange){};
+
+TEST(peer_exchange, loads_are_told_when_they_change_and_repeated_while_they_last)
+{
+    auto exchange = make_exchange("edge-100");
+    set_peers(exchange, 3);
+    CHECK_EQUAL(2U, exchange.on_tick(some_load, true, 5, start).size());
+    CHECK_EQUAL(0U, exchange.on_tick(some_load, true, 5, start + milliseconds(100)).size());
+    CHECK_EQUAL(2U, exchange.on_tick({{"e1", 3, 90.0}}, true, 5, start + milliseconds(100)).size());
+    CHECK_EQUAL(2U, exchange.on_tick({{"e1", 3, 90.0}}, true, 5, start + milliseconds(500)).size());
+    CHECK_EQUAL(2U, exchange.on_tick({}, true, 5, start + milliseconds(600)).size());
+    CHECK_EQUAL(0U, exchange.on_tick({}, true, 5, start + seconds(9)).size());
+}
+
+TEST(peer_exchange, nothing_is_told_more_often_than_once_a_period)
+{
+    auto exchange = make_exchange("edge-100");
+    set_peers(exchange, 2);
+    std::uint32_t requests = 1;
+    std::size_t told = 0;
+    for (auto now = start; now < start + seconds(1); now += milliseconds(10)) {
+        told += exchange.on_tick({{"e1", requests++, 0.0}}, true, 5, now).size();
+    }
+    CHECK_EQUAL(10U, told);
+}
+
+// A fleet of 740 must not have each router tell all others. Each tells a bounded number, and each
+// hears from as many.
+TEST(peer_exchange, in_a_large_zone_each_router_tells_and_hears_a_bounded_number)
+{
+    constexpr int count = 67;
+    std::map<std::string, int> heard;
+    for (int number = 0; number < count; ++number) {
+        auto exchange = make_exchange(name_of(number));
+        set_peers(exchange, count);
+        for (const auto& send : exchange.on_tick(some_load, true, 5, start)) {
+            ++heard[send.to.host];
+        }
+    }
+    CHECK_EQUAL(static_cast<std::size_t>(count), heard.size());
+    for (const auto& [host, times] : heard) {
+        CHECK_EQUAL(16, times);
+    }
+}
+
+TEST(peer_exchange, peers_of_the_own_zone_are_told_first)
+{
+    auto exchange = make_exchange("edge-100");
+    set_peers(exchange, 20, "tema");
+    for (int number = 0; number < 17; ++number) {
+        exchange.set_peer("near-" + std::to_string(number), {"10.1.0.1", 7340, "osu"});
+    }
+    for (const auto& send : exchange.on_tick(some_load, true, 5, start)) {
+        CHECK_EQUAL(std::string("osu"), send.to.zone);
+    }
+}
+
+// The store does not answer this router. It asks one peer after the other, since the first may be
+// turned away as well.
+TEST(peer_exchange, without_the_store_one_peer_after_the_other_is_asked)
+{
+    auto exchange = make_exchange("edge-100");
+    set_peers(exchange, 4);
+    std::set<std::string> asked;
+    for (int round = 0; round < 3; ++round) {
+        const auto sends = exchange.on_tick({}, false, 17, start + milliseconds(300) * round);
+        CHECK_EQUAL(1U, sends.size());
+        const auto* pull = std::get_if<mirror_pull>(&sends[0].message);
+        CHECK_TRUE(pull != nullptr);
+        CHECK_EQUAL(17U, pull->after);
+        asked.insert(sends[0].to.host);
+    }
+    CHECK_EQUAL(3U, asked.size());
+    CHECK_EQUAL(0U, exchange.on_tick({}, true, 17, start + seconds(2)).size());
+}
+
+TEST(peer_exchange, only_the_answer_to_the_open_question_is_taken_and_once)
+{
+    auto exchange = make_exchange("edge-100");
+    set_peers(exchange, 2);
+    const auto sends = exchange.on_tick({}, false, 17, start);
+    mirror_news news;
+    news.nonce = std::get<mirror_pull>(sends[0].message).nonce + 1;
+    CHECK_FALSE(exchange.takes(news));
+    --news.nonce;
+    CHECK_TRUE(exchange.takes(news));
+    CHECK_FALSE(exchange.takes(news));
+}
+
+TEST(peer_exchange, a_router_alone_says_nothing)
+{
+    auto exchange = make_exchange("edge-100");
+    exchange.set_peer("edge-100", {"10.0.0.1", 7340, "osu"});
+    CHECK_EQUAL(0U, exchange.size());
+    CHECK_EQUAL(0U, exchange.on_tick(some_load, false, 5, start).size());
+}
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -183,3 +183,130 @@
     this->collect();
     CHECK_TRUE(this->mirror.entries().empty());
 }
+
+// The store turns this router away while it serves the others. What they say reaches it all the
+// same, changes and removals, and never takes it back behind what it knows.
+TEST(prefix_mirror, hears_of_changes_from_another_router)
+{
+    this->list_one();
+    mirror_news news;
+    news.as_of = 14;
+    news.entries = {{"things/b", "2", 13}, {"things/a", "", 14}};
+    this->mirror.on_told(news);
+    this->collect();
+    CHECK_TRUE(this->saw(mirror_changed{{"things/b", "2", 13}}));
+    CHECK_TRUE(this->saw(mirror_removed{"things/a", 14}));
+    CHECK_EQUAL(14U, this->mirror.revision());
+    this->seen.clear();
+    news.as_of = 12;
+    news.entries = {{"things/a", "1", 7}};
+    this->mirror.on_told(news);
+    this->collect();
+    CHECK_TRUE(this->seen.empty());
+}
+
+// A list that another router made before this one heard of a key cannot miss that key.
+TEST(prefix_mirror, a_whole_list_of_another_router_removes_only_what_it_could_hold)
+{
+    this->list_one();
+    this->answer(reply_of(kv_outcome::ok, 13, {{"things/new", "3", 13}}), start);
+    mirror_news news;
+    news.as_of = 12;
+    news.whole = true;
+    this->mirror.on_told(news); // older than what is known
+    this->collect();
+    CHECK_EQUAL(2U, this->mirror.entries().size());
+    news.as_of = 14;
+    news.entries = {{"things/new", "3", 13}};
+    this->mirror.on_told(news);
+    this->collect();
+    CHECK_EQUAL(1U, this->mirror.entries().size());
+    CHECK_TRUE(this->saw(mirror_removed{"things/a", 0}));
+}
+
+TEST(prefix_mirror, tells_others_what_has_changed_since_they_heard)
+{
+    this->list_one();
+    this->answer(reply_of(kv_outcome::ok, 12, {{"things/b", "2", 11}, {"things/a", "", 12}}),
+                 start);
+    const auto news = this->mirror.news_after(11);
+    CHECK_TRUE(news.has_value());
+    CHECK_FALSE(news->whole);
+    CHECK_EQUAL(12U, news->as_of);
+    CHECK_TRUE((std::vector<kv_entry>{{"things/a", "", 12}}) == news->entries);
+    const auto all = this->mirror.news_after(0); // before this mirror's own first list
+    CHECK_TRUE(all->whole);
+    CHECK_TRUE((std::vector<kv_entry>{{"things/b", "2", 11}}) == all->entries);
+}
+
+TEST(prefix_mirror, tells_nothing_while_it_cannot_read_the_store_itself)
+{
+    CHECK_FALSE(this->mirror.news_after(0).has_value());
+    this->list_one();
+    this->answer(reply_of(kv_outcome::unavailable), start);
+    CHECK_FALSE(this->mirror.news_after(0).has_value());
+}
+
+// A key that a list lacks was removed at some time since the list before. Whoever asks from before
+// this list is told.
+TEST(prefix_mirror, tells_others_of_removals_that_only_a_list_has_shown)
+{
+    this->list_one();
+    this->answer(reply_of(kv_outcome::not_found), start); // the history is gone
+    this->answer(reply_of(kv_outcome::ok, 20, {{"things/b", "2", 15}}), start);
+    const auto news = this->mirror.news_after(19);
+    CHECK_TRUE((std::vector<kv_entry>{{"things/a", "", 20}}) == news->entries);
+}
+
+// Two mirrors of one store. One hears everything from the store, the other now and then from the
+// first, in news that get lost, come late or come twice. What the second holds is never newer than
+// the store and never goes back, and once it has heard the last news both hold the same.
+TEST(prefix_mirror, a_mirror_that_hears_from_another_one_ends_like_it)
+{
+    for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+        auto random = seed * 2654435761U;
+        const auto draw = [&random](std::uint32_t below) {
+            random = random * 1664525U + 1013904223U;
+            return (random >> 8U) % below;
+        };
+        prefix_mirror near{prefix_mirror_settings{}};
+        prefix_mirror far{prefix_mirror_settings{}};
+        call_tag tag = 0;
+        const auto serve = [&near, &tag](const kv_reply& reply, instant now) {
+            near.on_tick(now);
+            for (const auto& action : near.take_actions()) {
+                if (const auto* call = std::get_if<store_call>(&action)) {
+                    tag = call->tag;
+                }
+            }
+            near.on_reply(tag, reply, now);
+            for (const auto& action : near.take_actions()) {
+                if (const auto* call = std::get_if<store_call>(&action)) {
+                    tag = call->tag;
+                }
+            }
+        };
+        auto now = start;
+        store_revision revision = 5;
+        serve(reply_of(kv_outcome::ok, revision), now);
+        std::vector<mirror_news> late;
+        store_revision heard = 0;
+        for (int step = 0; step < 60; ++step) {
+            now += seconds(1);
+            const auto key = "k" + std::to_string(draw(4));
+            const auto value = draw(3) == 0 ? std::string() : std::to_string(step);
+            ++revision;
+            serve(reply_of(kv_outcome::ok, revision, {{key, value, revision}}), now);
+            if (draw(2) == 0) {
+                late.push_back(*near.news_after(far.revision()));
+            }
+            if (!late.empty() && draw(2) == 0) {
+                far.on_told(late[draw(static_cast<std::uint32_t>(late.size()))]);
+                CHECK_TRUE(far.revision() >= heard);
+                heard = far.revision();
+            }
+        }
+        far.on_told(*near.news_after(far.revision()));
+        CHECK_TRUE(near.entries() == far.entries());
+    }
+}
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -202,6 +202,9 @@
     void on_hosts(const std::vector<endpoint_host>& hosts, instant now);
     void on_load_report(const std::string& address, const load_report& report, instant now);
 
+    // Another router says what it holds at the endpoints.
+    void on_loads_told(const std::string& router, std::vector<endpoint_load> loads, instant now);
+
     // Another router or the endpoint itself says that the endpoint is leaving.
     void on_endpoint_leaving(const std::string& address, std::uint64_t incarnation, instant now);
     void on_standing_told(std::uint64_t fingerprint, suspect_table::standing standing, instant now);
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -40,6 +40,15 @@
     friend bool operator==(const load_report&, const load_report&) = default;
 };
 
+// What one router holds at an endpoint, as it tells the others.
+struct endpoint_load {
+    std::string address;
+    std::uint32_t requests = 0;
+    double work = 0.0; // as placement::work, of all of them
+
+    friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
+};
+
 // How an attempt at an endpoint ended.
 enum class attempt_result : std::uint8_t {
     finished,
@@ -95,6 +104,7 @@
     double report_overcommit = 1.25; // of a reported capacity: covers what the lag hides
     double typical_work = 500.0;     // work that loads an endpoint as much as one request does
     duration report_lifetime = std::chrono::seconds(2); // a load report older than that is dropped
+    duration told_lifetime = std::chrono::seconds(1);   // likewise, of what a router says it holds
 
     std::uint32_t failures_to_eject = 3; // in a row
     double slow_factor = 4.0; // times the peers' median first-token latency that eject an endpoint
@@ -137,6 +147,12 @@
     // Reports lag; what was sent since the moment they describe is added to them.
     void reported(const std::string& address, const load_report& report, instant now);
 
+    // Another router says what it holds; it replaces what that router said before.
+    void told(const std::string& router, std::vector<endpoint_load> loads, instant now);
+
+    // What this router holds, for the others.
+    [[nodiscard]] std::vector<endpoint_load> own_loads() const;
+
     // The endpoint to send to, or nothing when none has room now. It is never one that leaves, is
     // ejected, is to be avoided or is full. The caller tells `started` if it sends.
     [[nodiscard]] std::optional<std::string> choose(const placement& wanted, instant now,
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -105,6 +105,12 @@
     }
 }
 
+void dispatcher::on_loads_told(const std::string& router, std::vector<endpoint_load> loads,
+                               instant now)
+{
+    this->table.told(router, std::move(loads), now);
+}
+
 void dispatcher::on_endpoint_leaving(const std::string& address, std::uint64_t incarnation,
                                      instant now)
 {
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -223,11 +223,11 @@
 // over the routers.
 bool endpoint_choice::may_add_reading(const endpoint& where, double held) const
 {
-    const double others = std::max(0.0, held - where.outstanding);
+    const double held_by_others = std::max(0.0, held - where.outstanding);
     const double reading_part =
         this->own.readings / std::max(1.0, static_cast<double>(this->own.outstanding));
     const double most = std::max(1.0, where.long_share * where.load.capacity());
-    const double open = most - where.readings - others * reading_part;
+    const double open = most - where.readings - held_by_others * reading_part;
     if (open < 1.0) {
         return false;
     }
@@ -242,8 +242,11 @@
 // Requests held and work held, each against what the endpoint bears.
 double endpoint_choice::load_of(const endpoint& where) const
 {
-    const double work = where.work / this->settings.typical_work;
-    return (where.held(this->now, this->settings) + work) / where.capacity();
+    const auto told = this->others.of(where.host.address);
+    const double work = (where.work + told.work) / this->settings.typical_work;
+    const double held =
+        std::max(where.held(this->now, this->settings), where.outstanding + told.requests);
+    return (held + work) / where.capacity();
 }
 
 // The endpoint that is likely to hold the prompt's beginning in its cache, or the one that takes
--- a/decision/src/endpoint_choice.hpp
+++ b/decision/src/endpoint_choice.hpp
@@ -2,6 +2,7 @@
 #define PEARHAVEN_DECISION_ENDPOINT_CHOICE_HPP
 
 #include "endpoint_directory.hpp"
+#include "told_loads.hpp"
 
 #include <optional>
 #include <string>
@@ -26,8 +27,8 @@
 public:
     // All that is passed by reference must outlive the choice.
     endpoint_choice(const endpoint_table_settings& chosen, const placement& request,
-                    const own_load& load, instant at)
-        : settings(chosen), wanted(request), own(load), now(at)
+                    const own_load& load, const told_loads& told, instant at)
+        : settings(chosen), wanted(request), own(load), others(told), now(at)
     {}
 
     // Null when none has room.
@@ -57,6 +58,7 @@
     const endpoint_table_settings& settings;
     const placement& wanted;
     const own_load& own;
+    const told_loads& others;
     instant now;
     double own_part = 1.0; // of all work at the endpoints
 };
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -2,6 +2,7 @@
 
 #include "endpoint_choice.hpp"
 #include "endpoint_directory.hpp"
+#include "told_loads.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -38,6 +39,7 @@
 
     const endpoint_table_settings settings;
     endpoint_directory directory{this->settings};
+    told_loads others;
 
 private:
     void count_out(endpoint& where, work_class kind, double work, instant now);
@@ -165,7 +167,8 @@
                                                          std::uint64_t random)
 {
     const route& from = this->directory.route_for(wanted.version_or_service, wanted.is_service);
-    endpoint_choice choice(this->settings, wanted, this->own, now);
+    this->others.expire(now, this->settings.told_lifetime);
+    endpoint_choice choice(this->settings, wanted, this->own, this->others, now);
     const endpoint* const chosen = choice.choose(from, random);
     return chosen == nullptr ? std::nullopt : std::make_optional(chosen->host.address);
 }
@@ -239,6 +242,22 @@
            std::any_of(known.remote.begin(), known.remote.end(), stays);
 }
 
+void endpoint_table::told(const std::string& router, std::vector<endpoint_load> loads, instant now)
+{
+    this->inner->others.on_told(router, std::move(loads), now);
+}
+
+std::vector<endpoint_load> endpoint_table::own_loads() const
+{
+    std::vector<endpoint_load> held;
+    for (const auto& [address, known] : this->inner->directory.all()) {
+        if (known.outstanding > 0) {
+            held.push_back({address, known.outstanding, known.work});
+        }
+    }
+    return held;
+}
+
 std::optional<endpoint_host> endpoint_table::find(const std::string& address) const
 {
     const endpoint* where = this->inner->directory.find(address);
--- /dev/null
+++ b/decision/src/told_loads.hpp
@@ -0,0 +1,45 @@
+#ifndef PEARHAVEN_DECISION_TOLD_LOADS_HPP
+#define PEARHAVEN_DECISION_TOLD_LOADS_HPP
+
+#include "pearhaven/decision/endpoint_table.hpp"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace pearhaven::decision {
+
+// What the other routers have said that they hold at the endpoints, added up. Each router's newest
+// word replaces its earlier one; a router that falls silent counts for nothing after a while, since
+// its callers have gone elsewhere or its work has ended unheard.
+class told_loads {
+public:
+    struct sum {
+        double requests = 0.0;
+        double work = 0.0;
+    };
+
+    // All that the router holds; what it does not name it does not hold.
+    void on_told(const std::string& router, std::vector<endpoint_load> loads, instant now);
+
+    // Drops the words older than the lifetime.
+    void expire(instant now, duration lifetime);
+
+    [[nodiscard]] sum of(const std::string& address) const;
+
+private:
+    struct word {
+        std::vector<endpoint_load> loads;
+        instant heard;
+    };
+
+    void add(const word& said, double sign);
+
+    std::map<std::string, word> words; // by router
+    std::unordered_map<std::string, sum> sums;
+};
+
+} // namespace pearhaven::decision
+
+#endif
--- a/decision/test/endpoint_table_test.cpp
+++ b/decision/test/endpoint_table_test.cpp
@@ -645,3 +645,32 @@
         }
     }));
 }
+
+// Two routers fill endpoints that neither could choose well by its own work alone.
+TEST(endpoint_table_test, what_other_routers_hold_counts_like_own_work)
+{
+    osu_table known(2, 16);
+    known.table.told("other", {{"e0", 6, 600.0}}, known.now);
+    CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
+    known.table.told("other", {{"e1", 6, 600.0}}, known.now);
+    CHECK_TRUE((names{"e0"}) == known.chosen(a_lookup));
+}
+
+// A router that fell silent may be dead, and its callers elsewhere.
+TEST(endpoint_table_test, what_a_silent_router_held_counts_no_longer)
+{
+    osu_table known(2, 16);
+    known.table.told("other", {{"e0", 6, 600.0}}, known.now);
+    known.now += std::chrono::seconds(2);
+    CHECK_EQUAL(2U, known.chosen(a_lookup).size());
+}
+
+TEST(endpoint_table_test, own_loads_name_what_is_held_and_nothing_else)
+{
+    osu_table known(3, 16);
+    known.start_many("e1", 2);
+    const auto held = known.table.own_loads();
+    CHECK_EQUAL(1U, held.size());
+    CHECK_EQUAL(std::string("e1"), held[0].address);
+    CHECK_EQUAL(2U, held[0].requests);
+}
--- /dev/null
+++ b/router/src/peer_desk.cpp
@@ -0,0 +1,136 @@
+#include "pearhaven/router/peer_desk.hpp"
+
+#include "pearhaven/adapters/log.hpp"
+#include "pearhaven/decision/work.hpp"
+
+#include <charconv>
+#include <system_error>
+#include <utility>
+
+namespace pearhaven::router {
+
+namespace {
+
+coordination::peer_exchange_settings exchange_settings_for(const peer_desk_settings& settings)
+{
+    coordination::peer_exchange_settings made;
+    made.self = settings.self;
+    made.zone = settings.listens_at.zone;
+    made.seed = decision::fingerprint(settings.self, "peers", "");
+    return made;
+}
+
+} // namespace
+
+std::string write_peer(const coordination::peer_router& where)
+{
+    return where.host + ":" + std::to_string(where.port) + " " + where.zone;
+}
+
+std::optional<coordination::peer_router> read_peer(std::string_view text)
+{
+    const auto space = text.find(' ');
+    const auto address = text.substr(0, space);
+    const auto colon = address.rfind(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return std::nullopt;
+    }
+    coordination::peer_router read;
+    read.host = address.substr(0, colon);
+    read.zone = space == std::string_view::npos ? std::string_view() : text.substr(space + 1);
+    const auto* end = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, read.port);
+    const bool whole = parsed.ec == std::errc() && parsed.ptr == end && read.port != 0;
+    return whole ? std::make_optional(read) : std::nullopt;
+}
+
+peer_desk::peer_desk(parts all, const peer_desk_settings& chosen)
+    : used(std::move(all)), settings(chosen), exchange(exchange_settings_for(chosen))
+{}
+
+void peer_desk::open(const std::string& fleet_key)
+{
+    if (this->link) {
+        return;
+    }
+    adapters::peer_link_settings chosen;
+    chosen.listen_host = this->settings.listens_at.host;
+    chosen.listen_port = this->settings.listens_at.port;
+    chosen.self = this->settings.self;
+    chosen.fleet_key = fleet_key;
+    const auto pass_on = [this](const std::string& from, const adapters::peer_address& reply_to,
+                                coordination::peer_message message) {
+        this->used.loop.post([this, from, reply_to, message = std::move(message)] {
+            this->take(from, reply_to, message);
+        });
+    };
+    try {
+        this->link = adapters::make_peer_link(chosen, pass_on);
+        adapters::log_change("peers_open", {{"port", std::to_string(this->link->port())}});
+    } catch (const std::system_error& error) {
+        adapters::log_warning("peers_closed", {{"cause", error.what()}});
+    }
+}
+
+void peer_desk::set_peer(const std::string& name, const coordination::peer_router& where)
+{
+    this->exchange.set_peer(name, where);
+}
+
+void peer_desk::drop_peer(const std::string& name)
+{
+    this->exchange.drop_peer(name);
+}
+
+void peer_desk::tick()
+{
+    if (!this->link) {
+        return;
+    }
+    const auto sends = this->exchange.on_tick(this->used.dispatcher.endpoints().own_loads(),
+                                              this->used.mirror.is_in_touch(),
+                                              this->used.mirror.revision(), this->used.loop.now());
+    for (const auto& send : sends) {
+        this->link->send({send.to.host, send.to.port}, send.message);
+    }
+}
+
+void peer_desk::take(const std::string& from, const adapters::peer_address& reply_to,
+                     const coordination::peer_message& message)
+{
+    if (const auto* told = std::get_if<coordination::load_push>(&message)) {
+        this->used.dispatcher.on_loads_told(from, told->loads, this->used.loop.now());
+    } else if (const auto* asked = std::get_if<coordination::mirror_pull>(&message)) {
+        this->answer(reply_to, *asked);
+    } else if (const auto* news = std::get_if<coordination::mirror_news>(&message)) {
+        this->take(from, *news);
+    }
+}
+
+// The store may serve the one that asks again before the answer comes; what is told late is older
+// than what is known, and changes nothing.
+void peer_desk::take(const std::string& from, const coordination::mirror_news& news)
+{
+    const bool brings = news.as_of > this->used.mirror.revision();
+    if (!this->exchange.takes(news) || !brings) {
+        return;
+    }
+    this->used.counts.add("pearhaven_peer_news", {});
+    adapters::log_change("heard_from_peer", {{"peer", from},
+                                             {"revision", std::to_string(news.as_of)},
+                                             {"changes", std::to_string(news.entries.size())},
+                                             {"whole", news.whole ? "true" : "false"}});
+    this->used.mirror.on_told(news);
+    this->used.on_news();
+}
+
+void peer_desk::answer(const adapters::peer_address& to, const coordination::mirror_pull& asked)
+{
+    auto news = this->used.mirror.news_after(asked.after);
+    if (news && this->link) {
+        news->nonce = asked.nonce;
+        this->link->send(to, *news);
+    }
+}
+
+} // namespace pearhaven::router
