Weigh all endpoints by what a request costs there

Cause: with the others' loads known, drawing two of a zone's endpoints and taking the better one left most of that knowledge unused; a prompt that was read counted as work until its answer's end; and nothing weighed what a long prompt does to the answers that are written beside it (most late answers are pauses over 1.2 s: an event of three tokens waits for three chunks of a large model's prompt). Change: where routers tell each other what they hold, every open endpoint gets a price: what it holds, reading the shared part anew where it is not first or second for it, the harm to answers beside it, the way into another zone. The lanes, which only broke ties, are gone with their settings.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -84,6 +84,7 @@
     std::uint32_t priority = 5;
     instant deadline;
     std::uint64_t prefix_hash = 0;
+    double prefix_work = 0.0; // work on top of `work` where the prefix is not cached
     std::uint64_t fingerprint = 0;
     continuation on_loss = continuation::same_run;
     std::uint32_t max_attempts =
@@ -179,7 +180,7 @@
     double retry_share_on_arrival = 0.0; // retries that each admitted request pays for
     double retry_burst = 20.0;           // retries allowed beyond those shares
     size_choice_settings sizes;
-    double small_model_work = 0.15;  // of the largest model's work, for the same request
+    double small_model_work = 0.1; // of the largest model's work, for the same request
     std::uint32_t max_refusals = 16; // endpoints that turned one request away before it ran
     std::uint32_t max_resumes = 3;   // fresh connections for one run
     std::uint32_t max_losses =
@@ -270,8 +271,9 @@
         std::uint32_t runs = 0; // attempts that were sent and not refused
         std::uint32_t size = 0; // of the model that the next attempt asks for
         instant arrived;
-        instant sent_at;     // the present attempt
-        bool packed = false; // the present attempt helps to fill one endpoint
+        instant sent_at;        // the present attempt
+        bool packed = false;    // the present attempt helps to fill one endpoint
+        double held_work = 0.0; // of the present attempt, that its endpoint still has to do
         rollout_note rollouts;
     };
 
@@ -312,8 +314,9 @@
     void resume(request_state& state, const attempt_end& end);
     void retry(request_state& state);
     void note_speed(const request_state& state, duration first_token);
-    [[nodiscard]] static endpoint_lane lane_of(const request_state& state);
+    [[nodiscard]] double size_factor(const request_state& state) const;
     [[nodiscard]] double work_of(const request_state& state) const;
+    void note_begun(request_state& state);
     [[nodiscard]] retry_budget& budget_of(const arrival& request);
     [[nodiscard]] bool may_run_once_more(const request_state& state) const;
     void note_version_refused(request_state& state) const;
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -59,25 +59,16 @@
     cancelled,
 };
 
-// The part of a zone's endpoints that a request is meant for. An engine reads prompts between the
-// steps in which it writes: while a large model reads long prompts, each token of every answer that
-// runs beside them waits for a chunk, and a long answer pauses for seconds. So the two are kept on
-// different endpoints, while there is room.
-enum class endpoint_lane : std::uint8_t {
-    any,
-    quick, // small models, and answers that are long for their prompts
-    bulk,  // long prompts on the largest model
-};
-
 // What an endpoint is wanted for.
 struct placement {
     std::string version_or_service;
     bool is_service = false;
     work_class kind = work_class::lookup;
     double work = 0.0;
-    endpoint_lane lane = endpoint_lane::any;
     bool packed = false;           // on the one endpoint that all routers choose, while it has room
     std::uint64_t prefix_hash = 0; // of the prompt's beginning; 0: no affinity
+    double reading = 0.0;          // of `work`, done before the answer begins
+    double cold_work = 0.0;        // on top of it where that beginning is not cached
     std::vector<std::string> avoid; // addresses not to be taken
 
     friend bool operator==(const placement&, const placement&) = default;
@@ -87,11 +78,18 @@
     std::string zone;
     std::uint64_t router_seed = 0; // differs by router: spreads the routers' subsets
 
-    std::size_t subset_size = 48;  // endpoints of a target that one router uses
-    double quick_share = 0.34;     // of a zone's endpoints of a version that are the quick lane's
-    double lane_bias = 0.3;        // load, as a share of a limit, accepted to stay in the lane
-    double zone_bias = 0.25;       // load, as a share of a limit, accepted to stay in the zone
-    bool affinity_in_zone = false; // prefixes are placed in the router's zone while it has room
+    std::size_t subset_size = 48; // endpoints of a target that one router uses
+    double zone_bias = 0.25;      // load, as a share of a limit, accepted to stay in the zone
+
+    // Whether all open endpoints are weighed against each other, for routers that tell each other
+    // what they hold. By its own work alone a router does better to draw two and take the better
+    // one: it would send to the one that all others choose as well.
+    bool weighs_all = false;
+
+    // Where all are weighed: load that a millisecond of reading adds for each answer that is being
+    // written there, as a part of its own. An engine reads prompts between the steps in which it
+    // writes, so everybody waits for a prompt that is being read.
+    double reading_harm = 0.05;
     double affinity_free_share = 0.25;  // of an endpoint's capacity that affinity may always fill
     double affinity_load_factor = 1.25; // of the mean load, up to which a warm endpoint is kept
 
@@ -144,6 +142,9 @@
     void ended(const std::string& address, work_class kind, double work, attempt_result result,
                duration first_token, instant now);
 
+    // Part of the work of an attempt under way is done. Its `ended` is told the rest.
+    void lightened(const std::string& address, double work);
+
     // Reports lag; what was sent since the moment they describe is added to them.
     void reported(const std::string& address, const load_report& report, instant now);
 
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -295,7 +295,8 @@
     wanted.kind = state.what.work.kind;
     wanted.work = this->work_of(state);
     wanted.prefix_hash = state.what.prefix_hash;
-    wanted.lane = lane_of(state);
+    wanted.reading = state.what.work.reading * this->size_factor(state);
+    wanted.cold_work = state.what.prefix_work * this->size_factor(state);
     wanted.packed = state.rollouts.fills_endpoint && this->exposure.is_filled(target);
     if (now < state.avoid_until) {
         wanted.avoid = state.avoid;
@@ -418,7 +419,8 @@
         this->exposure.spend(where.exposed_by);
         state.rollouts.exposed_by = where.exposed_by;
     }
-    this->table.started(where.address, request.work.kind, this->work_of(state), request.prefix_hash,
+    state.held_work = this->work_of(state);
+    this->table.started(where.address, request.work.kind, state.held_work, request.prefix_hash,
                         now);
     this->actions.emplace_back(
         start_attempt{request.ticket, state.attempt, where.address, where.version, state.size});
@@ -463,7 +465,7 @@
 {
     const auto& request = state.what;
     const double work = end.actual_work > 0.0 ? end.actual_work : request.work.tokens;
-    this->table.ended(state.address, request.work.kind, this->work_of(state), end.result,
+    this->table.ended(state.address, request.work.kind, state.held_work, end.result,
                       end.first_token, now);
     this->queue.settle(request.team, request.work.tokens, work);
     this->budget_of(request).on_success();
@@ -480,7 +482,7 @@
 {
     const auto& request = state.what;
     const auto address = state.address;
-    this->table.ended(address, request.work.kind, this->work_of(state), end.result, end.first_token,
+    this->table.ended(address, request.work.kind, state.held_work, end.result, end.first_token,
                       now);
     if (end.endpoint_leaving) {
         const auto host = this->table.find(address);
@@ -573,7 +575,7 @@
     if (crashed && !request.is_service && state.struck_attempt != state.attempt) {
         this->blame_crash(address, now);
     }
-    this->table.ended(address, request.work.kind, this->work_of(state), end.result, end.first_token,
+    this->table.ended(address, request.work.kind, state.held_work, end.result, end.first_token,
                       now);
     this->queue.settle(request.team, request.work.tokens, request.work.tokens);
     state.address.clear();
@@ -648,20 +650,26 @@
     }
 }
 
-endpoint_lane dispatcher::lane_of(const request_state& state)
+double dispatcher::size_factor(const request_state& state) const
 {
-    if (state.what.sizes < 2) {
-        return endpoint_lane::any;
-    }
-    const bool is_largest = state.size + 1 == state.what.sizes;
-    return is_largest && state.what.long_prompt ? endpoint_lane::bulk : endpoint_lane::quick;
+    const bool is_small = state.size + 1 < state.what.sizes;
+    return is_small ? this->settings.small_model_work : 1.0;
 }
 
 // What the next or present attempt weighs on its endpoint.
 double dispatcher::work_of(const request_state& state) const
 {
-    const bool is_small = state.size + 1 < state.what.sizes;
-    return state.what.work.tokens * (is_small ? this->settings.small_model_work : 1.0);
+    return state.what.work.tokens * this->size_factor(state);
+}
+
+// An answer that has begun has its prompt read. Counted on, a prompt of half a second would keep
+// others away from its endpoint for all the seconds in which the answer is only written.
+void dispatcher::note_begun(request_state& state)
+{
+    const double done =
+        std::min(state.held_work, state.what.work.reading * this->size_factor(state));
+    state.held_work -= done;
+    this->table.lightened(state.address, done);
 }
 
 bool dispatcher::may_run_once_more(const request_state& state) const
@@ -693,10 +701,11 @@
                        state.runs + 1 < std::max(request.max_attempts, 1U) &&
                        this->budget_of(request).try_spend();
     if (!drops) {
+        this->note_begun(state);
         return true;
     }
-    this->table.ended(state.address, request.work.kind, this->work_of(state),
-                      attempt_result::cancelled, duration::zero(), now);
+    this->table.ended(state.address, request.work.kind, state.held_work, attempt_result::cancelled,
+                      duration::zero(), now);
     this->queue.settle(request.team, request.work.tokens, this->work_of(state));
     state.address.clear();
     state.may_have_run = true;
@@ -742,7 +751,7 @@
     } else {
         const auto& request = state.what;
         this->actions.emplace_back(cancel_attempt{ticket, state.attempt, state.address});
-        this->table.ended(state.address, request.work.kind, this->work_of(state),
+        this->table.ended(state.address, request.work.kind, state.held_work,
                           attempt_result::cancelled, duration::zero(), now);
         this->queue.settle(request.team, request.work.tokens, request.work.tokens);
     }
@@ -785,7 +794,7 @@
         const auto& state = this->requests.at(ticket);
         const auto& request = state.what;
         this->actions.emplace_back(cancel_attempt{ticket, state.attempt, state.address});
-        this->table.ended(state.address, request.work.kind, this->work_of(state),
+        this->table.ended(state.address, request.work.kind, state.held_work,
                           attempt_result::cancelled, duration::zero(), now);
         this->queue.settle(request.team, request.work.tokens, request.work.tokens);
         this->give_up(ticket,
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -12,6 +12,10 @@
 // Of a subset, the part kept for other zones, so that work can leave a zone that is full or down.
 constexpr std::size_t remote_part_of_subset = 4;
 
+// The endpoint that ranks second for a prefix takes the overflow of the first, so that it has the
+// prefix about every other time.
+constexpr double cold_part_of_second = 0.5;
+
 // How long a router keeps to its draw for a slot; covers the lag of most load reports.
 constexpr duration draw_period = std::chrono::seconds(1);
 
@@ -120,65 +124,50 @@
         const bool is_local = where->host.zone == this->settings.zone;
         (is_local ? local : remote).push_back(where);
     }
-    if (!this->settings.affinity_in_zone) {
-        if (const endpoint* warm = this->choose_warm(subset)) {
-            return warm;
-        }
+    if (this->settings.weighs_all) {
+        return this->cheapest(subset, local, random);
     }
-    const auto lane = this->lane_of(local);
-    auto best = this->better_of_two(lane, random);
-    if (this->settings.affinity_in_zone && this->wanted.prefix_hash != 0) {
-        best = this->better_when_warm(lane, best);
+    if (const endpoint* warm = this->choose_warm(subset)) {
+        return warm;
     }
-    const auto consider = [&best](const std::optional<candidate>& other, double bias) {
-        if (other && (!best || other->score + bias < best->score)) {
-            best = other;
-        }
-    };
-    if (lane.size() < local.size()) {
-        consider(this->better_of_two(local, random + 1), this->settings.lane_bias);
+    auto best = this->better_of_two(local, random);
+    const auto other = this->better_of_two(remote, mix(random));
+    if (other && (!best || other->score + this->settings.zone_bias < best->score)) {
+        best = other;
     }
-    consider(this->better_of_two(remote, mix(random)), this->settings.zone_bias);
     return best.value_or(candidate()).where;
 }
 
-// The endpoint that is likely to hold the prompt's beginning, unless its load is so much over the
-// other candidate's that reading the beginning anew there costs less than waiting.
-std::optional<endpoint_choice::candidate>
-endpoint_choice::better_when_warm(const std::vector<endpoint*>& lane,
-                                  std::optional<candidate> cold) const
+// The endpoint that costs least: what it holds already, what reading the prompt there costs this
+// request and those beside it, and the way into another zone. `random` says where equal ones are
+// looked at first.
+const endpoint* endpoint_choice::cheapest(const std::vector<endpoint*>& subset,
+                                          const std::vector<endpoint*>& local,
+                                          std::uint64_t random) const
 {
-    double bonus = this->settings.affinity_free_share;
-    for (const endpoint* where : ranked_first(lane, this->wanted.prefix_hash)) {
-        if (where != nullptr && this->has_room(*where)) {
-            const auto warm = this->weigh(*where);
-            if (!cold || warm.score - bonus < cold->score) {
-                return candidate{warm.where, std::max(0.0, warm.score - bonus)};
-            }
+    const auto warm = ranked_first(local.empty() ? subset : local, this->wanted.prefix_hash);
+    candidate best;
+    for (std::size_t i = 0; i < subset.size(); ++i) {
+        const endpoint* where = subset[(random + i) % subset.size()];
+        if (!this->has_room(*where)) {
+            continue;
+        }
+        const bool is_local = where->host.zone == this->settings.zone;
+        const double cold = this->load_of_work(this->wanted.cold_work, *where);
+        double score = this->load_of(*where) + this->reading_cost(*where);
+        score += is_local ? 0.0 : this->settings.zone_bias;
+        score += where == warm[0] ? 0.0 : cold * (where == warm[1] ? cold_part_of_second : 1.0);
+        if (best.where == nullptr || score < best.score) {
+            best = {where, score};
         }
-        bonus /= 2;
     }
-    return cold;
+    return best.where;
 }
 
-// The zone's endpoints for the wanted lane. All routers rank the endpoints alike, so that they
-// agree without talk on which ones are quick.
-std::vector<endpoint*> endpoint_choice::lane_of(const std::vector<endpoint*>& zone) const
+double endpoint_choice::reading_cost(const endpoint& where) const
 {
-    if (this->wanted.lane == endpoint_lane::any || zone.size() < 2) {
-        return zone;
-    }
-    auto ranked = zone;
-    std::sort(ranked.begin(), ranked.end(), [](const endpoint* left, const endpoint* right) {
-        return mix(left->identity) < mix(right->identity);
-    });
-    const double part = this->settings.quick_share * static_cast<double>(ranked.size());
-    const auto quick =
-        std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(part)), 1, ranked.size() - 1);
-    const auto middle = ranked.begin() + static_cast<std::ptrdiff_t>(quick);
-    return this->wanted.lane == endpoint_lane::quick
-               ? std::vector<endpoint*>(ranked.begin(), middle)
-               : std::vector<endpoint*>(middle, ranked.end());
+    return this->settings.reading_harm * this->requests_at(where) *
+           this->load_of_work(this->wanted.reading, where);
 }
 
 bool endpoint_choice::has_room(const endpoint& where) const
@@ -242,11 +231,20 @@
 // Requests held and work held, each against what the endpoint bears.
 double endpoint_choice::load_of(const endpoint& where) const
 {
-    const auto told = this->others.of(where.host.address);
-    const double work = (where.work + told.work) / this->settings.typical_work;
-    const double held =
-        std::max(where.held(this->now, this->settings), where.outstanding + told.requests);
-    return (held + work) / where.capacity();
+    const double work = where.work + this->others.of(where.host.address).work;
+    const double held = std::max(where.held(this->now, this->settings), this->requests_at(where));
+    return held / where.capacity() + this->load_of_work(work, where);
+}
+
+double endpoint_choice::load_of_work(double work, const endpoint& where) const
+{
+    return work / this->settings.typical_work / where.capacity();
+}
+
+// This router's requests there and those of the others.
+double endpoint_choice::requests_at(const endpoint& where) const
+{
+    return where.outstanding + this->others.of(where.host.address).requests;
 }
 
 // The endpoint that is likely to hold the prompt's beginning in its cache, or the one that takes
--- a/decision/src/endpoint_choice.hpp
+++ b/decision/src/endpoint_choice.hpp
@@ -46,9 +46,12 @@
     [[nodiscard]] bool reports_room(const endpoint& where) const;
     [[nodiscard]] bool may_add_reading(const endpoint& where, double held) const;
     [[nodiscard]] double load_of(const endpoint& where) const;
-    [[nodiscard]] std::vector<endpoint*> lane_of(const std::vector<endpoint*>& zone) const;
-    [[nodiscard]] std::optional<candidate> better_when_warm(const std::vector<endpoint*>& lane,
-                                                            std::optional<candidate> cold) const;
+    [[nodiscard]] const endpoint* cheapest(const std::vector<endpoint*>& subset,
+                                           const std::vector<endpoint*>& local,
+                                           std::uint64_t random) const;
+    [[nodiscard]] double reading_cost(const endpoint& where) const;
+    [[nodiscard]] double requests_at(const endpoint& where) const;
+    [[nodiscard]] double load_of_work(double work, const endpoint& where) const;
     [[nodiscard]] const endpoint* choose_warm(const std::vector<endpoint*>& subset) const;
     [[nodiscard]] double most_load_when_warm(const std::vector<endpoint*>& subset) const;
     [[nodiscard]] std::optional<candidate> better_of_two(const std::vector<endpoint*>& open,
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -220,6 +220,13 @@
     }
 }
 
+void endpoint_table::lightened(const std::string& address, double work)
+{
+    if (endpoint* where = this->inner->directory.find(address)) {
+        where->work = std::max(0.0, where->work - work);
+    }
+}
+
 void endpoint_table::reported(const std::string& address, const load_report& report, instant now)
 {
     if (endpoint* where = this->inner->directory.find(address)) {
--- a/decision/test/endpoint_table_test.cpp
+++ b/decision/test/endpoint_table_test.cpp
@@ -674,3 +674,70 @@
     CHECK_EQUAL(std::string("e1"), held[0].address);
     CHECK_EQUAL(2U, held[0].requests);
 }
+
+namespace {
+
+// A table that weighs all: e0 and e1 in the router's zone osu, far in another one.
+struct weighing_table : osu_table {
+    weighing_table() : osu_table(2, 64, weighs_all())
+    {
+        this->hosts.push_back(host_at("far", "tema"));
+        this->table.set_hosts(this->hosts, this->now);
+    }
+
+    static endpoint_table_settings weighs_all()
+    {
+        endpoint_table_settings settings;
+        settings.weighs_all = true;
+        settings.typical_work = 14.0;
+        settings.zone_bias = 0.5;
+        return settings;
+    }
+
+    void tell(std::uint32_t at_e0, std::uint32_t at_e1, std::uint32_t at_far)
+    {
+        this->table.told("other", {{"e0", at_e0, 0.0}, {"e1", at_e1, 0.0}, {"far", at_far, 0.0}},
+                         this->now);
+    }
+};
+
+} // namespace
+
+TEST(endpoint_table_test, where_all_are_weighed_the_least_loaded_is_taken)
+{
+    weighing_table known;
+    known.tell(5, 4, 1);
+    CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
+    known.tell(60, 60, 1);
+    CHECK_TRUE((names{"far"}) == known.chosen(a_lookup));
+}
+
+TEST(endpoint_table_test, where_all_are_weighed_reading_a_prompt_anew_has_its_price)
+{
+    weighing_table known;
+    placement warm = a_lookup;
+    warm.prefix_hash = 4711;
+    warm.cold_work = 448.0; // half of what a full endpoint bears
+    known.tell(0, 0, 0);
+    const auto first = known.chosen(warm);
+    CHECK_EQUAL(1U, first.size());
+    const bool is_e0 = first.count("e0") == 1;
+    known.tell(is_e0 ? 8 : 0, is_e0 ? 0 : 8, 0);
+    CHECK_TRUE(first == known.chosen(warm)); // the second place would read half of it anew
+    known.tell(is_e0 ? 24 : 0, is_e0 ? 0 : 24, 0);
+    CHECK_FALSE(first == known.chosen(warm));
+}
+
+// Both endpoints hold as much, one many short answers, the other one long prompt. A prompt that
+// takes long to read would hold up all those answers.
+TEST(endpoint_table_test, where_all_are_weighed_a_long_prompt_keeps_away_from_many_answers)
+{
+    weighing_table known;
+    known.table.told("other", {{"e0", 12, 0.0}, {"e1", 1, 11 * 14.0}, {"far", 64, 0.0}}, known.now);
+    placement prompt = a_lookup;
+    prompt.reading = 500.0;
+    CHECK_TRUE((names{"e1"}) == known.chosen(prompt));
+    placement question = a_lookup;
+    question.reading = 0.0;
+    CHECK_EQUAL(2U, known.chosen(question).size());
+}
--- a/decision/test/routed_dispatch_test.cpp
+++ b/decision/test/routed_dispatch_test.cpp
@@ -234,3 +234,21 @@
     CHECK_TRUE(end != nullptr && end->why.code == failure_code::stopping);
     CHECK_TRUE(end->why.run == run_state::not_run && end->why.retry_after > duration::zero());
 }
+
+// A long prompt holds its endpoint up while it is read, and hardly while its answer is written.
+// Were its reading counted to the end, others would be kept away from an endpoint that is free.
+TEST(routed_dispatch, what_is_read_weighs_on_its_endpoint_no_longer)
+{
+    auto request = make_request();
+    request.work.reading = 80.0;
+    request.sizes = 0;
+    this->router->on_arrival(request, now);
+    const auto only = this->last_start();
+    DOUBLES_EQUAL(100.0, this->router->endpoints().own_loads().at(0).work, 0.001);
+    CHECK_TRUE(this->router->accepts_answer(1, only.attempt, 100.0, now + milliseconds(100)));
+    DOUBLES_EQUAL(20.0, this->router->endpoints().own_loads().at(0).work, 0.001);
+    attempt_end end = broken(only, 3);
+    end.result = attempt_result::finished;
+    this->router->on_attempt_end(end, now + milliseconds(200));
+    CHECK_TRUE(this->router->endpoints().own_loads().empty());
+}
