Give an endpoint up only when it has shown no life for longer

Cause: a stream was moved when nothing had come from its endpoint on any of this router's connections for 0.6 s.

--- a/router/include/pearhaven/router/event_relay.hpp
+++ b/router/include/pearhaven/router/event_relay.hpp
@@ -28,13 +28,13 @@
 
     // Part of the longest pause that a stream may be silent before another endpoint goes on with
     // it: the rest is for the new run's first piece.
-    double pause_patience = 0.8;
+    double pause_patience = 1.4;
 
     // A piece on any connection of an endpoint shows for so long that the endpoint lives.
-    decision::duration sign_of_life = std::chrono::milliseconds(600);
+    decision::duration sign_of_life = std::chrono::milliseconds(1500);
 
     // Waits in a row without a piece after which even an endpoint that lives is given up.
-    std::uint32_t most_silences = 4;
+    std::uint32_t most_silences = 3;
 
     // Of one answer, what its caller has not taken yet; beyond it the endpoint is not read.
     std::size_t most_unsent = 64U << 10U;
