Tell a slow version by the pace of its streams, and end a trial only when its endpoint was full

Measured: the middle gap between pieces is 21 ms for half of the old version's streams and under 28 ms for three of four, 32 ms at a full endpoint of a good version, and over 65 ms for 19 of 20 of the slow one's. Change: streams are judged by that gap, against twice the old version's; answers that come whole still by their time. When the endpoint is lost, all routers go on with the next; the trial goes on, within bounds, until some router has seen it full (half of the slots).

--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -84,10 +84,11 @@
     double load_per_slot = 1.25;
     double least_load_per_slot = 0.5; // that can be reached; with less the trial shows nothing
 
-    // Part of the order's time that the trial may take, at most; and with what it goes on while its
-    // answers are more often bad than not to be expected, but too few to tell.
+    // Part of the order's time that the trial may take, at most; and for which it goes on where the
+    // endpoint has not been full yet, as when it was lost, or where there are more bad answers than
+    // a good version has but too few to tell.
     double load_part = 0.2;
-    double doubtful_load_part = 0.1;
+    double longer_load_part = 0.1;
 
     // Part of the order's time after which each router tells its rate of long answers, from which
     // the trial's length is worked out: just before the trial, so that the rates are fresh.
@@ -110,10 +111,11 @@
     decision::duration turn = std::chrono::milliseconds(400);
 };
 
-// What a router serves of the model each second.
+// What a router serves of the model each second, and sees of the trial under load.
 struct course_rates {
     double requests = 0.0;
     double long_answers = 0.0;
+    double filling = 0.0; // requests of all routers now at the endpoint that is being filled
 
     friend bool operator==(const course_rates&, const course_rates&) = default;
 };
@@ -172,7 +174,7 @@
     [[nodiscard]] bool has_news() const;
     [[nodiscard]] bool rate_is_due(decision::instant now) const;
     [[nodiscard]] decision::duration load_time(std::size_t size) const;
-    [[nodiscard]] decision::duration extra_load_time() const;
+    [[nodiscard]] decision::duration longer_load_time() const;
     [[nodiscard]] course_record first_record(std::size_t size, double request_rate) const;
     [[nodiscard]] std::optional<course_record>
     next_record(std::size_t size, const course_rates& rates, decision::instant now) const;
@@ -192,6 +194,7 @@
     bool told_trip = false;
     course_evidence reported;
     bool told_rate = false;
+    double most_filled = 0.0; // requests seen at the endpoint that is being filled
     decision::instant next_report;
     bool writing = false;
     decision::instant retry_at;
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -193,10 +193,12 @@
     return std::max(time, least_load_time);
 }
 
-decision::duration rollout_course::extra_load_time() const
+decision::duration rollout_course::longer_load_time() const
 {
-    return this->is_doubtful() ? this->part(this->settings.doubtful_load_part)
-                               : decision::duration::zero();
+    const bool was_full =
+        this->most_filled >= this->settings.least_load_per_slot * this->what.slots;
+    return was_full && !this->is_doubtful() ? decision::duration::zero()
+                                            : this->part(this->settings.longer_load_part);
 }
 
 course_record rollout_course::first_record(std::size_t size, double request_rate) const
@@ -248,7 +250,7 @@
         }
         break;
     case course_state::loaded:
-        if (in_step >= this->load_time(size) + this->extra_load_time()) {
+        if (in_step >= this->load_time(size) + this->longer_load_time()) {
             return course_state::whole;
         }
         break;
@@ -277,6 +279,9 @@
     }
     this->own.run = this->what.run;
     this->own.long_rate = rates.long_answers;
+    if (this->part_of_course() == course_state::loaded) {
+        this->most_filled = std::max(this->most_filled, rates.filling);
+    }
     const bool tells_rate = this->rate_is_due(now);
     if ((this->has_news() || tells_rate) && now >= this->next_report) {
         this->told_rate = this->told_rate || tells_rate;
--- a/coordination/test/rollout_course_test.cpp
+++ b/coordination/test/rollout_course_test.cpp
@@ -26,7 +26,7 @@
 }
 
 // What each router of these fleets serves: nine of them fill an endpoint of 64 slots in 4.4 s.
-constexpr course_rates usual_rates{6.0, 2.0};
+constexpr course_rates usual_rates{6.0, 2.0, 64.0};
 
 // The store's one record, and the routers that follow it.
 class course_fleet {
@@ -209,7 +209,7 @@
 TEST(rollout_course, good_answers_of_a_quiet_part_do_not_hide_bad_ones_of_the_next)
 {
     course_fleet fleet(2);
-    fleet.rates = {20.0, 10.0};
+    fleet.rates = {20.0, 10.0, 64.0};
     const std::vector<bool> all(2, true);
     fleet.tick(start, all);
     fleet.courses[0]->on_own_evidence({200, 1}, {}, false);
@@ -242,6 +242,20 @@
     CHECK_TRUE(course_state::finished == doubtful.history.back().state);
 }
 
+// The endpoint that was being filled is lost in the middle of the trial, and another one takes its
+// place. Had the trial ended by the clock, nothing would have been tried.
+TEST(rollout_course, a_trial_that_has_not_filled_its_endpoint_goes_on)
+{
+    course_fleet fleet(9);
+    const std::vector<bool> all(9, true);
+    fleet.rates.filling = 20.0;
+    play(fleet, milliseconds(17'700), all);
+    CHECK_TRUE(course_state::loaded == fleet.history.back().state);
+    fleet.rates.filling = 40.0;
+    fleet.tick(start + milliseconds(17'800), all);
+    CHECK_TRUE(course_state::whole == fleet.history.back().state);
+}
+
 TEST(rollout_course, no_endpoint_is_filled_where_callers_are_too_few_for_it)
 {
     course_fleet fleet(3);
@@ -259,7 +273,7 @@
 {
     course_fleet fleet(2);
     const std::vector<bool> all(2, true);
-    fleet.rates = {40.0, 40.0};
+    fleet.rates = {40.0, 40.0, 64.0};
     fleet.courses[1]->on_evidence("0", {attempt, course_state::staged, {}, {}, 40.0});
     fleet.courses[0]->on_evidence("1", {attempt, course_state::staged, {}, {}, 40.0});
     play(fleet, milliseconds(12'600), all);
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -180,7 +180,7 @@
     double retry_share_on_arrival = 0.0; // retries that each admitted request pays for
     double retry_burst = 20.0;           // retries allowed beyond those shares
     size_choice_settings sizes;
-    double small_model_work = 0.1; // of the largest model's work, for the same request
+    double small_model_work = 0.1;   // of the largest model's work, for the same request
     std::uint32_t max_refusals = 16; // endpoints that turned one request away before it ran
     std::uint32_t max_resumes = 3;   // fresh connections for one run
     std::uint32_t max_losses =
@@ -230,6 +230,11 @@
     [[nodiscard]] bool accepts_answer(ticket_number ticket, attempt_number attempt,
                                       double confidence, instant now);
 
+    // The usual time between two pieces of the attempt's answer, once enough of them have come to
+    // tell, or at its end. It tells a version that writes slowly: single pieces wait for other
+    // callers' prompts, the middle one of several does not.
+    void on_pace(ticket_number ticket, attempt_number attempt, duration between_pieces);
+
     // Whether the request would get another attempt if its present one were given up now. If not,
     // waiting on is its only hope.
     [[nodiscard]] bool may_move(ticket_number ticket) const;
@@ -314,6 +319,8 @@
     void resume(request_state& state, const attempt_end& end);
     void retry(request_state& state);
     void note_speed(const request_state& state, duration first_token);
+    void weigh_speed(const request_state& state, speed_reference& reference, duration time);
+    [[nodiscard]] static speed_reference_settings pace_settings();
     [[nodiscard]] double size_factor(const request_state& state) const;
     [[nodiscard]] double work_of(const request_state& state) const;
     void note_begun(request_state& state);
@@ -341,7 +348,8 @@
     std::map<std::string, counted_arrivals> arrivals_by_target;
     std::map<std::string, counted_arrivals> long_arrivals_by_target;
     std::map<std::string, std::uint32_t> team_in_flight;
-    speed_reference speed;
+    speed_reference first_tokens; // of answers that come whole
+    speed_reference paces{pace_settings()};
     rollout_exposure exposure;
     std::vector<dispatch_action> actions;
     bool draining = false;
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -159,6 +159,9 @@
     [[nodiscard]] std::optional<std::string> choose(const placement& wanted, instant now,
                                                     std::uint64_t random) const;
 
+    // Requests of all routers at the endpoint that packed ones go to; zero where there is none.
+    [[nodiscard]] double packed_requests(const std::string& version, instant now) const;
+
     // Whether there is any endpoint that is not leaving, though it may be full or ejected.
     [[nodiscard]] bool serves(const placement& wanted, instant now) const;
 
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -554,8 +554,10 @@
     }
     state.rollouts.lost_on.push_back(state.version);
     // Silence under the load of all traffic is a full queue as likely as a bad version.
-    const bool busy = end.result == attempt_result::went_silent &&
-                      (state.packed || this->exposure.is_whole(state.version));
+    // The endpoint that is filled has as much as it can bear and no more: of a good version none
+    // was seen to fall silent.
+    const bool busy =
+        end.result == attempt_result::went_silent && this->exposure.is_whole(state.version);
     // Where a run ends with its connection, a crash of the endpoint ends many at once.
     const bool crashed = end.result == attempt_result::failed && !end.answered_error &&
                          state.what.on_loss != continuation::same_run;
@@ -633,23 +635,51 @@
 }
 
 // A bad version can answer rightly and several times too slowly. Its answers are measured against
-// those of the version that serves beside it or served before, for the same size of model.
+// those of the version that serves beside it or served before, for the same size of model. First
+// pieces of streams wait for other callers' prompts, by anything up to seconds, and tell little.
 void dispatcher::note_speed(const request_state& state, duration first_token)
 {
-    // An endpoint that is being filled is slow by design.
-    if (state.what.is_service || state.packed || first_token <= duration::zero()) {
+    if (!state.what.streamed && first_token > duration::zero()) {
+        this->weigh_speed(state, this->first_tokens, first_token);
+    }
+}
+
+void dispatcher::on_pace(ticket_number ticket, attempt_number attempt, duration between_pieces)
+{
+    const auto found = this->requests.find(ticket);
+    if (found != this->requests.end() && found->second.attempt == attempt &&
+        !found->second.address.empty()) {
+        this->weigh_speed(found->second, this->paces, between_pieces);
+    }
+}
+
+void dispatcher::weigh_speed(const request_state& state, speed_reference& reference, duration time)
+{
+    if (state.what.is_service) {
         return;
     }
     if (!this->exposure.watches(state.version)) {
-        this->speed.learn(state.what.asked, state.size, first_token);
+        reference.learn(state.what.asked, state.size, time);
         return;
     }
-    const auto slow = this->speed.is_slow(state.what.asked, state.size, first_token);
+    const auto slow = reference.is_slow(state.what.asked, state.size, time);
     if (slow) {
         this->exposure.on_speed(state.version, *slow);
     }
 }
 
+// Half of a good version's streams keep to the middle pace, and four of five to twice that; an
+// endpoint that is full writes at one and a half times the pace of a half empty one. A version that
+// is several times slower keeps hardly one stream within.
+speed_reference_settings dispatcher::pace_settings()
+{
+    speed_reference_settings settings;
+    settings.share_within = 0.5;
+    settings.factor = 2.0;
+    settings.noise = std::chrono::milliseconds(5);
+    return settings;
+}
+
 double dispatcher::size_factor(const request_state& state) const
 {
     const bool is_small = state.size + 1 < state.what.sizes;
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -91,21 +91,21 @@
     return subset;
 }
 
-// The endpoint that every router ranks first, whatever its zone and its subset; null where it may
-// not be taken.
+// Of the endpoints that may be taken the one that every router ranks first, whatever its zone and
+// its subset; null where none may.
 const endpoint* endpoint_choice::packed_on(const route& from) const
 {
     const endpoint* first = nullptr;
     for (const auto* side : {&from.local, &from.remote}) {
         for (const endpoint* where : *side) {
-            if (first == nullptr || mix(where->identity) > mix(first->identity)) {
+            const bool ranks = first == nullptr || mix(where->identity) > mix(first->identity);
+            if (ranks && !is_left_out(*where, this->wanted.avoid, this->now) &&
+                this->has_room(*where)) {
                 first = where;
             }
         }
     }
-    const bool may_take = first != nullptr && !is_left_out(*first, this->wanted.avoid, this->now) &&
-                          this->has_room(*first);
-    return may_take ? first : nullptr;
+    return first;
 }
 
 const endpoint* endpoint_choice::choose(const route& from, std::uint64_t random)
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -254,6 +254,16 @@
     this->inner->others.on_told(router, std::move(loads), now);
 }
 
+double endpoint_table::packed_requests(const std::string& version, instant now) const
+{
+    placement wanted;
+    wanted.version_or_service = version;
+    wanted.packed = true;
+    const auto address = this->choose(wanted, now, 0);
+    const auto* where = address ? this->inner->directory.find(*address) : nullptr;
+    return where == nullptr ? 0.0 : where->outstanding + this->inner->others.of(*address).requests;
+}
+
 std::vector<endpoint_load> endpoint_table::own_loads() const
 {
     std::vector<endpoint_load> held;
--- a/decision/test/endpoint_table_test.cpp
+++ b/decision/test/endpoint_table_test.cpp
@@ -741,3 +741,25 @@
     question.reading = 0.0;
     CHECK_EQUAL(2U, known.chosen(question).size());
 }
+
+// All routers send to one endpoint. When it is lost, all of them go on with the same next one.
+TEST(endpoint_table_test, packed_requests_go_to_one_endpoint_and_to_the_next_when_it_is_lost)
+{
+    osu_table one(8, 16);
+    endpoint_table_settings seeded;
+    seeded.router_seed = 77;
+    osu_table two(8, 16, seeded);
+    placement packed = a_lookup;
+    packed.packed = true;
+    const auto first = one.choose(packed);
+    CHECK_TRUE((names{first}) == one.chosen(packed));
+    CHECK_EQUAL(first, two.choose(packed));
+    one.table.mark_leaving(first, 0, one.now);
+    two.table.mark_leaving(first, 0, two.now);
+    const auto next = one.choose(packed);
+    CHECK_FALSE(first == next);
+    CHECK_EQUAL(next, two.choose(packed));
+    one.start_many(next, 3);
+    one.table.told("other", {{next, 4, 0.0}}, one.now);
+    DOUBLES_EQUAL(7.0, one.table.packed_requests("reader-1", one.now), 0.001);
+}
--- a/decision/test/rollout_dispatch_test.cpp
+++ b/decision/test/rollout_dispatch_test.cpp
@@ -197,16 +197,16 @@
     CHECK_TRUE(router.long_arrival_rate("adjudicator") > 0.0);
 }
 
-// The filled endpoint says nothing for long. That is what filling it does, and no fault of the
-// version; the request goes on elsewhere.
-TEST(rollout_dispatch_test, the_silence_of_a_filled_endpoint_is_no_evidence)
+// The filled endpoint says nothing for long, where one of a good version goes on answering: it is
+// several times too slow. The request goes on elsewhere.
+TEST(rollout_dispatch_test, the_silence_of_a_filled_endpoint_is_evidence)
 {
     begin();
     router.on_configuration(make_configuration({true, "adjudicator", true}), now);
     const auto first = arrive_long();
     const auto second = end(first, attempt_result::went_silent, false);
     CHECK_TRUE(first.address != second.address);
-    LONGS_EQUAL(0, router.rollouts().at(0).seen.total());
+    LONGS_EQUAL(1, router.rollouts().at(0).seen.bad);
 }
 
 TEST(rollout_dispatch_test, an_error_of_a_filled_endpoint_is_evidence)
@@ -226,3 +226,29 @@
     router.on_configuration(make_configuration({true, "adjudicator-1", true}), now);
     CHECK_EQUAL(std::string("adjudicator-1"), arrive_long().version);
 }
+
+// The new version answers rightly, and writes several times as slowly. First pieces come late for
+// many reasons, so only the pace of what is written tells.
+TEST(rollout_dispatch_test, a_stream_that_is_written_slowly_is_evidence_of_slowness)
+{
+    begin();
+    arrive();
+    arrive(); // the step's two callers
+    for (int i = 0; i < 20; ++i) {
+        const auto small = arrive_long();
+        CHECK_EQUAL(std::string("adjudicator-1"), small.version);
+        CHECK_FALSE(router.accepts_answer(small.ticket, small.attempt, 0.0, now));
+        const auto usual = started(); // by the largest model
+        router.on_pace(usual.ticket, usual.attempt, milliseconds(20));
+    }
+    router.on_configuration(make_configuration({true, "adjudicator", true}), now);
+    const auto first = arrive_long();
+    CHECK_EQUAL(std::string("adjudicator-2"), first.version);
+    router.on_pace(first.ticket, first.attempt, milliseconds(160));
+    LONGS_EQUAL(1, router.rollouts().at(0).speed.bad);
+    const auto second = arrive_long();
+    router.on_pace(second.ticket, second.attempt, milliseconds(32));
+    LONGS_EQUAL(1, router.rollouts().at(0).speed.good);
+    router.on_pace(second.ticket, second.attempt + 1, milliseconds(160)); // of no attempt
+    LONGS_EQUAL(2, router.rollouts().at(0).speed.total());
+}
--- a/decision/test/speed_reference_test.cpp
+++ b/decision/test/speed_reference_test.cpp
@@ -46,3 +46,18 @@
     CHECK_FALSE(*reference.is_slow("model", 0, milliseconds(6)));
     CHECK_TRUE(*reference.is_slow("model", 0, milliseconds(30)));
 }
+
+// A pace is judged against the middle one of the model's streams, with room for a full endpoint.
+TEST(speed_reference, follows_the_share_and_the_factor_that_it_is_given)
+{
+    speed_reference_settings settings;
+    settings.share_within = 0.5;
+    settings.factor = 2.0;
+    settings.noise = milliseconds(5);
+    speed_reference reference(settings);
+    for (int i = 0; i < 2000; ++i) {
+        reference.learn("model", 0, milliseconds(10 + (i * 7) % 21));
+    }
+    CHECK_FALSE(*reference.is_slow("model", 0, milliseconds(35)));
+    CHECK_TRUE(*reference.is_slow("model", 0, milliseconds(60)));
+}
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -443,6 +443,9 @@
         relayed.caller->write(event.bytes);
         relayed.last_event = event.id.value_or(relayed.last_event);
         ++current.tokens;
+        if (const auto pace = current.pace.on_piece(now)) {
+            this->dispatcher.on_pace(ticket, current.number, *pace);
+        }
     }
     if (current.spoiled) {
         adapters::log_warning("stream_gap", {{"id", relayed.request.id},
@@ -542,6 +545,9 @@
 {
     auto& current = relayed.attempt;
     end.tokens = current.tokens;
+    if (const auto pace = current.pace.at_end()) {
+        this->dispatcher.on_pace(end.ticket, end.attempt, *pace);
+    }
     note_attempt(relayed, name_of(end.result));
     if (end.result != attempt_result::finished) {
         this->counts.add("pearhaven_attempts_lost", {{"result", name_of(end.result)}});
--- a/router/src/relayed_request.hpp
+++ b/router/src/relayed_request.hpp
@@ -2,6 +2,7 @@
 #define PEARHAVEN_ROUTER_SRC_RELAYED_REQUEST_HPP
 
 #include "event_splitter.hpp"
+#include "pace_meter.hpp"
 
 #include "pearhaven/router/caller_dialect.hpp"
 
@@ -32,6 +33,7 @@
     std::string held;
     event_splitter events;
     std::uint64_t tokens = 0;   // events passed on
+    pace_meter pace;
     std::uint32_t silences = 0; // waits in a row that brought nothing
     bool spoiled = false;       // an event that does not follow the one before
 };
