--- a/adapters/src/course_codec.cpp
+++ b/adapters/src/course_codec.cpp
@@ -77,6 +77,8 @@
                 {"bad", evidence.seen.bad},
                 {"quick", evidence.speed.good},
                 {"slow", evidence.speed.bad},
+                {"earlier_good", evidence.earlier.good},
+                {"earlier_bad", evidence.earlier.bad},
                 {"long_rate", evidence.long_rate}}
         .dump();
 }
@@ -96,6 +98,8 @@
         evidence.seen.bad = body.at("bad").get<std::uint64_t>();
         evidence.speed.good = body.at("quick").get<std::uint64_t>();
         evidence.speed.bad = body.at("slow").get<std::uint64_t>();
+        evidence.earlier.good = body.at("earlier_good").get<std::uint64_t>();
+        evidence.earlier.bad = body.at("earlier_bad").get<std::uint64_t>();
         evidence.long_rate = body.at("long_rate").get<double>();
         return evidence;
     } catch (const json::exception&) {
--- a/adapters/test/course_codec_test.cpp
+++ b/adapters/test/course_codec_test.cpp
@@ -20,7 +20,7 @@
 
 TEST(course_codec, evidence_reads_as_it_was_written)
 {
-    const course_evidence written{28, course_state::loaded, {31, 2}, {20, 7}, 3.5};
+    const course_evidence written{28, course_state::loaded, {31, 2}, {20, 7}, {11, 1}, 3.5};
     const auto read = read_course_evidence(write_course_evidence(written));
     CHECK_TRUE(read.has_value());
     CHECK_TRUE(written == *read);
--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -40,7 +40,8 @@
     std::uint64_t run = 0;
     course_state part = course_state::staged;
     decision::run_counts seen;
-    decision::run_counts speed; // slow answers count as bad
+    decision::run_counts speed;   // slow answers count as bad
+    decision::run_counts earlier; // as `seen`, of the parts before
     double long_rate = 0.0;     // long answers begun by this router each second
 
     friend bool operator==(const course_evidence&, const course_evidence&) = default;
@@ -69,6 +70,10 @@
     double whole_part = 0.52;
     double finish_part = 0.75;
 
+    // Part of the order's time for which all traffic is on the new version before the old one may
+    // stop, at least. With the longest trial a good version is then done in 0.9 of the time.
+    double least_whole_part = 0.08;
+
     // Requests in sessions, of the whole fleet, that meet the new version each second while it is
     // staged, and at most which part of the sessions. About a twentieth of the first ones follow a
     // request of their session on the old version: at this rate less than one in a roll-out.
@@ -83,6 +88,7 @@
     // and their short prompts keep no one else waiting.
     double load_per_slot = 1.25;
     double least_load_per_slot = 0.5; // that can be reached; with less the trial shows nothing
+    double full_per_slot = 0.75;      // seen at once, from which the endpoint counts as full
 
     // Part of the order's time that the trial may take, at most; and for which it goes on where the
     // endpoint has not been full yet, as when it was lost, or where there are more bad answers than
@@ -159,6 +165,9 @@
     [[nodiscard]] const std::optional<course_record>& record() const { return this->held; }
     [[nodiscard]] const course_evidence& own_evidence() const { return this->own; }
 
+    // The most requests that were seen at once at the endpoint that is being filled.
+    [[nodiscard]] double most_filled_seen() const { return this->most_filled; }
+
     // For the router's configuration.
     [[nodiscard]] decision::rollout plan(const std::string& name) const;
 
@@ -167,12 +176,15 @@
     [[nodiscard]] bool is_doubtful() const;
     [[nodiscard]] decision::sequential_test error_test() const;
     [[nodiscard]] decision::run_counts all_seen() const;
+    [[nodiscard]] decision::run_counts all_seen_ever() const;
     [[nodiscard]] decision::run_counts all_speeds() const;
     [[nodiscard]] bool is_slow(const decision::run_counts& speed) const;
     [[nodiscard]] bool is_whole() const;
     [[nodiscard]] course_state part_of_course() const;
     [[nodiscard]] bool has_news() const;
     [[nodiscard]] bool rate_is_due(decision::instant now) const;
+    [[nodiscard]] double fleet_rate(std::size_t size) const;
+    [[nodiscard]] bool can_fill(std::size_t size) const;
     [[nodiscard]] decision::duration load_time(std::size_t size) const;
     [[nodiscard]] decision::duration longer_load_time() const;
     [[nodiscard]] course_record first_record(std::size_t size, double request_rate) const;
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -75,7 +75,13 @@
 void rollout_course::on_own_evidence(const decision::run_counts& seen,
                                      const decision::run_counts& speed, bool tripped)
 {
-    this->own = {this->what.run, this->part_of_course(), seen, speed, this->own.long_rate};
+    const auto part = this->part_of_course();
+    auto earlier = this->own.earlier;
+    if (part != this->own.part) {
+        earlier.good += this->own.seen.good;
+        earlier.bad += this->own.seen.bad;
+    }
+    this->own = {this->what.run, part, seen, speed, earlier, this->own.long_rate};
     this->own_tripped = this->own_tripped || tripped;
 }
 
@@ -118,15 +124,33 @@
     return speed;
 }
 
+// What all routers have seen since the order.
+decision::run_counts rollout_course::all_seen_ever() const
+{
+    auto seen = this->own.seen;
+    seen.good += this->own.earlier.good;
+    seen.bad += this->own.earlier.bad;
+    for (const auto& [router, told] : this->others) {
+        seen.good += told.seen.good + told.earlier.good;
+        seen.bad += told.seen.bad + told.earlier.bad;
+    }
+    return seen;
+}
+
+// A version that fails under one part's load only shows it in that part; one that fails a few
+// requests, by their kind, shows it over all of them.
 bool rollout_course::is_bad() const
 {
+    const auto test = this->error_test();
     return this->own_tripped || this->is_slow(this->all_speeds()) ||
-           this->error_test().judge(this->all_seen()) == decision::test_verdict::rejected;
+           test.judge(this->all_seen()) == decision::test_verdict::rejected ||
+           test.judge(this->all_seen_ever()) == decision::test_verdict::rejected;
 }
 
 bool rollout_course::is_doubtful() const
 {
-    return this->error_test().log_ratio(this->all_seen()) > 0.0;
+    const auto test = this->error_test();
+    return test.log_ratio(this->all_seen()) > 0.0 || test.log_ratio(this->all_seen_ever()) > 0.0;
 }
 
 decision::sequential_test rollout_course::error_test() const
@@ -168,10 +192,10 @@
     return !this->told_rate && now - this->began >= this->part(this->settings.rate_part);
 }
 
-// How long the long answers of all routers take to fill one endpoint; zero where they cannot.
-// Callers are spread unevenly, so one router's rate says little of the others'. Routers that have
-// not told theirs are taken to be like those that have.
-decision::duration rollout_course::load_time(std::size_t size) const
+// Long answers of the whole fleet in a second. Callers are spread unevenly, so one router's rate
+// says little of the others'. Routers that have not told theirs are taken to be like those that
+// have.
+double rollout_course::fleet_rate(std::size_t size) const
 {
     double sum = this->own.long_rate;
     double heard = 1.0;
@@ -181,22 +205,31 @@
             heard += 1.0;
         }
     }
-    const double rate = sum / heard * std::max(heard, static_cast<double>(size));
-    const double most = std::chrono::duration<double>(this->part(this->settings.load_part)).count();
-    if (this->what.slots == 0 ||
-        rate * most < this->settings.least_load_per_slot * this->what.slots) {
-        return {};
-    }
-    const double seconds = std::min(most, this->settings.load_per_slot * this->what.slots / rate);
-    const auto time =
-        std::chrono::duration_cast<decision::duration>(std::chrono::duration<double>(seconds));
+    return sum / heard * std::max(heard, static_cast<double>(size));
+}
+
+// Whether the long answers of all routers can fill one endpoint in the time that a trial may take.
+bool rollout_course::can_fill(std::size_t size) const
+{
+    const auto most = this->part(this->settings.load_part + this->settings.longer_load_part);
+    const double callers = this->fleet_rate(size) * std::chrono::duration<double>(most).count();
+    return this->what.slots > 0 && callers >= this->settings.least_load_per_slot * this->what.slots;
+}
+
+// How long they take.
+decision::duration rollout_course::load_time(std::size_t size) const
+{
+    const double rate = std::max(this->fleet_rate(size), 0.1);
+    const std::chrono::duration<double> wanted(this->settings.load_per_slot * this->what.slots /
+                                               rate);
+    const auto time = std::min(std::chrono::duration_cast<decision::duration>(wanted),
+                               this->part(this->settings.load_part));
     return std::max(time, least_load_time);
 }
 
 decision::duration rollout_course::longer_load_time() const
 {
-    const bool was_full =
-        this->most_filled >= this->settings.least_load_per_slot * this->what.slots;
+    const bool was_full = this->most_filled >= this->settings.full_per_slot * this->what.slots;
     return was_full && !this->is_doubtful() ? decision::duration::zero()
                                             : this->part(this->settings.longer_load_part);
 }
@@ -245,8 +278,7 @@
     switch (this->held->state) {
     case course_state::staged:
         if (step_over && elapsed >= this->part(this->settings.whole_part)) {
-            return this->load_time(size) > decision::duration::zero() ? course_state::loaded
-                                                                      : course_state::whole;
+            return this->can_fill(size) ? course_state::loaded : course_state::whole;
         }
         break;
     case course_state::loaded:
@@ -255,7 +287,8 @@
         }
         break;
     case course_state::whole:
-        if (step_over && elapsed >= this->part(this->settings.finish_part)) {
+        if (in_step >= this->part(this->settings.least_whole_part) &&
+            elapsed >= this->part(this->settings.finish_part)) {
             return course_state::finished;
         }
         break;
--- a/coordination/test/rollout_course_test.cpp
+++ b/coordination/test/rollout_course_test.cpp
@@ -221,6 +221,28 @@
     CHECK_TRUE(course_state::bad == fleet.history.back().state);
 }
 
+// One kind of request in three fails. The staged callers bring two failures of seven, the trial
+// three of seventeen: neither is enough alone, and together they are.
+TEST(rollout_course, bad_answers_of_all_parts_add_up)
+{
+    course_fleet fleet(2);
+    fleet.rates = {20.0, 10.0, 64.0};
+    const std::vector<bool> all(2, true);
+    fleet.tick(start, all);
+    fleet.courses[0]->on_own_evidence({3, 1}, {}, false);
+    fleet.courses[1]->on_own_evidence({2, 1}, {}, false);
+    play(fleet, milliseconds(13'000), all);
+    CHECK_TRUE(course_state::loaded == fleet.history.back().state);
+    fleet.courses[0]->on_own_evidence({10, 2}, {}, false);
+    fleet.courses[1]->on_own_evidence({4, 0}, {}, false);
+    fleet.tick(start + milliseconds(13'100), all);
+    CHECK_TRUE(course_state::loaded == fleet.history.back().state);
+    fleet.courses[1]->on_own_evidence({4, 1}, {}, false);
+    fleet.tick(start + milliseconds(13'900), all);
+    fleet.tick(start + milliseconds(14'700), all);
+    CHECK_TRUE(course_state::bad == fleet.history.back().state);
+}
+
 // Two bad answers of six are too few for a verdict and too many for comfort: the trial goes on for
 // a while, and ends all the same, because a good version is to be done in time.
 TEST(rollout_course, a_doubtful_trial_lasts_longer_but_not_for_ever)
@@ -251,7 +273,7 @@
     fleet.rates.filling = 20.0;
     play(fleet, milliseconds(17'700), all);
     CHECK_TRUE(course_state::loaded == fleet.history.back().state);
-    fleet.rates.filling = 40.0;
+    fleet.rates.filling = 48.0;
     fleet.tick(start + milliseconds(17'800), all);
     CHECK_TRUE(course_state::whole == fleet.history.back().state);
 }
@@ -267,6 +289,22 @@
     }
 }
 
+// Traffic ebbs in the middle of the trial, to less than what could have filled an endpoint. The
+// trial takes the longest time that it may, and does not end at once.
+TEST(rollout_course, an_ebb_does_not_end_a_trial_early)
+{
+    course_fleet fleet(9);
+    const std::vector<bool> all(9, true);
+    fleet.rates.filling = 20.0;
+    play(fleet, milliseconds(12'600), all);
+    CHECK_TRUE(course_state::loaded == fleet.history.back().state);
+    fleet.rates.long_answers = 0.1;
+    play(fleet, milliseconds(19'500), all);
+    CHECK_TRUE(course_state::loaded == fleet.history.back().state);
+    play(fleet, milliseconds(24'000), all);
+    CHECK_TRUE(course_state::finished == fleet.history.back().state);
+}
+
 // One router has most of the long answers. What the others tell of theirs counts as well, or the
 // trial would end before its endpoint is full.
 TEST(rollout_course, the_length_of_a_trial_follows_the_rates_of_all_routers)
@@ -274,8 +312,8 @@
     course_fleet fleet(2);
     const std::vector<bool> all(2, true);
     fleet.rates = {40.0, 40.0, 64.0};
-    fleet.courses[1]->on_evidence("0", {attempt, course_state::staged, {}, {}, 40.0});
-    fleet.courses[0]->on_evidence("1", {attempt, course_state::staged, {}, {}, 40.0});
+    fleet.courses[1]->on_evidence("0", {attempt, course_state::staged, {}, {}, {}, 40.0});
+    fleet.courses[0]->on_evidence("1", {attempt, course_state::staged, {}, {}, {}, 40.0});
     play(fleet, milliseconds(12'600), all);
     CHECK_TRUE(course_state::loaded == fleet.history.back().state);
     play(fleet, milliseconds(13'400), all); // 80 callers at 80 a second
