--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -42,7 +42,7 @@
     decision::run_counts seen;
     decision::run_counts speed;   // slow answers count as bad
     decision::run_counts earlier; // as `seen`, of the parts before
-    double long_rate = 0.0;     // long answers begun by this router each second
+    double long_rate = 0.0;       // long answers begun by this router each second
 
     friend bool operator==(const course_evidence&, const course_evidence&) = default;
 };
--- a/router/src/relayed_request.hpp
+++ b/router/src/relayed_request.hpp
@@ -32,7 +32,7 @@
     answer_use use = answer_use::awaited;
     std::string held;
     event_splitter events;
-    std::uint64_t tokens = 0;   // events passed on
+    std::uint64_t tokens = 0; // events passed on
     pace_meter pace;
     std::uint32_t silences = 0; // waits in a row that brought nothing
     bool spoiled = false;       // an event that does not follow the one before
