--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -644,11 +644,13 @@
     }
 }
 
+// While an endpoint is being filled, each step in which it writes waits for a chunk of the next
+// prompt. A good version's first gaps are then several times the usual ones, and say nothing.
 void dispatcher::on_pace(ticket_number ticket, attempt_number attempt, duration between_pieces)
 {
     const auto found = this->requests.find(ticket);
     if (found != this->requests.end() && found->second.attempt == attempt &&
-        !found->second.address.empty()) {
+        !found->second.address.empty() && !found->second.packed) {
         this->weigh_speed(found->second, this->paces, between_pieces);
     }
 }
@@ -668,9 +670,8 @@
     }
 }
 
-// Half of a good version's streams keep to the middle pace, and four of five to twice that; an
-// endpoint that is full writes at one and a half times the pace of a half empty one. A version that
-// is several times slower keeps hardly one stream within.
+// Half of a good version's streams keep to the middle pace, and four of five to twice that. A
+// version that is several times slower keeps hardly one stream within.
 speed_reference_settings dispatcher::pace_settings()
 {
     speed_reference_settings settings;
