Never look for another version than the only one for ever

Cause, found by reading: since sessions are kept from a new version without endpoints, a request for which no other version is left was asked about the same one again and again, and the router stood still. Change: a version that was passed over already ends the search; its callers are refused.

--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -33,6 +33,11 @@
 // Weight of the newest period in the smoothed rate.
 constexpr double rate_gain = 0.3;
 
+bool contains(const std::vector<std::string>& names, const std::string& name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 // Whether the request keeps a slot of its endpoint for long, and may be repeated elsewhere should
 // the endpoint not bear it.
 bool fills_endpoint(const arrival& request)
@@ -238,8 +243,10 @@
     auto note = state.rollouts;
     auto chosen = this->exposure.choose(question, note);
     // A new version that no endpoint serves yet must not cost its first callers their answers.
+    // Where there is no other one, it is chosen again, and its callers are refused.
     while (this->exposure.watches(chosen.answer.version) &&
            !this->exposure.is_whole(chosen.answer.version) &&
+           !contains(note.lost_on, chosen.answer.version) &&
            !this->table.serves(this->place(state, chosen.answer.version, now), now)) {
         note.lost_on.push_back(chosen.answer.version);
         chosen = this->exposure.choose(question, note);
--- a/decision/test/rollout_dispatch_test.cpp
+++ b/decision/test/rollout_dispatch_test.cpp
@@ -16,6 +16,7 @@
     bool begun = true;
     std::string served = "adjudicator"; // model whose versions the engines serve
     bool fills_endpoint = false;
+    bool has_old = true;
 };
 
 configuration_ptr make_configuration(const fleet_plan& wanted)
@@ -39,7 +40,10 @@
     if (wanted.begun) {
         builder.add(plan);
     }
-    for (const char* name : {"adjudicator-1", "adjudicator-2"}) {
+    for (const std::string name : {"adjudicator-1", "adjudicator-2"}) {
+        if (!wanted.has_old && name == "adjudicator-1") {
+            continue;
+        }
         version made;
         made.name = name;
         made.model = "adjudicator";
@@ -265,3 +269,15 @@
     router.on_pace(packed.ticket, packed.attempt, milliseconds(160));
     LONGS_EQUAL(0, router.rollouts().at(0).speed.total());
 }
+
+// All endpoints are gone, and only the new version is still named. There is nothing to choose
+// between, and the request is refused; a router that looked for another version would do so for
+// ever.
+TEST(rollout_dispatch_test, a_request_is_refused_where_only_a_new_version_without_endpoints_is_left)
+{
+    begin();
+    router.on_hosts({}, now);
+    router.on_configuration(make_configuration({true, "adjudicator", true, false}), now);
+    CHECK_EQUAL(0U, arrive_long().attempt);
+    LONGS_EQUAL(0, router.in_flight());
+}
