Let no late list take back what another router has told

Cause, found by reading: while a list of the store is on its way, a peer may tell of keys that came after it. The list then lacked them, so they were taken for removed and the mirror went back, until the next watch brought them again some milliseconds later; an endpoint was unknown meanwhile. Change: a list speaks only of keys up to its revision, whoever made it; the mirror's revision only grows.

--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -106,7 +106,8 @@
     void miss(const std::string& key, store_revision revision, decision::instant now);
     void drop(const std::string& key, store_revision revision);
     void drop_lapsed(decision::instant now);
-    void drop_missing(const std::set<std::string>& listed, store_revision as_of);
+    [[nodiscard]] std::vector<std::string> missing_from(const std::set<std::string>& listed,
+                                                        store_revision as_of) const;
     void note_change(const std::string& key, store_revision revision);
 
     struct change {
--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -103,7 +103,7 @@
     double base_error_rate = 0.03; // of a good version
     double max_error_rate = 0.15;  // of a bad one
 
-    // Shares of answers that are slower than four of five of the old version's. A good version's
+    // Shares of slow answers, by the pace of streams or the time of whole ones. A good version's
     // begin with cold caches, and more so when all traffic comes at once.
     double base_slow_rate = 0.25;
     double max_slow_rate = 0.6;
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -188,7 +188,9 @@
         }
     }
     if (news.whole) {
-        this->drop_missing(listed, news.as_of);
+        for (const auto& key : this->missing_from(listed, news.as_of)) {
+            this->drop(key, 0);
+        }
     }
     this->watched = news.as_of;
     if (news.whole && !this->has_list) {
@@ -197,8 +199,10 @@
     }
 }
 
-// A key that this mirror heard of after the list was made is not missing from it.
-void prefix_mirror::drop_missing(const std::set<std::string>& listed, store_revision as_of)
+// A key that this mirror heard of after the list was made, as from another router while the list
+// was on its way, is not missing from it.
+std::vector<std::string> prefix_mirror::missing_from(const std::set<std::string>& listed,
+                                                     store_revision as_of) const
 {
     std::vector<std::string> missing;
     for (const auto& [key, held] : this->known) {
@@ -206,9 +210,7 @@
             missing.push_back(key);
         }
     }
-    for (const auto& key : missing) {
-        this->drop(key, 0);
-    }
+    return missing;
 }
 
 void prefix_mirror::drop_lapsed(decision::instant now)
@@ -227,7 +229,7 @@
 void prefix_mirror::on_list(const kv_reply& reply, decision::instant now)
 {
     this->removed.clear();
-    this->watched = reply.revision;
+    this->watched = std::max(this->watched, reply.revision);
     // What was before the first list is not known change by change.
     this->changes_since = this->has_list ? this->changes_since : reply.revision;
     std::set<std::string> listed;
@@ -235,13 +237,7 @@
         listed.insert(entry.key);
         this->adopt(entry);
     }
-    std::vector<std::string> missing;
-    for (const auto& [key, held] : this->known) {
-        if (listed.count(key) == 0) {
-            missing.push_back(key);
-        }
-    }
-    for (const auto& key : missing) {
+    for (const auto& key : this->missing_from(listed, reply.revision)) {
         this->miss(key, 0, now);
     }
     this->needs_list = false;
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -224,6 +224,25 @@
     CHECK_TRUE(this->saw(mirror_removed{"things/a", 0}));
 }
 
+// This router asks the store for a list; while the answer is on its way another router tells of a
+// key that came after it. The list must not take the key away again, nor the mirror back.
+TEST(prefix_mirror, a_list_that_comes_late_takes_nothing_back)
+{
+    this->list_one();
+    this->answer(reply_of(kv_outcome::not_found),
+                 start); // the history is gone: a list is under way
+    mirror_news news;
+    news.as_of = 14;
+    news.entries = {{"things/b", "2", 13}};
+    this->mirror.on_told(news);
+    this->collect();
+    this->seen.clear();
+    this->answer(reply_of(kv_outcome::ok, 12, {{"things/a", "1", 7}}), start);
+    CHECK_FALSE(this->saw(mirror_removed{"things/b", 0}));
+    CHECK_EQUAL(2U, this->mirror.entries().size());
+    CHECK_EQUAL(14U, this->mirror.revision());
+}
+
 TEST(prefix_mirror, tells_others_what_has_changed_since_they_heard)
 {
     this->list_one();
