--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -175,9 +175,9 @@
     [[nodiscard]] bool is_bad() const;
     [[nodiscard]] bool is_doubtful() const;
     [[nodiscard]] decision::sequential_test error_test() const;
-    [[nodiscard]] decision::run_counts all_seen() const;
+    [[nodiscard]] decision::run_counts
+    in_this_part(decision::run_counts course_evidence::*kind) const;
     [[nodiscard]] decision::run_counts all_seen_ever() const;
-    [[nodiscard]] decision::run_counts all_speeds() const;
     [[nodiscard]] bool is_slow(const decision::run_counts& speed) const;
     [[nodiscard]] bool is_whole() const;
     [[nodiscard]] course_state part_of_course() const;
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -78,8 +78,7 @@
     const auto part = this->part_of_course();
     auto earlier = this->own.earlier;
     if (part != this->own.part) {
-        earlier.good += this->own.seen.good;
-        earlier.bad += this->own.seen.bad;
+        earlier += this->own.seen;
     }
     this->own = {this->what.run, part, seen, speed, earlier, this->own.long_rate};
     this->own_tripped = this->own_tripped || tripped;
@@ -101,40 +100,28 @@
     this->retry_at = now + write_pause;
 }
 
-// What all routers have seen in the present part.
-decision::run_counts rollout_course::all_seen() const
+// What all routers have counted of one kind in the present part.
+decision::run_counts rollout_course::in_this_part(decision::run_counts course_evidence::*kind) const
 {
-    auto seen = this->own.seen;
+    auto sum = this->own.*kind;
     for (const auto& [router, told] : this->others) {
-        const bool same_part = told.part == this->part_of_course();
-        seen.good += same_part ? told.seen.good : 0;
-        seen.bad += same_part ? told.seen.bad : 0;
-    }
-    return seen;
-}
-
-decision::run_counts rollout_course::all_speeds() const
-{
-    auto speed = this->own.speed;
-    for (const auto& [router, told] : this->others) {
-        const bool same_part = told.part == this->part_of_course();
-        speed.good += same_part ? told.speed.good : 0;
-        speed.bad += same_part ? told.speed.bad : 0;
+        if (told.part == this->part_of_course()) {
+            sum += told.*kind;
+        }
     }
-    return speed;
+    return sum;
 }
 
 // What all routers have seen since the order.
 decision::run_counts rollout_course::all_seen_ever() const
 {
-    auto seen = this->own.seen;
-    seen.good += this->own.earlier.good;
-    seen.bad += this->own.earlier.bad;
+    auto sum = this->own.seen;
+    sum += this->own.earlier;
     for (const auto& [router, told] : this->others) {
-        seen.good += told.seen.good + told.earlier.good;
-        seen.bad += told.seen.bad + told.earlier.bad;
+        sum += told.seen;
+        sum += told.earlier;
     }
-    return seen;
+    return sum;
 }
 
 // A version that fails under one part's load only shows it in that part; one that fails a few
@@ -142,15 +129,17 @@
 bool rollout_course::is_bad() const
 {
     const auto test = this->error_test();
-    return this->own_tripped || this->is_slow(this->all_speeds()) ||
-           test.judge(this->all_seen()) == decision::test_verdict::rejected ||
+    return this->own_tripped || this->is_slow(this->in_this_part(&course_evidence::speed)) ||
+           test.judge(this->in_this_part(&course_evidence::seen)) ==
+               decision::test_verdict::rejected ||
            test.judge(this->all_seen_ever()) == decision::test_verdict::rejected;
 }
 
 bool rollout_course::is_doubtful() const
 {
     const auto test = this->error_test();
-    return test.log_ratio(this->all_seen()) > 0.0 || test.log_ratio(this->all_seen_ever()) > 0.0;
+    return test.log_ratio(this->in_this_part(&course_evidence::seen)) > 0.0 ||
+           test.log_ratio(this->all_seen_ever()) > 0.0;
 }
 
 decision::sequential_test rollout_course::error_test() const
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -287,6 +287,11 @@
         double per_second = 0.0;
     };
 
+    struct target_arrivals {
+        counted_arrivals all;
+        counted_arrivals that_fill; // of these, see `rollout_note::fills_endpoint`
+    };
+
     struct chosen_start {
         std::string address;
         std::string version;
@@ -307,6 +312,7 @@
     [[nodiscard]] bool is_suspect(const request_state& state, instant now) const;
     void keep_suspect_apart(const request_state& state, placement& wanted, instant now) const;
     [[nodiscard]] duration expected_wait() const;
+    [[nodiscard]] bool helps_to_fill(const request_state& state, const std::string& version) const;
 
     bool enqueue(const request_state& state);
     void dispatch(instant now);
@@ -329,7 +335,7 @@
     void note_version_refused(request_state& state) const;
     void note_version_lost(request_state& state, const attempt_end& end);
     void blame_crash(const std::string& address, instant now);
-    static void settle_rates(std::map<std::string, counted_arrivals>& counts, double seconds);
+    static void settle_rate(counted_arrivals& counted, double seconds);
     void note_finished_work(double work, instant now);
     void give_up_all_queued(const failure& why);
     void give_up_overdue(instant now);
@@ -345,8 +351,7 @@
     std::map<std::string, retry_budget> budgets; // by the model or service asked for
     suspect_table suspects;
     std::map<ticket_number, request_state> requests;
-    std::map<std::string, counted_arrivals> arrivals_by_target;
-    std::map<std::string, counted_arrivals> long_arrivals_by_target;
+    std::map<std::string, target_arrivals> arrivals_by_target;
     std::map<std::string, std::uint32_t> team_in_flight;
     speed_reference first_tokens; // of answers that come whole
     speed_reference paces{pace_settings()};
--- a/decision/include/pearhaven/decision/rollout_evidence.hpp
+++ b/decision/include/pearhaven/decision/rollout_evidence.hpp
@@ -11,6 +11,12 @@
     std::uint64_t bad = 0;
 
     [[nodiscard]] std::uint64_t total() const { return this->good + this->bad; }
+    run_counts& operator+=(const run_counts& more)
+    {
+        this->good += more.good;
+        this->bad += more.bad;
+        return *this;
+    }
     friend bool operator==(const run_counts&, const run_counts&) = default;
 };
 
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "pearhaven/decision/dispatcher.hpp"
 
+#include "contains.hpp"
+
 #include "pearhaven/decision/mix.hpp"
 
 #include <algorithm>
@@ -33,11 +35,6 @@
 // Weight of the newest period in the smoothed rate.
 constexpr double rate_gain = 0.3;
 
-bool contains(const std::vector<std::string>& names, const std::string& name)
-{
-    return std::find(names.begin(), names.end(), name) != names.end();
-}
-
 // Whether the request keeps a slot of its endpoint for long, and may be repeated elsewhere should
 // the endpoint not bear it.
 bool fills_endpoint(const arrival& request)
@@ -171,9 +168,9 @@
     state.arrived = now;
     state.size = first_size(state.what.sizes, this->settings.sizes);
     state.rollouts.fills_endpoint = fills_endpoint(state.what);
-    ++this->arrivals_by_target[state.what.asked].in_period;
-    this->long_arrivals_by_target[state.what.asked].in_period +=
-        state.rollouts.fills_endpoint ? 1 : 0;
+    auto& arrivals = this->arrivals_by_target[state.what.asked];
+    ++arrivals.all.in_period;
+    arrivals.that_fill.in_period += state.rollouts.fills_endpoint ? 1 : 0;
     this->budget_of(state.what).earn(this->settings.retry_share_on_arrival);
     const auto& admitted = this->requests.emplace(ticket, std::move(state)).first->second;
     if (!this->enqueue(admitted)) {
@@ -304,7 +301,7 @@
     wanted.prefix_hash = state.what.prefix_hash;
     wanted.reading = state.what.work.reading * this->size_factor(state);
     wanted.cold_work = state.what.prefix_work * this->size_factor(state);
-    wanted.packed = state.rollouts.fills_endpoint && this->exposure.is_filled(target);
+    wanted.packed = this->helps_to_fill(state, target);
     if (now < state.avoid_until) {
         wanted.avoid = state.avoid;
     }
@@ -314,6 +311,12 @@
     return wanted;
 }
 
+// Whether the request is one of those that fill one endpoint of the version.
+bool dispatcher::helps_to_fill(const request_state& state, const std::string& version) const
+{
+    return state.rollouts.fills_endpoint && this->exposure.is_filled(version);
+}
+
 // Two suspects on one endpoint: if it crashes again, nobody can tell which of them did it, and the
 // innocent one would be quarantined with the other. Apart, a second crash names exactly one.
 // Suspects of two routers do not know of each other, so each router tries its own on endpoints of
@@ -416,7 +419,7 @@
     state.version = where.version;
     state.rollouts.ran_on = where.version;
     state.sent_at = now;
-    state.packed = state.rollouts.fills_endpoint && this->exposure.is_filled(where.version);
+    state.packed = this->helps_to_fill(state, where.version);
     if (state.packed && request.sizes > 0) {
         // The largest model's answer takes longest, and adds up with the others'.
         state.size = request.sizes - 1;
@@ -862,13 +865,13 @@
 double dispatcher::arrival_rate(const std::string& asked) const
 {
     const auto found = this->arrivals_by_target.find(asked);
-    return found == this->arrivals_by_target.end() ? 0.0 : found->second.per_second;
+    return found == this->arrivals_by_target.end() ? 0.0 : found->second.all.per_second;
 }
 
 double dispatcher::long_arrival_rate(const std::string& asked) const
 {
-    const auto found = this->long_arrivals_by_target.find(asked);
-    return found == this->long_arrivals_by_target.end() ? 0.0 : found->second.per_second;
+    const auto found = this->arrivals_by_target.find(asked);
+    return found == this->arrivals_by_target.end() ? 0.0 : found->second.that_fill.per_second;
 }
 
 duration dispatcher::expected_wait() const
@@ -880,13 +883,11 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
-void dispatcher::settle_rates(std::map<std::string, counted_arrivals>& counts, double seconds)
+void dispatcher::settle_rate(counted_arrivals& counted, double seconds)
 {
-    for (auto& [asked, counted] : counts) {
-        const double rate = counted.in_period / seconds;
-        counted.per_second += rate_gain * (rate - counted.per_second);
-        counted.in_period = 0;
-    }
+    const double rate = counted.in_period / seconds;
+    counted.per_second += rate_gain * (rate - counted.per_second);
+    counted.in_period = 0;
 }
 
 void dispatcher::note_finished_work(double work, instant now)
@@ -903,8 +904,10 @@
         const bool first = this->work_per_second <= 0.0;
         this->work_per_second += (first ? 1.0 : rate_gain) * (newest - this->work_per_second);
     }
-    settle_rates(this->arrivals_by_target, seconds);
-    settle_rates(this->long_arrivals_by_target, seconds);
+    for (auto& [asked, arrivals] : this->arrivals_by_target) {
+        settle_rate(arrivals.all, seconds);
+        settle_rate(arrivals.that_fill, seconds);
+    }
     this->work_in_period = 0.0;
     this->rate_since = now;
 }
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -1,5 +1,7 @@
 #include "endpoint_choice.hpp"
 
+#include "contains.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -29,8 +31,8 @@
 
 bool is_left_out(const endpoint& where, const std::vector<std::string>& avoid, instant now)
 {
-    const bool avoided = std::find(avoid.begin(), avoid.end(), where.host.address) != avoid.end();
-    return avoided || where.load.draining() || where.health.is_ejected(now);
+    return contains(avoid, where.host.address) || where.load.draining() ||
+           where.health.is_ejected(now);
 }
 
 // This router's part of all that the endpoints hold. Without any work it counts as holding one
@@ -244,7 +246,8 @@
 // This router's requests there and those of the others.
 double endpoint_choice::requests_at(const endpoint& where) const
 {
-    return where.outstanding + this->others.of(where.host.address).requests;
+    const auto told = this->others.of(where.host.address).requests;
+    return static_cast<double>(where.outstanding + told);
 }
 
 // The endpoint that is likely to hold the prompt's beginning in its cache, or the one that takes
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -261,7 +261,9 @@
     wanted.packed = true;
     const auto address = this->choose(wanted, now, 0);
     const auto* where = address ? this->inner->directory.find(*address) : nullptr;
-    return where == nullptr ? 0.0 : where->outstanding + this->inner->others.of(*address).requests;
+    return where == nullptr ? 0.0
+                            : static_cast<double>(where->outstanding +
+                                                  this->inner->others.of(*address).requests);
 }
 
 std::vector<endpoint_load> endpoint_table::own_loads() const
--- a/decision/src/rollout_exposure.cpp
+++ b/decision/src/rollout_exposure.cpp
@@ -1,5 +1,7 @@
 #include "pearhaven/decision/rollout_exposure.hpp"
 
+#include "contains.hpp"
+
 #include <algorithm>
 
 namespace pearhaven::decision {
@@ -10,11 +12,6 @@
 // half for the test of the holder, which sees everything.
 constexpr double false_alarm_of_routers = 0.005;
 
-bool contains(const std::vector<std::string>& names, const std::string& name)
-{
-    return std::find(names.begin(), names.end(), name) != names.end();
-}
-
 bool is_model(const configuration& current, const std::string& name)
 {
     const auto& versions = current.versions();
--- a/decision/src/told_loads.cpp
+++ b/decision/src/told_loads.cpp
@@ -5,19 +5,12 @@
 
 namespace pearhaven::decision {
 
-namespace {
-
-// Below it a sum is what rounding has left of nothing.
-constexpr double least_request = 0.5;
-
-} // namespace
-
 void told_loads::on_told(const std::string& router, std::vector<endpoint_load> loads, instant now)
 {
     auto& said = this->words[router];
-    this->add(said, -1.0);
+    this->add(said, -1);
     said = {std::move(loads), now};
-    this->add(said, 1.0);
+    this->add(said, 1);
 }
 
 void told_loads::expire(instant now, duration lifetime)
@@ -27,18 +20,18 @@
             ++at;
             continue;
         }
-        this->add(at->second, -1.0);
+        this->add(at->second, -1);
         at = this->words.erase(at);
     }
 }
 
-void told_loads::add(const word& said, double sign)
+void told_loads::add(const word& said, int sign)
 {
     for (const auto& load : said.loads) {
         auto& total = this->sums[load.address];
-        total.requests += sign * load.requests;
+        total.requests += sign * static_cast<std::int64_t>(load.requests);
         total.work = std::max(0.0, total.work + sign * load.work);
-        if (total.requests < least_request) {
+        if (total.requests <= 0) {
             this->sums.erase(load.address);
         }
     }
--- a/decision/src/told_loads.hpp
+++ b/decision/src/told_loads.hpp
@@ -3,6 +3,7 @@
 
 #include "pearhaven/decision/endpoint_table.hpp"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -16,7 +17,7 @@
 class told_loads {
 public:
     struct sum {
-        double requests = 0.0;
+        std::int64_t requests = 0;
         double work = 0.0;
     };
 
@@ -34,7 +35,8 @@
         instant heard;
     };
 
-    void add(const word& said, double sign);
+    // `sign` is 1 to count the word in, -1 to take it out again.
+    void add(const word& said, int sign);
 
     std::map<std::string, word> words; // by router
     std::unordered_map<std::string, sum> sums;
