--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,4 +10,8 @@
 scripts/check_release.sh
 scripts/lint.sh
 scripts/check_sample.sh
+# Tests that are known to fail are passed over by name; .ci/run prints them.
+if [ -s KNOWN-RED.txt ]; then
+  export PEARHAVEN_KNOWN_RED=$PWD/KNOWN-RED.txt
+fi
 ctest --test-dir "$PEARHAVEN_BUILD" --output-on-failure --no-tests=error -j 6
