Take in a stop only what can be carried to its end, and answer everybody at the end

Cause: admission during a stop knew a time and nothing of the request; the end of the stop closed connections without an answer; times were those of the loop's batch and of its noticing the order, not of the request and the order. Change: the dispatcher is told the stop's times and judges each arrival by its own time and by the length that nine of ten answers of its kind keep to; what is left at the end is given up like everything else (not run, or may have run); the order's time is taken by the thread that hears it; the loop's clock is read for each event. A refused caller is sent elsewhere after 0.1 s instead of 1 s. The log says how late a stop was noticed. Ruled out: later admission of short requests (the platform's rule covers what was sent in the first three seconds, and a refusal leads elsewhere at once).

--- a/adapters/include/pearhaven/adapters/event_loop.hpp
+++ b/adapters/include/pearhaven/adapters/event_loop.hpp
@@ -46,9 +46,14 @@
     timer_number after(decision::duration delay, std::function<void()> task);
     void cancel(timer_number timer);
 
-    // The monotonic clock, read once for each batch of events.
+    // The monotonic clock as the event or timer that is being run began. Where many sockets are
+    // ready at once, the work for the first ones makes the later ones late: with one time for all,
+    // a request is judged by a moment before it came, and taken after a limit that has passed.
     [[nodiscard]] decision::instant now() const;
 
+    // The same clock at this moment. For any thread.
+    [[nodiscard]] static decision::instant read_clock();
+
     // Runs `task` on the loop's thread. For any thread.
     void post(std::function<void()> task);
 
--- a/adapters/include/pearhaven/adapters/log.hpp
+++ b/adapters/include/pearhaven/adapters/log.hpp
@@ -1,6 +1,8 @@
 #ifndef PEARHAVEN_ADAPTERS_LOG_HPP
 #define PEARHAVEN_ADAPTERS_LOG_HPP
 
+#include "pearhaven/decision/time.hpp"
+
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -25,6 +27,9 @@
 
 using log_field = std::pair<std::string_view, std::string>;
 
+// A time as a field's value: whole milliseconds.
+[[nodiscard]] std::string milliseconds(decision::duration time);
+
 // A change of state worth a line: something began, ended or was lost. Not for single requests,
 // those are counted. Secrets must not be among the fields.
 void log_change(std::string_view event, std::initializer_list<log_field> fields);
--- a/adapters/src/event_loop.cpp
+++ b/adapters/src/event_loop.cpp
@@ -13,16 +13,6 @@
 
 namespace pearhaven::adapters {
 
-namespace {
-
-decision::instant read_clock()
-{
-    const auto since = std::chrono::steady_clock::now().time_since_epoch();
-    return decision::instant(std::chrono::duration_cast<decision::duration>(since));
-}
-
-} // namespace
-
 class event_loop::state {
 public:
     void run_posted();
@@ -44,6 +34,7 @@
 
 void event_loop::state::run_posted()
 {
+    this->clock = read_clock();
     std::vector<std::function<void()>> tasks;
     {
         const std::lock_guard<std::mutex> hold(this->posted_guard);
@@ -56,7 +47,10 @@
 
 void event_loop::state::run_timers()
 {
-    while (!this->timers.empty() && this->timers.begin()->first.first <= this->clock) {
+    // Those that become due meanwhile wait for the next turn, after the sockets.
+    const auto due_by = read_clock();
+    while (!this->timers.empty() && this->timers.begin()->first.first <= due_by) {
+        this->clock = read_clock();
         const auto node = this->timers.extract(this->timers.begin());
         this->due.erase(node.key().second);
         node.mapped()();
@@ -74,11 +68,11 @@
 void event_loop::state::run_sockets()
 {
     const auto& ready = this->sockets.wait(this->time_to_next_timer());
-    this->clock = read_clock();
     this->forgotten.clear();
     for (const auto& socket : ready) {
         const auto found = this->listeners.find(socket.socket);
         if (found != this->listeners.end() && this->forgotten.count(socket.socket) == 0) {
+            this->clock = read_clock();
             found->second->on_ready(socket.readable, socket.writable, socket.failed);
         }
     }
@@ -121,6 +115,12 @@
     }
 }
 
+decision::instant event_loop::read_clock()
+{
+    const auto since = std::chrono::steady_clock::now().time_since_epoch();
+    return decision::instant(std::chrono::duration_cast<decision::duration>(since));
+}
+
 decision::instant event_loop::now() const
 {
     return this->inner->clock;
--- a/adapters/src/log.cpp
+++ b/adapters/src/log.cpp
@@ -58,6 +58,11 @@
 
 } // namespace
 
+std::string milliseconds(decision::duration time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 void start_log(log_format format, const std::string& process)
 {
     chosen_format = format;
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -75,6 +75,7 @@
     ticket_number ticket = 0;
     std::string team;
     std::string asked; // model, version, cascade or, with `is_service`, service name
+    std::string kind;  // requests of one kind take about as long; empty: those of one `asked` do
     bool is_service = false;
     bool idempotent = true;
     bool streamed = false; // pieces of the answer reach the caller as they come
@@ -188,6 +189,14 @@
     std::uint64_t seed = 1;
 };
 
+// The times of a planned stop.
+struct planned_stop {
+    instant last_admission; // nothing new is taken from then on
+    instant end;            // what is not answered by then is broken off
+
+    friend bool operator==(const planned_stop&, const planned_stop&) = default;
+};
+
 // Decides for every request of one router when, where and on which version it runs, and what
 // becomes of it when that fails. Event in, actions out: each event function may add actions, which
 // the caller takes with `take_actions` and carries out in order. Every admitted ticket gets exactly
@@ -240,8 +249,12 @@
     [[nodiscard]] bool may_move(ticket_number ticket) const;
     void on_caller_gone(ticket_number ticket, instant now);
 
-    // Refuses new work from now on; what is queued or running goes on to its end.
-    void begin_drain();
+    // The router will stop. Until the last admission it takes what it can carry to its end, as far
+    // as earlier requests tell; what is queued or running goes on.
+    void begin_stop(const planned_stop& times) { this->stop = times; }
+
+    // Gives up all that is left. What never ran is said not to have run.
+    void end_stop(instant now);
 
     void on_tick(instant now);
 
@@ -300,6 +313,7 @@
 
     [[nodiscard]] std::optional<failure> admission_failure(const arrival& request,
                                                            instant now) const;
+    [[nodiscard]] std::optional<failure> stop_failure(const arrival& request, instant now) const;
     [[nodiscard]] std::optional<failure> load_failure(const arrival& request, instant now) const;
     [[nodiscard]] std::optional<failure> target_failure(const request_state& state,
                                                         instant now) const;
@@ -327,6 +341,8 @@
     void note_speed(const request_state& state, duration first_token);
     void weigh_speed(const request_state& state, speed_reference& reference, duration time);
     [[nodiscard]] static speed_reference_settings pace_settings();
+    [[nodiscard]] static speed_reference_settings length_settings();
+    void cancel_run(const request_state& state, instant now);
     [[nodiscard]] double size_factor(const request_state& state) const;
     [[nodiscard]] double work_of(const request_state& state) const;
     void note_begun(request_state& state);
@@ -355,9 +371,10 @@
     std::map<std::string, std::uint32_t> team_in_flight;
     speed_reference first_tokens; // of answers that come whole
     speed_reference paces{pace_settings()};
+    speed_reference lengths{length_settings()}; // of answered requests, by kind
     rollout_exposure exposure;
     std::vector<dispatch_action> actions;
-    bool draining = false;
+    std::optional<planned_stop> stop;
     std::size_t fleet_rank = 0;
     std::size_t fleet_size = 1;
     instant in_touch_until;
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -14,6 +14,11 @@
 constexpr duration soon = std::chrono::seconds(1);
 constexpr duration later = std::chrono::seconds(5);
 
+// After a refusal that another router would not give: time for a new connection, which the balancer
+// leads there. A caller that was told to wait a second got a plain answer, of some tens of
+// milliseconds, long after its objective.
+constexpr duration elsewhere = std::chrono::milliseconds(100);
+
 // How long a request keeps away from an endpoint that refused it, or that it was lost with. For
 // ever would leave it without any endpoint once all have refused it, and queued until its deadline.
 constexpr duration refusal_avoidance = std::chrono::milliseconds(200);
@@ -48,6 +53,11 @@
     return {code, run_state::not_run, true, retry_after, std::move(detail)};
 }
 
+const std::string& kind_of(const arrival& request)
+{
+    return request.kind.empty() ? request.asked : request.kind;
+}
+
 failure lasting(failure_code code, std::string detail)
 {
     return {code, run_state::not_run, false, duration::zero(), std::move(detail)};
@@ -149,11 +159,6 @@
     this->exposure.on_fleet(this->fleet_rank, this->fleet_size);
 }
 
-void dispatcher::begin_drain()
-{
-    this->draining = true;
-}
-
 void dispatcher::on_arrival(arrival request, instant now)
 {
     if (auto refused = this->admission_failure(request, now)) {
@@ -182,8 +187,8 @@
 
 std::optional<failure> dispatcher::admission_failure(const arrival& request, instant now) const
 {
-    if (this->draining) {
-        return passing(failure_code::stopping, soon, "this router is stopping");
+    if (auto refused = this->stop_failure(request, now)) {
+        return refused;
     }
     if (!this->config) {
         return passing(failure_code::not_in_touch, soon, "no configuration has come yet");
@@ -200,6 +205,25 @@
     return this->load_failure(request, now);
 }
 
+// A request that is taken and broken off by the end of the stop costs its caller an answer half
+// delivered, and its endpoint the work. Nine of ten answers of a kind keep to its known length; one
+// that is refused for it goes to another router at once and comes whole.
+std::optional<failure> dispatcher::stop_failure(const arrival& request, instant now) const
+{
+    if (!this->stop) {
+        return std::nullopt;
+    }
+    if (now >= this->stop->last_admission) {
+        return passing(failure_code::stopping, elsewhere, "this router is stopping");
+    }
+    const auto length = this->lengths.usual(kind_of(request), 0);
+    if (length && std::min(now + *length, request.deadline) > this->stop->end) {
+        return passing(failure_code::stopping, elsewhere,
+                       "this router stops before an answer of the usual length would end");
+    }
+    return std::nullopt;
+}
+
 std::optional<failure> dispatcher::load_failure(const arrival& request, instant now) const
 {
     const auto held = this->team_in_flight.find(request.team);
@@ -479,6 +503,9 @@
                       end.first_token, now);
     this->queue.settle(request.team, request.work.tokens, work);
     this->budget_of(request).on_success();
+    if (!end.answered_badly) {
+        this->lengths.learn(kind_of(request), 0, now - state.arrived);
+    }
     this->suspects.on_finished(request.fingerprint, now);
     if (!request.is_service) {
         this->exposure.on_end(state.version, !end.answered_badly);
@@ -691,6 +718,13 @@
     return settings;
 }
 
+speed_reference_settings dispatcher::length_settings()
+{
+    speed_reference_settings settings;
+    settings.share_within = 0.9;
+    return settings;
+}
+
 double dispatcher::size_factor(const request_state& state) const
 {
     const bool is_small = state.size + 1 < state.what.sizes;
@@ -790,16 +824,38 @@
     if (state.address.empty()) {
         this->queue.remove(ticket);
     } else {
-        const auto& request = state.what;
-        this->actions.emplace_back(cancel_attempt{ticket, state.attempt, state.address});
-        this->table.ended(state.address, request.work.kind, state.held_work,
-                          attempt_result::cancelled, duration::zero(), now);
-        this->queue.settle(request.team, request.work.tokens, request.work.tokens);
+        this->cancel_run(state, now);
     }
     this->forget(ticket);
     this->dispatch(now);
 }
 
+void dispatcher::cancel_run(const request_state& state, instant now)
+{
+    const auto& request = state.what;
+    this->actions.emplace_back(cancel_attempt{request.ticket, state.attempt, state.address});
+    this->table.ended(state.address, request.work.kind, state.held_work, attempt_result::cancelled,
+                      duration::zero(), now);
+    this->queue.settle(request.team, request.work.tokens, request.work.tokens);
+}
+
+// Callers whose connections were closed without a word could not tell a stop from a broken network,
+// nor what had run. What waits in the queue goes first: it must not be started by what ends.
+void dispatcher::end_stop(instant now)
+{
+    this->give_up_all_queued(passing(failure_code::stopping, elsewhere, "this router has stopped"));
+    std::vector<ticket_number> running;
+    for (const auto& [ticket, state] : this->requests) {
+        running.push_back(ticket);
+    }
+    for (const auto ticket : running) {
+        const auto& state = this->requests.at(ticket);
+        this->cancel_run(state, now);
+        this->give_up(ticket, {failure_code::stopping, run_state::unknown, state.what.idempotent,
+                               elsewhere, "this router stopped while the request ran"});
+    }
+}
+
 void dispatcher::on_tick(instant now)
 {
     for (const auto& entry : this->queue.expire(now)) {
@@ -833,14 +889,10 @@
     }
     for (const auto ticket : overdue) {
         const auto& state = this->requests.at(ticket);
-        const auto& request = state.what;
-        this->actions.emplace_back(cancel_attempt{ticket, state.attempt, state.address});
-        this->table.ended(state.address, request.work.kind, state.held_work,
-                          attempt_result::cancelled, duration::zero(), now);
-        this->queue.settle(request.team, request.work.tokens, request.work.tokens);
+        this->cancel_run(state, now);
         this->give_up(ticket,
-                      {failure_code::deadline_passed, run_state::unknown, request.idempotent, soon,
-                       "the deadline passed while the request ran"});
+                      {failure_code::deadline_passed, run_state::unknown, state.what.idempotent,
+                       soon, "the deadline passed while the request ran"});
     }
 }
 
--- a/decision/test/routed_dispatch_test.cpp
+++ b/decision/test/routed_dispatch_test.cpp
@@ -227,7 +227,7 @@
 
 TEST(routed_dispatch, a_draining_router_refuses_what_has_not_run)
 {
-    this->router->begin_drain();
+    this->router->begin_stop({now, now + seconds(5)});
     this->router->on_arrival(make_request(), now);
     this->last_start();
     const auto* end = this->last_action<give_up_request>();
@@ -235,6 +235,69 @@
     CHECK_TRUE(end->why.run == run_state::not_run && end->why.retry_after > duration::zero());
 }
 
+// A router that is about to end took long streams and broke them off; see the platform's tests.
+// Eight answers of a kind have shown how long it takes.
+TEST(routed_dispatch, a_stop_takes_what_can_be_carried_to_its_end)
+{
+    const auto takes = [this](ticket_number ticket, const std::string& kind, milliseconds after,
+                              milliseconds deadline) {
+        auto request = make_request();
+        request.ticket = ticket;
+        request.kind = kind;
+        request.deadline = now + after + deadline;
+        this->router->on_arrival(request, now + after);
+        return this->last_start().ticket == ticket;
+    };
+    for (ticket_number ticket = 1; ticket <= 8; ++ticket) {
+        auto request = make_request();
+        request.ticket = ticket;
+        request.kind = "reading";
+        this->router->on_arrival(request, now - seconds(4));
+        attempt_end end;
+        end.ticket = ticket;
+        end.attempt = this->last_start().attempt;
+        end.result = attempt_result::finished;
+        this->router->on_attempt_end(end, now);
+    }
+    this->router->begin_stop({now + milliseconds(2800), now + milliseconds(7600)});
+    CHECK_TRUE(takes(11, "reading", milliseconds(2700), seconds(20)));
+    this->router->begin_stop({now + milliseconds(2800), now + milliseconds(6600)});
+    CHECK_FALSE(takes(12, "reading", milliseconds(2700), seconds(20)));
+    const auto* refused = this->last_action<give_up_request>();
+    CHECK_TRUE(refused != nullptr && refused->why.code == failure_code::stopping);
+    CHECK_TRUE(refused->why.run == run_state::not_run);
+    // Its deadline ends it before the router does, and nothing is known of the other kind.
+    CHECK_TRUE(takes(13, "reading", milliseconds(2700), seconds(3)));
+    CHECK_TRUE(takes(14, "lookup", milliseconds(2700), seconds(20)));
+    CHECK_FALSE(takes(15, "lookup", milliseconds(2800), milliseconds(500)));
+}
+
+// At the end of a stop all slots are taken and one request waits. Every caller gets an answer; only
+// of the one that waits it is said that it has not run, and nothing is started in the freed slots.
+TEST(routed_dispatch, the_end_of_a_stop_answers_everybody_truly)
+{
+    constexpr ticket_number slots = 3 * 64;
+    for (ticket_number ticket = 1; ticket <= slots + 1; ++ticket) {
+        auto request = make_request();
+        request.ticket = ticket;
+        this->router->on_arrival(request, now);
+    }
+    CHECK_EQUAL(slots, this->last_start().ticket);
+    CHECK_EQUAL(1U, this->router->queued());
+    this->router->end_stop(now + seconds(1));
+    CHECK_EQUAL(0U, this->last_start().ticket);
+    CHECK_EQUAL(0U, this->router->in_flight());
+    std::size_t ended = 0;
+    for (const auto& action : this->actions) {
+        if (const auto* end = std::get_if<give_up_request>(&action)) {
+            ++ended;
+            const bool waited = end->ticket == slots + 1;
+            CHECK_TRUE(end->why.run == (waited ? run_state::not_run : run_state::unknown));
+        }
+    }
+    CHECK_EQUAL(slots + 1, ended);
+}
+
 // A long prompt holds its endpoint up while it is read, and hardly while its answer is written.
 // Were its reading counted to the end, others would be kept away from an endpoint that is free.
 TEST(routed_dispatch, what_is_read_weighs_on_its_endpoint_no_longer)
--- a/router/include/pearhaven/router/event_relay.hpp
+++ b/router/include/pearhaven/router/event_relay.hpp
@@ -69,9 +69,6 @@
 
     [[nodiscard]] std::size_t in_flight() const;
 
-    // Ends what is left: each caller's connection is closed without an end of its answer.
-    void abort_all();
-
     // Shared with the exchanges under way, which may outlive the relay.
     class state;
 
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 using adapters::head_verdict;
+using adapters::milliseconds;
 using decision::attempt_result;
 using decision::duration;
 using decision::ticket_number;
@@ -26,11 +27,6 @@
 // Of a target that a caller chose, what goes into a log line.
 constexpr std::size_t longest_logged_target = 100;
 
-std::string milliseconds(duration time)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 adapters::outbound_target target_of(const decision::endpoint_host& endpoint)
 {
     const auto& reached = endpoint.reached_at.empty() ? endpoint.address : endpoint.reached_at;
@@ -98,7 +94,6 @@
     void run_actions();
     void caller_gone(adapters::inbound_exchange& caller);
     void room(adapters::inbound_exchange& caller);
-    void abort_all();
 
     // One attempt's answer. `attempt` tells a late event of an earlier attempt apart.
     head_verdict on_head(ticket_number ticket, decision::attempt_number attempt,
@@ -661,21 +656,6 @@
     }
 }
 
-void event_relay::state::abort_all()
-{
-    std::vector<adapters::inbound_exchange_ptr> callers;
-    for (const auto& [ticket, relayed] : this->requests) {
-        this->note_end(relayed, "cut off by the stop", 0);
-        this->endpoints.cancel(relayed.attempt.exchange);
-        callers.push_back(relayed.caller);
-    }
-    this->requests.clear();
-    this->tickets.clear();
-    for (const auto& caller : callers) {
-        caller->abort();
-    }
-}
-
 namespace {
 
 attempt_listener::attempt_listener(boost::intrusive_ptr<event_relay::state> told, ticket_number of,
@@ -749,9 +729,4 @@
     return this->inner->requests.size();
 }
 
-void event_relay::abort_all()
-{
-    this->inner->abort_all();
-}
-
 } // namespace pearhaven::router
--- a/router/src/routing_duty.cpp
+++ b/router/src/routing_duty.cpp
@@ -178,7 +178,8 @@
 
 void routing_duty::handle(drain_begun& /*event*/)
 {
-    this->dispatcher.begin_drain();
+    // What is under way has the time of a drain, whose end the router itself watches.
+    this->dispatcher.begin_stop({now(), decision::instant::max()});
 }
 
 void routing_duty::handle(attempt_ended& ended)
