Let the loop do what a callback leaves to it before any other callback

Cause: connections had only `after(0)` to put off what must not happen in the middle of a call, and that runs behind other sockets' callbacks, which meet what is lost and not yet told. Change: `event_loop::soon` runs a task right after the running callback has returned; `cancel` takes it back. Tests: order against sockets, posted tasks and timers, cancelling, tasks asked for outside of callbacks; and what already held and had no test: listeners destroyed, timers cancelled and socket numbers reused by an earlier callback of the same turn.

--- a/adapters/include/pearhaven/adapters/event_loop.hpp
+++ b/adapters/include/pearhaven/adapters/event_loop.hpp
@@ -9,7 +9,7 @@
 
 namespace pearhaven::adapters {
 
-// Names a timer of one loop. 0 is no timer.
+// Names a task of one loop that is still to be run. 0 is none.
 using timer_number = std::uint64_t;
 
 // What a socket's readiness is told to.
@@ -44,6 +44,15 @@
 
     // Runs `task` once after the time, unless it is cancelled.
     timer_number after(decision::duration delay, std::function<void()> task);
+
+    // Runs `task` once, unless it is cancelled, as soon as the callback that is being run has
+    // returned and before any other callback. What a call into a connection has to tell its
+    // listener, and the end of whatever may be in the middle of one of its own functions, wait
+    // until here: a listener that was told inside its own call would drop objects that the call
+    // still uses. A task must not lead to further ones without end: nothing else runs before them.
+    timer_number soon(std::function<void()> task);
+
+    // Harmless for a task that has run.
     void cancel(timer_number timer);
 
     // The monotonic clock as the event or timer that is being run began. Where many sockets are
--- a/adapters/src/event_loop.cpp
+++ b/adapters/src/event_loop.cpp
@@ -15,6 +15,7 @@
 
 class event_loop::state {
 public:
+    void run_soon();
     void run_posted();
     void run_timers();
     void run_sockets();
@@ -25,6 +26,7 @@
     std::unordered_set<int> forgotten; // in the batch of events that is being run
     std::map<std::pair<decision::instant, timer_number>, std::function<void()>> timers;
     std::unordered_map<timer_number, decision::instant> due;
+    std::map<timer_number, std::function<void()>> soon; // in the order in which they were asked for
     timer_number last_timer = 0;
     decision::instant clock = read_clock();
     std::atomic<bool> stopping{false};
@@ -32,6 +34,14 @@
     std::vector<std::function<void()>> posted;
 };
 
+void event_loop::state::run_soon()
+{
+    while (!this->soon.empty()) {
+        const auto node = this->soon.extract(this->soon.begin());
+        node.mapped()();
+    }
+}
+
 void event_loop::state::run_posted()
 {
     this->clock = read_clock();
@@ -42,6 +52,7 @@
     }
     for (const auto& task : tasks) {
         task();
+        this->run_soon();
     }
 }
 
@@ -54,6 +65,7 @@
         const auto node = this->timers.extract(this->timers.begin());
         this->due.erase(node.key().second);
         node.mapped()();
+        this->run_soon();
     }
 }
 
@@ -74,6 +86,7 @@
         if (found != this->listeners.end() && this->forgotten.count(socket.socket) == 0) {
             this->clock = read_clock();
             found->second->on_ready(socket.readable, socket.writable, socket.failed);
+            this->run_soon();
         }
     }
 }
@@ -106,8 +119,16 @@
     return number;
 }
 
+timer_number event_loop::soon(std::function<void()> task)
+{
+    const auto number = ++this->inner->last_timer;
+    this->inner->soon.emplace(number, std::move(task));
+    return number;
+}
+
 void event_loop::cancel(timer_number timer)
 {
+    this->inner->soon.erase(timer);
     const auto found = this->inner->due.find(timer);
     if (found != this->inner->due.end()) {
         this->inner->timers.erase({found->second, timer});
@@ -138,6 +159,7 @@
 void event_loop::run()
 {
     while (!this->inner->stopping) {
+        this->inner->run_soon(); // what was asked for outside of any callback
         this->inner->run_sockets();
         this->inner->run_posted();
         this->inner->run_timers();
--- a/adapters/test/event_loop_test.cpp
+++ b/adapters/test/event_loop_test.cpp
@@ -5,7 +5,11 @@
 
 #include <array>
 #include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
 #include <thread>
+#include <utility>
 
 #include <CppUTest/TestHarness.h>
 
@@ -37,6 +41,23 @@
     milliseconds work;
 };
 
+// Reads its socket and runs what a test wants.
+class acting_reader final : public adapters::socket_listener {
+public:
+    acting_reader(int from, std::function<void()> acts) : socket(from), act(std::move(acts)) {}
+
+    void on_ready(bool /*readable*/, bool /*writable*/, bool /*failed*/) override
+    {
+        std::array<char, 16> bytes{};
+        [[maybe_unused]] const auto count = ::read(this->socket, bytes.data(), bytes.size());
+        this->act();
+    }
+
+private:
+    int socket;
+    std::function<void()> act;
+};
+
 } // namespace
 
 TEST_GROUP(event_loop)
@@ -77,3 +98,136 @@
     const auto between = one.at < other.at ? other.at - one.at : one.at - other.at;
     CHECK_TRUE(between >= work);
 }
+
+// What a callback leaves to the loop is done before any other callback: two sockets are ready at
+// once, and the second one finds all done.
+TEST(event_loop, a_task_for_soon_runs_after_its_callback_and_before_the_next_one)
+{
+    adapters::event_loop loop;
+    std::string order;
+    const auto act = [&loop, &order] {
+        loop.soon([&loop, &order] {
+            order += "s";
+            loop.soon([&order] { order += "t"; });
+        });
+        order += "c";
+    };
+    acting_reader one(this->first[0], act);
+    acting_reader other(this->second[0], act);
+    loop.watch(this->first[0], one, true, false);
+    loop.watch(this->second[0], other, true, false);
+    CHECK_EQUAL(1, write(this->first[1], "x", 1));
+    CHECK_EQUAL(1, write(this->second[1], "x", 1));
+    loop.post([&loop, &order] {
+        loop.soon([&order] { order += "p"; });
+        order += "q";
+    });
+    loop.after(milliseconds(5), [&loop, &order] {
+        loop.soon([&order] { order += "l"; });
+        loop.stop();
+    });
+    loop.run();
+    loop.forget(this->first[0]);
+    loop.forget(this->second[0]);
+    STRCMP_EQUAL("cstcstqpl", order.c_str());
+}
+
+TEST(event_loop, a_task_for_soon_asked_for_outside_of_callbacks_waits_for_the_run)
+{
+    adapters::event_loop loop;
+    bool ran = false;
+    loop.soon([&loop, &ran] {
+        ran = true;
+        loop.stop();
+    });
+    CHECK_FALSE(ran);
+    loop.run();
+    CHECK_TRUE(ran);
+}
+
+TEST(event_loop, a_cancelled_task_for_soon_does_not_run)
+{
+    adapters::event_loop loop;
+    std::string order;
+    adapters::timer_number later = 0;
+    loop.soon([&loop, &order, &later] {
+        order += "a";
+        loop.cancel(later);
+    });
+    later = loop.soon([&order] { order += "b"; });
+    const auto third = loop.soon([&loop, &order] {
+        order += "c";
+        loop.stop();
+    });
+    loop.run();
+    loop.cancel(third); // has run: harmless
+    STRCMP_EQUAL("ac", order.c_str());
+}
+
+// Two sockets are ready at once, and whichever is served first ends the other one's listener.
+TEST(event_loop, a_listener_that_an_earlier_callback_destroyed_is_not_called)
+{
+    adapters::event_loop loop;
+    int calls = 0;
+    std::unique_ptr<acting_reader> one;
+    std::unique_ptr<acting_reader> other;
+    one = std::make_unique<acting_reader>(this->first[0], [this, &loop, &calls, &other] {
+        ++calls;
+        loop.forget(this->second[0]);
+        other.reset();
+    });
+    other = std::make_unique<acting_reader>(this->second[0], [this, &loop, &calls, &one] {
+        ++calls;
+        loop.forget(this->first[0]);
+        one.reset();
+    });
+    loop.watch(this->first[0], *one, true, false);
+    loop.watch(this->second[0], *other, true, false);
+    CHECK_EQUAL(1, write(this->first[1], "x", 1));
+    CHECK_EQUAL(1, write(this->second[1], "x", 1));
+    loop.post([&loop] { loop.stop(); });
+    loop.run();
+    CHECK_EQUAL(1, calls);
+}
+
+// A connection is closed and a new one gets its number, while an event of the old one is fetched.
+TEST(event_loop, an_event_does_not_reach_a_new_socket_of_the_same_number)
+{
+    adapters::event_loop loop;
+    std::array<int, 2> fresh{};
+    CHECK_EQUAL(0, socketpair(AF_UNIX, SOCK_STREAM, 0, fresh.data()));
+    int calls = 0;
+    acting_reader newcomer(this->second[0], [&calls] { ++calls; });
+    acting_reader replaced(this->second[0], [] {});
+    acting_reader replacing(this->first[0], [this, &loop, &fresh, &newcomer] {
+        loop.forget(this->second[0]);
+        dup2(fresh[0], this->second[0]);
+        loop.watch(this->second[0], newcomer, true, false);
+    });
+    loop.watch(this->first[0], replacing, true, false);
+    loop.watch(this->second[0], replaced, true, false);
+    CHECK_EQUAL(1, write(this->first[1], "x", 1));
+    CHECK_EQUAL(1, write(this->second[1], "x", 1));
+    loop.post([&loop] { loop.stop(); });
+    loop.run();
+    loop.forget(this->first[0]);
+    loop.forget(this->second[0]);
+    close(fresh[0]);
+    close(fresh[1]);
+    CHECK_EQUAL(0, calls);
+}
+
+TEST(event_loop, a_timer_cancelled_by_one_that_is_due_with_it_does_not_run)
+{
+    adapters::event_loop loop;
+    std::string order;
+    adapters::timer_number later = 0;
+    loop.after(milliseconds(0), [&loop, &order, &later] {
+        order += "a";
+        loop.cancel(later);
+    });
+    later = loop.after(milliseconds(0), [&order] { order += "b"; });
+    loop.after(milliseconds(0), [&loop] { loop.stop(); });
+    loop.run();
+    STRCMP_EQUAL("a", order.c_str());
+}
