--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -14,7 +14,8 @@
 namespace pearhaven::adapters {
 
 // One request of a caller, whole, and the way back for its answer. It outlives its connection:
-// whatever is written after the caller has gone is dropped.
+// whatever is written after the caller has gone is dropped. None of its functions calls the
+// listener: what a send meets is told once the loop's running callback has returned.
 class inbound_exchange
     : public boost::intrusive_ref_counter<inbound_exchange, boost::thread_unsafe_counter> {
 public:
@@ -41,13 +42,15 @@
 
 using inbound_exchange_ptr = boost::intrusive_ptr<inbound_exchange>;
 
-// What a server's requests are told to.
+// What a server's requests are told to, by the loop alone and never in the middle of a call into an
+// exchange. It may call any exchange.
 class inbound_listener {
 public:
     virtual ~inbound_listener() = default;
     virtual void on_request(inbound_exchange_ptr exchange) = 0;
 
-    // The caller closed its connection before the answer's end.
+    // The caller's connection was lost before the answer's end. Until this is told, sends on it do
+    // nothing. An exchange that has ended or was aborted meanwhile is not told of.
     virtual void on_caller_gone(inbound_exchange& exchange) = 0;
 
     // All that was written has left, after `unsent` was above zero.
--- a/adapters/include/pearhaven/adapters/http_outbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_outbound.hpp
@@ -60,7 +60,9 @@
 };
 
 // Receives one exchange, on the loop's thread: heads and pieces, then one of `on_end` and
-// `on_break`, unless it is cancelled or dropped.
+// `on_break`, unless it is cancelled or dropped. Never called in the middle of a call into the
+// client, and not destroyed by the client in the middle of its own functions, which may call the
+// client in turn.
 class outbound_listener
     : public boost::intrusive_ref_counter<outbound_listener, boost::thread_unsafe_counter> {
 public:
--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -3,7 +3,6 @@
 #include "inbound_socket.hpp"
 
 #include <unordered_map>
-#include <vector>
 
 namespace pearhaven::adapters {
 
@@ -26,7 +25,6 @@
     ~inbound_server() override
     {
         this->events.cancel(this->check);
-        this->events.cancel(this->sweep);
         this->events.forget(this->acceptor.get());
     }
 
@@ -52,10 +50,11 @@
     [[nodiscard]] const inbound_limits& limits() const override { return this->bounds; }
     [[nodiscard]] bool is_closing() const override { return this->closing; }
     void on_refused_head() override { ++this->counted.refused_heads; }
-    void on_closed(inbound_socket& connection) override;
+    [[nodiscard]] timer_number give_turn(inbound_socket& connection) override;
     void on_ready(bool readable, bool writable, bool failed) override;
 
 private:
+    void drop(const inbound_socket& connection);
     void check_later();
     template <typename Function>
     void for_each(Function&& act);
@@ -68,9 +67,7 @@
     bool closing = false;
     inbound_counts counted;
     std::unordered_map<int, std::unique_ptr<inbound_socket>> connections;
-    std::vector<std::unique_ptr<inbound_socket>> closed; // to be destroyed by `sweep`
     timer_number check = 0;
-    timer_number sweep = 0;
 };
 
 void inbound_server::on_ready(bool /*readable*/, bool /*writable*/, bool /*failed*/)
@@ -88,38 +85,28 @@
     this->events.watch(this->acceptor.get(), *this, false, false);
 }
 
-// The connection may be in the middle of one of its own functions: it is destroyed later.
-void inbound_server::on_closed(inbound_socket& connection)
+timer_number inbound_server::give_turn(inbound_socket& connection)
 {
-    const auto found = this->connections.find(connection.number());
-    if (found == this->connections.end()) {
-        return;
-    }
-    this->events.forget(connection.number());
-    this->closed.push_back(std::move(found->second));
-    this->connections.erase(found);
-    if (this->sweep == 0) {
-        this->sweep = this->events.after(decision::duration::zero(), [this] {
-            this->sweep = 0;
-            this->closed.clear();
-        });
-    }
+    return this->events.soon([this, &connection] {
+        if (connection.take_turn()) {
+            this->drop(connection);
+        }
+    });
+}
+
+// Called by the loop alone, when none of the connection's own functions is under way.
+void inbound_server::drop(const inbound_socket& connection)
+{
+    this->connections.erase(connection.number());
     this->events.watch(this->acceptor.get(), *this, true, false);
 }
 
+// No call into a connection adds or destroys one: that waits for its turn.
 template <typename Function>
 void inbound_server::for_each(Function&& act)
 {
-    std::vector<int> numbers;
-    numbers.reserve(this->connections.size());
     for (const auto& [number, connection] : this->connections) {
-        numbers.push_back(number);
-    }
-    for (const int number : numbers) {
-        const auto found = this->connections.find(number);
-        if (found != this->connections.end()) {
-            act(*found->second);
-        }
+        act(*connection);
     }
 }
 
--- a/adapters/src/http_outbound.cpp
+++ b/adapters/src/http_outbound.cpp
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace pearhaven::adapters {
@@ -50,6 +51,7 @@
 
     [[nodiscard]] outbound_socket* take_idle(const outbound_target& target);
     [[nodiscard]] outbound_socket& open(const outbound_target& target);
+    void destroy_closed();
 
     event_loop& events;
     http_outbound_settings chosen;
@@ -134,13 +136,17 @@
     this->closed.push_back(std::move(found->second));
     this->connections.erase(found);
     if (this->sweep == 0) {
-        this->sweep = this->events.after(decision::duration::zero(), [this] {
-            this->sweep = 0;
-            this->closed.clear();
-        });
+        this->sweep = this->events.soon([this] { this->destroy_closed(); });
     }
 }
 
+// What a listener drops as it goes may close further connections: these are swept next.
+void outbound_client::destroy_closed()
+{
+    this->sweep = 0;
+    const auto dropped = std::exchange(this->closed, {});
+}
+
 void outbound_client::cancel(outbound_number exchange)
 {
     const auto found = this->exchanges.find(exchange);
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -42,9 +42,7 @@
         bytes.append(body);
     }
     this->connection->send(bytes);
-    if (this->connection != nullptr) {
-        this->connection->finish_answer();
-    }
+    this->connection->finish_answer();
 }
 
 void connection_exchange::begin(int status, const http_fields& fields)
@@ -69,12 +67,11 @@
 
 void connection_exchange::end()
 {
-    if (this->connection != nullptr) {
-        this->connection->send(last_chunk);
-    }
-    if (this->connection != nullptr) {
-        this->connection->finish_answer();
+    if (this->connection == nullptr) {
+        return;
     }
+    this->connection->send(last_chunk);
+    this->connection->finish_answer();
 }
 
 void connection_exchange::abort()
@@ -103,9 +100,8 @@
     if (this->exchange) {
         this->exchange->detach();
     }
-    if (this->socket.get()) {
-        this->host.loop().forget(this->number());
-    }
+    this->host.loop().cancel(this->turn);
+    this->host.loop().forget(this->number());
 }
 
 void inbound_socket::watch()
@@ -126,8 +122,8 @@
             this->watch();
             if (this->step == phase::lingering) {
                 ::shutdown(this->number(), SHUT_WR);
-            } else if (this->exchange) {
-                this->host.listener().on_room(*this->exchange);
+            } else if (const auto told = this->exchange) {
+                this->host.listener().on_room(*told);
             }
         }
     }
@@ -246,14 +242,22 @@
     return this->host.is_closing() || (this->exchange && !this->exchange->head().keep_alive);
 }
 
+// The exchange is the callers' alone from here on: it may be destroyed as soon as they drop it.
+void inbound_socket::drop_exchange()
+{
+    if (this->exchange) {
+        this->exchange->detach();
+        this->exchange.reset();
+    }
+}
+
 void inbound_socket::finish_answer()
 {
+    const bool closes = this->closes_after_answer();
+    this->drop_exchange();
     if (this->step != phase::answering) {
         return;
     }
-    const bool closes = this->closes_after_answer();
-    this->exchange->detach();
-    this->exchange.reset();
     this->since = this->host.loop().now();
     this->idle_time = this->host.limits().idle_time;
     if (closes) {
@@ -261,18 +265,15 @@
         return;
     }
     this->step = phase::reading;
-    if (!this->running) {
-        this->take_kept();
+    if (!this->running && !this->kept.empty()) {
+        this->ask_for_turn();
     }
 }
 
 // Answers what cannot be understood and reads no more of it: where it ends is not known.
 void inbound_socket::refuse(int status)
 {
-    if (this->exchange) {
-        this->exchange->detach();
-        this->exchange.reset();
-    }
+    this->drop_exchange();
     this->send(write_response_head(status, {{"Content-Length", "0"}, {"Connection", "close"}}));
     if (this->step != phase::closed) {
         this->linger();
@@ -290,28 +291,50 @@
 
 void inbound_socket::abort()
 {
-    if (this->exchange) {
-        this->exchange->detach();
-        this->exchange.reset();
-    }
+    this->drop_exchange();
     this->close(false);
 }
 
+// Only marks the connection, of which nothing is read and on which nothing is sent from here on.
+// The listener may be in the middle of the call that met the loss, with the request in its hands:
+// told at once it would drop the request, and the call would go on with what it had dropped.
 void inbound_socket::close(bool caller_left)
 {
     if (this->step == phase::closed) {
         return;
     }
-    const bool under_way = this->step == phase::answering;
+    if (!caller_left || this->step != phase::answering) {
+        this->drop_exchange();
+    }
     this->step = phase::closed;
-    auto left = std::move(this->exchange);
+    this->ask_for_turn();
+}
+
+void inbound_socket::ask_for_turn()
+{
+    if (this->turn == 0) {
+        this->turn = this->host.give_turn(*this);
+    }
+}
+
+bool inbound_socket::take_turn()
+{
+    this->turn = 0;
+    if (this->step == phase::closed) {
+        this->tell_loss();
+        return true;
+    }
+    this->take_kept();
+    return false;
+}
+
+void inbound_socket::tell_loss()
+{
+    const auto left = std::move(this->exchange);
     if (left) {
         left->detach();
-        if (caller_left && under_way) {
-            this->host.listener().on_caller_gone(*left);
-        }
+        this->host.listener().on_caller_gone(*left);
     }
-    this->host.on_closed(*this);
 }
 
 void inbound_socket::check_time(decision::instant now)
@@ -340,7 +363,7 @@
 
 void inbound_socket::close_if_idle()
 {
-    if (this->step == phase::reading && !this->reader.inside_message()) {
+    if (this->step == phase::reading && !this->reader.inside_message() && this->kept.empty()) {
         this->linger();
     }
 }
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -18,7 +18,10 @@
     [[nodiscard]] virtual const inbound_limits& limits() const = 0;
     [[nodiscard]] virtual bool is_closing() const = 0;
     virtual void on_refused_head() = 0;
-    virtual void on_closed(inbound_socket& connection) = 0;
+
+    // Calls the connection's `take_turn` once the callback that is being run has returned, and then
+    // destroys the connection if it is over.
+    [[nodiscard]] virtual timer_number give_turn(inbound_socket& connection) = 0;
 };
 
 // A request with the way back to the connection that it came on.
@@ -49,7 +52,8 @@
     decision::instant arrival;
 };
 
-// One connection of a caller.
+// One connection of a caller. What its listener calls never calls the listener back: a lost
+// connection is only marked, and pipelined bytes are only kept, until its turn comes.
 class inbound_socket final : public socket_listener, public http_message_listener {
 public:
     inbound_socket(inbound_host& server, tcp_socket accepted);
@@ -70,6 +74,9 @@
     [[nodiscard]] bool closes_after_answer() const;
     [[nodiscard]] std::size_t unsent() const { return this->socket.unsent(); }
 
+    // Carries out what calls have left to the loop. True when the connection is over.
+    [[nodiscard]] bool take_turn();
+
     // Ends what has taken longer than the limits allow. To be called now and then.
     void check_time(decision::instant now);
     void close_if_idle();
@@ -82,9 +89,12 @@
     void read_more();
     void take(std::string_view bytes);
     void take_kept();
+    void drop_exchange();
     void refuse(int status);
     void linger();
     void close(bool caller_left);
+    void tell_loss();
+    void ask_for_turn();
     void watch();
 
     inbound_host& host;
@@ -92,7 +102,11 @@
     http_reader reader;
     phase step = phase::reading;
     bool running = false; // inside `take`, which goes on with the next request by itself
-    std::string kept;     // bytes after the request under way
+    timer_number turn = 0;
+    std::string kept; // bytes after the request under way
+
+    // Under way. Of a closed connection: the one whose listener has yet to hear that the caller
+    // left.
     boost::intrusive_ptr<connection_exchange> exchange;
     decision::instant since;        // of the present wait
     decision::duration idle_time{}; // as promised to the caller when the wait began
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -88,7 +88,8 @@
     this->watch();
 }
 
-// The listener hears of it after the function that starts the exchange has returned.
+// The listener hears of it in a callback of its own, which others come before: one that starts the
+// next exchange at once, to fail as well, would else keep the loop for itself.
 void outbound_socket::fail_soon(outbound_fault why)
 {
     auto& loop = this->host.loop();
@@ -308,9 +309,10 @@
     }
 }
 
+// The listener hears no more, but it may be the one that cancels, in the middle of one of its own
+// functions: it is dropped with the connection.
 void outbound_socket::cancel()
 {
-    this->listener.reset();
     this->close();
 }
 
--- a/adapters/src/outbound_socket.hpp
+++ b/adapters/src/outbound_socket.hpp
@@ -21,10 +21,14 @@
 
     // The connection can carry another exchange until `idle_until`, unless that has passed.
     virtual void on_idle(outbound_socket& connection, decision::instant idle_until) = 0;
+
+    // Nothing more comes of the connection. It is destroyed once the callback that is being run has
+    // returned.
     virtual void on_closed(outbound_socket& connection) = 0;
 };
 
-// One connection to an endpoint or to the store.
+// One connection to an endpoint or to the store. What its listener calls never calls the listener
+// back.
 class outbound_socket final : public socket_listener, public http_message_listener {
 public:
     outbound_socket(outbound_host& client, std::uint64_t name, outbound_target target);
--- a/adapters/test/http_client_test.cpp
+++ b/adapters/test/http_client_test.cpp
@@ -1,6 +1,7 @@
 #include "pearhaven/adapters/http_client.hpp"
 #include "raw_server.hpp"
 
+#include <atomic>
 #include <cstdlib>
 #include <future>
 #include <mutex>
@@ -88,6 +89,43 @@
     return request;
 }
 
+// Cancels its exchange and starts the next one from within each of its functions.
+class meddling_listener final : public recording_listener {
+public:
+    meddling_listener(http_client& of, std::string at) : client(of), url(std::move(at)) {}
+
+    void on_head(int status,
+                 const std::vector<std::pair<std::string, std::string>>& headers) override
+    {
+        recording_listener::on_head(status, headers);
+        this->meddle();
+    }
+    [[nodiscard]] bool on_body(std::string_view piece) override
+    {
+        this->meddle();
+        return recording_listener::on_body(piece);
+    }
+    void on_end(const http_result& result) override
+    {
+        this->meddle();
+        recording_listener::on_end(result);
+    }
+
+    std::atomic<exchange_number> exchange{0};
+    std::vector<boost::intrusive_ptr<recording_listener>> started;
+
+private:
+    void meddle()
+    {
+        this->client.cancel(this->exchange);
+        this->started.emplace_back(new recording_listener);
+        this->client.start(get(this->url), this->started.back());
+    }
+
+    http_client& client;
+    std::string url;
+};
+
 // Answers each request of each connection with its own text.
 void echo(raw_connection& connection, int /*index*/)
 {
@@ -435,3 +473,44 @@
     }
     client->stop();
 }
+
+// The other end resets its connection at some step of its answer. The listener hears of it once, as
+// a lost connection, and the client goes on.
+TEST(http_client, a_reset_at_any_step_of_an_answer_is_a_lost_connection)
+{
+    const std::vector<std::string> parts = {"", "HTTP/1.1 200 OK\r\nContent-Le", chunked_head,
+                                            chunked_head + "3\r\none\r\n",
+                                            chunked_head + "3\r\none\r\n0\r\n"};
+    for (const auto& part : parts) {
+        raw_server server([&part](raw_connection& connection, int /*index*/) {
+            connection.read_request();
+            connection.send(part);
+            connection.reset();
+        });
+        boost::intrusive_ptr<recording_listener> one(new recording_listener);
+        client->start(post(server.url(), "body"), one);
+        CHECK_EQUAL(make_error_code(http_error::connection_lost), one->wait().error);
+    }
+    raw_server server(echo);
+    client->start(get(server.url()), listener);
+    LONGS_EQUAL(200, listener->wait().status);
+}
+
+TEST(http_client, a_listener_may_cancel_and_start_exchanges_from_within_its_functions)
+{
+    raw_server others(echo);
+    std::atomic<bool> known{false};
+    raw_server server([&known](raw_connection& connection, int /*index*/) {
+        connection.read_request();
+        wait_for(known);
+        connection.send(chunked_head + "3\r\none\r\n");
+        connection.wait_until_closed();
+    });
+    boost::intrusive_ptr<meddling_listener> meddler(new meddling_listener(*client, others.url()));
+    meddler->exchange = client->start(get(server.url()), meddler);
+    known = true;
+    CHECK_EQUAL(make_error_code(http_error::cancelled), meddler->wait().error);
+    for (const auto& one : meddler->started) {
+        LONGS_EQUAL(200, one->wait().status);
+    }
+}
--- /dev/null
+++ b/adapters/test/http_inbound_test.cpp
@@ -0,0 +1,350 @@
+#include "pearhaven/adapters/http_inbound.hpp"
+
+#include "loop_script.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven;
+using namespace pearhaven::adapters;
+using std::chrono::milliseconds;
+using tests::loop_script;
+using tests::script_socket;
+
+namespace {
+
+// Holds its requests as a relay does: a caller that has gone is dropped at once. Notes whether it
+// was called in the middle of a call of its own into an exchange.
+class holding_listener final : public inbound_listener {
+public:
+    void on_request(inbound_exchange_ptr exchange) override
+    {
+        this->note_call();
+        this->targets.push_back(exchange->head().target);
+        this->held.push_back(std::move(exchange));
+        if (this->act) {
+            this->act();
+        }
+    }
+    void on_caller_gone(inbound_exchange& exchange) override
+    {
+        this->note_call();
+        ++this->gone;
+        std::erase_if(this->held, [&exchange](const auto& one) { return one.get() == &exchange; });
+    }
+    void on_room(inbound_exchange& /*exchange*/) override
+    {
+        this->note_call();
+        ++this->rooms;
+    }
+
+    // Calls into the oldest request held.
+    void use(const std::function<void(inbound_exchange&)>& call)
+    {
+        this->inside = true;
+        call(*this->held.front());
+        this->inside = false;
+    }
+
+    std::vector<inbound_exchange_ptr> held;
+    std::vector<std::string> targets;
+    std::function<void()> act; // at each request
+    int gone = 0;
+    int rooms = 0;
+    bool called_inside = false;
+
+private:
+    void note_call() { this->called_inside = this->called_inside || this->inside; }
+
+    bool inside = false;
+};
+
+std::string request(const std::string& target)
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+void answer(inbound_exchange& exchange)
+{
+    exchange.answer(200, {}, "whole");
+}
+
+void begin(inbound_exchange& exchange)
+{
+    exchange.begin(200, {});
+}
+
+void write_twice(inbound_exchange& exchange)
+{
+    exchange.write("one");
+    exchange.write("two");
+}
+
+void end(inbound_exchange& exchange)
+{
+    exchange.end();
+}
+
+void abort_it(inbound_exchange& exchange)
+{
+    exchange.abort();
+}
+
+} // namespace
+
+TEST_GROUP(http_inbound)
+{
+    event_loop loop;
+    holding_listener listener;
+    std::unique_ptr<http_inbound> server;
+    std::unique_ptr<script_socket> caller;
+
+    void setup() override
+    {
+        this->server = make_http_inbound(this->loop, "127.0.0.1", 0, 16, this->listener);
+        this->caller = script_socket::connect(this->server->port());
+    }
+
+    void teardown() override
+    {
+        this->server.reset();
+        this->listener.held.clear();
+        this->caller.reset();
+    }
+
+    std::function<bool()> has_requests(std::size_t count)
+    {
+        return [this, count] { return this->listener.targets.size() == count; };
+    }
+
+    std::function<bool()> all_closed()
+    {
+        return [this] { return this->server->counts().open == 0; };
+    }
+
+    // The caller leaves, by a reset or in order, and `call` is the first to meet it, after
+    // `before`. Then the loop runs until the connection is gone.
+    void meet_loss(bool by_reset, const std::function<void(inbound_exchange&)>& before,
+                   const std::function<void(inbound_exchange&)>& call)
+    {
+        loop_script script(this->loop);
+        this->caller->send(request("/a"));
+        script
+            .when(this->has_requests(1),
+                  [this, by_reset, &before, &call] {
+                      this->listener.use(before);
+                      by_reset ? this->caller->reset() : this->caller->close();
+                      this->listener.use(call);
+                  })
+            .until(this->all_closed());
+        CHECK_TRUE(script.run());
+        CHECK_FALSE(this->listener.called_inside);
+    }
+};
+
+// The caller resets its connection, and the answer's send is the first to meet it. The listener
+// was told in the middle of its own call, dropped the request, and the call went on with freed
+// memory: the process died with all its streams.
+TEST(http_inbound, a_reset_met_by_a_whole_answer_is_told_to_nobody_inside_the_call)
+{
+    this->meet_loss(
+        true, [](auto& /*exchange*/) {}, answer);
+    CHECK_EQUAL(0, this->listener.gone); // its answer had ended
+}
+
+TEST(http_inbound, a_reset_met_by_a_head_is_told_after_the_call)
+{
+    this->meet_loss(
+        true, [](auto& /*exchange*/) {}, begin);
+    CHECK_EQUAL(1, this->listener.gone);
+    CHECK_TRUE(this->listener.held.empty());
+}
+
+TEST(http_inbound, a_reset_met_between_pieces_is_told_after_the_call)
+{
+    this->meet_loss(true, begin, write_twice);
+    CHECK_EQUAL(1, this->listener.gone);
+}
+
+TEST(http_inbound, a_reset_met_by_the_end_is_told_to_nobody_inside_the_call)
+{
+    this->meet_loss(true, begin, end);
+    CHECK_EQUAL(0, this->listener.gone);
+}
+
+TEST(http_inbound, a_reset_before_an_abort_is_told_to_nobody)
+{
+    this->meet_loss(true, begin, abort_it);
+    CHECK_EQUAL(0, this->listener.gone);
+}
+
+TEST(http_inbound, an_abort_after_a_piece_that_met_a_reset_takes_the_loss_back)
+{
+    this->meet_loss(true, begin, [](inbound_exchange& exchange) {
+        exchange.write("lost");
+        exchange.abort();
+    });
+    CHECK_EQUAL(0, this->listener.gone);
+}
+
+TEST(http_inbound, an_orderly_close_is_told_once_at_each_step_of_an_answer)
+{
+    this->meet_loss(false, begin, write_twice);
+    CHECK_EQUAL(1, this->listener.gone);
+}
+
+TEST(http_inbound, an_orderly_close_before_a_whole_answer_is_told_to_nobody)
+{
+    this->meet_loss(
+        false, [](auto& /*exchange*/) {}, answer);
+    CHECK_EQUAL(0, this->listener.gone);
+}
+
+TEST(http_inbound, a_caller_that_left_while_nothing_was_sent_is_told)
+{
+    this->meet_loss(
+        true, [](auto& /*exchange*/) {}, [](auto& /*exchange*/) {});
+    CHECK_EQUAL(1, this->listener.gone);
+    CHECK_TRUE(this->listener.held.empty());
+}
+
+// The caller sends its second request before the first one's answer. The second reaches the
+// listener once it is done with the first, and both answers come in order.
+TEST(http_inbound, pipelined_requests_are_taken_after_the_call_that_makes_room_for_them)
+{
+    loop_script script(this->loop);
+    this->caller->send(request("/a") + request("/b"));
+    script.when(this->has_requests(1), [this] { this->listener.use(answer); })
+        .when(this->has_requests(2),
+              [this] {
+                  this->listener.held.erase(this->listener.held.begin());
+                  this->listener.use(
+                      [](inbound_exchange& exchange) { exchange.answer(200, {}, "second"); });
+              })
+        .until([this] { return this->caller->has("second"); });
+    CHECK_TRUE(script.run());
+    CHECK_FALSE(this->listener.called_inside);
+    STRCMP_EQUAL("/b", this->listener.targets.back().c_str());
+    CHECK_TRUE(this->caller->received().find("whole") < this->caller->received().find("second"));
+}
+
+TEST(http_inbound, a_reset_with_pipelined_bytes_drops_them)
+{
+    this->caller->send(request("/a") + request("/b"));
+    loop_script script(this->loop);
+    script
+        .when(this->has_requests(1),
+              [this] {
+                  this->caller->reset();
+                  this->listener.use(answer);
+              })
+        .until(this->all_closed());
+    CHECK_TRUE(script.run());
+    CHECK_FALSE(this->listener.called_inside);
+    CHECK_EQUAL(1, this->listener.targets.size());
+}
+
+// Idle connections are closed in the same moment in which an answer makes room for a request that
+// has already come. That request is under way, and is answered.
+TEST(http_inbound, a_pipelined_request_is_not_idle)
+{
+    loop_script script(this->loop);
+    this->caller->send(request("/a") + request("/b"));
+    script
+        .when(this->has_requests(1),
+              [this] {
+                  this->listener.use(answer);
+                  this->server->close_idle();
+              })
+        .until(this->has_requests(2));
+    CHECK_TRUE(script.run());
+}
+
+// A listener that answers and aborts as soon as it hears of a request, while its bytes are still
+// being taken.
+TEST(http_inbound, a_connection_aborted_while_its_bytes_are_taken_takes_no_more_of_them)
+{
+    this->listener.act = [this] { this->listener.held.back()->abort(); };
+    this->caller->send(request("/a") + request("/b"));
+    loop_script script(this->loop);
+    script.until(this->all_closed()).until([this] { return this->caller->is_ended(); });
+    CHECK_TRUE(script.run());
+    CHECK_EQUAL(1, this->listener.targets.size());
+    CHECK_TRUE(this->caller->received().empty());
+}
+
+TEST(http_inbound, nothing_is_sent_after_an_abort)
+{
+    loop_script script(this->loop);
+    this->caller->send(request("/a"));
+    script
+        .when(this->has_requests(1),
+              [this] {
+                  this->listener.use(begin);
+                  this->listener.use([](inbound_exchange& exchange) {
+                      exchange.write("before");
+                      exchange.abort();
+                      exchange.write("after");
+                      exchange.end();
+                  });
+              })
+        .until([this] { return this->caller->is_ended(); });
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(this->caller->has("before"));
+    CHECK_FALSE(this->caller->has("after"));
+    CHECK_FALSE(this->caller->has(std::string(last_chunk)));
+}
+
+// A head that does not come to its end costs its connection, not its server.
+TEST(http_inbound, a_head_that_stays_unfinished_is_refused)
+{
+    inbound_limits limits;
+    limits.head_time = milliseconds(1);
+    this->server->set_limits(limits);
+    this->caller->send("GET / HTTP/1.1\r\nHo");
+    loop_script script(this->loop);
+    script.until([this] { return this->caller->has(" 408 "); })
+        .when([] { return true; }, [this] { this->caller->reset(); })
+        .until(this->all_closed());
+    CHECK_TRUE(script.run());
+}
+
+// The caller takes nothing of a long answer, and resets while the rest of it waits.
+TEST(http_inbound, a_reset_while_bytes_wait_is_told_once)
+{
+    loop_script script(this->loop);
+    this->caller->send(request("/a"));
+    script
+        .when(this->has_requests(1),
+              [this] {
+                  this->listener.use(begin);
+                  this->listener.use([](inbound_exchange& exchange) {
+                      exchange.write(std::string(std::size_t{32} << 20U, 'x'));
+                  });
+                  CHECK_TRUE(this->listener.held.front()->unsent() > 0);
+                  this->caller->reset();
+              })
+        .until(this->all_closed());
+    CHECK_TRUE(script.run());
+    CHECK_EQUAL(1, this->listener.gone);
+    CHECK_EQUAL(0, this->listener.rooms);
+}
+
+// The process ends between a send that met a reset and the moment in which its listener would have
+// been told.
+TEST(http_inbound, a_server_may_end_with_a_loss_untold)
+{
+    loop_script script(this->loop);
+    this->caller->send(request("/a"));
+    script.when(this->has_requests(1), [] {});
+    CHECK_TRUE(script.run());
+    this->caller->reset();
+    this->listener.use(begin);
+    this->server.reset();
+    CHECK_EQUAL(0, this->listener.gone);
+    this->listener.use(write_twice); // reaches nobody
+}
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -106,6 +106,102 @@
     std::optional<outbound_break> broken;
 };
 
+// Cancels its own exchange in the middle of one of its functions, and says when it is destroyed.
+class leaving_listener final : public outbound_listener {
+public:
+    enum class moment { head, body, silence };
+
+    struct notes {
+        bool inside = false;
+        bool destroyed = false;
+        bool destroyed_inside = false;
+        int ended = 0;
+    };
+
+    leaving_listener(http_outbound& of, moment chosen, notes& kept)
+        : client(of), when(chosen), seen(kept)
+    {}
+    ~leaving_listener() override
+    {
+        this->seen.destroyed = true;
+        this->seen.destroyed_inside = this->seen.inside;
+    }
+    leaving_listener(const leaving_listener&) = delete;
+    leaving_listener& operator=(const leaving_listener&) = delete;
+
+    head_verdict on_head(const http_response_head& /*head*/) override
+    {
+        this->leave_at(moment::head);
+        return head_verdict::take;
+    }
+    void on_body(std::string_view /*piece*/) override { this->leave_at(moment::body); }
+    bool on_silence() override
+    {
+        this->leave_at(moment::silence);
+        return true;
+    }
+    void on_end() override { ++this->seen.ended; }
+    void on_break(const outbound_break& /*how*/) override { ++this->seen.ended; }
+
+    outbound_number exchange = 0;
+
+private:
+    void leave_at(moment reached)
+    {
+        auto& kept = this->seen; // still there should this object not be
+        if (reached == this->when) {
+            kept.inside = true;
+            this->client.cancel(this->exchange);
+            kept.inside = false;
+        }
+    }
+
+    http_outbound& client;
+    moment when;
+    notes& seen;
+};
+
+// Starts the next exchange as soon as the one that it hears of has ended.
+class chaining_listener final : public outbound_listener {
+public:
+    chaining_listener(http_outbound& of, outbound_target at, outbound_listener_ptr after)
+        : client(of), target(std::move(at)), next(std::move(after))
+    {}
+    head_verdict on_head(const http_response_head& /*head*/) override { return head_verdict::take; }
+    void on_body(std::string_view /*piece*/) override {}
+    void on_end() override { this->client.start(this->target, {}, std::move(this->next)); }
+    void on_break(const outbound_break& /*how*/) override { this->on_end(); }
+
+private:
+    http_outbound& client;
+    outbound_target target;
+    outbound_listener_ptr next;
+};
+
+// Starts the exchange again each time that it fails, up to a bound.
+class persistent_listener final : public outbound_listener {
+public:
+    persistent_listener(http_outbound& of, outbound_target at, int& tries)
+        : client(of), target(std::move(at)), count(tries)
+    {}
+    head_verdict on_head(const http_response_head& /*head*/) override { return head_verdict::take; }
+    void on_body(std::string_view /*piece*/) override {}
+    void on_end() override {}
+    void on_break(const outbound_break& /*how*/) override
+    {
+        if (++this->count < most_tries) {
+            this->client.start(this->target, {}, this);
+        }
+    }
+
+    static constexpr int most_tries = 10000;
+
+private:
+    http_outbound& client;
+    outbound_target target;
+    int& count;
+};
+
 const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 } // namespace
@@ -115,6 +211,7 @@
     event_loop loop;
     std::unique_ptr<scripted_endpoint> endpoint;
     std::unique_ptr<http_outbound> client;
+    leaving_listener::notes left;
 
     void setup() override
     {
@@ -137,6 +234,19 @@
         return listener;
     }
 
+    // A listener that cancels at the moment is destroyed, but not inside its own function, and
+    // hears no more.
+    void leave_at(leaving_listener::moment moment, const outbound_request& request = {})
+    {
+        auto* made = new leaving_listener(*this->client, moment, this->left);
+        // Here alone the connection holds the last reference, as it does for a relay.
+        made->exchange = this->client->start(this->endpoint->target(), request, made);
+        this->run_for(milliseconds(80));
+        CHECK_TRUE(this->left.destroyed);
+        CHECK_FALSE(this->left.destroyed_inside);
+        CHECK_EQUAL(0, this->left.ended);
+    }
+
     void run_for(milliseconds time)
     {
         this->loop.after(time, [this] { this->loop.stop(); });
@@ -194,3 +304,73 @@
     this->run_for(milliseconds(50));
     CHECK_TRUE(listener->broken->why == outbound_fault::not_connected);
 }
+
+// A relay cancels a run from within the call that brings its bytes, as at a gap in a stream. The
+// listener was destroyed in the middle of its own function, which then went on without an object.
+TEST(http_outbound, a_listener_that_cancels_while_it_hears_a_piece_outlives_the_call)
+{
+    this->endpoint->answers = {answer};
+    this->leave_at(leaving_listener::moment::body);
+}
+
+TEST(http_outbound, a_listener_that_cancels_while_it_hears_a_head_outlives_the_call)
+{
+    this->endpoint->answers = {answer};
+    this->leave_at(leaving_listener::moment::head);
+}
+
+TEST(http_outbound, a_listener_that_cancels_while_it_hears_of_silence_outlives_the_call)
+{
+    outbound_request request;
+    request.answer_time = milliseconds(20);
+    this->leave_at(leaving_listener::moment::silence, request);
+}
+
+TEST(http_outbound, the_next_exchange_may_begin_in_the_end_of_the_one_before)
+{
+    this->endpoint->answers = {answer, answer};
+    boost::intrusive_ptr<noting_listener> second(new noting_listener);
+    this->client->start(this->endpoint->target(), {},
+                        new chaining_listener(*this->client, this->endpoint->target(), second));
+    this->run_for(milliseconds(80));
+    CHECK_TRUE(second->ended);
+    CHECK_EQUAL(1, this->endpoint->accepted());
+}
+
+// Nobody listens at the endpoint, which is known at once; the caller leaves before it is told.
+TEST(http_outbound, an_exchange_cancelled_before_its_failure_is_told_says_nothing)
+{
+    auto target = this->endpoint->target();
+    target.host = "no number";
+    boost::intrusive_ptr<noting_listener> listener(new noting_listener);
+    this->client->cancel(this->client->start(target, {}, listener));
+    this->run_for(milliseconds(20));
+    CHECK_FALSE(listener->broken.has_value());
+    CHECK_EQUAL(0, this->client->counts().open);
+}
+
+// The client ends with exchanges of which nobody has been told yet.
+TEST(http_outbound, a_client_may_end_with_failures_untold)
+{
+    auto target = this->endpoint->target();
+    target.host = "no number";
+    boost::intrusive_ptr<noting_listener> listener(new noting_listener);
+    this->client->start(target, {}, listener);
+    this->client->cancel(this->client->start(target, {}, listener));
+    this->client.reset();
+    this->run_for(milliseconds(20));
+    CHECK_FALSE(listener->broken.has_value());
+}
+
+// The store cannot be connected to, which is known at once, and each failed call leads to the next
+// one. Whatever else the loop has to do is done in between.
+TEST(http_outbound, exchanges_that_fail_as_they_start_leave_the_loop_to_others)
+{
+    auto target = this->endpoint->target();
+    target.host = "no number";
+    int tries = 0;
+    this->client->start(target, {}, new persistent_listener(*this->client, target, tries));
+    this->loop.post([this] { this->loop.stop(); });
+    this->loop.run();
+    CHECK_TRUE(tries < persistent_listener::most_tries);
+}
--- a/adapters/test/peer_link_test.cpp
+++ b/adapters/test/peer_link_test.cpp
@@ -120,6 +120,7 @@
 
     void open() { this->write(this->frame_of("")); }
     void wait_until_closed() const { this->wire.wait_until_closed(); }
+    void reset() const { this->wire.reset(); }
 
 private:
     int socket;
@@ -479,3 +480,50 @@
     settings.listen_port = receiver.address().port;
     CHECK_THROWS(std::system_error, make_peer_link(settings, {}));
 }
+
+// A peer resets its connection at some step: unheard, after the nonces, after the opening, after a
+// message, within one. The next peer's message still arrives.
+TEST(peer_link, a_reset_at_any_step_of_an_incoming_connection_costs_that_connection_alone)
+{
+    const int unheard = connect_to_loopback(receiver.address().port);
+    raw_connection(unheard).reset();
+    close(unheard);
+    for (int step = 0; step < 4; ++step) {
+        raw_peer peer(receiver);
+        if (step > 0) {
+            peer.open();
+        }
+        if (step > 1) {
+            const auto message = peer.message(1);
+            peer.write(step == 2 ? message : message.substr(0, message.size() / 2));
+        }
+        peer.reset();
+    }
+    recording_link sender(settings_for("sender"));
+    sender.link->send(receiver.address(), numbered(99));
+    CHECK_TRUE(eventually([&] {
+        const auto all = receiver.received();
+        return !all.empty() && number_of(all.back()) == 99;
+    }));
+}
+
+// The peer that is sent to resets each connection, one step later than the one before.
+TEST(peer_link, a_reset_at_any_step_of_an_outgoing_connection_is_tried_again)
+{
+    raw_server resetting([](raw_connection& connection, int index) {
+        if (index > 0) {
+            connection.send(nonce_text(random_nonce()));
+        }
+        if (index > 1) {
+            connection.send("more than a nonce");
+        }
+        connection.reset();
+    });
+    recording_link sender(settings_for("sender"));
+    CHECK_TRUE(eventually([&] {
+        sender.link->send({"127.0.0.1", resetting.port()}, numbered(1));
+        return resetting.connections() > 3;
+    }));
+    sender.link->send(receiver.address(), numbered(99));
+    CHECK_TRUE(receiver.receives(1));
+}
--- a/adapters/test/raw_server.hpp
+++ b/adapters/test/raw_server.hpp
@@ -2,6 +2,7 @@
 #define PEARHAVEN_ADAPTERS_TEST_RAW_SERVER_HPP
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -110,6 +111,17 @@
 
     void shut() const { shutdown(this->socket, SHUT_RDWR); }
 
+    // The other end's next use of the connection fails. The number stays taken until its owner
+    // closes it.
+    void reset() const
+    {
+        const linger at_once{1, 0};
+        setsockopt(this->socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        const int nothing = open("/dev/null", O_RDONLY | O_CLOEXEC);
+        dup2(nothing, this->socket);
+        close(nothing);
+    }
+
 private:
     static std::size_t content_length(const std::string& text)
     {
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -110,6 +110,9 @@
     const caller_dialect& dialect;
     adapters::metrics& counts;
     event_relay_settings settings;
+
+    // A reference to a request holds over all calls into its caller and into `endpoints`, which
+    // call nothing back. It ends with `run_actions`, and with whatever calls that.
     std::unordered_map<ticket_number, relayed_request> requests;
     std::unordered_map<const adapters::inbound_exchange*, ticket_number> tickets;
 
--- /dev/null
+++ b/router/test/event_relay_test.cpp
@@ -0,0 +1,619 @@
+#include "pearhaven/router/event_relay.hpp"
+
+#include "loop_script.hpp"
+#include "pearhaven/adapters/log.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven;
+using namespace pearhaven::router;
+using decision::work_kind;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using tests::loop_script;
+using tests::script_listener;
+using tests::script_socket;
+
+namespace {
+
+// The first line of the log makes its writer, which stays: made here, it is no test's leak.
+const bool log_is_made = [] {
+    adapters::log_change("event_relay_tests", {});
+    return true;
+}();
+
+// A dialect of few words. Its functions are called right before the relay sends something, so a
+// test that acts in `at` meets the send that follows.
+class hooked_dialect final : public caller_dialect {
+public:
+    std::variant<routed_request, local_answer>
+    read(const adapters::inbound_exchange& caller,
+         const decision::configuration* /*current*/) const override
+    {
+        this->come("read");
+        if (caller.head().target == "/nowhere") {
+            return local_answer{404, {}, "nowhere"};
+        }
+        auto made = this->form;
+        made.work.team = "deposits";
+        made.work.asked = "model";
+        made.work.idempotent = decision::may_run_again(made.kind);
+        made.work.streamed = decision::is_streamed(made.kind);
+        made.work.work = {decision::work_class::lookup, 100.0};
+        made.work.deadline = caller.arrived() + this->patience;
+        made.work.max_attempts = 2;
+        made.work.sizes = static_cast<std::uint32_t>(made.models.size());
+        made.work.on_loss = decision::continuation::at_other_run;
+        made.work.objective = this->objective;
+        return made;
+    }
+
+    std::string name_of(const adapters::inbound_exchange& /*caller*/) const override { return "n"; }
+
+    adapters::outbound_request write(const adapters::inbound_exchange& caller,
+                                     const routed_request& /*request*/,
+                                     const attempt_terms& terms) const override
+    {
+        this->come(terms.last_event > 0 ? "write again" : "write");
+        adapters::outbound_request sent;
+        sent.target = caller.head().target;
+        sent.fields = {{"Host", "h"}, {"After", std::to_string(terms.last_event)}};
+        return sent;
+    }
+
+    answer_facts judge(const routed_request& /*request*/,
+                       const adapters::http_response_head& head) const override
+    {
+        this->come("judge");
+        answer_facts facts;
+        facts.meaning = head.status == 200   ? answer_meaning::success
+                        : head.status == 503 ? answer_meaning::refused
+                                             : answer_meaning::endpoint_error;
+        facts.confidence = adapters::find_field(head.fields, "Poor") != nullptr ? 0.0 : 100.0;
+        return facts;
+    }
+
+    adapters::http_fields pass_on(const adapters::http_response_head& /*head*/) const override
+    {
+        this->come("pass on");
+        return {};
+    }
+
+    local_answer refuse(const routed_request& /*request*/,
+                        const decision::failure& /*why*/) const override
+    {
+        this->come("refuse");
+        return {503, {}, "refused"};
+    }
+
+    routed_request form;
+    decision::duration patience = seconds(30);
+    decision::duration objective{};
+    std::string at; // where `act` is called
+    std::function<void()> act;
+    mutable int acted = 0;
+
+private:
+    void come(const std::string& where) const
+    {
+        if (this->act && where == this->at) {
+            ++this->acted;
+            this->act();
+        }
+    }
+};
+
+decision::configuration_ptr make_configuration()
+{
+    decision::team deposits;
+    deposits.name = "deposits";
+    deposits.versions = decision::selector();
+    deposits.max_in_flight = 1000;
+    decision::version served;
+    served.name = "model@v1";
+    served.model = "model";
+    served.tags = {{"version", "model@v1"}};
+    decision::pool engines;
+    engines.name = "engines";
+    engines.versions = decision::selector().require("version", {"model@v1"});
+    engines.hosts = decision::selector().require("served", {"model@v1"});
+    engines.slots_per_host = 64;
+    return decision::configuration_builder()
+        .revision(1)
+        .add(deposits)
+        .add(served)
+        .add(engines)
+        .build();
+}
+
+std::string request(const std::string& target = "/a")
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+std::string whole(const std::string& body, const std::string& field = "")
+{
+    return "HTTP/1.1 200 OK\r\n" + field + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+const std::string stream_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string refusal = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+
+std::string event(int id, const std::string& text = "word")
+{
+    return adapters::write_chunk("id: " + std::to_string(id) + "\ndata: " + text + "\n\n");
+}
+
+// More than the buffers of two connections hold.
+std::string long_stream()
+{
+    constexpr int events = 400;
+    std::string stream = stream_head;
+    for (int id = 1; id <= events; ++id) {
+        stream += event(id, std::string(std::size_t{64} << 10U, 'x'));
+    }
+    return stream;
+}
+
+std::string stream_end()
+{
+    return std::string(adapters::last_chunk);
+}
+
+} // namespace
+
+// A caller, a router and two endpoints on one loop. Each test makes the caller or an endpoint leave
+// at one step of a request and lets the relay be the first to meet it. Whatever the step: nothing
+// is left of the request, its run ends, and the next caller is served.
+TEST_GROUP(event_relay)
+{
+    adapters::event_loop loop;
+    adapters::metrics counts;
+    hooked_dialect dialect;
+    event_relay_settings settings;
+    std::unique_ptr<decision::dispatcher> dispatcher;
+    std::unique_ptr<adapters::http_outbound> client;
+    std::unique_ptr<event_relay> relay;
+    std::unique_ptr<adapters::http_inbound> callers;
+    std::vector<std::unique_ptr<script_listener>> endpoints;
+    std::unique_ptr<script_socket> caller;
+    std::unique_ptr<script_socket> next_caller;
+    std::unique_ptr<loop_script> script;
+
+    void setup() override
+    {
+        CHECK_TRUE(log_is_made);
+        decision::dispatcher_settings chosen;
+        chosen.endpoints.zone = "osu";
+        chosen.max_refusals = 1;
+        this->dispatcher = std::make_unique<decision::dispatcher>(chosen);
+        this->client = adapters::make_http_outbound(this->loop, {});
+        this->script = std::make_unique<loop_script>(this->loop);
+        this->endpoints.push_back(std::make_unique<script_listener>());
+        this->endpoints.push_back(std::make_unique<script_listener>());
+        const auto now = this->loop.now();
+        this->dispatcher->on_configuration(make_configuration(), now);
+        this->dispatcher->on_hosts(this->hosts(), now);
+        this->dispatcher->on_touch(decision::instant::max(), now);
+        this->dialect.form.kind = work_kind::resumable_stream;
+    }
+
+    // With the settings that the test has chosen.
+    void open()
+    {
+        this->relay = std::make_unique<event_relay>(this->loop, *this->client, *this->dispatcher,
+                                                    this->dialect, this->counts, this->settings);
+        this->callers = adapters::make_http_inbound(this->loop, "127.0.0.1", 0, 16, *this->relay);
+        this->caller = script_socket::connect(this->callers->port());
+    }
+
+    void teardown() override
+    {
+        this->script.reset();
+        this->dialect.act = nullptr;
+        this->callers.reset();
+        this->relay.reset();
+        this->client.reset();
+        this->endpoints.clear();
+        this->caller.reset();
+        this->next_caller.reset();
+        this->dispatcher.reset();
+    }
+
+    std::vector<decision::endpoint_host> hosts() const
+    {
+        std::vector<decision::endpoint_host> made;
+        for (const auto& one : this->endpoints) {
+            const auto address = "127.0.0.1:" + std::to_string(one->port());
+            made.push_back({address, address, "osu", 0, false, {{"served", "model@v1"}}});
+        }
+        return made;
+    }
+
+    // The connection that was the `index`th to bring a request to either endpoint; null where there
+    // is none yet.
+    script_socket* run_at(std::size_t index)
+    {
+        for (const auto& one : this->endpoints) {
+            for (const auto& connection : one->connections()) {
+                auto* brought = connection.get();
+                const bool known =
+                    std::find(this->runs.begin(), this->runs.end(), brought) != this->runs.end();
+                if (!known && connection->has("\r\n\r\n")) {
+                    this->runs.push_back(brought);
+                }
+            }
+        }
+        return index < this->runs.size() ? this->runs[index] : nullptr;
+    }
+
+    std::function<bool()> has_run(std::size_t index)
+    {
+        return [this, index] { return this->run_at(index) != nullptr; };
+    }
+
+    // Whether the first run's bytes have stopped leaving.
+    std::function<bool()> is_stuck()
+    {
+        return [this, last = std::size_t{0}, looks = 0]() mutable {
+            const auto left = this->run_at(0)->flush();
+            looks = left == last ? looks + 1 : 0;
+            last = left;
+            return looks > 20;
+        };
+    }
+
+    std::function<bool()> caller_has(const std::string& part)
+    {
+        return [this, part] { return this->caller->has(part); };
+    }
+
+    // The caller resets right before the relay sends what follows on `place`.
+    void reset_at(const std::string& place)
+    {
+        this->dialect.at = place;
+        this->dialect.act = [this] { this->caller->reset(); };
+    }
+
+    loop_script& begin()
+    {
+        this->open();
+        this->caller->send(request());
+        return *this->script;
+    }
+
+    // Runs the script, then a request of another caller, which is served.
+    void finish(bool run_ends = true)
+    {
+        auto& steps = *this->script;
+        steps.until([this] { return this->relay->in_flight() == 0; }).until([this] {
+            return this->callers->counts().open == 0;
+        });
+        if (run_ends) {
+            steps.until(
+                [this] { return this->run_at(0) == nullptr || this->runs.back()->is_ended(); });
+        }
+        steps
+            .when([] { return true; },
+                  [this] {
+                      this->dialect.act = nullptr;
+                      this->dialect.form = {};
+                      this->dialect.form.kind = work_kind::idempotent;
+                      this->next_caller = script_socket::connect(this->callers->port());
+                      this->next_caller->send(request("/next"));
+                  })
+            .when([this] { return this->next_run() != nullptr; },
+                  [this] { this->next_run()->send(whole("served")); })
+            .until([this] { return this->next_caller->has("served"); });
+        CHECK_TRUE(steps.run());
+        CHECK_EQUAL(0, this->relay->in_flight());
+        CHECK_EQUAL(0, this->dispatcher->in_flight());
+    }
+
+    // The connection on which the request of the next caller came.
+    script_socket* next_run()
+    {
+        for (const auto& one : this->endpoints) {
+            for (auto& connection : one->connections()) {
+                if (connection->has("GET /next ")) {
+                    return connection.get();
+                }
+            }
+        }
+        return nullptr;
+    }
+
+    std::vector<script_socket*> runs;
+};
+
+// A stop's end refuses what waits, and the refusal is the first to meet that the caller has reset
+// its connection. Two routers died of it at once, with all their streams.
+TEST(event_relay, a_reset_is_met_by_the_refusal_at_a_stops_end)
+{
+    this->begin().when(this->has_run(0), [this] {
+        this->caller->reset();
+        this->dispatcher->end_stop(this->loop.now());
+        this->relay->run_actions();
+    });
+    this->finish();
+}
+
+TEST(event_relay, a_reset_is_met_by_the_cut_of_a_stream_at_a_stops_end)
+{
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send(stream_head + event(1)); })
+        .when(this->caller_has("id: 1"), [this] {
+            this->caller->reset();
+            this->dispatcher->end_stop(this->loop.now());
+            this->relay->run_actions();
+        });
+    this->finish();
+}
+
+TEST(event_relay, a_reset_is_met_by_an_answer_of_the_routers_own)
+{
+    this->reset_at("read");
+    this->open();
+    this->caller->send(request("/nowhere"));
+    this->finish();
+}
+
+TEST(event_relay, a_reset_while_the_request_is_written_to_its_endpoint_ends_the_run)
+{
+    this->reset_at("write");
+    this->begin();
+    this->script->until([this] { return this->dialect.acted > 0; });
+    this->finish();
+}
+
+TEST(event_relay, a_reset_before_the_answers_head_ends_the_run)
+{
+    this->begin().when(this->has_run(0), [this] { this->caller->reset(); });
+    this->finish();
+}
+
+TEST(event_relay, a_reset_is_met_by_a_plain_answer)
+{
+    this->dialect.form.kind = work_kind::idempotent;
+    this->reset_at("pass on");
+    this->begin().when(this->has_run(0), [this] { this->run_at(0)->send(whole("answer")); });
+    this->finish(false);
+}
+
+TEST(event_relay, a_reset_is_met_by_a_streams_head_and_the_events_that_came_with_it)
+{
+    this->reset_at("pass on");
+    this->begin().when(this->has_run(0), [this] {
+        this->run_at(0)->send(stream_head + event(1) + event(2) + event(3));
+    });
+    this->finish();
+}
+
+TEST(event_relay, a_reset_is_met_by_a_whole_stream_at_once)
+{
+    this->reset_at("pass on");
+    this->begin().when(this->has_run(0), [this] {
+        this->run_at(0)->send(stream_head + event(1) + event(2) + stream_end());
+    });
+    this->finish(false);
+}
+
+// The endpoint's bytes are ready before the caller's reset is, so the relay meets it in a send.
+TEST(event_relay, a_reset_is_met_between_pieces)
+{
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send(stream_head + event(1)); })
+        .when(this->caller_has("id: 1"), [this] {
+            this->run_at(0)->send(event(2) + event(3));
+            this->caller->reset();
+        });
+    this->finish();
+}
+
+TEST(event_relay, a_reset_is_met_by_the_end_of_a_stream)
+{
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send(stream_head + event(1)); })
+        .when(this->caller_has("id: 1"), [this] {
+            this->run_at(0)->send(stream_end());
+            this->caller->reset();
+        });
+    this->finish(false);
+}
+
+// An event that follows no other spoils the run in the same piece that meets the reset: the run is
+// cancelled from within the call that brings its bytes.
+TEST(event_relay, a_reset_is_met_by_a_stream_with_a_gap)
+{
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send(stream_head + event(1)); })
+        .when(this->caller_has("id: 1"), [this] {
+            this->run_at(0)->send(event(2) + event(9));
+            this->caller->reset();
+        });
+    this->finish();
+}
+
+// The first endpoint's connection is reset after an event. The caller leaves while another endpoint
+// is asked to go on.
+TEST(event_relay, a_reset_while_another_endpoint_is_asked_to_go_on_ends_that_run)
+{
+    this->reset_at("write again");
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send(stream_head + event(1)); })
+        .when(this->caller_has("id: 1"), [this] { this->run_at(0)->reset(); })
+        .until([this] { return this->dialect.acted > 0; });
+    this->finish(false);
+}
+
+TEST(event_relay, a_reset_is_met_by_the_pieces_of_the_endpoint_that_goes_on)
+{
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send(stream_head + event(1)); })
+        .when(this->caller_has("id: 1"), [this] { this->run_at(0)->reset(); })
+        .when(this->has_run(1), [this] {
+            this->run_at(1)->send(stream_head + event(1) + event(2) + event(3));
+            this->caller->reset();
+        });
+    this->finish();
+}
+
+TEST(event_relay, a_stream_goes_on_at_another_endpoint_for_a_caller_that_stays)
+{
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send(stream_head + event(1)); })
+        .when(this->caller_has("id: 1"), [this] { this->run_at(0)->reset(); })
+        .when(this->has_run(1),
+              [this] { this->run_at(1)->send(stream_head + event(1) + event(2) + stream_end()); })
+        .when(this->caller_has("id: 2"), [this] { this->caller->close(); });
+    this->finish(false);
+}
+
+TEST(event_relay, a_reset_is_met_by_the_refusal_after_the_endpoints_have_refused)
+{
+    this->dialect.form.kind = work_kind::idempotent;
+    this->reset_at("refuse");
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send(refusal); })
+        .when([this] { return this->has_run(1)() || this->dialect.acted > 0; },
+              [this] {
+                  if (this->run_at(1) != nullptr) {
+                      this->run_at(1)->send(refusal);
+                  }
+              });
+    this->finish(false);
+}
+
+TEST(event_relay, a_reset_is_met_by_an_endpoints_own_failure)
+{
+    this->dialect.form.kind = work_kind::at_most_once;
+    this->reset_at("pass on");
+    this->begin().when(this->has_run(0), [this] {
+        this->run_at(0)->send("HTTP/1.1 500 X\r\nContent-Length: 3\r\n\r\nbad");
+    });
+    this->finish(false);
+}
+
+// The small model doubts its answer, and the caller leaves while the large one is asked. The first
+// run is dropped from within the call that brings its head.
+TEST(event_relay, a_reset_while_a_larger_model_is_asked_ends_that_run)
+{
+    this->dialect.form.kind = work_kind::idempotent;
+    this->dialect.form.models = {"small", "large"};
+    this->begin()
+        .when(this->has_run(0),
+              [this] {
+                  this->reset_at("write");
+                  this->run_at(0)->send(whole("doubted", "Poor: yes\r\n"));
+              })
+        .until([this] { return this->dialect.acted > 0; });
+    this->finish(false);
+}
+
+// A plain answer too long to be held breaks off in the middle, and its caller has left.
+TEST(event_relay, a_reset_is_met_by_the_cut_of_a_long_plain_answer)
+{
+    this->settings.most_held = 4;
+    this->dialect.form.kind = work_kind::idempotent;
+    this->reset_at("pass on");
+    this->begin().when(this->has_run(0), [this] {
+        this->run_at(0)->send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\na long beginning");
+        this->run_at(0)->close();
+    });
+    this->finish(false);
+}
+
+// The endpoint is silent past its time; the caller leaves while another one is asked.
+TEST(event_relay, a_reset_after_an_endpoints_silence_ends_the_next_run)
+{
+    this->settings.least_patience = milliseconds(5);
+    this->settings.sign_of_life = milliseconds(0);
+    this->dialect.objective = milliseconds(10);
+    this->dialect.form.kind = work_kind::idempotent;
+    this->begin().when(this->has_run(0), [this] { this->reset_at("write"); }).until([this] {
+        return this->dialect.acted > 0;
+    });
+    this->finish(false);
+}
+
+TEST(event_relay, a_reset_is_met_by_the_refusal_at_a_deadline)
+{
+    this->dialect.patience = milliseconds(30);
+    this->reset_at("refuse");
+    this->begin().until(this->has_run(0)).until([this] {
+        this->relay->tick();
+        return this->dialect.acted > 0;
+    });
+    this->finish(false);
+}
+
+TEST(event_relay, a_reset_with_a_pipelined_request_ends_both)
+{
+    this->dialect.form.kind = work_kind::idempotent;
+    this->reset_at("pass on");
+    this->open();
+    this->caller->send(request() + request("/b"));
+    this->script->when(this->has_run(0), [this] { this->run_at(0)->send(whole("answer")); });
+    this->finish(false);
+}
+
+// The second request is refused by the router itself, in the moment in which the first one's end
+// makes room for it.
+TEST(event_relay, pipelined_requests_are_answered_in_order)
+{
+    this->dialect.form.kind = work_kind::idempotent;
+    this->open();
+    this->caller->send(request() + request("/nowhere"));
+    this->script->when(this->has_run(0), [this] { this->run_at(0)->send(whole("answer")); })
+        .when(this->caller_has("nowhere"), [this] {
+            CHECK_TRUE(this->caller->received().find("answer") <
+                       this->caller->received().find("nowhere"));
+            this->caller->reset();
+        });
+    this->finish(false);
+}
+
+// The caller takes nothing until its endpoint is no longer read. Then it takes all.
+TEST(event_relay, a_slow_caller_gets_the_whole_stream)
+{
+    this->settings.most_unsent = 1;
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send(long_stream() + stream_end()); })
+        .until(this->is_stuck())
+        .when(
+            [this] {
+                this->run_at(0)->flush();
+                return this->caller->has(stream_end());
+            },
+            [this] { this->caller->close(); });
+    this->finish(false);
+}
+
+TEST(event_relay, a_reset_while_the_endpoint_is_not_read_ends_the_run)
+{
+    this->settings.most_unsent = 1;
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send(long_stream()); })
+        .when(this->is_stuck(), [this] { this->caller->reset(); });
+    this->finish();
+}
+
+// The router ends with a stream under way, and a loss that nobody has been told of.
+TEST(event_relay, a_router_may_end_with_a_loss_untold)
+{
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send(stream_head + event(1)); })
+        .until(this->caller_has("id: 1"));
+    CHECK_TRUE(this->script->run());
+    this->caller->reset();
+    this->dispatcher->end_stop(this->loop.now());
+    this->relay->run_actions();
+    CHECK_EQUAL(0, this->relay->in_flight());
+}
--- /dev/null
+++ b/tests/support/loop_script.hpp
@@ -0,0 +1,206 @@
+#ifndef PEARHAVEN_TESTS_SUPPORT_LOOP_SCRIPT_HPP
+#define PEARHAVEN_TESTS_SUPPORT_LOOP_SCRIPT_HPP
+
+#include "pearhaven/adapters/event_loop.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace pearhaven::tests {
+
+// A test's end of a connection over loopback, used on the thread of the loop under test: nothing
+// here waits.
+class script_socket {
+public:
+    explicit script_socket(int connected) : socket(connected)
+    {
+        fcntl(this->socket, F_SETFL, fcntl(this->socket, F_GETFL) | O_NONBLOCK);
+    }
+    ~script_socket() { this->close(); }
+    script_socket(const script_socket&) = delete;
+    script_socket& operator=(const script_socket&) = delete;
+
+    // The connection stands when this returns: the listening queue takes it.
+    static std::unique_ptr<script_socket> connect(std::uint16_t port)
+    {
+        const int opened = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(port);
+        [[maybe_unused]] const int connected =
+            ::connect(opened, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        return std::make_unique<script_socket>(opened);
+    }
+
+    static sockaddr_in loopback(std::uint16_t port)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+
+    // What the connection does not take is left for `flush`.
+    void send(std::string_view bytes)
+    {
+        this->unsent.append(bytes);
+        this->flush();
+    }
+
+    // Bytes that still wait.
+    std::size_t flush()
+    {
+        ssize_t count = 0;
+        while (!this->unsent.empty() && (count = ::send(this->socket, this->unsent.data(),
+                                                        this->unsent.size(), MSG_NOSIGNAL)) > 0) {
+            this->unsent.erase(0, static_cast<std::size_t>(count));
+        }
+        return this->unsent.size();
+    }
+
+    // All that has come so far.
+    const std::string& received()
+    {
+        char piece[64U << 10U];
+        ssize_t count = 0;
+        while (this->socket >= 0 && (count = recv(this->socket, piece, sizeof piece, 0)) > 0) {
+            this->text.append(piece, static_cast<std::size_t>(count));
+        }
+        this->ended = this->ended || count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+        return this->text;
+    }
+
+    [[nodiscard]] bool has(std::string_view part)
+    {
+        return this->received().find(part) != std::string::npos;
+    }
+
+    // Whether the other end has closed or reset the connection.
+    [[nodiscard]] bool is_ended()
+    {
+        this->received();
+        return this->ended;
+    }
+
+    // The other end's next use of the connection fails.
+    void reset()
+    {
+        const linger at_once{1, 0};
+        setsockopt(this->socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        this->close();
+    }
+
+    void close()
+    {
+        if (this->socket >= 0) {
+            ::close(std::exchange(this->socket, -1));
+        }
+    }
+
+private:
+    int socket;
+    std::string unsent;
+    std::string text;
+    bool ended = false;
+};
+
+// A listening end whose connections a test serves by hand.
+class script_listener {
+public:
+    script_listener() : listening(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
+    {
+        const sockaddr_in address = script_socket::loopback(0);
+        [[maybe_unused]] const int bound =
+            bind(this->listening, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        listen(this->listening, 64);
+    }
+    ~script_listener() { ::close(this->listening); }
+    script_listener(const script_listener&) = delete;
+    script_listener& operator=(const script_listener&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        sockaddr_in address{};
+        socklen_t length = sizeof address;
+        getsockname(this->listening, reinterpret_cast<sockaddr*>(&address), &length);
+        return ntohs(address.sin_port);
+    }
+
+    // Those accepted so far, oldest first.
+    std::vector<std::unique_ptr<script_socket>>& connections()
+    {
+        int next = -1;
+        while ((next = accept4(this->listening, nullptr, nullptr, SOCK_CLOEXEC)) >= 0) {
+            this->accepted.push_back(std::make_unique<script_socket>(next));
+        }
+        return this->accepted;
+    }
+
+private:
+    int listening;
+    std::vector<std::unique_ptr<script_socket>> accepted;
+};
+
+// What a test does on the loop: each step waits for its condition. What one step does meets the
+// code under test all at once, before the loop can notice a part of it.
+class loop_script {
+public:
+    explicit loop_script(adapters::event_loop& runs_on) : loop(runs_on) {}
+
+    loop_script& when(std::function<bool()> condition, std::function<void()> act)
+    {
+        this->steps.emplace_back(std::move(condition), std::move(act));
+        return *this;
+    }
+
+    loop_script& until(std::function<bool()> condition)
+    {
+        return this->when(std::move(condition), [] {});
+    }
+
+    // Runs the loop until all steps have been taken. False when one still waits after a generous
+    // time. A loop runs once.
+    [[nodiscard]] bool run()
+    {
+        this->limit = adapters::event_loop::read_clock() + std::chrono::seconds(20);
+        this->look();
+        this->loop.run();
+        return this->steps.empty();
+    }
+
+private:
+    void look()
+    {
+        if (!this->steps.empty() && this->steps.front().first()) {
+            const auto step = std::move(this->steps.front());
+            this->steps.pop_front();
+            step.second();
+        }
+        if (this->steps.empty() || this->limit < adapters::event_loop::read_clock()) {
+            this->loop.stop();
+            return;
+        }
+        this->loop.after(std::chrono::milliseconds(1), [this] { this->look(); });
+    }
+
+    adapters::event_loop& loop;
+    std::deque<std::pair<std::function<bool()>, std::function<void()>>> steps;
+    decision::instant limit;
+};
+
+} // namespace pearhaven::tests
+
+#endif
