Begin an endpoint's knowledge anew when it starts again

Cause: an endpoint may start again under the name that it had. The table took only a higher number for a new process, carried the requests of the earlier one over as held by the new one, and subtracted their late ends from it. Loads told by other routers had no incarnation at all, and a refusal or crash of the earlier life marked, avoided and blamed the new one.

Change: an attempt, a told load, an avoided endpoint and a leaving each belong to one incarnation. With a newer one all that was known is dropped; ends, loads and leavings of an earlier one count for nothing. Where lists come in order (`lists_in_order`, for a store that orders the writes of a key) any incarnation that was not replaced before is the newer one, so a clock that was set back does no harm; a replaced one is over for good. EndpointLoad has a new last field, so routers of two releases understand each other; loads that name no incarnation count only for endpoints that have none.

Ruled out: letting a peer's load begin a life. A peer that lags would bring an ended one back; the entries themselves reach a router by the store or by a peer's mirror.

Tests: loads told in endpoint_table_test name the incarnation of the hosts that they are told of; all else about these tests is as before.

--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -164,7 +164,7 @@
 
     static bool take(const wire::EndpointLoad& table, decision::endpoint_load& item)
     {
-        item = {take(table.address()), table.requests(), table.work()};
+        item = {take(table.address()), table.requests(), table.work(), table.incarnation()};
         return true;
     }
 
--- a/adapters/src/peer_encoder.cpp
+++ b/adapters/src/peer_encoder.cpp
@@ -143,7 +143,8 @@
     offset<wire::EndpointLoad> put(const decision::endpoint_load& item)
     {
         const text_offset address = this->put(item.address);
-        return wire::CreateEndpointLoad(this->out, address, item.requests, item.work);
+        return wire::CreateEndpointLoad(this->out, address, item.requests, item.work,
+                                        item.incarnation);
     }
 
     offset<wire::LoadPush> put(const load_push& message)
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -1508,7 +1508,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ADDRESS = 4,
     VT_REQUESTS = 6,
-    VT_WORK = 8
+    VT_WORK = 8,
+    VT_INCARNATION = 10
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -1519,12 +1520,16 @@
   double work() const {
     return GetField<double>(VT_WORK, 0.0);
   }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
            VerifyField<double>(verifier, VT_WORK, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            verifier.EndTable();
   }
 };
@@ -1542,6 +1547,9 @@
   void add_work(double work) {
     fbb_.AddElement<double>(EndpointLoad::VT_WORK, work, 0.0);
   }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(EndpointLoad::VT_INCARNATION, incarnation, 0);
+  }
   explicit EndpointLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1558,8 +1566,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint32_t requests = 0,
-    double work = 0.0) {
+    double work = 0.0,
+    uint64_t incarnation = 0) {
   EndpointLoadBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
   builder_.add_work(work);
   builder_.add_requests(requests);
   builder_.add_address(address);
@@ -1575,13 +1585,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *address = nullptr,
     uint32_t requests = 0,
-    double work = 0.0) {
+    double work = 0.0,
+    uint64_t incarnation = 0) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return pearhaven::adapters::wire::CreateEndpointLoad(
       _fbb,
       address__,
       requests,
-      work);
+      work,
+      incarnation);
 }
 
 struct LoadPush FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/adapters/test/peer_message_generators.hpp
+++ b/adapters/test/peer_message_generators.hpp
@@ -95,7 +95,7 @@
 
     static decision::endpoint_load one_load()
     {
-        return {text(), *rc::gen::arbitrary<std::uint32_t>(), real()};
+        return {text(), *rc::gen::arbitrary<std::uint32_t>(), real(), number()};
     }
 
     static coordination::kv_entry one_entry() { return {text(), text(), number()}; }
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -272,13 +272,19 @@
     [[nodiscard]] std::vector<rollout_report> rollouts() const { return this->exposure.reports(); }
 
 private:
+    struct avoided_endpoint {
+        std::string address;
+        std::uint64_t incarnation = 0;
+    };
+
     struct request_state {
         arrival what;
         attempt_number attempt = 0;
-        std::string address; // where the attempt runs; empty while queued
+        std::string address;           // where the attempt runs; empty while queued
+        std::uint64_t incarnation = 0; // of the endpoint that it was sent to
         std::string version;
-        std::vector<std::string> avoid; // endpoints that refused or lost it
-        instant avoid_until;            // then it may go to them again, as the only ones left
+        std::vector<avoided_endpoint> avoid; // that refused or lost it
+        instant avoid_until;                 // then it may go to them again, as the only ones left
         std::uint32_t resumes = 0;
         std::uint32_t refusals = 0;
         std::uint32_t losses = 0;          // runs that broke off
@@ -324,6 +330,8 @@
     [[nodiscard]] bool is_in_touch(instant now) const { return now < this->in_touch_until; }
     [[nodiscard]] bool is_long_out_of_touch(instant now) const;
     [[nodiscard]] bool is_suspect(const request_state& state, instant now) const;
+    void add_avoided(const request_state& state, placement& wanted) const;
+    [[nodiscard]] bool runs_at_present_life(const request_state& state) const;
     void keep_suspect_apart(const request_state& state, placement& wanted, instant now) const;
     [[nodiscard]] duration expected_wait() const;
     [[nodiscard]] bool helps_to_fill(const request_state& state, const std::string& version) const;
@@ -350,7 +358,9 @@
     [[nodiscard]] bool may_run_once_more(const request_state& state) const;
     void note_version_refused(request_state& state) const;
     void note_version_lost(request_state& state, const attempt_end& end);
-    void blame_crash(const std::string& address, instant now);
+    void blame_crash(const std::string& address, std::uint64_t incarnation, instant now);
+    void count_end(const request_state& state, attempt_result result, duration first_token,
+                   instant now);
     static void settle_rate(counted_arrivals& counted, double seconds);
     void note_finished_work(double work, instant now);
     void give_up_all_queued(const failure& why);
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -15,13 +15,13 @@
 namespace pearhaven::decision {
 
 // An endpoint as the platform's host list names it. A process that replaces another at the same
-// address has a higher incarnation. Where each process has a name of its own, that name may stand
-// as `address`, and `reached_at` says where it listens.
+// address has another incarnation: a higher one, unless `lists_in_order` is set. Where endpoints
+// have names of their own, the name may stand as `address`, and `reached_at` says where it listens.
 struct endpoint_host {
     std::string address;
     std::string name;
     std::string zone;
-    std::uint64_t incarnation = 0;
+    std::uint64_t incarnation = 0; // 0: not known
     bool leaving = false;
     labels tags;
     std::string reached_at = {}; // IP:port; empty: `address` is that
@@ -44,7 +44,8 @@
 struct endpoint_load {
     std::string address;
     std::uint32_t requests = 0;
-    double work = 0.0; // as placement::work, of all of them
+    double work = 0.0;             // as placement::work, of all of them
+    std::uint64_t incarnation = 0; // of the endpoint that holds them
 
     friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
 };
@@ -111,7 +112,14 @@
     duration first_ejection = std::chrono::seconds(1); // doubles with each one in a row
     duration longest_ejection = std::chrono::seconds(10);
 
-    duration leaving_memory = std::chrono::minutes(10); // for which an unlisted host's mark is kept
+    // For which an unlisted host's leaving and its incarnations are remembered.
+    duration leaving_memory = std::chrono::minutes(10);
+
+    // Whether host lists come in the order in which they were made, as from a store that orders the
+    // writes of a key. An incarnation is then only compared for being another: its number comes
+    // from the endpoint's clock, which may be set back, and an endpoint whose number fell would get
+    // no work until its clock had caught up.
+    bool lists_in_order = false;
 };
 
 // What this router knows of the endpoints: who is there and who leaves, what it has sent there
@@ -127,28 +135,36 @@
     // Which endpoints serve which version or service, and their bounds.
     void configure(const configuration& current);
 
-    // The whole host list. A lagging list never brings back a host marked leaving, unless with a
-    // higher incarnation; an incarnation lower than the known one is passed over.
+    // The whole host list. A host marked leaving comes back only with a newer incarnation. With a
+    // newer incarnation all is dropped that was known of the earlier one, and what still runs there
+    // counts no longer. Newer is a higher one; where lists come in order, any that was not replaced
+    // before. An incarnation that is older than the known one is passed over.
     void set_hosts(const std::vector<endpoint_host>& hosts, instant now);
 
-    // The incarnation at the address gets no new work. 0 means the one now known.
+    // The incarnation at the address gets no new work. 0 means the one now known. The mark does not
+    // bind a newer one, and that of an incarnation already replaced is passed over.
     void mark_leaving(const std::string& address, std::uint64_t incarnation, instant now);
 
     // Every attempt is told twice: when it is sent, and when it ends. A `first_token` of zero means
     // that none came. After an attempt went silent the embedder must not reuse older idle
-    // connections to that address: the endpoint is blamed when fresh ones go silent too.
+    // connections to that address: the endpoint is blamed when fresh ones go silent too. The end of
+    // an attempt that an earlier `incarnation` was sent changes nothing: it was never counted at
+    // the present one. Without one, the present one is meant.
     void started(const std::string& address, work_class kind, double work,
                  std::uint64_t prefix_hash, instant now);
     void ended(const std::string& address, work_class kind, double work, attempt_result result,
-               duration first_token, instant now);
+               duration first_token, instant now,
+               std::optional<std::uint64_t> incarnation = std::nullopt);
 
     // Part of the work of an attempt under way is done. Its `ended` is told the rest.
-    void lightened(const std::string& address, double work);
+    void lightened(const std::string& address, double work,
+                   std::optional<std::uint64_t> incarnation = std::nullopt);
 
     // Reports lag; what was sent since the moment they describe is added to them.
     void reported(const std::string& address, const load_report& report, instant now);
 
-    // Another router says what it holds; it replaces what that router said before.
+    // Another router says what it holds; it replaces what that router said before. What it holds at
+    // an incarnation that is not the one known here counts once the host list names that one.
     void told(const std::string& router, std::vector<endpoint_load> loads, instant now);
 
     // What this router holds, for the others.
@@ -166,6 +182,9 @@
     [[nodiscard]] bool serves(const placement& wanted, instant now) const;
 
     [[nodiscard]] std::optional<endpoint_host> find(const std::string& address) const;
+
+    // 0 for an address that is not known.
+    [[nodiscard]] std::uint64_t incarnation_of(const std::string& address) const;
     [[nodiscard]] std::vector<std::string> addresses() const;
 
     // Those that this router may send to, by the subsets of all targets: the ones to ask for load.
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -327,7 +327,7 @@
     wanted.cold_work = state.what.prefix_work * this->size_factor(state);
     wanted.packed = this->helps_to_fill(state, target);
     if (now < state.avoid_until) {
-        wanted.avoid = state.avoid;
+        this->add_avoided(state, wanted);
     }
     if (this->is_suspect(state, now)) {
         this->keep_suspect_apart(state, wanted, now);
@@ -335,6 +335,21 @@
     return wanted;
 }
 
+// An endpoint that has started again has neither refused the request nor lost it.
+void dispatcher::add_avoided(const request_state& state, placement& wanted) const
+{
+    for (const auto& [address, incarnation] : state.avoid) {
+        if (this->table.incarnation_of(address) == incarnation) {
+            wanted.avoid.push_back(address);
+        }
+    }
+}
+
+bool dispatcher::runs_at_present_life(const request_state& state) const
+{
+    return !state.address.empty() && this->table.incarnation_of(state.address) == state.incarnation;
+}
+
 // Whether the request is one of those that fill one endpoint of the version.
 bool dispatcher::helps_to_fill(const request_state& state, const std::string& version) const
 {
@@ -351,7 +366,7 @@
                                     instant now) const
 {
     for (const auto& [ticket, other] : this->requests) {
-        if (!other.address.empty() && this->is_suspect(other, now)) {
+        if (this->runs_at_present_life(other) && this->is_suspect(other, now)) {
             wanted.avoid.push_back(other.address);
         }
     }
@@ -453,6 +468,7 @@
         this->exposure.spend(where.exposed_by);
         state.rollouts.exposed_by = where.exposed_by;
     }
+    state.incarnation = this->table.incarnation_of(where.address);
     state.held_work = this->work_of(state);
     this->table.started(where.address, request.work.kind, state.held_work, request.prefix_hash,
                         now);
@@ -499,8 +515,7 @@
 {
     const auto& request = state.what;
     const double work = end.actual_work > 0.0 ? end.actual_work : request.work.tokens;
-    this->table.ended(state.address, request.work.kind, state.held_work, end.result,
-                      end.first_token, now);
+    this->count_end(state, end.result, end.first_token, now);
     this->queue.settle(request.team, request.work.tokens, work);
     this->budget_of(request).on_success();
     if (!end.answered_badly) {
@@ -519,16 +534,16 @@
 {
     const auto& request = state.what;
     const auto address = state.address;
-    this->table.ended(address, request.work.kind, state.held_work, end.result, end.first_token,
-                      now);
+    this->count_end(state, end.result, end.first_token, now);
     if (end.endpoint_leaving) {
-        const auto host = this->table.find(address);
-        this->table.mark_leaving(address, 0, now);
-        this->actions.emplace_back(announce_leaving{address, host ? host->incarnation : 0});
+        if (this->runs_at_present_life(state)) {
+            this->table.mark_leaving(address, state.incarnation, now);
+        }
+        this->actions.emplace_back(announce_leaving{address, state.incarnation});
     }
     this->queue.settle(request.team, request.work.tokens, 0.0);
     // Nothing ran there, so another endpoint may take even work that must not be repeated.
-    state.avoid.push_back(address);
+    state.avoid.push_back({address, state.incarnation});
     state.avoid_until = std::max(state.avoid_until, now + refusal_avoidance);
     state.address.clear();
     ++state.refusals;
@@ -612,13 +627,12 @@
     const auto address = state.address;
     const bool crashed = end.run_lost || end.result == attempt_result::unreachable;
     if (crashed && !request.is_service && state.struck_attempt != state.attempt) {
-        this->blame_crash(address, now);
+        this->blame_crash(address, state.incarnation, now);
     }
-    this->table.ended(address, request.work.kind, state.held_work, end.result, end.first_token,
-                      now);
+    this->count_end(state, end.result, end.first_token, now);
     this->queue.settle(request.team, request.work.tokens, request.work.tokens);
     state.address.clear();
-    state.avoid.push_back(address);
+    state.avoid.push_back({address, state.incarnation});
     state.avoid_until = std::max(state.avoid_until, now + loss_avoidance);
     state.may_have_run = true;
     ++state.runs;
@@ -744,7 +758,7 @@
     const double done =
         std::min(state.held_work, state.what.work.reading * this->size_factor(state));
     state.held_work -= done;
-    this->table.lightened(state.address, done);
+    this->table.lightened(state.address, done, state.incarnation);
 }
 
 bool dispatcher::may_run_once_more(const request_state& state) const
@@ -779,8 +793,7 @@
         this->note_begun(state);
         return true;
     }
-    this->table.ended(state.address, request.work.kind, state.held_work, attempt_result::cancelled,
-                      duration::zero(), now);
+    this->count_end(state, attempt_result::cancelled, duration::zero(), now);
     this->queue.settle(request.team, request.work.tokens, this->work_of(state));
     state.address.clear();
     state.may_have_run = true;
@@ -800,13 +813,23 @@
     }
 }
 
+// What an endpoint was sent before it started again is neither carried into its new life nor
+// subtracted from it.
+void dispatcher::count_end(const request_state& state, attempt_result result, duration first_token,
+                           instant now)
+{
+    this->table.ended(state.address, state.what.work.kind, state.held_work, result, first_token,
+                      now, state.incarnation);
+}
+
 // Everything that ran on a crashed endpoint is suspected of having crashed it, once for each
-// attempt.
-void dispatcher::blame_crash(const std::string& address, instant now)
+// attempt. What it has run since it started again had no part in it.
+void dispatcher::blame_crash(const std::string& address, std::uint64_t incarnation, instant now)
 {
     std::vector<std::uint64_t> in_flight;
     for (auto& [ticket, state] : this->requests) {
-        if (state.address == address && state.struck_attempt != state.attempt) {
+        const bool ran_there = state.address == address && state.incarnation == incarnation;
+        if (ran_there && state.struck_attempt != state.attempt) {
             state.struck_attempt = state.attempt;
             in_flight.push_back(state.what.fingerprint);
         }
@@ -834,8 +857,7 @@
 {
     const auto& request = state.what;
     this->actions.emplace_back(cancel_attempt{request.ticket, state.attempt, state.address});
-    this->table.ended(state.address, request.work.kind, state.held_work, attempt_result::cancelled,
-                      duration::zero(), now);
+    this->count_end(state, attempt_result::cancelled, duration::zero(), now);
     this->queue.settle(request.team, request.work.tokens, request.work.tokens);
 }
 
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -233,7 +233,7 @@
 // Requests held and work held, each against what the endpoint bears.
 double endpoint_choice::load_of(const endpoint& where) const
 {
-    const double work = where.work + this->others.of(where.host.address).work;
+    const double work = where.work + this->others.of(where.host).work;
     const double held = std::max(where.held(this->now, this->settings), this->requests_at(where));
     return held / where.capacity() + this->load_of_work(work, where);
 }
@@ -246,7 +246,7 @@
 // This router's requests there and those of the others.
 double endpoint_choice::requests_at(const endpoint& where) const
 {
-    const auto told = this->others.of(where.host.address).requests;
+    const auto told = this->others.of(where.host).requests;
     return static_cast<double>(where.outstanding + told);
 }
 
--- a/decision/src/endpoint_directory.cpp
+++ b/decision/src/endpoint_directory.cpp
@@ -22,13 +22,13 @@
     std::set<std::string> listed;
     for (const auto& host : hosts) {
         listed.insert(host.address);
+        changed = this->take_host(host) || changed;
         if (host.leaving) {
             this->mark_leaving(host.address, host.incarnation, now);
         }
-        changed = this->take_host(host) || changed;
     }
     changed = this->drop_unlisted(listed) || changed;
-    this->forget_old_marks(now);
+    this->forget_old_addresses(now);
     if (changed) {
         this->refresh();
     }
@@ -37,21 +37,77 @@
 // Whether anything changed by it.
 bool endpoint_directory::take_host(const endpoint_host& host)
 {
-    const auto [at, is_new] = this->endpoints.try_emplace(host.address, host);
+    endpoint_host newer = host;
+    if (this->settings.lists_in_order && newer.incarnation == 0) {
+        newer.incarnation = this->last_life(host.address); // without one it tells of no new start
+    }
+    if (this->find(host.address) == nullptr && this->has_ended(host.address, newer.incarnation)) {
+        return false;
+    }
+    const auto [at, is_new] = this->endpoints.try_emplace(host.address, newer);
     endpoint& known = at->second;
     const bool was_listed = std::exchange(known.listed, true);
-    if (host.incarnation > known.host.incarnation) {
-        known.replace(host);
+    if (newer.incarnation != known.host.incarnation && this->begin_life(known, newer)) {
         return true;
     }
+    this->remember_life(host.address, known.host.incarnation);
     // The list lags: it may still name a process that another one has replaced since.
-    if (host.incarnation < known.host.incarnation || host == known.host) {
+    if (newer.incarnation != known.host.incarnation || newer == known.host) {
         return is_new || !was_listed;
     }
-    known.host = host;
+    known.host = newer;
     return true;
 }
 
+// Whether the host is a process that replaced the known one.
+bool endpoint_directory::begin_life(endpoint& known, const endpoint_host& host)
+{
+    const bool is_newer = this->settings.lists_in_order
+                              ? !this->has_ended(host.address, host.incarnation)
+                              : host.incarnation > known.host.incarnation;
+    if (is_newer) {
+        this->remember_life(host.address, known.host.incarnation);
+        this->remember_life(host.address, host.incarnation);
+        known.replace(host);
+    }
+    return is_newer;
+}
+
+void endpoint_directory::remember_life(const std::string& address, std::uint64_t incarnation)
+{
+    // A write of a process that died is carried out some seconds late at most; in that time no
+    // endpoint starts so often.
+    constexpr std::size_t most_lives = 16;
+    auto& lives = this->memories[address].lives;
+    if (!lives.empty() && lives.back() == incarnation) {
+        return;
+    }
+    lives.push_back(incarnation);
+    if (lives.size() > most_lives) {
+        lives.erase(lives.begin());
+    }
+}
+
+// The newest known incarnation; 0 for none.
+std::uint64_t endpoint_directory::last_life(const std::string& address) const
+{
+    const auto memory = this->memories.find(address);
+    const bool is_known = memory != this->memories.end() && !memory->second.lives.empty();
+    return is_known ? memory->second.lives.back() : 0;
+}
+
+// Whether another process has replaced that one.
+bool endpoint_directory::has_ended(const std::string& address, std::uint64_t incarnation) const
+{
+    const auto memory = this->memories.find(address);
+    if (memory == this->memories.end() || memory->second.lives.empty()) {
+        return false;
+    }
+    const auto& lives = memory->second.lives;
+    return incarnation != 0 &&
+           std::find(lives.begin(), lives.end() - 1, incarnation) != lives.end() - 1;
+}
+
 bool endpoint_directory::drop_unlisted(const std::set<std::string>& listed)
 {
     bool changed = false;
@@ -70,15 +126,15 @@
     return changed;
 }
 
-void endpoint_directory::forget_old_marks(instant now)
+void endpoint_directory::forget_old_addresses(instant now)
 {
-    for (auto at = this->leaving.begin(); at != this->leaving.end();) {
+    for (auto at = this->memories.begin(); at != this->memories.end();) {
         const bool listed = this->endpoints.count(at->first) > 0;
         if (listed) {
             at->second.made = now;
         }
         const bool old = now - at->second.made > this->settings.leaving_memory;
-        at = old ? this->leaving.erase(at) : std::next(at);
+        at = old ? this->memories.erase(at) : std::next(at);
     }
 }
 
@@ -89,18 +145,27 @@
     if (incarnation == 0 && known != nullptr) {
         incarnation = known->host.incarnation;
     }
-    leaving_mark& mark = this->leaving[address];
-    mark.made = now;
-    if (incarnation >= mark.incarnation) {
-        mark.incarnation = incarnation;
+    const bool is_other = known != nullptr && incarnation != known->host.incarnation;
+    if (this->has_ended(address, incarnation) || (this->settings.lists_in_order && is_other)) {
+        return;
+    }
+    address_memory& memory = this->memories[address];
+    memory.made = now;
+    if (this->settings.lists_in_order || incarnation >= memory.leaving.value_or(0)) {
+        memory.leaving = incarnation;
         this->routes.clear();
     }
 }
 
 bool endpoint_directory::is_leaving(const endpoint& where) const
 {
-    const auto mark = this->leaving.find(where.host.address);
-    return mark != this->leaving.end() && mark->second.incarnation >= where.host.incarnation;
+    const auto memory = this->memories.find(where.host.address);
+    if (memory == this->memories.end() || !memory->second.leaving) {
+        return false;
+    }
+    const auto marked = *memory->second.leaving;
+    return this->settings.lists_in_order ? marked == where.host.incarnation
+                                         : marked >= where.host.incarnation;
 }
 
 endpoint* endpoint_directory::find(const std::string& address)
--- a/decision/src/endpoint_directory.hpp
+++ b/decision/src/endpoint_directory.hpp
@@ -6,6 +6,7 @@
 #include "pearhaven/decision/configuration.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -49,14 +50,20 @@
     }
 
 private:
-    struct leaving_mark {
-        std::uint64_t incarnation = 0;
+    // What stays known of an address while no list names it.
+    struct address_memory {
+        std::optional<std::uint64_t> leaving; // the incarnation that was marked
+        std::vector<std::uint64_t> lives;     // incarnations in the order they came, newest last
         instant made{};
     };
 
     bool take_host(const endpoint_host& host);
+    bool begin_life(endpoint& known, const endpoint_host& host);
+    void remember_life(const std::string& address, std::uint64_t incarnation);
+    [[nodiscard]] std::uint64_t last_life(const std::string& address) const;
+    [[nodiscard]] bool has_ended(const std::string& address, std::uint64_t incarnation) const;
     bool drop_unlisted(const std::set<std::string>& listed);
-    void forget_old_marks(instant now);
+    void forget_old_addresses(instant now);
     void refresh();
     void describe(endpoint& where) const;
     [[nodiscard]] bool serves(const std::string& name, bool is_service,
@@ -69,7 +76,7 @@
     std::map<std::string, version> versions;
     std::map<std::string, pool> pools;
     std::map<std::string, service> services;
-    std::map<std::string, leaving_mark> leaving;
+    std::map<std::string, address_memory> memories;
     std::map<std::pair<bool, std::string>, route> routes;
     std::map<std::string, std::vector<endpoint*>> groups;
 };
--- a/decision/src/endpoint_state.hpp
+++ b/decision/src/endpoint_state.hpp
@@ -55,14 +55,20 @@
     std::array<first_token_mean, 2> first_tokens{};
     instant next_slowness_check{};
 
-    // Another process has taken the address over; what runs on the old one still ends here.
+    // Another process has taken the address over. It holds nothing: the attempts that the earlier
+    // one was sent break with their connections, and counted on they would keep work away from a
+    // process that is idle.
     void replace(const endpoint_host& newer)
     {
         this->host = newer;
+        this->outstanding = 0;
+        this->readings = 0;
+        this->work = 0.0;
         this->limit = concurrency_limit(this->limit.ceiling());
         this->load = {};
         this->health = {};
         this->first_tokens = {};
+        this->next_slowness_check = {};
     }
 
     first_token_mean& first_token(work_class kind)
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -23,12 +23,20 @@
     return host;
 }
 
+// Whether the endpoint is there and of that incarnation; of any, without one.
+bool is_at(const endpoint* where, std::optional<std::uint64_t> incarnation)
+{
+    return where != nullptr &&
+           incarnation.value_or(where->host.incarnation) == where->host.incarnation;
+}
+
 } // namespace
 
 class endpoint_table::state {
 public:
     explicit state(endpoint_table_settings chosen) : settings(std::move(chosen)) {}
 
+    void set_hosts(const std::vector<endpoint_host>& hosts, instant now);
     void started(endpoint& where, work_class kind, double work, instant now);
     void ended(endpoint& where, work_class kind, double work, attempt_result result,
                duration first_token, instant now);
@@ -53,6 +61,17 @@
     own_load own;
 };
 
+// What ran at processes that were replaced is held no longer.
+void endpoint_table::state::set_hosts(const std::vector<endpoint_host>& hosts, instant now)
+{
+    this->directory.set_hosts(hosts, now);
+    this->own = {};
+    for (const auto& [address, known] : this->directory.all()) {
+        this->own.outstanding += known.outstanding;
+        this->own.readings += known.readings;
+    }
+}
+
 void endpoint_table::state::started(endpoint& where, work_class kind, double work, instant now)
 {
     const std::uint32_t reading = kind == work_class::reading ? 1 : 0;
@@ -195,7 +214,7 @@
 
 void endpoint_table::set_hosts(const std::vector<endpoint_host>& hosts, instant now)
 {
-    this->inner->directory.set_hosts(hosts, now);
+    this->inner->set_hosts(hosts, now);
 }
 
 void endpoint_table::mark_leaving(const std::string& address, std::uint64_t incarnation,
@@ -213,16 +232,20 @@
 }
 
 void endpoint_table::ended(const std::string& address, work_class kind, double work,
-                           attempt_result result, duration first_token, instant now)
+                           attempt_result result, duration first_token, instant now,
+                           std::optional<std::uint64_t> incarnation)
 {
-    if (endpoint* where = this->inner->directory.find(address)) {
+    endpoint* where = this->inner->directory.find(address);
+    if (is_at(where, incarnation)) {
         this->inner->ended(*where, kind, work, result, first_token, now);
     }
 }
 
-void endpoint_table::lightened(const std::string& address, double work)
+void endpoint_table::lightened(const std::string& address, double work,
+                               std::optional<std::uint64_t> incarnation)
 {
-    if (endpoint* where = this->inner->directory.find(address)) {
+    endpoint* where = this->inner->directory.find(address);
+    if (is_at(where, incarnation)) {
         where->work = std::max(0.0, where->work - work);
     }
 }
@@ -263,7 +286,7 @@
     const auto* where = address ? this->inner->directory.find(*address) : nullptr;
     return where == nullptr ? 0.0
                             : static_cast<double>(where->outstanding +
-                                                  this->inner->others.of(*address).requests);
+                                                  this->inner->others.of(where->host).requests);
 }
 
 std::vector<endpoint_load> endpoint_table::own_loads() const
@@ -271,7 +294,7 @@
     std::vector<endpoint_load> held;
     for (const auto& [address, known] : this->inner->directory.all()) {
         if (known.outstanding > 0) {
-            held.push_back({address, known.outstanding, known.work});
+            held.push_back({address, known.outstanding, known.work, known.host.incarnation});
         }
     }
     return held;
@@ -286,6 +309,12 @@
     return current_host(this->inner->directory, *where);
 }
 
+std::uint64_t endpoint_table::incarnation_of(const std::string& address) const
+{
+    const endpoint* where = this->inner->directory.find(address);
+    return where == nullptr ? 0 : where->host.incarnation;
+}
+
 std::vector<std::string> endpoint_table::addresses() const
 {
     std::vector<std::string> all;
--- a/decision/src/told_loads.cpp
+++ b/decision/src/told_loads.cpp
@@ -28,19 +28,37 @@
 void told_loads::add(const word& said, int sign)
 {
     for (const auto& load : said.loads) {
-        auto& total = this->sums[load.address];
+        auto& lives = this->sums[load.address];
+        const auto is_same = [&load](const life_sum& one) {
+            return one.incarnation == load.incarnation;
+        };
+        auto life = std::find_if(lives.begin(), lives.end(), is_same);
+        if (life == lives.end()) {
+            life = lives.insert(life, {load.incarnation, {}});
+        }
+        auto& total = life->total;
         total.requests += sign * static_cast<std::int64_t>(load.requests);
         total.work = std::max(0.0, total.work + sign * load.work);
         if (total.requests <= 0) {
+            lives.erase(life);
+        }
+        if (lives.empty()) {
             this->sums.erase(load.address);
         }
     }
 }
 
-told_loads::sum told_loads::of(const std::string& address) const
+told_loads::sum told_loads::of(const endpoint_host& where) const
 {
-    const auto found = this->sums.find(address);
-    return found == this->sums.end() ? sum() : found->second;
+    const auto found = this->sums.find(where.address);
+    if (found == this->sums.end()) {
+        return {};
+    }
+    const auto& lives = found->second;
+    const auto life = std::find_if(lives.begin(), lives.end(), [&where](const life_sum& one) {
+        return one.incarnation == where.incarnation;
+    });
+    return life == lives.end() ? sum() : life->total;
 }
 
 } // namespace pearhaven::decision
--- a/decision/src/told_loads.hpp
+++ b/decision/src/told_loads.hpp
@@ -27,7 +27,8 @@
     // Drops the words older than the lifetime.
     void expire(instant now, duration lifetime);
 
-    [[nodiscard]] sum of(const std::string& address) const;
+    // Only at this incarnation: what was sent to an earlier one ended with it.
+    [[nodiscard]] sum of(const endpoint_host& where) const;
 
 private:
     struct word {
@@ -35,11 +36,16 @@
         instant heard;
     };
 
+    struct life_sum {
+        std::uint64_t incarnation = 0;
+        sum total;
+    };
+
     // `sign` is 1 to count the word in, -1 to take it out again.
     void add(const word& said, int sign);
 
-    std::map<std::string, word> words; // by router
-    std::unordered_map<std::string, sum> sums;
+    std::map<std::string, word> words;                           // by router
+    std::unordered_map<std::string, std::vector<life_sum>> sums; // by address
 };
 
 } // namespace pearhaven::decision
--- a/decision/test/dispatcher_test.cpp
+++ b/decision/test/dispatcher_test.cpp
@@ -100,6 +100,14 @@
         return made;
     }
 
+    // The hosts, of which the first has been replaced by a process of that incarnation.
+    std::vector<endpoint_host> restarted(std::uint64_t incarnation) const
+    {
+        auto hosts = make_hosts(current);
+        hosts[0].incarnation = incarnation;
+        return hosts;
+    }
+
     arrival request(ticket_number ticket) const
     {
         arrival made;
@@ -343,6 +351,75 @@
     }
 }
 
+// An endpoint crashes with a request and starts again under its name before the connection of that
+// request breaks. The request may go to the new process at once: that one has not lost it. With one
+// endpoint alone it would wait two seconds for nothing.
+TEST(dispatcher_test, a_request_that_an_earlier_life_lost_may_go_to_the_new_one)
+{
+    current.hosts = 1;
+    const auto router = this->make();
+    router->on_arrival(this->request(1), now);
+    const auto first = only_start(*router);
+    router->on_hosts(this->restarted(2), now);
+    auto end = ended(first, attempt_result::failed);
+    end.run_lost = true;
+    router->on_attempt_end(end, now);
+    CHECK_EQUAL(first.address, only_start(*router).address);
+}
+
+// A refusal that an endpoint gave while it left comes late, when a new process has its name
+// already.
+TEST(dispatcher_test, a_late_word_that_an_earlier_life_leaves_does_not_bind_the_new_one)
+{
+    current.hosts = 1;
+    const auto router = this->make();
+    router->on_arrival(this->request(1), now);
+    const auto first = only_start(*router);
+    router->on_hosts(this->restarted(2), now);
+    auto end = ended(first, attempt_result::refused);
+    end.endpoint_leaving = true;
+    router->on_attempt_end(end, now);
+    const auto actions = router->take_actions();
+    LONGS_EQUAL(1, pick<start_attempt>(actions).size());
+    CHECK_EQUAL(1U, pick<announce_leaving>(actions).at(0).incarnation);
+}
+
+// Counted off, it would hide a request that the new process holds, and that one would be
+// overfilled.
+TEST(dispatcher_test, the_end_of_a_request_of_an_earlier_life_is_not_counted_off_the_new_one)
+{
+    current.hosts = 1;
+    const auto router = this->make();
+    router->on_arrival(this->request(1), now);
+    router->on_hosts(this->restarted(2), now);
+    router->on_arrival(this->request(2), now);
+    router->on_caller_gone(1, now);
+    const auto held = router->endpoints().own_loads();
+    LONGS_EQUAL(1, held.size());
+    CHECK_EQUAL(1U, held[0].requests);
+    CHECK_EQUAL(2U, held[0].incarnation);
+}
+
+// The request that an endpoint crashed with is suspected of it. What the new process was sent
+// meanwhile had no part in the crash: taken for a suspect, and lost once more by chance, it would
+// be refused everywhere.
+TEST(dispatcher_test, what_runs_at_the_new_life_is_not_blamed_for_the_crash_of_the_earlier_one)
+{
+    current.hosts = 1;
+    const auto router = this->make();
+    router->on_arrival(this->request(1), now);
+    const auto first = only_start(*router);
+    router->on_hosts(this->restarted(2), now);
+    router->on_arrival(this->request(2), now);
+    static_cast<void>(only_start(*router));
+    auto end = ended(first, attempt_result::failed);
+    end.run_lost = true;
+    router->on_attempt_end(end, now);
+    const auto told = pick<announce_standing>(router->take_actions());
+    LONGS_EQUAL(1, told.size());
+    CHECK_EQUAL(this->request(1).fingerprint, told[0].fingerprint);
+}
+
 // One request crashes whatever runs it, and its caller sends it again and again. It takes one
 // endpoint when it is unknown and one when it is suspect; after that it is refused wherever it
 // comes from. The others of the first batch are retried, each apart from the other suspects, and
--- a/decision/test/endpoint_table_test.cpp
+++ b/decision/test/endpoint_table_test.cpp
@@ -103,6 +103,20 @@
         this->end(address, result, first_token);
     }
 
+    // The endpoint's process is replaced by one of that incarnation.
+    void restart(const std::string& address, std::uint64_t incarnation)
+    {
+        for (auto& host : this->hosts) {
+            host.incarnation = host.address == address ? incarnation : host.incarnation;
+        }
+        this->table.set_hosts(this->hosts, this->now);
+    }
+    void end_at(const std::string& address, std::uint64_t incarnation, attempt_result result)
+    {
+        this->table.ended(address, work_class::lookup, 100.0, result, duration::zero(), this->now,
+                          incarnation);
+    }
+
     endpoint_table::endpoint_status status_of(const std::string& address)
     {
         const auto all = this->table.status(this->now);
@@ -418,6 +432,178 @@
     CHECK_TRUE(known.takes("e0", a_lookup));
 }
 
+// An endpoint crashes with six requests and starts again under its name. Their connections break
+// one by one afterwards. Counted on, they would keep work away from a process that is idle;
+// subtracted from it, they would hide what it has been sent since.
+TEST(endpoint_table_test, what_an_earlier_life_was_sent_counts_neither_for_nor_against_the_new_one)
+{
+    osu_table known(1, 16);
+    known.start_many("e0", 6);
+    known.restart("e0", 2);
+    CHECK_EQUAL(0U, known.status_of("e0").outstanding);
+    known.start_many("e0", 2);
+    for (int broken = 0; broken < 6; ++broken) {
+        known.end_at("e0", 1, attempt_result::failed);
+    }
+    CHECK_EQUAL(2U, known.status_of("e0").outstanding);
+    CHECK_FALSE(known.status_of("e0").ejected);
+    CHECK_EQUAL(2U, known.table.own_loads()[0].requests);
+    CHECK_EQUAL(2U, known.table.own_loads()[0].incarnation);
+}
+
+TEST(endpoint_table_test, the_work_of_an_earlier_life_is_not_lightened_off_the_new_one)
+{
+    osu_table known(1, 16);
+    known.start("e0");
+    known.restart("e0", 2);
+    known.start("e0");
+    known.table.lightened("e0", 60.0, 1);
+    DOUBLES_EQUAL(100.0, known.table.own_loads()[0].work, 0.001);
+}
+
+// What part of the others' work is readings is taken to be as here. Readings of an earlier life
+// that were never taken off again would keep every other reading away from endpoints with room.
+TEST(endpoint_table_test, readings_of_an_earlier_life_are_held_no_longer)
+{
+    osu_table known(2, 16);
+    for (int number = 0; number < 6; ++number) {
+        known.start("e0", work_class::reading);
+    }
+    known.table.reported("e1", {8, 0, 16, {}, false}, known.now);
+    CHECK_FALSE(known.takes("e1", a_reading));
+    known.restart("e0", 2);
+    CHECK_TRUE(known.table.own_loads().empty());
+    CHECK_TRUE(known.takes("e1", a_reading));
+}
+
+TEST(endpoint_table_test, what_others_hold_at_an_earlier_life_counts_for_nothing)
+{
+    osu_table known(2, 16);
+    known.restart("e0", 2);
+    known.table.told("lagging", {{"e0", 16, 9000.0, 1}}, known.now);
+    CHECK_EQUAL(2U, known.chosen(a_lookup).size());
+    known.table.told("another", {{"e0", 16, 9000.0, 2}}, known.now);
+    CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
+}
+
+// A router hears of a restart before this one does. What it holds at the new life is no load of the
+// life that is known here, and counts as soon as the list names the new one.
+TEST(endpoint_table_test, what_others_hold_at_a_life_not_yet_listed_counts_once_it_is)
+{
+    osu_table known(2, 16);
+    known.table.told("ahead", {{"e0", 16, 9000.0, 2}}, known.now);
+    CHECK_EQUAL(2U, known.chosen(a_lookup).size());
+    known.restart("e0", 2);
+    CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
+}
+
+TEST(endpoint_table_test, a_restart_drops_ejection_and_reports)
+{
+    osu_table known(1, 16);
+    known.table.reported("e0", {16.0, 0.0, 16.0, duration::zero(), false}, known.now);
+    known.run("e0", attempt_result::unreachable);
+    CHECK_TRUE(known.status_of("e0").ejected);
+    known.restart("e0", 2);
+    CHECK_FALSE(known.status_of("e0").ejected);
+    CHECK_TRUE(known.takes("e0", a_lookup));
+}
+
+namespace {
+
+// A table whose lists come in their order, as from a store.
+struct ordered_table : osu_table {
+    ordered_table() : osu_table(2, 16, in_order()) { this->restart("e0", 1000); }
+
+    static endpoint_table_settings in_order()
+    {
+        endpoint_table_settings settings;
+        settings.lists_in_order = true;
+        return settings;
+    }
+
+    void list_without(const std::string& address)
+    {
+        auto fewer = this->hosts;
+        std::erase_if(fewer, [&address](const auto& host) { return host.address == address; });
+        this->table.set_hosts(fewer, this->now);
+    }
+};
+
+} // namespace
+
+// The clock of an endpoint's host is set back and the endpoint starts again. Its number is lower;
+// passed over, it would get no work until its clock had caught up.
+TEST(endpoint_table_test, a_life_with_a_lower_number_begins_where_lists_come_in_order)
+{
+    ordered_table known;
+    known.run("e0", attempt_result::unreachable);
+    known.restart("e0", 400);
+    CHECK_EQUAL(400U, known.table.find("e0")->incarnation);
+    CHECK_TRUE(known.takes("e0", a_lookup));
+}
+
+// A process writes its entry and dies; the store carries the write out seconds later, after the
+// entry of the process that replaced it. Taken for news, the dead one would be back.
+TEST(endpoint_table_test, a_late_word_of_a_dead_life_never_revives_it)
+{
+    ordered_table known;
+    known.restart("e0", 2000);
+    known.restart("e0", 1000);
+    CHECK_EQUAL(2000U, known.table.find("e0")->incarnation);
+    known.restart("e0", 400);
+    known.restart("e0", 2000);
+    CHECK_EQUAL(400U, known.table.find("e0")->incarnation);
+}
+
+TEST(endpoint_table_test, a_dead_life_is_remembered_while_the_list_leaves_the_endpoint_out)
+{
+    ordered_table known;
+    known.restart("e0", 2000);
+    known.list_without("e0");
+    known.restart("e0", 1000);
+    CHECK_FALSE(known.table.find("e0").has_value());
+    known.restart("e0", 2000); // removed and written again: the same life
+    CHECK_TRUE(known.takes("e0", a_lookup));
+}
+
+TEST(endpoint_table_test, the_leaving_of_an_earlier_life_does_not_bind_the_later_one)
+{
+    ordered_table known;
+    known.table.mark_leaving("e0", 1000, known.now);
+    CHECK_FALSE(known.takes("e0", a_lookup));
+    known.restart("e0", 2000);
+    CHECK_TRUE(known.takes("e0", a_lookup));
+    known.table.mark_leaving("e0", 1000, known.now); // told late
+    CHECK_TRUE(known.takes("e0", a_lookup));
+    known.restart("e0", 400);
+    CHECK_TRUE(known.takes("e0", a_lookup));
+}
+
+TEST(endpoint_table_test, a_leaving_binds_its_life_though_the_entry_was_gone_meanwhile)
+{
+    ordered_table known;
+    known.table.mark_leaving("e0", 1000, known.now);
+    known.list_without("e0");
+    known.restart("e0", 1000);
+    CHECK_FALSE(known.takes("e0", a_lookup));
+}
+
+// An older writer says nothing of its start. All its entries are taken for one life, and so is one
+// that comes after entries that named a life.
+TEST(endpoint_table_test, a_host_of_no_known_incarnation_goes_on_with_the_last_life)
+{
+    ordered_table known;
+    known.start("e0");
+    known.restart("e0", 0);
+    CHECK_EQUAL(1000U, known.table.find("e0")->incarnation);
+    CHECK_EQUAL(1U, known.status_of("e0").outstanding);
+    known.end("e0", attempt_result::finished);
+    known.table.mark_leaving("e0", 0, known.now);
+    known.list_without("e0");
+    known.restart("e0", 0);
+    CHECK_FALSE(known.takes("e0", a_lookup));
+}
+
 TEST(endpoint_table_test, attempts_that_fail_together_are_one_ejection)
 {
     // An engine that was replaced within seconds gets no work for much longer. Ten requests were
@@ -650,9 +836,9 @@
 TEST(endpoint_table_test, what_other_routers_hold_counts_like_own_work)
 {
     osu_table known(2, 16);
-    known.table.told("other", {{"e0", 6, 600.0}}, known.now);
+    known.table.told("other", {{"e0", 6, 600.0, 1}}, known.now);
     CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
-    known.table.told("other", {{"e1", 6, 600.0}}, known.now);
+    known.table.told("other", {{"e1", 6, 600.0, 1}}, known.now);
     CHECK_TRUE((names{"e0"}) == known.chosen(a_lookup));
 }
 
@@ -660,7 +846,7 @@
 TEST(endpoint_table_test, what_a_silent_router_held_counts_no_longer)
 {
     osu_table known(2, 16);
-    known.table.told("other", {{"e0", 6, 600.0}}, known.now);
+    known.table.told("other", {{"e0", 6, 600.0, 1}}, known.now);
     known.now += std::chrono::seconds(2);
     CHECK_EQUAL(2U, known.chosen(a_lookup).size());
 }
@@ -696,7 +882,8 @@
 
     void tell(std::uint32_t at_e0, std::uint32_t at_e1, std::uint32_t at_far)
     {
-        this->table.told("other", {{"e0", at_e0, 0.0}, {"e1", at_e1, 0.0}, {"far", at_far, 0.0}},
+        this->table.told("other",
+                         {{"e0", at_e0, 0.0, 1}, {"e1", at_e1, 0.0, 1}, {"far", at_far, 0.0, 1}},
                          this->now);
     }
 };
@@ -733,7 +920,8 @@
 TEST(endpoint_table_test, where_all_are_weighed_a_long_prompt_keeps_away_from_many_answers)
 {
     weighing_table known;
-    known.table.told("other", {{"e0", 12, 0.0}, {"e1", 1, 11 * 14.0}, {"far", 64, 0.0}}, known.now);
+    known.table.told("other", {{"e0", 12, 0.0, 1}, {"e1", 1, 11 * 14.0, 1}, {"far", 64, 0.0, 1}},
+                     known.now);
     placement prompt = a_lookup;
     prompt.reading = 500.0;
     CHECK_TRUE((names{"e1"}) == known.chosen(prompt));
@@ -760,6 +948,6 @@
     CHECK_FALSE(first == next);
     CHECK_EQUAL(next, two.choose(packed));
     one.start_many(next, 3);
-    one.table.told("other", {{next, 4, 0.0}}, one.now);
+    one.table.told("other", {{next, 4, 0.0, 1}}, one.now);
     DOUBLES_EQUAL(7.0, one.table.packed_requests("reader-1", one.now), 0.001);
 }
