--- a/adapters/test/course_codec_test.cpp
+++ b/adapters/test/course_codec_test.cpp
@@ -18,6 +18,41 @@
     }
 }
 
+// A step is counted through one by one whenever it is looked up; a number that wraps or goes beyond
+// all measure would hold the router up, and a fleet of none would be divided by.
+TEST(course_codec, a_record_with_a_number_that_does_not_fit_is_none)
+{
+    const auto written =
+        write_course_record({28, 3, 9, 40'000, pearhaven::coordination::course_state::staged});
+    for (const auto* const other : {R"("step":-1)", R"("step":4000000000)", R"("step":2.5)",
+                                    R"("step":"3")", R"("step":null)"}) {
+        auto text = written;
+        text.replace(text.find(R"("step":3)"), 8, other);
+        CHECK_FALSE(read_course_record(text).has_value());
+    }
+    for (const auto* const other : {R"("routers":0)", R"("routers":-9)"}) {
+        auto text = written;
+        text.replace(text.find(R"("routers":9)"), 11, other);
+        CHECK_FALSE(read_course_record(text).has_value());
+    }
+}
+
+TEST(course_codec, evidence_with_a_number_that_does_not_fit_is_none)
+{
+    const auto written = write_course_evidence(
+        {28, pearhaven::coordination::course_state::loaded, {31, 2}, {20, 7}, {11, 1}, 3.5});
+    for (const auto* const other : {R"("bad":-2)", R"("bad":1e300)", R"("bad":[2])"}) {
+        auto text = written;
+        text.replace(text.find(R"("bad":2)"), 7, other);
+        CHECK_FALSE(read_course_evidence(text).has_value());
+    }
+    for (const auto* const other : {R"("long_rate":-1.0)", R"("long_rate":1e308)"}) {
+        auto text = written;
+        text.replace(text.find(R"("long_rate":3.5)"), 15, other);
+        CHECK_FALSE(read_course_evidence(text).has_value());
+    }
+}
+
 TEST(course_codec, evidence_reads_as_it_was_written)
 {
     const course_evidence written{28, course_state::loaded, {31, 2}, {20, 7}, {11, 1}, 3.5};
