--- a/decision/test/endpoint_table_test.cpp
+++ b/decision/test/endpoint_table_test.cpp
@@ -579,6 +579,14 @@
     CHECK_TRUE(known.takes("e0", a_lookup));
 }
 
+TEST(endpoint_table_test, the_leaving_of_a_life_not_yet_listed_lifts_none)
+{
+    ordered_table known;
+    known.table.mark_leaving("e0", 1000, known.now);
+    known.table.mark_leaving("e0", 3000, known.now);
+    CHECK_FALSE(known.takes("e0", a_lookup));
+}
+
 TEST(endpoint_table_test, a_leaving_binds_its_life_though_the_entry_was_gone_meanwhile)
 {
     ordered_table known;
