Read engines' events and load reports strictly

An endpoint that sent JSON with a field of another type ended the router: json::value() throws type_error, and nothing catches it on the HTTP client's thread (engine_run::take, says_leaving, routing_duty's read_load) or on a caller's (answer_relay). "content": null was enough for a caller who asked for no stream. An age of 1e300 ms was an overflowing cast.

Found by the new parser tests.

--- a/router/src/answer_relay.cpp
+++ b/router/src/answer_relay.cpp
@@ -1,5 +1,7 @@
 #include "answer_relay.hpp"
 
+#include "engine_event.hpp"
+
 #include <civetweb.h>
 #include <nlohmann/json.hpp>
 
@@ -29,11 +31,12 @@
 
 void append_delta(const std::string& event, std::string& content, std::string& model)
 {
-    const auto parsed = json::parse(event, nullptr, false);
-    model = parsed.value("model", model);
-    const auto& choices = parsed.value("choices", json::array());
-    if (!choices.empty() && choices.front().contains("delta")) {
-        content.append(choices.front()["delta"].value("content", ""));
+    const auto read = read_engine_event(event);
+    if (read && !read->model.empty()) {
+        model = read->model;
+    }
+    if (read) {
+        content.append(read->content);
     }
 }
 
--- a/router/src/engine_attempt.cpp
+++ b/router/src/engine_attempt.cpp
@@ -1,6 +1,6 @@
 #include "engine_attempt.hpp"
 
-#include <nlohmann/json.hpp>
+#include "engine_event.hpp"
 
 #include <utility>
 
@@ -8,41 +8,10 @@
 
 namespace {
 
-using nlohmann::json;
-
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr std::size_t max_error_body = 4096;
 
-bool is_closing(const json& event)
-{
-    const auto choices = event.find("choices");
-    if (choices == event.end() || !choices->is_array() || choices->empty()) {
-        return false;
-    }
-    const auto reason = choices->front().find("finish_reason");
-    return reason != choices->front().end() && reason->is_string();
-}
-
-usage read_usage(const json& event)
-{
-    const auto found = event.find("usage");
-    if (found == event.end() || !found->is_object()) {
-        return {};
-    }
-    return {found->value("prompt_tokens", std::uint64_t{0}),
-            found->value("completion_tokens", std::uint64_t{0})};
-}
-
-bool says_leaving(const std::string& error_body)
-{
-    const auto body = json::parse(error_body, nullptr, false);
-    if (!body.is_object() || !body.contains("error") || !body["error"].is_object()) {
-        return false;
-    }
-    return body["error"].value("code", "") == "draining";
-}
-
 } // namespace
 
 engine_run::engine_run(std::string identifier, std::string version_of)
@@ -56,17 +25,13 @@
         this->end_marked = true;
         return true;
     }
-    const auto parsed = json::parse(event, nullptr, false);
-    if (!parsed.is_object() || parsed.value("id", "") != this->run_id) {
-        return false;
-    }
-    const auto index = parsed.find("index");
-    if (index == parsed.end() || !index->is_number_unsigned()) {
+    const auto read = read_engine_event(event);
+    if (!read || read->run != this->run_id || !read->index) {
         return false;
     }
-    const auto position = index->get<std::uint64_t>();
-    if (is_closing(parsed)) {
-        this->used_up = read_usage(parsed);
+    const auto position = *read->index;
+    if (read->closes) {
+        this->used_up = read->used;
         this->closing_event = event;
         return position == this->next_index;
     }
--- a/router/src/routing_duty.cpp
+++ b/router/src/routing_duty.cpp
@@ -1,5 +1,7 @@
 #include "routing_duty.hpp"
 
+#include "engine_event.hpp"
+
 #include "clock.hpp"
 #include "rollout_subject.hpp"
 #include "service_attempt.hpp"
@@ -40,21 +42,6 @@
     return chosen;
 }
 
-std::optional<decision::load_report> read_load(const std::string& body)
-{
-    const auto report = nlohmann::json::parse(body, nullptr, false);
-    if (!report.is_object()) {
-        return std::nullopt;
-    }
-    decision::load_report load;
-    load.running = report.value("running", 0.0);
-    load.queued = report.value("queued", 0.0);
-    load.capacity = report.value("capacity", 0.0);
-    load.age = std::chrono::milliseconds(report.value("age_ms", std::int64_t{0}));
-    load.draining = report.value("draining", false);
-    return load;
-}
-
 decision::endpoint_host to_endpoint(const adapters::listed_host& host)
 {
     return {host.address, host.name, host.zone, host.incarnation, host.leaving, host.tags};
--- a/router/test/engine_attempt_test.cpp
+++ b/router/test/engine_attempt_test.cpp
@@ -1,5 +1,7 @@
 #include "engine_attempt.hpp"
+#include "engine_event.hpp"
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -166,3 +168,48 @@
     CHECK_TRUE(caller->paused.load());
     LONGS_EQUAL(index, this->tokens_for_caller());
 }
+
+// An endpoint sends JSON whose fields have other types than they should have. The run has failed;
+// the router and all its other streams go on.
+TEST(engine_attempt_test, an_event_with_fields_of_other_types_ends_only_its_run)
+{
+    const std::vector<std::string> odd = {
+        R"({"id":5,"index":0})", R"({"id":"run-1","index":-1})", R"({"id":"run-1","index":1e300})",
+        R"({"id":"run-1","index":0,"choices":[{"finish_reason":"stop"}],"usage":{"prompt_tokens":"x"}})",
+        R"({"id":"run-1","index":0,"choices":[5],"usage":{"completion_tokens":1e300}})"};
+    for (const auto& event : odd) {
+        this->sink.events.clear();
+        const auto attempt = this->begin();
+        CHECK_TRUE(attempt->on_body(events({event})));
+        attempt->on_end({});
+        CHECK_TRUE(sink.only_end().result == attempt_result::failed);
+    }
+}
+
+TEST(engine_attempt_test, an_error_with_a_code_of_another_type_says_nothing_of_leaving)
+{
+    for (const auto* const body : {R"({"error":{"code":5}})", R"({"error":[]})", "[", "5"}) {
+        this->sink.events.clear();
+        boost::intrusive_ptr<engine_attempt> attempt(
+            new engine_attempt(sink, caller, run, 1, false));
+        attempt->on_head(503, {{"x-not-run", "true"}});
+        CHECK_TRUE(attempt->on_body(body));
+        attempt->on_end({});
+        CHECK_TRUE(sink.only_end().result == attempt_result::refused);
+        CHECK_FALSE(sink.only_end().endpoint_leaving);
+    }
+}
+
+TEST(engine_attempt_test, a_load_report_with_a_field_out_of_its_range_is_none)
+{
+    const auto load = read_load(R"({"running":2,"queued":1.5,"age_ms":20,"draining":true})");
+    CHECK_TRUE(load.has_value());
+    DOUBLES_EQUAL(1.5, load->queued, 0.0);
+    CHECK_TRUE(load->age == std::chrono::milliseconds(20));
+    CHECK_TRUE(load->draining);
+    for (const auto* const body :
+         {"", "[]", R"({"running":"2"})", R"({"capacity":-1})", R"({"age_ms":1e300})",
+          R"({"age_ms":9223372036854775807})", R"({"draining":1})", R"({"queued":null})"}) {
+        CHECK_FALSE(read_load(body).has_value());
+    }
+}
