Refuse chat requests nested deeper than a stack holds

nlohmann::json parses and destroys without recursion, but prints with it. A caller's body of 2 MB of brackets ended the router: read_chat prints what it passes on, and the fields it finds fault with. A caller's thread has 100 KB of stack, so far shorter bodies would do.

Before: a_body_nested_deeper_than_a_stack_holds_is_refused gave AddressSanitizer: stack-overflow in nlohmann serializer::dump. Now the text is looked through before it is parsed, and more than 64 levels are a fault that names them.

--- a/router/src/caller_request.cpp
+++ b/router/src/caller_request.cpp
@@ -22,6 +22,10 @@
 constexpr std::uint32_t lowest_priority = 9;
 constexpr std::size_t request_id_digits = 32;
 
+// Deepest nesting of a chat request: schemas of tools go some ten levels deep. Printing takes a few
+// hundred bytes of stack a level, of the 100 KB that a caller's thread has.
+constexpr std::size_t deepest_nesting = 64;
+
 std::string field(mg_connection* connection, const char* name)
 {
     const char* value = mg_get_header(connection, name);
@@ -117,6 +121,31 @@
     }
 }
 
+// Whether lists and objects in the JSON text lie deeper within each other than allowed. Looks at
+// the text, since the parser's own hook for it is called for each value.
+bool is_nested_too_deep(const std::string& text)
+{
+    std::size_t depth = 0;
+    bool in_string = false;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const char letter = text[at];
+        if (in_string) {
+            at += letter == '\\' ? 1 : 0; // what is escaped ends no string
+            in_string = letter != '"';
+        } else if (letter == '"') {
+            in_string = true;
+        } else if (letter == '[' || letter == '{') {
+            ++depth;
+        } else if ((letter == ']' || letter == '}') && depth > 0) {
+            --depth;
+        }
+        if (depth > deepest_nesting) {
+            return true;
+        }
+    }
+    return false;
+}
+
 failure_form bad_chat(const std::string& message)
 {
     return turned_away(status_bad_request, "bad_request", message);
@@ -206,6 +235,10 @@
 
 std::variant<chat_body, failure_form> read_chat(const std::string& body)
 {
+    if (is_nested_too_deep(body)) {
+        return bad_chat("the body: found values nested more than " +
+                        std::to_string(deepest_nesting) + " deep");
+    }
     auto chat = json::parse(body, nullptr, false);
     if (chat.is_discarded()) {
         return bad_chat("the body: found text that is not JSON");
--- a/router/test/caller_request_test.cpp
+++ b/router/test/caller_request_test.cpp
@@ -64,3 +64,25 @@
     });
     CHECK_TRUE(holds);
 }
+
+// Printing a value takes stack for each level of it, and a caller's thread has little: a short body
+// of nothing but brackets would end the router with all its streams.
+TEST(caller_request_test, a_body_nested_deeper_than_a_stack_holds_is_refused)
+{
+    constexpr std::size_t depth = 1'000'000;
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    for (const std::string field : {"extra", "stream", "max_tokens", "n"}) {
+        const auto body = R"({"model":"m","messages":[{"role":"user","content":"x"}],")" + field +
+                          "\":" + deep + "}";
+        CHECK_TRUE(names(body, "nested"));
+    }
+    CHECK_TRUE(names(deep, "nested"));
+}
+
+TEST(caller_request_test, brackets_in_a_text_are_no_nesting)
+{
+    const std::string text(1000, '[');
+    CHECK_EQUAL(
+        std::string(),
+        fault_of(R"({"model":"m","messages":[{"role":"user","content":"\"{)" + text + "\"}]}"));
+}
