Read roll-outs' records and evidence strictly

get<std::uint32_t>() of a number that does not fit is undefined for 1e300 and another number for -1. The parser tests gave: from_json.hpp:356: runtime error: 4.01e+302 is outside the range of representable values of type 'unsigned int', in read_course_record. The codec now reads as the other stored values do (stored_values_json), which refuse such numbers.

--- a/adapters/src/course_codec.cpp
+++ b/adapters/src/course_codec.cpp
@@ -1,110 +1,90 @@
 #include "pearhaven/adapters/course_codec.hpp"
 
+#include "stored_values_json.hpp"
+
 #include <array>
-#include <nlohmann/json.hpp>
-#include <utility>
+#include <limits>
 
 namespace pearhaven::adapters {
 
 namespace {
 
+using coordination::course_evidence;
+using coordination::course_record;
 using coordination::course_state;
 using nlohmann::json;
 
-constexpr std::array<std::pair<course_state, const char*>, 5> states = {
+constexpr std::array<stored_name<course_state>, 5> state_names = {
     {{course_state::staged, "staged"},
      {course_state::loaded, "loaded"},
      {course_state::whole, "whole"},
      {course_state::finished, "finished"},
      {course_state::bad, "bad"}}};
 
-const char* name_of(course_state wanted)
+std::uint32_t short_count_field(const json& value, const char* name)
+{
+    return static_cast<std::uint32_t>(
+        count_field(value, name, std::numeric_limits<std::uint32_t>::max()));
+}
+
+course_record read_record_value(const json& value)
 {
-    const char* found = "";
-    for (const auto& [state, name] : states) {
-        found = state == wanted ? name : found;
-    }
-    return found;
+    course_record record;
+    record.run = count_field(value, "run");
+    record.step = short_count_field(value, "step");
+    record.routers = short_count_field(value, "routers");
+    record.session_ppm = short_count_field(value, "session_ppm");
+    record.state = read_name(state_names, text_field(value, "state"));
+    return record;
 }
 
-std::optional<course_state> state_named(std::string_view wanted)
+course_evidence read_evidence_value(const json& value)
 {
-    for (const auto& [state, name] : states) {
-        if (wanted == name) {
-            return state;
-        }
-    }
-    return std::nullopt;
+    course_evidence evidence;
+    evidence.run = count_field(value, "run");
+    evidence.part = read_name(state_names, text_field(value, "part"));
+    evidence.seen.good = count_field(value, "good");
+    evidence.seen.bad = count_field(value, "bad");
+    evidence.speed.good = count_field(value, "quick");
+    evidence.speed.bad = count_field(value, "slow");
+    evidence.earlier.good = count_field(value, "earlier_good");
+    evidence.earlier.bad = count_field(value, "earlier_bad");
+    evidence.long_rate = number_field(value, "long_rate");
+    return evidence;
 }
 
 } // namespace
 
-std::string write_course_record(const coordination::course_record& record)
+std::string write_course_record(const course_record& record)
 {
-    return json{{"run", record.run},
-                {"step", record.step},
-                {"routers", record.routers},
-                {"session_ppm", record.session_ppm},
-                {"state", name_of(record.state)}}
-        .dump();
+    return to_stored_text({{"run", record.run},
+                           {"step", record.step},
+                           {"routers", record.routers},
+                           {"session_ppm", record.session_ppm},
+                           {"state", write_name(state_names, record.state)}});
 }
 
-std::optional<coordination::course_record> read_course_record(std::string_view text)
+std::optional<course_record> read_course_record(std::string_view text)
 {
-    const auto body = json::parse(text, nullptr, false);
-    try {
-        coordination::course_record record;
-        record.run = body.at("run").get<std::uint64_t>();
-        record.step = body.at("step").get<std::uint32_t>();
-        record.routers = body.at("routers").get<std::uint32_t>();
-        record.session_ppm = body.at("session_ppm").get<std::uint32_t>();
-        const auto state = state_named(body.at("state").get<std::string>());
-        if (state) {
-            record.state = *state;
-            return record;
-        }
-    } catch (const json::exception&) {
-        // Told to the caller by the empty result, which is logged there with the key.
-    }
-    return std::nullopt;
+    return read_stored_text(text, read_record_value);
 }
 
-std::string write_course_evidence(const coordination::course_evidence& evidence)
+std::string write_course_evidence(const course_evidence& evidence)
 {
-    return json{{"run", evidence.run},
-                {"part", name_of(evidence.part)},
-                {"good", evidence.seen.good},
-                {"bad", evidence.seen.bad},
-                {"quick", evidence.speed.good},
-                {"slow", evidence.speed.bad},
-                {"earlier_good", evidence.earlier.good},
-                {"earlier_bad", evidence.earlier.bad},
-                {"long_rate", evidence.long_rate}}
-        .dump();
+    return to_stored_text({{"run", evidence.run},
+                           {"part", write_name(state_names, evidence.part)},
+                           {"good", evidence.seen.good},
+                           {"bad", evidence.seen.bad},
+                           {"quick", evidence.speed.good},
+                           {"slow", evidence.speed.bad},
+                           {"earlier_good", evidence.earlier.good},
+                           {"earlier_bad", evidence.earlier.bad},
+                           {"long_rate", evidence.long_rate}});
 }
 
-std::optional<coordination::course_evidence> read_course_evidence(std::string_view text)
+std::optional<course_evidence> read_course_evidence(std::string_view text)
 {
-    const auto body = json::parse(text, nullptr, false);
-    try {
-        const auto part = state_named(body.at("part").get<std::string>());
-        if (!part) {
-            return std::nullopt;
-        }
-        coordination::course_evidence evidence;
-        evidence.run = body.at("run").get<std::uint64_t>();
-        evidence.part = *part;
-        evidence.seen.good = body.at("good").get<std::uint64_t>();
-        evidence.seen.bad = body.at("bad").get<std::uint64_t>();
-        evidence.speed.good = body.at("quick").get<std::uint64_t>();
-        evidence.speed.bad = body.at("slow").get<std::uint64_t>();
-        evidence.earlier.good = body.at("earlier_good").get<std::uint64_t>();
-        evidence.earlier.bad = body.at("earlier_bad").get<std::uint64_t>();
-        evidence.long_rate = body.at("long_rate").get<double>();
-        return evidence;
-    } catch (const json::exception&) {
-        return std::nullopt; // the caller logs it with the key
-    }
+    return read_stored_text(text, read_evidence_value);
 }
 
 } // namespace pearhaven::adapters
--- a/adapters/test/course_codec_test.cpp
+++ b/adapters/test/course_codec_test.cpp
@@ -1,5 +1,7 @@
 #include "pearhaven/adapters/course_codec.hpp"
 
+#include <string>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace pearhaven::adapters;
@@ -34,3 +36,21 @@
         CHECK_FALSE(read_course_evidence(text).has_value());
     }
 }
+
+// A number that does not fit must not become another one: a router would take a step of a roll-out
+// that nobody has ordered.
+TEST(course_codec, numbers_outside_their_range_are_not_read)
+{
+    const auto record = write_course_record({28, 3, 9, 40'000, course_state::loaded});
+    const auto evidence =
+        write_course_evidence({28, course_state::loaded, {31, 2}, {20, 7}, {11, 1}, 3.5});
+    const auto with = [](std::string text, const std::string& old, const std::string& number) {
+        return text.replace(text.find(old), old.size(), number);
+    };
+    for (const auto* const number : {"1e300", "-1", "2.5", "18446744073709551616", "true"}) {
+        CHECK_FALSE(read_course_record(with(record, "28", number)).has_value());
+        CHECK_FALSE(read_course_record(with(record, "40000", number)).has_value());
+        CHECK_FALSE(read_course_evidence(with(evidence, "31", number)).has_value());
+    }
+    CHECK_FALSE(read_course_record(with(record, "40000", "4294967296")).has_value());
+}
