Bound a head alike however it is split

A head as long as allowed was read when its end came in one piece with it, and refused as too long when the end's four bytes came one by one.

--- a/adapters/src/http_message.cpp
+++ b/adapters/src/http_message.cpp
@@ -318,11 +318,13 @@
 {
     const std::size_t before = this->head.size();
     const std::size_t search_from = before < head_end.size() ? 0 : before - head_end.size();
-    const std::size_t room = this->max_head + head_end.size() - std::min(this->max_head, before);
+    // The bound is on what stands before the end. The end's own bytes may come one by one, so that
+    // a head counts as too long only when there is no more room for them.
+    const std::size_t room = this->max_head + head_end.size() - before;
     this->head.append(bytes.substr(0, room));
     const auto end = this->head.find(head_end, search_from);
     if (end == std::string::npos) {
-        if (this->head.size() > this->max_head) {
+        if (this->head.size() == this->max_head + head_end.size()) {
             this->fail(framing_fault::head_too_long);
         }
         return std::min(bytes.size(), room);
@@ -330,9 +332,7 @@
     this->head.resize(end + head_end.size());
     const std::size_t taken = this->head.size() - before;
     const std::string whole = std::exchange(this->head, {});
-    if (whole.size() > this->max_head + head_end.size()) {
-        this->fail(framing_fault::head_too_long);
-    } else if (!is_strict_head(whole, this->kind)) {
+    if (!is_strict_head(whole, this->kind)) {
         this->fail(framing_fault::malformed);
     } else {
         this->execute(whole);
--- a/adapters/test/http_message_test.cpp
+++ b/adapters/test/http_message_test.cpp
@@ -139,6 +139,22 @@
     CHECK_TRUE(framing_fault::head_too_long == fault_of_request(head + "\r\n\r\n"));
 }
 
+// The last bytes of a head may come on their own. A head that is as long as allowed was taken from
+// one packet and refused from two.
+TEST(http_message, a_head_as_long_as_allowed_is_read_however_it_is_split)
+{
+    std::string head = "GET / HTTP/1.1\r\nHost: h\r\nX: ";
+    head += std::string(max_head - head.size(), 'x') + "\r\n\r\n";
+    CHECK_TRUE(framing_fault::none == fault_of_request(head));
+    recorder seen;
+    http_reader reader(http_reader_kind::requests, seen, max_head);
+    for (const char byte : head) {
+        CHECK_TRUE(framing_fault::none == feed_all(reader, std::string_view(&byte, 1)));
+    }
+    CHECK_EQUAL(1, seen.ends);
+    CHECK_TRUE(framing_fault::head_too_long == fault_of_request(head.insert(max_head, 1, 'x')));
+}
+
 TEST(http_message, random_bytes_end_in_a_fault_or_in_whole_messages)
 {
     CHECK_TRUE(holds("random bytes", [](const std::string& bytes, bool requests) {
