Feed every parser with changed and random bytes

A small mutator (tests/support/byte_fuzzing.hpp) flips, inserts, deletes, repeats, splices and cuts valid examples, and puts in huge numbers, deep nesting and bytes that are no UTF-8. For HTTP heads and bodies, event streams, chat requests, engines' events, load reports, settings of both programs' flags, stored values, roll-outs' records, both stores' answers, the platform's entries and fields, peers' frames and messages, and YAML: the examples are accepted, nothing is thrown but what the parser states, what can be split reads alike in one piece and in pieces, and what is read comes back from its own written form. The seed is fixed; PEARHAVEN_FUZZ_SECONDS, _SEED, _TIMES and _KEEP are for runs by hand.

--- /dev/null
+++ b/adapters/test/parser_fuzz_test.cpp
@@ -0,0 +1,397 @@
+#include "byte_fuzzing.hpp"
+#include "frame_buffer.hpp"
+#include "key_value_wire.hpp"
+#include "peer_codec.hpp"
+#include "peer_message_generators.hpp"
+#include "property.hpp"
+
+#include "pearhaven/adapters/configuration_codec.hpp"
+#include "pearhaven/adapters/course_codec.hpp"
+#include "pearhaven/adapters/http_message.hpp"
+#include "pearhaven/adapters/stored_values.hpp"
+
+#include <rapidcheck.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven;
+using namespace pearhaven::adapters;
+using pearhaven::tests::byte_mutator;
+using pearhaven::tests::first_fault;
+
+namespace {
+
+constexpr std::size_t max_head = 96;
+
+// Writes down what a reader tells, pieces of one body joined.
+class transcript final : public http_message_listener {
+public:
+    void on_request(http_request_head head) override
+    {
+        this->text += "request " + head.method + " " + head.target;
+        this->add(head.fields, head.keep_alive);
+    }
+    bool on_response(http_response_head head) override
+    {
+        this->text += "response " + std::to_string(head.status);
+        this->add(head.fields, head.keep_alive);
+        return false;
+    }
+    void on_body(std::string_view piece) override
+    {
+        this->text += piece;
+        this->body_bytes += piece.size();
+    }
+    void on_message_end() override { this->text += "\nend\n"; }
+
+    std::string text;
+    std::size_t body_bytes = 0;
+
+private:
+    void add(const http_fields& fields, bool keep_alive)
+    {
+        for (const auto& [name, value] : fields) {
+            this->text.append("\n").append(name).append(":").append(value);
+        }
+        this->text += keep_alive ? "\nkept\n" : "\nclosed\n";
+    }
+};
+
+// What a reader makes of pieces that come one after the other, and of the connection's end.
+// Nothing when it neither takes bytes nor finds a fault, or makes more body than came.
+std::optional<std::string> read_pieces(http_reader_kind kind,
+                                       const std::vector<std::string_view>& pieces)
+{
+    transcript told;
+    http_reader reader(kind, told, max_head);
+    std::size_t came = 0;
+    for (auto piece : pieces) {
+        came += piece.size();
+        while (!piece.empty() && reader.fault() == framing_fault::none) {
+            const auto taken = reader.feed(piece);
+            if (taken > piece.size() || (taken == 0 && reader.fault() == framing_fault::none)) {
+                return std::nullopt;
+            }
+            piece.remove_prefix(taken);
+        }
+    }
+    reader.feed_end();
+    if (told.body_bytes > came) {
+        return std::nullopt;
+    }
+    return told.text + "fault " + std::to_string(static_cast<int>(reader.fault()));
+}
+
+bool reads_alike_however_split(http_reader_kind kind, const std::string& bytes,
+                               byte_mutator& mutator)
+{
+    const auto in_one = read_pieces(kind, {bytes});
+    return in_one && in_one == read_pieces(kind, mutator.split(bytes));
+}
+
+const std::vector<std::string> requests = {
+    "GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhelloGET / HTTP/1.0\r\nHost: "
+    "i\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1f;x=y\r\n"
+    "0123456789012345678901234567890\r\n0\r\nTrailer: t\r\n\r\n",
+    "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(max_head - 28, 'x') + "\r\n\r\n",
+    "CONNECT h:1 HTTP/1.1\r\nHost: h\r\nUpgrade: w\r\nConnection: upgrade\r\n\r\n"};
+
+const std::vector<std::string> responses = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc",
+    "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nto the end",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ndata:\r\n2\r\n\n\n\r\n0\r\n\r\n",
+    "HTTP/1.1 101 Switching\r\nUpgrade: w\r\nConnection: upgrade\r\n\r\n",
+    "HTTP/1.1 500 Error\r\nX: " + std::string(max_head - 23, 'x') + "\r\n\r\n"};
+
+// Whether what is read from the bytes, if anything, is read again from its own stored form.
+template <class Read, class Write>
+bool comes_back(const std::string& bytes, const Read& read, const Write& write)
+{
+    const auto value = read(bytes);
+    return !value || read(write(*value)) == value;
+}
+
+const std::string yaml = R"(
+kind: team
+name: &n deposits
+labels: {tier: gold, other: *n}
+spec:
+  key_sha256: [01dcd6c7cd9692ae2e192b80c4176fd84fe0d6085bbc3374e7b5a214966657b0]
+  weight: 3
+  versions: {model: adjudicator, channel: [stable, canary]}
+---
+kind: version
+name: adjudicator-1
+labels: {channel: stable}
+spec: {model: adjudicator, cost_per_token: 2.0}
+---
+kind: pool
+name: engines
+spec: {hosts: {role: engine}, versions: {model: adjudicator}, slots_per_host: 16}
+---
+kind: service
+name: booking
+spec:
+  hosts: {role: booking}
+  idempotent: false
+  idempotent_methods:
+  - GET
+  - "HEAD"
+)";
+
+// YAML-cpp keeps tables from its first text on, which would otherwise count as leaks of a test.
+const auto loaded = parse_yaml(
+    "%YAML 1.2\n---\na: !<t> |\n x\nb: !t!a >-\n y\nc: !!str \"\\x41\"\n", "loaded.yaml");
+
+} // namespace
+
+// A parser that crashes ends a router with all its streams; one that reads the same bytes in two
+// ways, by how the network happened to cut them, lets a request pass by its check. So each reads
+// examples that are valid, and then the same with changes, for ever if asked to.
+TEST_GROUP(parser_fuzz){};
+
+TEST(parser_fuzz, requests_read_alike_however_they_are_split)
+{
+    for (const auto& example : requests) {
+        CHECK_TRUE(read_pieces(http_reader_kind::requests, {example})->ends_with("fault 0"));
+    }
+    const auto wrong =
+        first_fault(requests, 2'000, [](const std::string& bytes, byte_mutator& mutator) {
+            return reads_alike_however_split(http_reader_kind::requests, bytes, mutator);
+        });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
+TEST(parser_fuzz, responses_read_alike_however_they_are_split)
+{
+    for (const auto& example : responses) {
+        CHECK_TRUE(read_pieces(http_reader_kind::responses, {example})->ends_with("fault 0"));
+    }
+    const auto wrong =
+        first_fault(responses, 2'000, [](const std::string& bytes, byte_mutator& mutator) {
+            return reads_alike_however_split(http_reader_kind::responses, bytes, mutator);
+        });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
+TEST(parser_fuzz, stored_heads_and_pages)
+{
+    const auto codec = make_config_head_codec();
+    const coordination::config_head head = {
+        9, "w-9", {{8, "w-8", "ama", 5, {{"team", "a", "{}"}}}}, {"config/page/ab"}, 7};
+    const std::vector<std::string> examples = {codec->write_head(head),
+                                               codec->write_page({{"team", "a", "{\"x\":1}"}})};
+    CHECK_TRUE(codec->read_head(examples[0]).has_value());
+    CHECK_TRUE(codec->read_page(examples[1]).has_value());
+    const auto wrong = first_fault(examples, 1'000, [&](const std::string& bytes, byte_mutator&) {
+        return comes_back(
+                   bytes, [&](const std::string& text) { return codec->read_head(text); },
+                   [&](const auto& value) { return codec->write_head(value); }) &&
+               comes_back(
+                   bytes, [&](const std::string& text) { return codec->read_page(text); },
+                   [&](const auto& value) { return codec->write_page(value); });
+    });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
+TEST(parser_fuzz, stored_bills)
+{
+    const auto codec = make_bill_page_codec();
+    const std::vector<std::string> examples = {
+        codec->write_bills({{"r-1", "deposits", "v-1", "10.0.0.1:80", 12, 34, 5, 46.5}})};
+    CHECK_TRUE(codec->read_bills(examples[0]).has_value());
+    const auto wrong = first_fault(examples, 1'000, [&](const std::string& bytes, byte_mutator&) {
+        return comes_back(
+            bytes, [&](const std::string& text) { return codec->read_bills(text); },
+            [&](const auto& value) { return codec->write_bills(value); });
+    });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
+TEST(parser_fuzz, stored_members)
+{
+    const auto codec = make_member_codec();
+    const std::vector<std::string> examples = {codec->write_member(
+        {"i-1", "10.0.0.2", 7000, 7001, "osu", 3, coordination::member_state::leaving, 9})};
+    CHECK_TRUE(codec->read_member(examples[0]).has_value());
+    const auto wrong = first_fault(examples, 1'000, [&](const std::string& bytes, byte_mutator&) {
+        return comes_back(
+            bytes, [&](const std::string& text) { return codec->read_member(text); },
+            [&](const auto& value) { return codec->write_member(value); });
+    });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
+TEST(parser_fuzz, stored_claims_and_duties)
+{
+    const auto claims = make_claim_codec();
+    const auto duties = make_duty_codec();
+    const auto ran = coordination::claim_state::ran;
+    const std::vector<std::string> examples = {claims->write_claim({ran, "i-1", "w-1", "200 done"}),
+                                               claims->write_claim({ran, "i-1", "w-1", "\xff"}),
+                                               duties->write_duty({"i-1", 7})};
+    CHECK_TRUE(claims->read_claim(examples[0]).has_value());
+    CHECK_TRUE(claims->read_claim(examples[1]).has_value());
+    CHECK_TRUE(duties->read_duty(examples[2]).has_value());
+    const auto wrong = first_fault(examples, 1'000, [&](const std::string& bytes, byte_mutator&) {
+        return comes_back(
+                   bytes, [&](const std::string& text) { return claims->read_claim(text); },
+                   [&](const auto& value) { return claims->write_claim(value); }) &&
+               comes_back(
+                   bytes, [&](const std::string& text) { return duties->read_duty(text); },
+                   [&](const auto& value) { return duties->write_duty(value); });
+    });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
+TEST(parser_fuzz, records_and_evidence_of_rollouts)
+{
+    using coordination::course_state;
+    const std::vector<std::string> examples = {
+        write_course_record({28, 3, 9, 40'000, course_state::loaded}),
+        write_course_evidence({28, course_state::loaded, {31, 2}, {20, 7}, {11, 1}, 3.5})};
+    CHECK_TRUE(read_course_record(examples[0]).has_value());
+    CHECK_TRUE(read_course_evidence(examples[1]).has_value());
+    const auto wrong = first_fault(examples, 1'000, [](const std::string& bytes, byte_mutator&) {
+        return comes_back(bytes, read_course_record, write_course_record) &&
+               comes_back(bytes, read_course_evidence, write_course_evidence);
+    });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
+TEST(parser_fuzz, answers_of_the_key_value_store)
+{
+    const std::vector<coordination::kv_request> asked = {
+        coordination::kv_get{"a"}, coordination::kv_range{"a"},
+        coordination::kv_compare_and_swap{"a", "b", 1, 0},
+        coordination::kv_grant_lease{std::chrono::seconds(1)}};
+    const std::vector<std::string> examples = {
+        R"({"revision":7,"lease":3,"key":"a","value":"b"})",
+        R"({"revision":7,"entries":[{"key":"a","value":"b","revision":5}]})",
+        R"({"revision":7,"events":[{"key":"a","value":null,"revision":5}]})"};
+    const auto wrong =
+        first_fault(examples, 1'000, [&](const std::string& bytes, byte_mutator& mutator) {
+            http_answer answer;
+            answer.result.status = 200;
+            answer.body = bytes;
+            static_cast<void>(to_reply(asked[mutator.below(asked.size())], answer));
+            return true;
+        });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
+TEST(parser_fuzz, frames_come_out_alike_however_they_are_split)
+{
+    const frame_code code{};
+    const std::vector<std::string> examples = {make_frame(code, "") + make_frame(code, "payload"),
+                                               make_frame(code, std::string(300, 'x'))};
+    const auto cut = [](const std::vector<std::string_view>& pieces) {
+        constexpr std::size_t max_payload = 1024;
+        frame_buffer buffer;
+        std::string told;
+        for (const auto piece : pieces) {
+            buffer.append(piece);
+            frame one;
+            auto outcome = buffer.next(max_payload, one);
+            for (; outcome == frame_outcome::whole; outcome = buffer.next(max_payload, one)) {
+                told.append(one.code.begin(), one.code.end()).append(one.payload).append("|");
+            }
+            if (outcome == frame_outcome::oversized) {
+                return told + "oversized";
+            }
+        }
+        return told;
+    };
+    const auto wrong =
+        first_fault(examples, 2'000, [&](const std::string& bytes, byte_mutator& mutator) {
+            return cut({bytes}) == cut(mutator.split(bytes));
+        });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
+TEST(parser_fuzz, a_changed_frame_has_no_valid_code)
+{
+    const frame_key key("fleet-key-of-the-tests-0123456789");
+    const connection_nonce opener{1};
+    const connection_nonce acceptor{2};
+    const std::string payload = "some payload";
+    frame_authenticator sender(key, opener, acceptor, frame_direction::from_opener);
+    const auto code = sender.next_code(payload);
+    const auto wrong = first_fault({payload}, 1'000, [&](const std::string& bytes, byte_mutator&) {
+        frame_authenticator receiver(key, opener, acceptor, frame_direction::from_opener);
+        return receiver.accept_next(code, bytes) == (bytes == payload);
+    });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
+TEST(parser_fuzz, messages_of_peers)
+{
+    std::vector<std::string> payloads;
+    CHECK_TRUE(holds("messages are drawn", [&payloads] {
+        payloads.push_back(encode_envelope(test::message_source::envelope()));
+    }));
+    for (const auto& example : payloads) {
+        CHECK_TRUE(decode_envelope(example).has_value());
+    }
+    // Encoded forms are compared, since a number that is none is not equal to itself.
+    const auto wrong = first_fault(payloads, 2'000, [](const std::string& bytes, byte_mutator&) {
+        const auto read = decode_envelope(bytes);
+        if (!read) {
+            return true;
+        }
+        const auto written = encode_envelope(*read);
+        const auto again = decode_envelope(written);
+        return again && encode_envelope(*again) == written;
+    });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
+TEST(parser_fuzz, configuration_as_yaml)
+{
+    CHECK_TRUE(parse_yaml(yaml, "a.yaml").faults.empty());
+    const auto wrong = first_fault(
+        {yaml, "a: &a [1, 2]\nb: [*a, *a]\n"}, 300, [](const std::string& bytes, byte_mutator&) {
+            const auto read = parse_yaml(bytes, "a.yaml");
+            if (read.objects.size() != read.places.size()) {
+                return false;
+            }
+            // What parses without a fault is good as a stored object too, and fits to be built.
+            if (read.faults.empty()) {
+                for (const auto& object : read.objects) {
+                    if (!check_object(object).empty()) {
+                        return false;
+                    }
+                }
+                static_cast<void>(check_references(read.objects));
+                return build_configuration(1, read.objects).configuration != nullptr;
+            }
+            return true;
+        });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
+TEST(parser_fuzz, stored_configuration_objects)
+{
+    const auto valid = parse_yaml(yaml, "a.yaml").objects;
+    std::vector<std::string> bodies;
+    for (const auto& object : valid) {
+        CHECK_TRUE(check_object(object).empty());
+        bodies.push_back(object.body);
+    }
+    const auto wrong =
+        first_fault(bodies, 500, [&](const std::string& bytes, byte_mutator& mutator) {
+            auto object = valid[mutator.below(valid.size())];
+            object.body = bytes;
+            const auto faults = check_object(object);
+            const auto built = build_configuration(1, {object});
+            return built.configuration != nullptr && built.faults.empty() == faults.empty();
+        });
+    CHECK_EQUAL(std::string(), wrong);
+}
