Look at each byte of an event stream once

The splitter looked through the whole unfinished event again at each piece that came: a long event in small pieces took time with its square. It now remembers where the unfinished line begins and looks for its end in what is new.

Not mended here: an event without an end still grows without bound; only the relay could end such a run.

--- a/router/src/event_splitter.cpp
+++ b/router/src/event_splitter.cpp
@@ -6,24 +6,6 @@
 
 namespace {
 
-// The end of the first event in the text, with its blank line; npos where there is none.
-std::size_t event_end(std::string_view text)
-{
-    std::size_t line_begin = 0;
-    while (line_begin < text.size()) {
-        const auto line_end = text.find('\n', line_begin);
-        if (line_end == std::string_view::npos) {
-            return std::string_view::npos;
-        }
-        const auto line = text.substr(line_begin, line_end - line_begin);
-        line_begin = line_end + 1;
-        if (line.empty() || line == "\r") {
-            return line_begin;
-        }
-    }
-    return std::string_view::npos;
-}
-
 std::optional<std::uint64_t> event_id(std::string_view event)
 {
     constexpr std::string_view key = "id:";
@@ -50,17 +32,26 @@
 
 std::vector<stream_event> event_splitter::feed(std::string_view bytes)
 {
-    this->part.append(bytes);
     std::vector<stream_event> events;
-    std::string_view rest = this->part;
-    for (auto end = event_end(rest); end != std::string_view::npos; end = event_end(rest)) {
-        stream_event event;
-        event.bytes = rest.substr(0, end);
-        event.id = event_id(event.bytes);
-        events.push_back(std::move(event));
-        rest.remove_prefix(end);
+    std::size_t event_begin = 0;
+    std::size_t search_from = this->part.size(); // the line that is not whole has no end before it
+    this->part.append(bytes);
+    for (auto line_end = this->part.find('\n', search_from); line_end != std::string::npos;
+         line_end = this->part.find('\n', search_from)) {
+        const auto line =
+            std::string_view(this->part).substr(this->line_begin, line_end - this->line_begin);
+        search_from = line_end + 1;
+        this->line_begin = search_from;
+        if (line.empty() || line == "\r") {
+            stream_event event;
+            event.bytes = this->part.substr(event_begin, search_from - event_begin);
+            event.id = event_id(event.bytes);
+            events.push_back(std::move(event));
+            event_begin = search_from;
+        }
     }
-    this->part.erase(0, this->part.size() - rest.size());
+    this->part.erase(0, event_begin);
+    this->line_begin -= event_begin;
     return events;
 }
 
--- a/router/src/event_splitter.hpp
+++ b/router/src/event_splitter.hpp
@@ -1,6 +1,7 @@
 #ifndef PEARHAVEN_ROUTER_SRC_EVENT_SPLITTER_HPP
 #define PEARHAVEN_ROUTER_SRC_EVENT_SPLITTER_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,6 +30,7 @@
 
 private:
     std::string part;
+    std::size_t line_begin = 0; // of the line in `part` that is not whole
 };
 
 } // namespace pearhaven::router
