Stage fewer of a fleet's sessions where they last longer, and tell an endpoint's lives apart in its signs of life

Ruled out: a table of sessions in each router (of 189 requests that went on with a session, 23 came to the same router). Change: the rate falls with the square of the sessions' time, which comes from the platform's settings. Besides, as its author had noted: a sign of life of an endpoint's earlier life held back giving up a silent run of the next one.

--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -78,6 +78,12 @@
     // staged, and at most which part of the sessions. About a twentieth of the first ones follow a
     // request of their session on the old version: at this rate less than one in a roll-out.
     double session_rate = 2.5;
+
+    // Within this time a request goes on with its session. The rate holds for sessions of five
+    // seconds. Where they last longer more of them are on the old version when they are chosen, and
+    // each one's request is more likely to have another before it; with the same rate, five
+    // requests changed their version in the midst of their sessions of 8.5 s, where three may.
+    decision::duration session_time = std::chrono::seconds(5);
     double most_sessions = 0.04;
 
     // A version can be sound while its endpoints are half empty and fail beyond; at the load of an
@@ -187,6 +193,7 @@
     [[nodiscard]] bool can_fill(std::size_t size) const;
     [[nodiscard]] decision::duration load_time(std::size_t size) const;
     [[nodiscard]] decision::duration longer_load_time() const;
+    [[nodiscard]] double session_rate() const;
     [[nodiscard]] course_record first_record(std::size_t size, double request_rate) const;
     [[nodiscard]] std::optional<course_record>
     next_record(std::size_t size, const course_rates& rates, decision::instant now) const;
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -223,13 +223,23 @@
                                             : this->part(this->settings.longer_load_part);
 }
 
+// Sessions that change their version in their midst grow with the rate and with the square of the
+// time that sessions last.
+double rollout_course::session_rate() const
+{
+    constexpr decision::duration usual_time = std::chrono::seconds(5);
+    const auto time = std::max(this->settings.session_time, usual_time);
+    const double part = std::chrono::duration<double>(usual_time) / time;
+    return this->settings.session_rate * part * part;
+}
+
 course_record rollout_course::first_record(std::size_t size, double request_rate) const
 {
     course_record first;
     first.run = this->what.run;
     first.routers = static_cast<std::uint32_t>(std::max<std::size_t>(size, 1));
     const double rate = std::max(request_rate, 0.1) * first.routers;
-    const double share = std::min(this->settings.most_sessions, this->settings.session_rate / rate);
+    const double share = std::min(this->settings.most_sessions, this->session_rate() / rate);
     first.session_ppm = static_cast<std::uint32_t>(share * million);
     return first;
 }
--- a/coordination/test/rollout_course_test.cpp
+++ b/coordination/test/rollout_course_test.cpp
@@ -129,6 +129,18 @@
 // A third of the answers of the new version fail. The routers together have seen three of them,
 // none has seen more than one itself. The first that hears of the third stops sending there at once
 // and writes the record, by which the others stop.
+// Five requests changed their version in the midst of their sessions, where three may. Sessions of
+// 8.5 s are more on the old version when they are chosen than those of 5 s, and each request in
+// them has more often one before it.
+TEST(rollout_course, longer_sessions_move_early_in_smaller_numbers)
+{
+    course_settings settings;
+    settings.session_time = seconds(10);
+    rollout_course longer(settings, make_order(), start);
+    const auto record = longer.on_tick(0, 740, {96.0, 0.0}, start).write_record;
+    CHECK_EQUAL(8U, record->session_ppm); // a quarter of 35
+}
+
 TEST(rollout_course, the_fleets_evidence_trips_what_no_router_could_alone)
 {
     course_fleet fleet(9);
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -78,6 +78,13 @@
            meaning == answer_meaning::refused_stranger;
 }
 
+// When a piece came from an endpoint, and from which of its lives: what the one before said shows
+// nothing of the one that has started since under its name.
+struct sign_of_life {
+    std::uint64_t incarnation = 0;
+    decision::instant at;
+};
+
 } // namespace
 
 class event_relay::state
@@ -141,7 +148,7 @@
     void forget(ticket_number ticket);
 
     ticket_number last_ticket = 0;
-    std::unordered_map<std::string, decision::instant> last_heard; // by endpoint
+    std::unordered_map<std::string, sign_of_life> last_heard; // by endpoint
     bool running = false;
 };
 
@@ -505,7 +512,8 @@
     ++relayed->attempt.silences;
     const auto heard = this->last_heard.find(relayed->attempt.endpoint.address);
     const bool lives = heard != this->last_heard.end() &&
-                       this->loop.now() - heard->second < this->settings.sign_of_life;
+                       heard->second.incarnation == relayed->attempt.endpoint.incarnation &&
+                       this->loop.now() - heard->second.at < this->settings.sign_of_life;
     return !lives || relayed->attempt.silences >= this->settings.most_silences;
 }
 
@@ -575,7 +583,7 @@
     if (this->last_heard.size() >= most_heard) {
         this->last_heard.clear();
     }
-    this->last_heard[attempt.endpoint.address] = this->loop.now();
+    this->last_heard[attempt.endpoint.address] = {attempt.endpoint.incarnation, this->loop.now()};
     attempt.silences = 0;
 }
 
