Finish no version that is in doubt, and give it up at the end of its order

Change: while it has more bad or slow answers than a good version, the end waits, good answers are told too, and at 0.95 of the time a version still in doubt is given up. The test that let a version in doubt be finished because a good one is to be done in time now has good answers come, as of a good one, and asserts that it waits for them; one that gets none is asserted to be given up.

--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -74,6 +74,11 @@
     // stop, at least. With the longest trial a good version is then done in 0.9 of the time.
     double least_whole_part = 0.08;
 
+    // Part of the order's time at which doubt is decided. A version that has more bad or slow
+    // answers than a good one is not finished before; if it has at this moment still, it is given
+    // up: it is more likely bad than good, and everybody would meet it.
+    double decision_part = 0.95;
+
     // Requests in sessions, of the whole fleet, that meet the new version each second while it is
     // staged, and at most which part of the sessions. About a twentieth of the first ones follow a
     // request of their session on the old version: at this rate less than one in a roll-out.
@@ -185,6 +190,8 @@
     in_this_part(decision::run_counts course_evidence::*kind) const;
     [[nodiscard]] decision::run_counts all_seen_ever() const;
     [[nodiscard]] bool is_slow(const decision::run_counts& speed) const;
+    [[nodiscard]] decision::sequential_test speed_test() const;
+    [[nodiscard]] bool seems_slow() const;
     [[nodiscard]] bool is_whole() const;
     [[nodiscard]] course_state part_of_course() const;
     [[nodiscard]] bool has_news() const;
@@ -199,6 +206,7 @@
     next_record(std::size_t size, const course_rates& rates, decision::instant now) const;
     [[nodiscard]] std::optional<course_state> next_state(std::size_t size,
                                                          decision::instant now) const;
+    [[nodiscard]] std::optional<course_state> state_after_whole(decision::duration elapsed) const;
     [[nodiscard]] decision::duration part(double share) const;
 
     course_settings settings;
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -150,14 +150,24 @@
     return decision::sequential_test(guard);
 }
 
-bool rollout_course::is_slow(const decision::run_counts& speed) const
+decision::sequential_test rollout_course::speed_test() const
 {
     decision::error_guard guard;
     guard.base_rate =
         this->is_whole() ? this->settings.base_slow_rate_whole : this->settings.base_slow_rate;
     guard.max_rate =
         this->is_whole() ? this->settings.max_slow_rate_whole : this->settings.max_slow_rate;
-    return decision::sequential_test(guard).judge(speed) == decision::test_verdict::rejected;
+    return decision::sequential_test(guard);
+}
+
+bool rollout_course::is_slow(const decision::run_counts& speed) const
+{
+    return this->speed_test().judge(speed) == decision::test_verdict::rejected;
+}
+
+bool rollout_course::seems_slow() const
+{
+    return this->speed_test().log_ratio(this->in_this_part(&course_evidence::speed)) > 0.0;
 }
 
 // Good ends alone change nobody's mind: they go along with the next bad one. Slow answers are told
@@ -173,7 +183,11 @@
     const auto& speed = this->own.speed;
     const bool leans_slow =
         static_cast<double>(speed.bad) > (slow_rate + 0.05) * static_cast<double>(speed.total());
-    return this->own.seen.bad > told_bad || (speed.bad > told_slow && leans_slow);
+    // Where the end is held up by doubt, the good answers are what everybody waits for.
+    const auto told = same_part ? this->reported.seen.total() : 0;
+    const bool clears_doubt = this->is_whole() && (this->is_doubtful() || this->seems_slow()) &&
+                              this->own.seen.total() > told;
+    return this->own.seen.bad > told_bad || (speed.bad > told_slow && leans_slow) || clears_doubt;
 }
 
 bool rollout_course::rate_is_due(decision::instant now) const
@@ -288,7 +302,7 @@
     case course_state::whole:
         if (in_step >= this->part(this->settings.least_whole_part) &&
             elapsed >= this->part(this->settings.finish_part)) {
-            return course_state::finished;
+            return this->state_after_whole(elapsed);
         }
         break;
     case course_state::finished:
@@ -298,6 +312,17 @@
     return std::nullopt;
 }
 
+// A version with half of its answers slow got all traffic for two seconds before the end of its
+// order; the answers that would have told came after it was finished.
+std::optional<course_state> rollout_course::state_after_whole(decision::duration elapsed) const
+{
+    if (!this->is_doubtful() && !this->seems_slow()) {
+        return course_state::finished;
+    }
+    const bool is_due = elapsed >= this->part(this->settings.decision_part);
+    return is_due ? std::make_optional(course_state::bad) : std::nullopt;
+}
+
 course_actions rollout_course::on_tick(std::size_t rank, std::size_t size,
                                        const course_rates& rates, decision::instant now)
 {
--- a/coordination/test/rollout_course_test.cpp
+++ b/coordination/test/rollout_course_test.cpp
@@ -256,7 +256,8 @@
 }
 
 // Two bad answers of six are too few for a verdict and too many for comfort: the trial goes on for
-// a while, and ends all the same, because a good version is to be done in time.
+// a while, and ends all the same. Once all traffic has brought good answers, the version is
+// finished in time.
 TEST(rollout_course, a_doubtful_trial_lasts_longer_but_not_for_ever)
 {
     course_fleet sound(9);
@@ -272,10 +273,39 @@
     play(doubtful, milliseconds(17'700), all);
     CHECK_TRUE(course_state::whole == sound.history.back().state);
     CHECK_TRUE(course_state::loaded == doubtful.history.back().state);
-    play(doubtful, milliseconds(24'000), all);
+    play(doubtful, milliseconds(21'500), all);
+    CHECK_TRUE(course_state::whole == doubtful.history.back().state);
+    doubtful.courses[1]->on_own_evidence({40, 0}, {}, false);
+    play(doubtful, milliseconds(22'800), all);
     CHECK_TRUE(course_state::finished == doubtful.history.back().state);
 }
 
+// Half of the answers of a version are slow. Few have told so by the end of the order, and the
+// version was finished while it had more bad answers than a good one has: everybody met it.
+TEST(rollout_course, a_version_still_in_doubt_at_the_end_is_given_up)
+{
+    course_fleet fleet(9);
+    const std::vector<bool> all(9, true);
+    play(fleet, milliseconds(12'600), all);
+    fleet.courses[0]->on_own_evidence({4, 1}, {}, false);
+    fleet.courses[1]->on_own_evidence({0, 1}, {}, false);
+    play(fleet, milliseconds(24'000), all);
+    CHECK_TRUE(course_state::bad == fleet.history.back().state);
+}
+
+TEST(rollout_course, a_version_that_seems_slow_at_the_end_is_given_up)
+{
+    course_fleet fleet(9);
+    const std::vector<bool> all(9, true);
+    play(fleet, milliseconds(17'000), all);
+    CHECK_TRUE(course_state::whole == fleet.history.back().state);
+    fleet.courses[0]->on_own_evidence({5, 0}, {2, 3}, false);
+    play(fleet, milliseconds(22'000), all);
+    CHECK_TRUE(course_state::whole == fleet.history.back().state);
+    play(fleet, milliseconds(24'000), all);
+    CHECK_TRUE(course_state::bad == fleet.history.back().state);
+}
+
 // The endpoint that was being filled is lost in the middle of the trial, and another one takes its
 // place. Had the trial ended by the clock, nothing would have been tried.
 TEST(rollout_course, a_trial_that_has_not_filled_its_endpoint_goes_on)
