--- a/adapters/test/parser_fuzz_test.cpp
+++ b/adapters/test/parser_fuzz_test.cpp
@@ -94,12 +94,16 @@
     return in_one && in_one == read_pieces(kind, mutator.split(bytes));
 }
 
-const std::vector<std::string> requests = {
-    "GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n",
-    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhelloGET / HTTP/1.0\r\nHost: "
-    "i\r\n\r\n",
+const std::string two_requests =
+    std::string("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello") +
+    "GET / HTTP/1.0\r\nHost: i\r\n\r\n";
+
+const std::string chunked_request =
     "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1f;x=y\r\n"
-    "0123456789012345678901234567890\r\n0\r\nTrailer: t\r\n\r\n",
+    "0123456789012345678901234567890\r\n0\r\nTrailer: t\r\n\r\n";
+
+const std::vector<std::string> requests = {
+    "GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n", two_requests, chunked_request,
     "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(max_head - 28, 'x') + "\r\n\r\n",
     "CONNECT h:1 HTTP/1.1\r\nHost: h\r\nUpgrade: w\r\nConnection: upgrade\r\n\r\n"};
 
--- a/router/test/caller_request_test.cpp
+++ b/router/test/caller_request_test.cpp
@@ -72,8 +72,8 @@
     constexpr std::size_t depth = 1'000'000;
     const std::string deep = std::string(depth, '[') + std::string(depth, ']');
     for (const std::string field : {"extra", "stream", "max_tokens", "n"}) {
-        const auto body = R"({"model":"m","messages":[{"role":"user","content":"x"}],")" + field +
-                          "\":" + deep + "}";
+        std::string body = R"({"model":"m","messages":[{"role":"user","content":"x"}],")";
+        body.append(field).append("\":").append(deep).append("}");
         CHECK_TRUE(names(body, "nested"));
     }
     CHECK_TRUE(names(deep, "nested"));
--- a/router/test/parser_fuzz_test.cpp
+++ b/router/test/parser_fuzz_test.cpp
@@ -139,6 +139,7 @@
     const auto wrong = first_fault({valid}, 200, [](const std::string& bytes, byte_mutator&) {
         auto arguments = lines_of("pearhavend\n" + bytes);
         std::vector<char*> pointers;
+        pointers.reserve(arguments.size());
         for (auto& argument : arguments) {
             pointers.push_back(argument.data());
         }
