--- a/cmake/pearhaven_package.cmake
+++ b/cmake/pearhaven_package.cmake
@@ -20,8 +20,11 @@
     target_include_directories(${name}_tests PRIVATE ${here}/src ${CMAKE_SOURCE_DIR}/tests/support)
     target_link_libraries(${name}_tests PRIVATE ${name} rapidcheck CppUTest CppUTestExt pthread)
     add_test(NAME ${name}_tests COMMAND ${name}_tests -v)
-    set_tests_properties(${name}_tests PROPERTIES TIMEOUT 120
+    set_tests_properties(${name}_tests PROPERTIES TIMEOUT ${PEARHAVEN_UNIT_TIMEOUT}
       ENVIRONMENT "${PEARHAVEN_TEST_ENVIRONMENT}")
+    if(PEARHAVEN_SANITIZE)
+      pearhaven_plain_heap_test(${name}_tests)
+    endif()
   endif()
 endfunction()
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,17 +1,55 @@
 #!/usr/bin/env bash
-# Installs, builds, checks format and lint, and runs all tests through CTest.
+# Installs, builds, checks format and lint, and runs all tests through CTest: all of them with
+# AddressSanitizer and UndefinedBehaviorSanitizer, those with threads once more with ThreadSanitizer.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PEARHAVEN_BUILD=${PEARHAVEN_BUILD:-build}
+# Tells how long a step took; CI has a bound on its time.
+step() {
+  local start=$SECONDS
+  "$@"
+  echo "step $1: $((SECONDS - start)) s"
+}
 scripts/packages.sh
 export PEARHAVEN_WARNINGS_AS_ERRORS=ON
-# Tests want neither debug information nor full optimization; both cost minutes of building.
-CXXFLAGS=-O1 PEARHAVEN_BUILD_TYPE=None scripts/build.sh
-scripts/check_release.sh
-scripts/lint.sh
-scripts/check_sample.sh
+# Tests want neither debug information nor full optimization; both cost minutes of building. Casts of
+# numbers that do not fit are not among what `undefined` stands for.
+build_tests() {
+  CXXFLAGS=-O1 PEARHAVEN_BUILD_TYPE=None PEARHAVEN_SANITIZE=address,undefined,float-cast-overflow \
+    scripts/build.sh
+}
+# The tests whose programs have threads, with two of those that start real routers.
+threaded_tests=(adapters_tests router_tests standins_tests path_test planned_stop_test)
+build_threaded_tests() {
+  CXXFLAGS=-O1 PEARHAVEN_BUILD="$PEARHAVEN_BUILD-threads" PEARHAVEN_BUILD_TYPE=None \
+    PEARHAVEN_SANITIZE=thread scripts/build.sh "${threaded_tests[@]}"
+}
+# Runs the tests of a build folder; a report that no test has noticed fails them too.
+run_tests() {
+  local folder=$1
+  shift
+  rm -f "$folder"/sanitizer_reports/*
+  local failed=0
+  ctest --test-dir "$folder" --output-on-failure --no-tests=error -j 6 "$@" || failed=1
+  local report
+  for report in "$folder"/sanitizer_reports/*; do
+    if [ -e "$report" ]; then
+      echo "$report:"
+      cat "$report"
+      failed=1
+    fi
+  done
+  return "$failed"
+}
 # Tests that are known to fail are passed over by name; .ci/run prints them.
 if [ -s KNOWN-RED.txt ]; then
   export PEARHAVEN_KNOWN_RED=$PWD/KNOWN-RED.txt
 fi
-ctest --test-dir "$PEARHAVEN_BUILD" --output-on-failure --no-tests=error -j 6
+step build_tests
+step scripts/check_release.sh
+step scripts/lint.sh
+# The sample builds as other projects do, so against the packages as users get them.
+PEARHAVEN_BUILD="$PEARHAVEN_BUILD-release" step scripts/check_sample.sh
+step run_tests "$PEARHAVEN_BUILD"
+step build_threaded_tests
+step run_tests "$PEARHAVEN_BUILD-threads" -R "^($(IFS='|'; echo "${threaded_tests[*]}"))\$"
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -13,6 +13,8 @@
 #include <thread>
 #include <utility>
 
+#include <CppUTest/TestHarness.h>
+
 namespace pearhaven::tests {
 
 namespace {
@@ -20,6 +22,16 @@
 constexpr std::chrono::milliseconds poll_step{10};
 constexpr int killed_by_signal = 128;
 
+// What a program ends with when a sanitizer that it was built with finds a fault: `exitcode` of the
+// options that CMakeLists.txt gives to the tests.
+constexpr int status_of_sanitizer = 99;
+
+// Lets a test go on after a failure, which a destructor may not leave by a jump.
+class goes_on final : public TestTerminator {
+public:
+    void exitCurrentTest() const override {}
+};
+
 std::vector<char*> to_pointers(std::vector<std::string>& texts)
 {
     std::vector<char*> pointers;
@@ -64,6 +76,7 @@
 
 child_process::child_process(const std::vector<std::string>& arguments,
                              const environment& variables, const std::string& error_file)
+    : log(error_file)
 {
     int ends[2] = {-1, -1};
     if (pipe2(ends, O_CLOEXEC) != 0) {
@@ -90,6 +103,12 @@
 {
     this->kill();
     close(this->output);
+    // Tests carry on when a program dies, as some want it to; one that dies of a sanitizer would
+    // be taken for such.
+    if (this->status == status_of_sanitizer) {
+        const auto why = "a program died of a sanitizer, see " + this->log;
+        UtestShell::getCurrent()->fail(why.c_str(), __FILE__, __LINE__, goes_on());
+    }
 }
 
 bool child_process::read_more(std::chrono::milliseconds patience)
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -11,7 +11,8 @@
 
 namespace pearhaven::tests {
 
-// A program that a test started. It is killed when the test lets go of it.
+// A program that a test started. It is killed when the test lets go of it, and the test fails if a
+// sanitizer has ended it.
 class child_process {
 public:
     using environment = std::map<std::string, std::string>;
@@ -43,6 +44,7 @@
 private:
     bool read_more(std::chrono::milliseconds patience);
 
+    std::string log;
     pid_t pid = -1;
     int output = -1;
     std::string buffer;
--- a/tests/support/test_main.cpp
+++ b/tests/support/test_main.cpp
@@ -56,9 +56,14 @@
 
 int main(int argc, char** argv)
 {
-    // The leak detector's default operators are not safe with several threads; adapters' tests have
-    // them.
-    MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
+    if (std::getenv("PEARHAVEN_PLAIN_HEAP") != nullptr) {
+        // For sanitizers, which see less on the leak detector's heap.
+        MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+    } else {
+        // The leak detector's default operators are not safe with several threads; adapters' tests
+        // have them.
+        MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
+    }
     warm_up_rapidcheck();
     TestRegistry kept;
     register_others(kept, known_failures());
