--- a/decision/test/routed_dispatch_test.cpp
+++ b/decision/test/routed_dispatch_test.cpp
@@ -276,7 +276,7 @@
 // of the one that waits it is said that it has not run, and nothing is started in the freed slots.
 TEST(routed_dispatch, the_end_of_a_stop_answers_everybody_truly)
 {
-    constexpr ticket_number slots = 3 * 64;
+    constexpr ticket_number slots = ticket_number{3} * 64;
     for (ticket_number ticket = 1; ticket <= slots + 1; ++ticket) {
         auto request = make_request();
         request.ticket = ticket;
