--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -452,10 +452,12 @@
             this->dispatcher.on_pace(ticket, current.number, *pace);
         }
     }
+    current.spoiled = current.spoiled || current.events.part_size() > this->settings.most_event;
     if (current.spoiled) {
         adapters::log_warning("stream_gap", {{"id", relayed.request.id},
                                              {"endpoint", current.endpoint.address},
-                                             {"after", std::to_string(relayed.last_event)}});
+                                             {"after", std::to_string(relayed.last_event)},
+                                             {"part", std::to_string(current.events.part_size())}});
         this->endpoints.cancel(current.exchange);
         this->end_attempt(relayed, {ticket, current.number, attempt_result::failed});
     }
--- a/router/src/event_splitter.hpp
+++ b/router/src/event_splitter.hpp
@@ -28,6 +28,9 @@
     // Whether a part of an event is left over.
     [[nodiscard]] bool has_part() const { return !this->part.empty(); }
 
+    // Bytes of that part.
+    [[nodiscard]] std::size_t part_size() const { return this->part.size(); }
+
 private:
     std::string part;
     std::size_t line_begin = 0; // of the line in `part` that is not whole
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -580,6 +580,24 @@
     this->finish(false);
 }
 
+// An endpoint sends an event without an end. The router kept all of it, for ever. Past the bound
+// the run is given up like one that broke off, and another endpoint goes on.
+TEST(event_relay, an_event_without_an_end_does_not_fill_the_memory)
+{
+    this->settings.most_event = 1000;
+    this->begin()
+        .when(this->has_run(0),
+              [this] {
+                  this->run_at(0)->send(stream_head + event(1) +
+                                        adapters::write_chunk("data: " + std::string(2000, 'x')));
+              })
+        .when(this->has_run(1),
+              [this] { this->run_at(1)->send(stream_head + event(2) + stream_end()); })
+        .until(this->caller_has(stream_end()));
+    CHECK_TRUE(this->script->run());
+    CHECK_FALSE(this->caller->has("xxx"));
+}
+
 // The caller takes nothing until its endpoint is no longer read. Then it takes all.
 TEST(event_relay, a_slow_caller_gets_the_whole_stream)
 {
