--- a/router/include/pearhaven/router/event_relay.hpp
+++ b/router/include/pearhaven/router/event_relay.hpp
@@ -39,8 +39,8 @@
     // Of one answer, what its caller has not taken yet; beyond it the endpoint is not read.
     std::size_t most_unsent = 64U << 10U;
 
-    // Of one event of a stream, whose end has not come. Events hold some pieces of text; one without
-    // an end would fill the memory.
+    // Of one event of a stream, whose end has not come. Events hold some pieces of text; one
+    // without an end would fill the memory.
     std::size_t most_event = 1U << 20U;
 
     // Of a plain answer, what is kept so that it can be repeated elsewhere if it breaks off.
