--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -291,7 +291,7 @@
     script
         .when([this] { return this->server->counts().open == 1; },
               [this] { this->server->close_idle(); })
-        .when([this] { return true; }, [this] { this->caller->send(request("/first")); })
+        .when([] { return true; }, [this] { this->caller->send(request("/first")); })
         .when([this] { return this->listener.held.size() == 1; },
               [this] { this->listener.use(answer); })
         .until([this] { return this->caller->has("whole"); });
