--- a/decision/include/pearhaven/decision/answer_lengths.hpp
+++ b/decision/include/pearhaven/decision/answer_lengths.hpp
@@ -11,9 +11,11 @@
 
 namespace pearhaven::decision {
 
-// How long the answers of each kind of request took lately, from arrival to end.
+// How long answers of each kind of request took lately. What is measured, up to their beginning or
+// their end, is the user's choice.
 class answer_lengths {
 public:
+    // One more answer; a kind that was not known is from now on.
     void learn(const std::string& kind, duration length);
 
     // The time that nine of ten of the last answers of the kind kept to; nothing while fewer than
@@ -21,9 +23,8 @@
     [[nodiscard]] std::optional<duration> usual(const std::string& kind) const;
 
 private:
-    // As many as a router sees of a rare kind within half a minute. A running estimate would do
-    // with less memory, but keeps to an odd first answer for a hundred others: as long as a router
-    // lives that is stopped again soon.
+    // As many as a router sees of a rare kind within half a minute. A running estimate would need
+    // less memory, but would keep to an odd first answer for a hundred others.
     static constexpr std::size_t most_kept = 32;
 
     struct recent {
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -259,7 +259,8 @@
     void on_caller_gone(ticket_number ticket, instant now);
 
     // The router will stop. Until the last admission it takes what it can carry to its end, as far
-    // as earlier requests tell; what is queued or running goes on.
+    // as earlier requests tell, and what another router can go on with; what is queued or running
+    // goes on.
     void begin_stop(const planned_stop& times) { this->stop = times; }
 
     // Gives up all that is left. What never ran is said not to have run.
