Move sessions to a new version from the middle of its order on, a sample first

Cause, from all routers' logs (request_ended now names the session): the first record of a roll-out names the share of sessions that moves at once, for 0.9 requests a second of the whole fleet. Its writer took its own rate for everybody's, and had started two seconds before: 0.3 requests a second times 80 routers, where there were 500. So 3.6 in 100 sessions moved in place of 0.2, 258 sessions in the first half, and the four that changed in their midst were among them. Ruled out: late records (all routers had them), retries, the filled endpoint (no session went back in the second half).

A better rate would only make it rarer. Whether a session is in its midst cannot be known without hearing of its earlier requests; that nothing moves in the first half can.

--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -28,7 +28,7 @@
     std::uint64_t run = 0;         // names this attempt: the store's revision of its order
     std::uint32_t step = 0;        // of the staged part
     std::uint32_t routers = 0;     // among which each step's callers are divided
-    std::uint32_t session_ppm = 0; // of the sessions, in a million, that move in the staged part
+    std::uint32_t session_ppm = 0; // of the sessions, in a million, that move before all do
     course_state state = course_state::staged;
 
     friend bool operator==(const course_record&, const course_record&) = default;
@@ -79,17 +79,23 @@
     // up: it is more likely bad than good, and everybody would meet it.
     double decision_part = 0.95;
 
-    // Requests in sessions, of the whole fleet, that meet the new version each second while it is
-    // staged, and at most which part of the sessions. About a twentieth of the first ones follow a
-    // request of their session on the old version: at this rate less than one in a roll-out.
-    double session_rate = 2.5;
+    // Part of the order's time from which a sample of the sessions moves, before all others do. A
+    // session that moves has mostly sent requests to the old version a moment ago, at some other
+    // router, and in the first half of the order none may change its version. Moved then, chosen
+    // few by a rate that one router had measured in its first two seconds, 258 sessions of a fleet
+    // of 80 routers moved in place of ten, and four changed in their midst, where three may. From
+    // the middle on any session may move, as long as it stays moved: so the sample is chosen by
+    // name, alike at every router, and never gets smaller.
+    double sample_part = 0.505;
 
-    // Within this time a request goes on with its session. The rate holds for sessions of five
-    // seconds. Where they last longer more of them are on the old version when they are chosen, and
-    // each one's request is more likely to have another before it; with the same rate, five
-    // requests changed their version in the midst of their sessions of 8.5 s, where three may.
-    decision::duration session_time = std::chrono::seconds(5);
-    double most_sessions = 0.04;
+    // For which the sample is watched before all traffic moves, where no endpoint is filled.
+    double least_sample_part = 0.06;
+
+    // Requests of the sample each second, of the whole fleet, and at most which part of the
+    // sessions it takes. The rate finds a version of which a third of the answers fail within a
+    // second. The bound holds where one router's rate is far below the others'.
+    double sample_rate = 20.0;
+    double most_sampled = 0.1;
 
     // A version can be sound while its endpoints are half empty and fail beyond; at the load of an
     // ordinary hour nothing shows it, and the first crowd after the roll-out finds it out. So
@@ -200,8 +206,10 @@
     [[nodiscard]] bool can_fill(std::size_t size) const;
     [[nodiscard]] decision::duration load_time(std::size_t size) const;
     [[nodiscard]] decision::duration longer_load_time() const;
-    [[nodiscard]] double session_rate() const;
-    [[nodiscard]] course_record first_record(std::size_t size, double request_rate) const;
+    [[nodiscard]] course_record first_record(std::size_t size) const;
+    [[nodiscard]] std::uint32_t sample_ppm(std::size_t size, double request_rate) const;
+    [[nodiscard]] std::optional<course_state> state_after_staged(std::size_t size,
+                                                                 decision::duration elapsed) const;
     [[nodiscard]] std::optional<course_record>
     next_record(std::size_t size, const course_rates& rates, decision::instant now) const;
     [[nodiscard]] std::optional<course_state> next_state(std::size_t size,
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -59,7 +59,9 @@
         return;
     }
     this->retry_at = now;
-    if (record != this->held) {
+    const bool is_next = !this->held || record->state != this->held->state ||
+                         record->step != this->held->step;
+    if (is_next) {
         this->step_began = now;
     }
     this->held = record;
@@ -237,33 +239,28 @@
                                             : this->part(this->settings.longer_load_part);
 }
 
-// Sessions that change their version in their midst grow with the rate and with the square of the
-// time that sessions last.
-double rollout_course::session_rate() const
-{
-    constexpr decision::duration usual_time = std::chrono::seconds(5);
-    const auto time = std::max(this->settings.session_time, usual_time);
-    const double part = std::chrono::duration<double>(usual_time) / time;
-    return this->settings.session_rate * part * part;
-}
-
-course_record rollout_course::first_record(std::size_t size, double request_rate) const
+course_record rollout_course::first_record(std::size_t size) const
 {
     course_record first;
     first.run = this->what.run;
     first.routers = static_cast<std::uint32_t>(std::max<std::size_t>(size, 1));
-    const double rate = std::max(request_rate, 0.1) * first.routers;
-    const double share = std::min(this->settings.most_sessions, this->session_rate() / rate);
-    first.session_ppm = static_cast<std::uint32_t>(share * million);
     return first;
 }
 
+std::uint32_t rollout_course::sample_ppm(std::size_t size, double request_rate) const
+{
+    const double rate =
+        std::max(request_rate, 0.1) * static_cast<double>(std::max<std::size_t>(size, 1));
+    const double share = std::min(this->settings.most_sampled, this->settings.sample_rate / rate);
+    return std::max(static_cast<std::uint32_t>(share * million), 1U);
+}
+
 std::optional<course_record> rollout_course::next_record(std::size_t size,
                                                          const course_rates& rates,
                                                          decision::instant now) const
 {
     if (!this->held) {
-        return this->first_record(size, rates.requests);
+        return this->first_record(size);
     }
     auto next = *this->held;
     if (this->is_bad()) {
@@ -276,6 +273,11 @@
         ++next.step;
         return next;
     }
+    const bool sample_due = now - this->began >= this->part(this->settings.sample_part);
+    if (next.state == course_state::staged && sample_due && next.session_ppm == 0) {
+        next.session_ppm = this->sample_ppm(size, rates.requests);
+        return next;
+    }
     const auto state = this->next_state(size, now);
     next.state = state.value_or(next.state);
     return state ? std::make_optional(next) : std::nullopt;
@@ -290,8 +292,8 @@
     const bool step_over = in_step >= this->part(this->settings.step_part);
     switch (this->held->state) {
     case course_state::staged:
-        if (step_over && elapsed >= this->part(this->settings.whole_part)) {
-            return this->can_fill(size) ? course_state::loaded : course_state::whole;
+        if (step_over && this->held->session_ppm > 0) {
+            return this->state_after_staged(size, elapsed);
         }
         break;
     case course_state::loaded:
@@ -312,6 +314,20 @@
     return std::nullopt;
 }
 
+// The sample goes on beside the endpoint that is being filled.
+std::optional<course_state>
+rollout_course::state_after_staged(std::size_t size, decision::duration elapsed) const
+{
+    const bool fills = this->can_fill(size);
+    const auto due = this->part(fills ? this->settings.whole_part
+                                      : this->settings.sample_part +
+                                            this->settings.least_sample_part);
+    if (elapsed < due) {
+        return std::nullopt;
+    }
+    return fills ? course_state::loaded : course_state::whole;
+}
+
 // A version with half of its answers slow got all traffic for two seconds before the end of its
 // order; the answers that would have told came after it was finished.
 std::optional<course_state> rollout_course::state_after_whole(decision::duration elapsed) const
--- a/decision/src/rollout_exposure.cpp
+++ b/decision/src/rollout_exposure.cpp
@@ -123,9 +123,8 @@
     if (plan.fills_endpoint && note.fills_endpoint) {
         return plan.state == rollout_state::running && plan.run != 0;
     }
-    // Routers keep no table of sessions, so none knows whether this one has run on the old version
-    // a moment ago elsewhere. By its name alone all routers choose alike, so that it changes its
-    // version once; and they choose few, so that few are changed in their midst.
+    // Routers keep no table of sessions, so none knows on which version this one ran a moment ago
+    // elsewhere. By its name alone all routers choose alike, so that it changes its version once.
     if (session_key != 0) {
         constexpr std::uint64_t million = 1'000'000;
         return plan.state == rollout_state::running && plan.run != 0 &&
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -4,6 +4,8 @@
 
 #include "pearhaven/adapters/log.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <unordered_map>
 #include <utility>
@@ -72,6 +74,13 @@
     return "";
 }
 
+// As all routers name it, so that the requests of one session can be found in their logs together;
+// empty where the request belongs to none.
+std::string session_name(const decision::arrival& work)
+{
+    return work.session_key == 0 ? std::string() : fmt::format("{:016x}", work.session_key);
+}
+
 bool is_refusal(answer_meaning meaning)
 {
     return meaning == answer_meaning::refused || meaning == answer_meaning::refused_leaving ||
@@ -625,6 +634,7 @@
     adapters::log_change("request_ended", {{"id", relayed.request.id},
                                            {"route", relayed.request.route},
                                            {"team", relayed.request.work.team},
+                                           {"session", session_name(relayed.request.work)},
                                            {"outcome", outcome},
                                            {"status", std::to_string(status)},
                                            {"waited_ms", milliseconds(waited)},
