Know which endpoint has read which part of a prompt, and choose among all of them

Change: decision/prompt_map remembers for half a minute which life of an endpoint was sent which part for which model, by own sends and by the words of peers, who name the parts of what they hold. What an endpoint would have to read anew is priced at three times the wait that it costs, and counted as work there. Where nothing is known all routers rank the endpoints of all zones alike.

--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -16,6 +16,10 @@
 // A short payload can name one table very often; the verifier must not be kept walking by it.
 constexpr flatbuffers::uoffset_t max_tables = 200'000;
 
+// Parts of prompts that one router may tell of at one endpoint. It holds at most some thousand
+// requests, with some parts each.
+constexpr std::size_t most_parts_told = 65'536;
+
 // Reads verified tables. The functions say whether all numbers were in their ranges.
 class envelope_decoder {
 public:
@@ -164,8 +168,11 @@
 
     static bool take(const wire::EndpointLoad& table, decision::endpoint_load& item)
     {
-        item = {take(table.address()), table.requests(), table.work(), table.incarnation()};
-        return true;
+        item = {take(table.address()), table.requests(), table.work(), table.incarnation(), {}};
+        if (table.parts() != nullptr) {
+            item.parts.assign(table.parts()->begin(), table.parts()->end());
+        }
+        return item.parts.size() <= most_parts_told;
     }
 
     static bool take(const wire::LoadPush& table, load_push& message)
--- a/adapters/src/peer_encoder.cpp
+++ b/adapters/src/peer_encoder.cpp
@@ -143,8 +143,9 @@
     offset<wire::EndpointLoad> put(const decision::endpoint_load& item)
     {
         const text_offset address = this->put(item.address);
+        const auto parts = this->out.CreateVector(item.parts);
         return wire::CreateEndpointLoad(this->out, address, item.requests, item.work,
-                                        item.incarnation);
+                                        item.incarnation, parts);
     }
 
     offset<wire::LoadPush> put(const load_push& message)
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -1509,7 +1509,8 @@
     VT_ADDRESS = 4,
     VT_REQUESTS = 6,
     VT_WORK = 8,
-    VT_INCARNATION = 10
+    VT_INCARNATION = 10,
+    VT_PARTS = 12
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -1523,6 +1524,9 @@
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ADDRESS) &&
@@ -1530,6 +1534,8 @@
            VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
            VerifyField<double>(verifier, VT_WORK, 8) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
            verifier.EndTable();
   }
 };
@@ -1550,6 +1556,9 @@
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(EndpointLoad::VT_INCARNATION, incarnation, 0);
   }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(EndpointLoad::VT_PARTS, parts);
+  }
   explicit EndpointLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1567,10 +1576,12 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint32_t requests = 0,
     double work = 0.0,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
   EndpointLoadBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_work(work);
+  builder_.add_parts(parts);
   builder_.add_requests(requests);
   builder_.add_address(address);
   return builder_.Finish();
@@ -1586,14 +1597,17 @@
     const char *address = nullptr,
     uint32_t requests = 0,
     double work = 0.0,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    const std::vector<uint64_t> *parts = nullptr) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return pearhaven::adapters::wire::CreateEndpointLoad(
       _fbb,
       address__,
       requests,
       work,
-      incarnation);
+      incarnation,
+      parts__);
 }
 
 struct LoadPush FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -86,7 +86,7 @@
     std::uint32_t priority = 5;
     instant deadline;
     std::uint64_t prefix_hash = 0;
-    double prefix_work = 0.0; // work on top of `work` where the prefix is not cached
+    std::vector<prompt_part> parts; // on top of `work` where they are not cached; not by model
     std::uint64_t fingerprint = 0;
     continuation on_loss = continuation::same_run;
     std::uint32_t max_attempts =
@@ -308,6 +308,8 @@
         instant sent_at;        // the present attempt
         bool packed = false;    // the present attempt helps to fill one endpoint
         double held_work = 0.0; // of the present attempt, that its endpoint still has to do
+        double reading = 0.0;   // of that, what is done once the answer begins
+        std::vector<prompt_part> parts; // of the present attempt, by model
         rollout_note rollouts;
     };
 
@@ -362,6 +364,7 @@
     [[nodiscard]] bool has_time_for_run(const arrival& request, instant now) const;
     void cancel_run(const request_state& state, instant now);
     [[nodiscard]] double size_factor(const request_state& state) const;
+    [[nodiscard]] std::vector<prompt_part> parts_of(const request_state& state) const;
     [[nodiscard]] double work_of(const request_state& state) const;
     void note_begun(request_state& state);
     [[nodiscard]] retry_budget& budget_of(const arrival& request);
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -46,6 +46,7 @@
     std::uint32_t requests = 0;
     double work = 0.0;             // as placement::work, of all of them
     std::uint64_t incarnation = 0; // of the endpoint that holds them
+    std::vector<std::uint64_t> parts = {}; // keys of the shared parts of their prompts
 
     friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
 };
@@ -60,6 +61,15 @@
     cancelled,
 };
 
+// A part of a prompt that other requests have as well. An endpoint that has read it keeps it for a
+// while and need not read it again, for the same model and behind the same parts.
+struct prompt_part {
+    std::uint64_t key = 0; // differs by model
+    double work = 0.0;     // of reading it
+
+    friend bool operator==(const prompt_part&, const prompt_part&) = default;
+};
+
 // What an endpoint is wanted for.
 struct placement {
     std::string version_or_service;
@@ -69,7 +79,7 @@
     bool packed = false;           // on the one endpoint that all routers choose, while it has room
     std::uint64_t prefix_hash = 0; // of the prompt's beginning; 0: no affinity
     double reading = 0.0;          // of `work`, done before the answer begins
-    double cold_work = 0.0;        // on top of it where that beginning is not cached
+    std::vector<prompt_part> parts; // on top of `work` where they are not cached, in their order
     std::vector<std::string> avoid; // addresses not to be taken
 
     friend bool operator==(const placement&, const placement&) = default;
@@ -82,6 +92,10 @@
     std::size_t subset_size = 48; // endpoints of a target that one router uses
     double zone_bias = 0.25;      // load, as a share of a limit, accepted to stay in the zone
 
+    // Where all are weighed: what a millisecond of reading anew costs, against one of waiting. All
+    // that comes to the endpoint later waits for it as well.
+    double cold_price = 3.0;
+
     // Whether all open endpoints are weighed against each other, for routers that tell each other
     // what they hold. By its own work alone a router does better to draw two and take the better
     // one: it would send to the one that all others choose as well.
@@ -150,11 +164,13 @@
     // connections to that address: the endpoint is blamed when fresh ones go silent too. The end of
     // an attempt that an earlier `incarnation` was sent changes nothing: it was never counted at
     // the present one. Without one, the present one is meant.
+    // `parts` are the shared parts of its prompt, which the endpoint has from then on.
     void started(const std::string& address, work_class kind, double work,
-                 std::uint64_t prefix_hash, instant now);
+                 const std::vector<prompt_part>& parts, instant now);
     void ended(const std::string& address, work_class kind, double work, attempt_result result,
                duration first_token, instant now,
-               std::optional<std::uint64_t> incarnation = std::nullopt);
+               std::optional<std::uint64_t> incarnation = std::nullopt,
+               const std::vector<prompt_part>& parts = {});
 
     // Part of the work of an attempt under way is done. Its `ended` is told the rest.
     void lightened(const std::string& address, double work,
@@ -175,6 +191,10 @@
     [[nodiscard]] std::optional<std::string> choose(const placement& wanted, instant now,
                                                     std::uint64_t random) const;
 
+    // What of the parts the endpoint would have to read, as work.
+    [[nodiscard]] double cold_work_at(const std::string& address,
+                                      const std::vector<prompt_part>& parts, instant now) const;
+
     // Requests of all routers at the endpoint that packed ones go to; zero where there is none.
     [[nodiscard]] double packed_requests(const std::string& version, instant now) const;
 
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -144,9 +144,10 @@
     wanted.is_service = state.what.is_service;
     wanted.kind = state.what.work.kind;
     wanted.work = this->work_of(state);
-    wanted.prefix_hash = state.what.prefix_hash;
     wanted.reading = state.what.work.reading * this->size_factor(state);
-    wanted.cold_work = state.what.prefix_work * this->size_factor(state);
+    wanted.parts = this->parts_of(state);
+    // Models share no cache, and so need not share endpoints.
+    wanted.prefix_hash = wanted.parts.empty() ? state.what.prefix_hash : wanted.parts.back().key;
     wanted.packed = this->helps_to_fill(state, target);
     if (now < state.avoid_until) {
         this->add_avoided(state, wanted);
@@ -291,9 +292,11 @@
         state.rollouts.exposed_by = where.exposed_by;
     }
     state.incarnation = this->table.incarnation_of(where.address);
-    state.held_work = this->work_of(state);
-    this->table.started(where.address, request.work.kind, state.held_work, request.prefix_hash,
-                        now);
+    state.parts = this->parts_of(state);
+    const double cold = this->table.cold_work_at(where.address, state.parts, now);
+    state.reading = request.work.reading * this->size_factor(state) + cold;
+    state.held_work = this->work_of(state) + cold;
+    this->table.started(where.address, request.work.kind, state.held_work, state.parts, now);
     this->actions.emplace_back(
         start_attempt{request.ticket, state.attempt, where.address, where.version, state.size});
 }
@@ -351,6 +354,17 @@
     return is_small ? this->settings.small_model_work : 1.0;
 }
 
+// The shared parts of the prompt as the next or present attempt's model knows them.
+std::vector<prompt_part> dispatcher::parts_of(const request_state& state) const
+{
+    auto parts = state.what.parts;
+    for (auto& part : parts) {
+        part.key = mix(part.key + state.size);
+        part.work *= this->size_factor(state);
+    }
+    return parts;
+}
+
 // What the next or present attempt weighs on its endpoint.
 double dispatcher::work_of(const request_state& state) const
 {
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -283,8 +283,7 @@
 // others away from its endpoint for all the seconds in which the answer is only written.
 void dispatcher::note_begun(request_state& state)
 {
-    const double done =
-        std::min(state.held_work, state.what.work.reading * this->size_factor(state));
+    const double done = std::min(state.held_work, state.reading);
     state.held_work -= done;
     this->table.lightened(state.address, done, state.incarnation);
 }
@@ -348,7 +347,7 @@
                            instant now)
 {
     this->table.ended(state.address, state.what.work.kind, state.held_work, result, first_token,
-                      now, state.incarnation);
+                      now, state.incarnation, state.parts);
 }
 
 // Everything that ran on a crashed endpoint is suspected of having crashed it, once for each
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -14,9 +14,11 @@
 // Of a subset, the part kept for other zones, so that work can leave a zone that is full or down.
 constexpr std::size_t remote_part_of_subset = 4;
 
-// The endpoint that ranks second for a prefix takes the overflow of the first, so that it has the
-// prefix about every other time.
-constexpr double cold_part_of_second = 0.5;
+// How likely the endpoints that rank first and second for a prefix have it, where this router has
+// heard of nobody that sent it there. In a large fleet it hears from few of the others, and all
+// send there first.
+constexpr double likely_at_first = 0.6;
+constexpr double likely_at_second = 0.3;
 
 // How long a router keeps to its draw for a slot; covers the lag of most load reports.
 constexpr duration draw_period = std::chrono::seconds(1);
@@ -127,7 +129,7 @@
         (is_local ? local : remote).push_back(where);
     }
     if (this->settings.weighs_all) {
-        return this->cheapest(subset, local, random);
+        return this->cheapest(subset, random);
     }
     if (const endpoint* warm = this->choose_warm(subset)) {
         return warm;
@@ -140,25 +142,39 @@
     return best.value_or(candidate()).where;
 }
 
+double cold_work(const std::vector<prompt_part>& parts, const prompt_map& prompts,
+                 const endpoint& where, double likely, instant now)
+{
+    double cold = 0.0;
+    double held = 1.0; // a part is of use only behind all those before it
+    for (const auto& part : parts) {
+        held = std::min(held, std::max(likely, prompts.held(where.life(), part.key, now)));
+        cold += (1.0 - held) * part.work;
+    }
+    return cold;
+}
+
 // The endpoint that costs least: what it holds already, what reading the prompt there costs this
 // request and those beside it, and the way into another zone. `random` says where equal ones are
 // looked at first.
 const endpoint* endpoint_choice::cheapest(const std::vector<endpoint*>& subset,
-                                          const std::vector<endpoint*>& local,
                                           std::uint64_t random) const
 {
-    const auto warm = ranked_first(local.empty() ? subset : local, this->wanted.prefix_hash);
+    const auto ranked = ranked_first(subset, this->wanted.prefix_hash);
     candidate best;
     for (std::size_t i = 0; i < subset.size(); ++i) {
         const endpoint* where = subset[(random + i) % subset.size()];
         if (!this->has_room(*where)) {
             continue;
         }
+        const double likely = where == ranked[0]   ? likely_at_first
+                              : where == ranked[1] ? likely_at_second
+                                                   : 0.0;
+        const double cold =
+            cold_work(this->wanted.parts, this->prompts, *where, likely, this->now);
         const bool is_local = where->host.zone == this->settings.zone;
-        const double cold = this->load_of_work(this->wanted.cold_work, *where);
-        double score = this->load_of(*where) + this->reading_cost(*where);
+        double score = this->load_of(*where) + this->reading_cost(*where, cold);
         score += is_local ? 0.0 : this->settings.zone_bias;
-        score += where == warm[0] ? 0.0 : cold * (where == warm[1] ? cold_part_of_second : 1.0);
         if (best.where == nullptr || score < best.score) {
             best = {where, score};
         }
@@ -166,10 +182,11 @@
     return best.where;
 }
 
-double endpoint_choice::reading_cost(const endpoint& where) const
+double endpoint_choice::reading_cost(const endpoint& where, double cold_work) const
 {
-    return this->settings.reading_harm * this->requests_at(where) *
-           this->load_of_work(this->wanted.reading, where);
+    const double harm = this->settings.reading_harm * this->requests_at(where);
+    const double reading = this->load_of_work(this->wanted.reading + cold_work, where);
+    return harm * reading + this->settings.cold_price * this->load_of_work(cold_work, where);
 }
 
 bool endpoint_choice::has_room(const endpoint& where) const
--- a/decision/src/endpoint_choice.hpp
+++ b/decision/src/endpoint_choice.hpp
@@ -2,6 +2,7 @@
 #define PEARHAVEN_DECISION_ENDPOINT_CHOICE_HPP
 
 #include "endpoint_directory.hpp"
+#include "prompt_map.hpp"
 #include "told_loads.hpp"
 
 #include <optional>
@@ -22,13 +23,19 @@
                                                const std::vector<std::string>& avoid, instant now,
                                                const endpoint_table_settings& settings);
 
+// What of the parts is not in the endpoint's cache, as work. `likely` is how likely it has one that
+// nothing is known of.
+[[nodiscard]] double cold_work(const std::vector<prompt_part>& parts, const prompt_map& prompts,
+                               const endpoint& where, double likely, instant now);
+
 // One choice among the endpoints of a route.
 class endpoint_choice {
 public:
     // All that is passed by reference must outlive the choice.
     endpoint_choice(const endpoint_table_settings& chosen, const placement& request,
-                    const own_load& load, const told_loads& told, instant at)
-        : settings(chosen), wanted(request), own(load), others(told), now(at)
+                    const own_load& load, const told_loads& told, const prompt_map& read,
+                    instant at)
+        : settings(chosen), wanted(request), own(load), others(told), prompts(read), now(at)
     {}
 
     // Null when none has room.
@@ -47,9 +54,8 @@
     [[nodiscard]] bool may_add_reading(const endpoint& where, double held) const;
     [[nodiscard]] double load_of(const endpoint& where) const;
     [[nodiscard]] const endpoint* cheapest(const std::vector<endpoint*>& subset,
-                                           const std::vector<endpoint*>& local,
                                            std::uint64_t random) const;
-    [[nodiscard]] double reading_cost(const endpoint& where) const;
+    [[nodiscard]] double reading_cost(const endpoint& where, double cold_work) const;
     [[nodiscard]] double requests_at(const endpoint& where) const;
     [[nodiscard]] double load_of_work(double work, const endpoint& where) const;
     [[nodiscard]] const endpoint* choose_warm(const std::vector<endpoint*>& subset) const;
@@ -62,6 +68,7 @@
     const placement& wanted;
     const own_load& own;
     const told_loads& others;
+    const prompt_map& prompts;
     instant now;
     double own_part = 1.0; // of all work at the endpoints
 };
--- a/decision/src/endpoint_state.hpp
+++ b/decision/src/endpoint_state.hpp
@@ -4,6 +4,7 @@
 #include "concurrency_limit.hpp"
 #include "endpoint_health.hpp"
 #include "load_estimate.hpp"
+#include "prompt_map.hpp"
 
 #include "pearhaven/decision/endpoint_table.hpp"
 #include "pearhaven/decision/mix.hpp"
@@ -13,6 +14,7 @@
 #include <cstdint>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <xxhash.h>
 
@@ -48,6 +50,7 @@
     std::uint32_t outstanding = 0;
     std::uint32_t readings = 0; // of the outstanding ones
     double work = 0.0;          // of the outstanding ones
+    std::vector<std::uint64_t> parts; // of their prompts; a key for each request that has it
 
     concurrency_limit limit{1.0};
     load_estimate load;
@@ -64,6 +67,7 @@
         this->outstanding = 0;
         this->readings = 0;
         this->work = 0.0;
+        this->parts.clear();
         this->limit = concurrency_limit(this->limit.ceiling());
         this->load = {};
         this->health = {};
@@ -71,6 +75,33 @@
         this->next_slowness_check = {};
     }
 
+    void add(const std::vector<prompt_part>& shared)
+    {
+        for (const auto& part : shared) {
+            this->parts.push_back(part.key);
+        }
+    }
+
+    void remove(const std::vector<prompt_part>& shared)
+    {
+        for (const auto& part : shared) {
+            const auto found = std::find(this->parts.begin(), this->parts.end(), part.key);
+            if (found != this->parts.end()) {
+                this->parts.erase(found);
+            }
+        }
+    }
+
+    [[nodiscard]] std::vector<std::uint64_t> distinct_parts() const
+    {
+        auto keys = this->parts;
+        std::sort(keys.begin(), keys.end());
+        keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+        return keys;
+    }
+
+    [[nodiscard]] endpoint_life life() const { return {this->identity, this->host.incarnation}; }
+
     first_token_mean& first_token(work_class kind)
     {
         return this->first_tokens.at(static_cast<std::size_t>(kind));
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -48,6 +48,10 @@
     const endpoint_table_settings settings;
     endpoint_directory directory{this->settings};
     told_loads others;
+    prompt_map prompts;
+
+    // What others hold at the endpoints is read there.
+    void note_told(const std::vector<endpoint_load>& loads, instant now);
 
 private:
     void count_out(endpoint& where, work_class kind, double work, instant now);
@@ -72,6 +76,19 @@
     }
 }
 
+void endpoint_table::state::note_told(const std::vector<endpoint_load>& loads, instant now)
+{
+    for (const auto& load : loads) {
+        const endpoint* where = this->directory.find(load.address);
+        if (where == nullptr) {
+            continue;
+        }
+        for (const auto part : load.parts) {
+            this->prompts.note({where->identity, load.incarnation}, part, now);
+        }
+    }
+}
+
 void endpoint_table::state::started(endpoint& where, work_class kind, double work, instant now)
 {
     const std::uint32_t reading = kind == work_class::reading ? 1 : 0;
@@ -187,7 +204,8 @@
 {
     const route& from = this->directory.route_for(wanted.version_or_service, wanted.is_service);
     this->others.expire(now, this->settings.told_lifetime);
-    endpoint_choice choice(this->settings, wanted, this->own, this->others, now);
+    this->prompts.expire(now);
+    endpoint_choice choice(this->settings, wanted, this->own, this->others, this->prompts, now);
     const endpoint* const chosen = choice.choose(from, random);
     return chosen == nullptr ? std::nullopt : std::make_optional(chosen->host.address);
 }
@@ -224,19 +242,25 @@
 }
 
 void endpoint_table::started(const std::string& address, work_class kind, double work,
-                             std::uint64_t /*prefix_hash*/, instant now)
+                             const std::vector<prompt_part>& parts, instant now)
 {
     if (endpoint* where = this->inner->directory.find(address)) {
         this->inner->started(*where, kind, work, now);
+        where->add(parts);
+        for (const auto& part : parts) {
+            this->inner->prompts.note(where->life(), part.key, now);
+        }
     }
 }
 
 void endpoint_table::ended(const std::string& address, work_class kind, double work,
                            attempt_result result, duration first_token, instant now,
-                           std::optional<std::uint64_t> incarnation)
+                           std::optional<std::uint64_t> incarnation,
+                           const std::vector<prompt_part>& parts)
 {
     endpoint* where = this->inner->directory.find(address);
     if (is_at(where, incarnation)) {
+        where->remove(parts);
         this->inner->ended(*where, kind, work, result, first_token, now);
     }
 }
@@ -274,9 +298,17 @@
 
 void endpoint_table::told(const std::string& router, std::vector<endpoint_load> loads, instant now)
 {
+    this->inner->note_told(loads, now);
     this->inner->others.on_told(router, std::move(loads), now);
 }
 
+double endpoint_table::cold_work_at(const std::string& address,
+                                    const std::vector<prompt_part>& parts, instant now) const
+{
+    const endpoint* where = this->inner->directory.find(address);
+    return where == nullptr ? 0.0 : cold_work(parts, this->inner->prompts, *where, 0.0, now);
+}
+
 double endpoint_table::packed_requests(const std::string& version, instant now) const
 {
     placement wanted;
@@ -294,7 +326,8 @@
     std::vector<endpoint_load> held;
     for (const auto& [address, known] : this->inner->directory.all()) {
         if (known.outstanding > 0) {
-            held.push_back({address, known.outstanding, known.work, known.host.incarnation});
+            held.push_back({address, known.outstanding, known.work, known.host.incarnation,
+                            known.distinct_parts()});
         }
     }
     return held;
