Let two routers of a large zone watch the store for the others

Change: coordination/watch_share. Of the registered routers of a zone the two that rank first by name watch, in waits of 500 ms, and pass on each answer over the peer link, with the revision that it follows and its age. Whoever has missed one asks for the rest. A follower without a word younger than 1.2 s watches for itself. In zones of fewer than eight routers all watch as before.

--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -199,6 +199,8 @@
         message.nonce = table.nonce();
         message.as_of = table.as_of();
         message.whole = table.whole();
+        message.after = table.after();
+        message.age = decision::duration(table.age_us());
         return take_all(table.entries(), message.entries);
     }
 
--- a/adapters/src/peer_encoder.cpp
+++ b/adapters/src/peer_encoder.cpp
@@ -170,7 +170,7 @@
     {
         const auto entries = this->put_all<wire::StoreEntry>(message.entries);
         return wire::CreateMirrorNews(this->out, message.nonce, message.as_of, message.whole,
-                                      entries);
+                                      entries, message.after, message.age.count());
     }
 
     // The offset's own type names the union's member.
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -1818,7 +1818,9 @@
     VT_NONCE = 4,
     VT_AS_OF = 6,
     VT_WHOLE = 8,
-    VT_ENTRIES = 10
+    VT_ENTRIES = 10,
+    VT_AFTER = 12,
+    VT_AGE_US = 14
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -1832,6 +1834,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>> *>(VT_ENTRIES);
   }
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
@@ -1840,6 +1848,8 @@
            VerifyOffsetRequired(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -1860,6 +1870,12 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>>> entries) {
     fbb_.AddOffset(MirrorNews::VT_ENTRIES, entries);
   }
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(MirrorNews::VT_AFTER, after, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(MirrorNews::VT_AGE_US, age_us, 0);
+  }
   explicit MirrorNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1877,8 +1893,12 @@
     uint64_t nonce = 0,
     uint64_t as_of = 0,
     bool whole = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>>> entries = 0,
+    uint64_t after = 0,
+    int64_t age_us = 0) {
   MirrorNewsBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_after(after);
   builder_.add_as_of(as_of);
   builder_.add_nonce(nonce);
   builder_.add_entries(entries);
@@ -1896,14 +1916,18 @@
     uint64_t nonce = 0,
     uint64_t as_of = 0,
     bool whole = false,
-    const std::vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>> *entries = nullptr,
+    uint64_t after = 0,
+    int64_t age_us = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>>(*entries) : 0;
   return pearhaven::adapters::wire::CreateMirrorNews(
       _fbb,
       nonce,
       as_of,
       whole,
-      entries__);
+      entries__,
+      after,
+      age_us);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/coordination/include/pearhaven/coordination/peer_exchange.hpp
+++ b/coordination/include/pearhaven/coordination/peer_exchange.hpp
@@ -67,6 +67,9 @@
                                                  bool in_touch, store_revision revision,
                                                  decision::instant now);
 
+    // The peers of this router's zone.
+    [[nodiscard]] std::vector<peer_router> near() const;
+
     // Whether the news answers the open question. One answer to each is taken.
     [[nodiscard]] bool takes(const mirror_news& news);
 
--- a/coordination/include/pearhaven/coordination/peer_message.hpp
+++ b/coordination/include/pearhaven/coordination/peer_message.hpp
@@ -169,13 +169,15 @@
     friend bool operator==(const mirror_pull&, const mirror_pull&) = default;
 };
 
-// The sender's mirror of the store, as of the revision: all of it, or what has changed since the
-// one that was asked about. A key that was removed has an empty value.
+// The sender's mirror of the store, as of the revision: all of it, or what has changed after an
+// earlier one. A key that was removed has an empty value.
 struct mirror_news {
-    std::uint64_t nonce = 0;
+    std::uint64_t nonce = 0; // of the question that it answers; 0 where nobody had to ask
     store_revision as_of = 0;
     bool whole = false;
     std::vector<kv_entry> entries;
+    store_revision after = 0;  // what is not whole is of use only up from there
+    decision::duration age{}; // since the store said so
     friend bool operator==(const mirror_news&, const mirror_news&) = default;
 };
 
--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -3,6 +3,7 @@
 
 #include "pearhaven/coordination/actions.hpp"
 #include "pearhaven/coordination/peer_message.hpp"
+#include "pearhaven/coordination/watch_share.hpp"
 #include "pearhaven/decision/time.hpp"
 
 #include <deque>
@@ -22,6 +23,9 @@
     // such a watch costs; a shorter one costs a call each time.
     decision::duration watch_wait = std::chrono::seconds{2};
 
+    // The same where others go by what this router hears: how old that may be.
+    decision::duration shared_watch_wait = std::chrono::milliseconds{500};
+
     // Pause after a watch that brought changes. Endpoints that start together write one after the
     // other; without it each write costs every router a call. It adds to the time in which a change
     // is heard of, of which the strictest bound is two seconds.
@@ -86,6 +90,13 @@
     // as that lasts. Revisions make it safe to hear of a change from anybody, in any order.
     void on_told(const mirror_news& news);
 
+    // Whether this mirror watches the store. One that follows others makes no calls once it has
+    // listed, and goes on from where they have brought it when it has to watch again.
+    void set_mode(watch_mode wanted) { this->mode = wanted; }
+
+    // When the store last answered this mirror.
+    [[nodiscard]] decision::instant confirmed_at() const { return this->confirmed; }
+
     // The open call is given up, as when its connection has gone silent; the next one starts anew.
     void restart(decision::instant now);
     [[nodiscard]] std::vector<action> take_actions();
@@ -132,6 +143,8 @@
     std::optional<call_tag> open_call;
     call_tag next_tag = 1;
     std::uint32_t failures = 0;
+    watch_mode mode = watch_mode::alone;
+    decision::instant confirmed;
     decision::instant due;
     std::optional<decision::instant> regained_at; // after a loss
     std::vector<action> actions;
--- a/coordination/src/peer_exchange.cpp
+++ b/coordination/src/peer_exchange.cpp
@@ -71,6 +71,17 @@
     sends.push_back({asked->second, mirror_pull{*this->open_question, revision}});
 }
 
+std::vector<peer_router> peer_exchange::near() const
+{
+    std::vector<peer_router> found;
+    for (const auto& [name, where] : this->peers) {
+        if (where.zone == this->settings.zone) {
+            found.push_back(where);
+        }
+    }
+    return found;
+}
+
 bool peer_exchange::takes(const mirror_news& news)
 {
     if (this->open_question != news.nonce) {
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -35,8 +35,10 @@
     }
     if (this->needs_list) {
         this->call(kv_range{this->settings.prefix});
-    } else {
-        this->call(kv_watch{this->settings.prefix, this->watched, this->settings.watch_wait});
+    } else if (this->mode != watch_mode::follows) {
+        const bool shares = this->mode == watch_mode::for_others;
+        const auto wait = shares ? this->settings.shared_watch_wait : this->settings.watch_wait;
+        this->call(kv_watch{this->settings.prefix, this->watched, wait});
     }
 }
 
@@ -56,6 +58,7 @@
     }
     this->open_call.reset();
     if (reply.outcome == kv_outcome::ok) {
+        this->confirmed = now;
         this->succeed(now);
         const bool brought = !this->needs_list && !reply.entries.empty();
         this->needs_list ? this->on_list(reply, now) : this->on_watch(reply, now);
@@ -150,6 +153,7 @@
     }
     mirror_news news;
     news.as_of = this->watched;
+    news.after = after;
     news.whole = after < this->changes_since;
     if (news.whole) {
         for (const auto& [key, entry] : this->known) {
--- a/router/include/pearhaven/router/peer_desk.hpp
+++ b/router/include/pearhaven/router/peer_desk.hpp
@@ -6,6 +6,7 @@
 #include "pearhaven/adapters/peer_link.hpp"
 #include "pearhaven/coordination/peer_exchange.hpp"
 #include "pearhaven/coordination/prefix_mirror.hpp"
+#include "pearhaven/coordination/watch_share.hpp"
 #include "pearhaven/decision/dispatcher.hpp"
 
 #include <functional>
@@ -53,15 +54,26 @@
     // To be called every 50 ms or so.
     void tick();
 
+    // Passes on what the store has told the mirror, where others go by it. To be called after each
+    // answer of the store.
+    void pass_on_news();
+
 private:
     void take(const std::string& from, const adapters::peer_address& reply_to,
               const coordination::peer_message& message);
-    void take(const std::string& from, const coordination::mirror_news& news);
+    void take(const std::string& from, const adapters::peer_address& reply_to,
+              const coordination::mirror_news& news);
+    void set_watch_mode();
+    void tell_mirror(const std::string& from, const coordination::mirror_news& news);
     void answer(const adapters::peer_address& to, const coordination::mirror_pull& asked);
 
     parts used;
     peer_desk_settings settings;
     coordination::peer_exchange exchange;
+    coordination::watch_share share;
+    coordination::watch_mode mode = coordination::watch_mode::alone;
+    coordination::store_revision passed_on = 0; // up to where the others have been told
+    decision::instant passed_on_at;             // of the store's answer that was passed on last
     std::unique_ptr<adapters::peer_link> link;
 };
 
--- a/router/src/peer_desk.cpp
+++ b/router/src/peer_desk.cpp
@@ -20,6 +20,27 @@
     return made;
 }
 
+coordination::watch_share_settings share_settings_for(const peer_desk_settings& settings)
+{
+    coordination::watch_share_settings made;
+    made.self = settings.self;
+    made.zone = settings.listens_at.zone;
+    return made;
+}
+
+const char* name_of(coordination::watch_mode mode)
+{
+    switch (mode) {
+    case coordination::watch_mode::alone:
+        return "alone";
+    case coordination::watch_mode::for_others:
+        return "for others";
+    case coordination::watch_mode::follows:
+        return "follows";
+    }
+    return "";
+}
+
 } // namespace
 
 std::string write_peer(const coordination::peer_router& where)
@@ -45,7 +66,8 @@
 }
 
 peer_desk::peer_desk(parts all, const peer_desk_settings& chosen)
-    : used(std::move(all)), settings(chosen), exchange(exchange_settings_for(chosen))
+    : used(std::move(all)), settings(chosen), exchange(exchange_settings_for(chosen)),
+      share(share_settings_for(chosen))
 {}
 
 void peer_desk::open(const std::string& fleet_key)
@@ -75,11 +97,13 @@
 void peer_desk::set_peer(const std::string& name, const coordination::peer_router& where)
 {
     this->exchange.set_peer(name, where);
+    this->share.set_peer(name, where.zone);
 }
 
 void peer_desk::drop_peer(const std::string& name)
 {
     this->exchange.drop_peer(name);
+    this->share.drop_peer(name);
 }
 
 void peer_desk::tick()
@@ -87,6 +111,7 @@
     if (!this->link) {
         return;
     }
+    this->set_watch_mode();
     const auto sends = this->exchange.on_tick(this->used.dispatcher.endpoints().own_loads(),
                                               this->used.mirror.is_in_touch(),
                                               this->used.mirror.revision(), this->used.loop.now());
@@ -103,13 +128,68 @@
     } else if (const auto* asked = std::get_if<coordination::mirror_pull>(&message)) {
         this->answer(reply_to, *asked);
     } else if (const auto* news = std::get_if<coordination::mirror_news>(&message)) {
-        this->take(from, *news);
+        this->take(from, reply_to, *news);
+    }
+}
+
+void peer_desk::set_watch_mode()
+{
+    const auto wanted = this->share.mode(this->used.loop.now());
+    if (wanted != this->mode) {
+        this->mode = wanted;
+        this->used.mirror.set_mode(wanted);
+        adapters::log_change("watch_mode", {{"mode", name_of(wanted)},
+                                            {"revision",
+                                             std::to_string(this->used.mirror.revision())}});
+    }
+}
+
+void peer_desk::pass_on_news()
+{
+    const auto& mirror = this->used.mirror;
+    const bool passes_on = this->link && this->mode == coordination::watch_mode::for_others &&
+                           mirror.is_in_touch() && mirror.confirmed_at() != this->passed_on_at;
+    if (!passes_on) {
+        return;
+    }
+    const auto from = this->passed_on == 0 ? mirror.revision() : this->passed_on;
+    auto news = mirror.news_after(from);
+    if (!news) {
+        return;
+    }
+    news->age = this->used.loop.now() - mirror.confirmed_at();
+    this->passed_on = news->as_of;
+    this->passed_on_at = mirror.confirmed_at();
+    for (const auto& peer : this->exchange.near()) {
+        this->link->send({peer.host, peer.port}, *news);
+    }
+}
+
+// What a watcher passes on follows what it passed on before. Whoever missed that asks it for the
+// rest.
+void peer_desk::take(const std::string& from, const adapters::peer_address& reply_to,
+                     const coordination::mirror_news& news)
+{
+    if (news.nonce != 0) {
+        this->tell_mirror(from, news);
+        return;
+    }
+    const auto known = this->used.mirror.revision();
+    if (!news.whole && news.after > known) {
+        this->link->send(reply_to, coordination::mirror_pull{0, known});
+        return;
+    }
+    if (news.as_of > known) {
+        this->used.mirror.on_told(news);
+        this->used.on_news();
     }
+    this->share.on_word(news.as_of, this->used.mirror.revision(), news.age,
+                        this->used.loop.now());
 }
 
 // The store may serve the one that asks again before the answer comes; what is told late is older
 // than what is known, and changes nothing.
-void peer_desk::take(const std::string& from, const coordination::mirror_news& news)
+void peer_desk::tell_mirror(const std::string& from, const coordination::mirror_news& news)
 {
     const bool brings = news.as_of > this->used.mirror.revision();
     if (!this->exchange.takes(news) || !brings) {
@@ -129,6 +209,7 @@
     auto news = this->used.mirror.news_after(asked.after);
     if (news && this->link) {
         news->nonce = asked.nonce;
+        news->age = this->used.loop.now() - this->used.mirror.confirmed_at();
         this->link->send(to, *news);
     }
 }
