Count no silence against a version whose endpoint has that much to read

Now a silence at the endpoint that is being filled counts only where the work known to be held there, scaled to the routers that do not tell this one, lasts for less than half of it.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -371,7 +371,8 @@
     [[nodiscard]] double burst_of_router() const;
     [[nodiscard]] bool may_run_once_more(const request_state& state) const;
     void note_version_refused(request_state& state) const;
-    void note_version_lost(request_state& state, const attempt_end& end);
+    void note_version_lost(request_state& state, const attempt_end& end, instant now);
+    [[nodiscard]] bool waits_for_others(const request_state& state, instant now) const;
     void blame_crash(const std::string& address, std::uint64_t incarnation, instant now);
     void count_end(const request_state& state, attempt_result result, duration first_token,
                    instant now);
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -195,6 +195,10 @@
     [[nodiscard]] double cold_work_at(const std::string& address,
                                       const std::vector<prompt_part>& parts, instant now) const;
 
+    // Work that is known to be held at the endpoint, this router's and what others told. In a fleet
+    // of `routers` that do not all tell this one, the others' is taken to be like theirs that do.
+    [[nodiscard]] double work_at(const std::string& address, std::size_t routers) const;
+
     // Requests of all routers at the endpoint that packed ones go to; zero where there is none.
     [[nodiscard]] double packed_requests(const std::string& version, instant now) const;
 
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -18,6 +18,10 @@
 // the endpoint took up to a second where endpoints were busy.
 constexpr duration least_run_time = std::chrono::milliseconds(1500);
 
+// Part of a silence that the work of others at the endpoint has to last for, to be its cause. What is
+// known of their work is some hundred milliseconds old.
+constexpr double explained_silence = 0.5;
+
 // Refusals after which a caller of a roll-out's step is not sent to its new version any more. That
 // version may be loaded nowhere yet, which must not cost the caller its answer.
 constexpr std::uint32_t max_refusals_of_new_version = 2;
@@ -149,19 +153,31 @@
     }
 }
 
+// Whether the endpoint that is being filled has so much to read that a request there is silent
+// meanwhile, whatever its version. Ninety routers filled one within a second: its queue was four
+// seconds long, attempts were given up as silent after 1.8, and a good version was rolled back for
+// three of them. The request's own work is counted out there already.
+bool dispatcher::waits_for_others(const request_state& state, instant now) const
+{
+    constexpr double microseconds_of_work = 1000.0; // work is counted in milliseconds there
+    const double others = this->table.work_at(state.address, this->fleet_size);
+    const auto silence = static_cast<double>((now - state.sent_at).count());
+    return state.packed && others > 0.0 &&
+           others * microseconds_of_work >= silence * explained_silence;
+}
+
 // A run that a new version lost counts against it, and the request is repeated on another version.
 // An endpoint that cannot be reached says nothing of the version that it ran.
-void dispatcher::note_version_lost(request_state& state, const attempt_end& end)
+void dispatcher::note_version_lost(request_state& state, const attempt_end& end, instant now)
 {
     if (state.what.is_service || !this->exposure.watches(state.version)) {
         return;
     }
     state.rollouts.lost_on.push_back(state.version);
     // Silence under the load of all traffic is a full queue as likely as a bad version.
-    // The endpoint that is filled has as much as it can bear and no more: of a good version none
-    // was seen to fall silent.
     const bool busy =
-        end.result == attempt_result::went_silent && this->exposure.is_whole(state.version);
+        end.result == attempt_result::went_silent &&
+        (this->exposure.is_whole(state.version) || this->waits_for_others(state, now));
     // Where a run ends with its connection, a crash of the endpoint ends many at once.
     const bool crashed = end.result == attempt_result::failed && !end.answered_error &&
                          state.what.on_loss != continuation::same_run;
@@ -183,6 +199,7 @@
     }
     this->count_end(state, end.result, end.first_token, now);
     this->queue.settle(request.team, request.work.tokens, request.work.tokens);
+    this->note_version_lost(state, end, now);
     state.address.clear();
     state.avoid.push_back({address, state.incarnation});
     state.avoid_until = std::max(state.avoid_until, now + loss_avoidance);
@@ -190,7 +207,6 @@
     ++state.runs;
     ++state.losses;
     state.lost_at = now;
-    this->note_version_lost(state, end);
     if (!request.idempotent) {
         this->give_up(ticket,
                       {failure_code::endpoint_failed, run_state::unknown, false, duration::zero(),
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -309,6 +309,17 @@
     return where == nullptr ? 0.0 : cold_work(parts, this->inner->prompts, *where, 0.0, now);
 }
 
+double endpoint_table::work_at(const std::string& address, std::size_t routers) const
+{
+    const endpoint* where = this->inner->directory.find(address);
+    if (where == nullptr) {
+        return 0.0;
+    }
+    const double known = where->work + this->inner->others.of(where->host).work;
+    const auto heard = static_cast<double>(this->inner->others.routers() + 1);
+    return known * std::max(1.0, static_cast<double>(routers) / heard);
+}
+
 double endpoint_table::packed_requests(const std::string& version, instant now) const
 {
     placement wanted;
--- a/decision/src/told_loads.hpp
+++ b/decision/src/told_loads.hpp
@@ -27,6 +27,9 @@
     // Drops the words older than the lifetime.
     void expire(instant now, duration lifetime);
 
+    // Routers that have said something of late.
+    [[nodiscard]] std::size_t routers() const { return this->words.size(); }
+
     // Only at this incarnation: what was sent to an earlier one ended with it.
     [[nodiscard]] sum of(const endpoint_host& where) const;
 
--- a/decision/test/rollout_dispatch_test.cpp
+++ b/decision/test/rollout_dispatch_test.cpp
@@ -213,6 +213,20 @@
     LONGS_EQUAL(1, router.rollouts().at(0).seen.bad);
 }
 
+// All routers fill one endpoint at once. Its queue is longer than anyone waits for a first sign, and
+// the version is a good one.
+TEST(rollout_dispatch_test, the_silence_of_a_filled_endpoint_with_a_long_queue_is_none)
+{
+    begin();
+    router.on_configuration(make_configuration({true, "adjudicator", true}), now);
+    const auto first = arrive_long();
+    router.on_loads_told("other", {{first.address, 70, 4'000.0, 1}}, now);
+    now += seconds(1);
+    router.on_loads_told("other", {{first.address, 70, 4'000.0, 1}}, now);
+    end(first, attempt_result::went_silent, false);
+    LONGS_EQUAL(0, router.rollouts().at(0).seen.bad);
+}
+
 TEST(rollout_dispatch_test, an_error_of_a_filled_endpoint_is_evidence)
 {
     begin();
