--- a/coordination/include/pearhaven/coordination/peer_message.hpp
+++ b/coordination/include/pearhaven/coordination/peer_message.hpp
@@ -176,7 +176,7 @@
     store_revision as_of = 0;
     bool whole = false;
     std::vector<kv_entry> entries;
-    store_revision after = 0;  // what is not whole is of use only up from there
+    store_revision after = 0; // what is not whole is of use only up from there
     decision::duration age{}; // since the store said so
     friend bool operator==(const mirror_news&, const mirror_news&) = default;
 };
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -59,8 +59,8 @@
         return;
     }
     this->retry_at = now;
-    const bool is_next = !this->held || record->state != this->held->state ||
-                         record->step != this->held->step;
+    const bool is_next =
+        !this->held || record->state != this->held->state || record->step != this->held->step;
     if (is_next) {
         this->step_began = now;
     }
@@ -315,13 +315,13 @@
 }
 
 // The sample goes on beside the endpoint that is being filled.
-std::optional<course_state>
-rollout_course::state_after_staged(std::size_t size, decision::duration elapsed) const
+std::optional<course_state> rollout_course::state_after_staged(std::size_t size,
+                                                               decision::duration elapsed) const
 {
     const bool fills = this->can_fill(size);
-    const auto due = this->part(fills ? this->settings.whole_part
-                                      : this->settings.sample_part +
-                                            this->settings.least_sample_part);
+    const auto due =
+        this->part(fills ? this->settings.whole_part
+                         : this->settings.sample_part + this->settings.least_sample_part);
     if (elapsed < due) {
         return std::nullopt;
     }
--- a/coordination/test/session_versions_test.cpp
+++ b/coordination/test/session_versions_test.cpp
@@ -44,8 +44,8 @@
     {
         for (std::size_t i = 0; i < router_count; ++i) {
             course_order order{"model@v1", "model@v2", 28, order_time, 64};
-            this->courses.push_back(std::make_unique<rollout_course>(course_settings{}, order,
-                                                                     start + this->lag()));
+            this->courses.push_back(
+                std::make_unique<rollout_course>(course_settings{}, order, start + this->lag()));
             this->exposures.push_back(std::make_unique<rollout_exposure>());
             this->exposures.back()->on_fleet(i, router_count);
             this->exposures.back()->on_configuration(*configuration_builder().build());
--- a/decision/include/pearhaven/decision/configuration.hpp
+++ b/decision/include/pearhaven/decision/configuration.hpp
@@ -114,11 +114,12 @@
     double base_error_rate = 0.01;   // guard: error rate of a good version
     bool paused = false;
     rollout_state state = rollout_state::running;
-    std::uint32_t step = 0;        // beyond the last one each grants the last number again
-    std::uint64_t run = 0;         // names this attempt, for its evidence; 0 until it begins
-    std::uint32_t routers = 0;     // size of the fleet among which the step's grant is divided
-    std::uint32_t session_ppm = 0; // of the sessions without tokens, in a million, that move before all do
-    bool fills_endpoint = false;   // requests that fill an endpoint move, all of them to the same
+    std::uint32_t step = 0;    // beyond the last one each grants the last number again
+    std::uint64_t run = 0;     // names this attempt, for its evidence; 0 until it begins
+    std::uint32_t routers = 0; // size of the fleet among which the step's grant is divided
+    std::uint32_t session_ppm =
+        0; // of the sessions without tokens, in a million, that move before all do
+    bool fills_endpoint = false; // requests that fill an endpoint move, all of them to the same
 
     friend bool operator==(const rollout&, const rollout&) = default;
 };
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -305,10 +305,10 @@
         std::uint32_t runs = 0; // attempts that were sent and not refused
         std::uint32_t size = 0; // of the model that the next attempt asks for
         instant arrived;
-        instant sent_at;        // the present attempt
-        bool packed = false;    // the present attempt helps to fill one endpoint
-        double held_work = 0.0; // of the present attempt, that its endpoint still has to do
-        double reading = 0.0;   // of that, what is done once the answer begins
+        instant sent_at;                // the present attempt
+        bool packed = false;            // the present attempt helps to fill one endpoint
+        double held_work = 0.0;         // of the present attempt, that its endpoint still has to do
+        double reading = 0.0;           // of that, what is done once the answer begins
         std::vector<prompt_part> parts; // of the present attempt, by model
         rollout_note rollouts;
     };
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -44,8 +44,8 @@
 struct endpoint_load {
     std::string address;
     std::uint32_t requests = 0;
-    double work = 0.0;             // as placement::work, of all of them
-    std::uint64_t incarnation = 0; // of the endpoint that holds them
+    double work = 0.0;                     // as placement::work, of all of them
+    std::uint64_t incarnation = 0;         // of the endpoint that holds them
     std::vector<std::uint64_t> parts = {}; // keys of the shared parts of their prompts
 
     friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -18,8 +18,8 @@
 // the endpoint took up to a second where endpoints were busy.
 constexpr duration least_run_time = std::chrono::milliseconds(1500);
 
-// Part of a silence that the work of others at the endpoint has to last for, to be its cause. What is
-// known of their work is some hundred milliseconds old.
+// Part of a silence that the work of others at the endpoint has to last for, to be its cause. What
+// is known of their work is some hundred milliseconds old.
 constexpr double explained_silence = 0.5;
 
 // Refusals after which a caller of a roll-out's step is not sent to its new version any more. That
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -170,8 +170,7 @@
         const double likely = where == ranked[0]   ? likely_at_first
                               : where == ranked[1] ? likely_at_second
                                                    : 0.0;
-        const double cold =
-            cold_work(this->wanted.parts, this->prompts, *where, likely, this->now);
+        const double cold = cold_work(this->wanted.parts, this->prompts, *where, likely, this->now);
         const bool is_local = where->host.zone == this->settings.zone;
         double score = this->load_of(*where) + this->reading_cost(*where, cold);
         score += is_local ? 0.0 : this->settings.zone_bias;
--- a/decision/src/endpoint_state.hpp
+++ b/decision/src/endpoint_state.hpp
@@ -48,8 +48,8 @@
     double long_share = 1.0;
 
     std::uint32_t outstanding = 0;
-    std::uint32_t readings = 0; // of the outstanding ones
-    double work = 0.0;          // of the outstanding ones
+    std::uint32_t readings = 0;       // of the outstanding ones
+    double work = 0.0;                // of the outstanding ones
     std::vector<std::uint64_t> parts; // of their prompts; a key for each request that has it
 
     concurrency_limit limit{1.0};
--- a/decision/test/endpoint_table_test.cpp
+++ b/decision/test/endpoint_table_test.cpp
@@ -928,7 +928,8 @@
     CHECK_EQUAL(1U, known.chosen(shared_prompt()).size());
 }
 
-// The load that an endpoint may have above the others' is what reading anew would cost, and no more.
+// The load that an endpoint may have above the others' is what reading anew would cost, and no
+// more.
 TEST(endpoint_table_test, an_endpoint_that_has_read_a_prompt_is_worth_a_wait)
 {
     weighing_table known;
@@ -973,9 +974,12 @@
     weighing_table known;
     known.table.started("e0", work_class::lookup, 0.0, shared_prompt().parts, known.now);
     const auto parts = shared_prompt().parts;
-    DOUBLES_EQUAL(0.0, known.table.cold_work_at("e0", parts, known.now + std::chrono::seconds(10)), 0.001);
-    DOUBLES_EQUAL(336.0, known.table.cold_work_at("e0", parts, known.now + std::chrono::seconds(20)), 0.001);
-    DOUBLES_EQUAL(672.0, known.table.cold_work_at("e0", parts, known.now + std::chrono::seconds(30)), 0.001);
+    DOUBLES_EQUAL(0.0, known.table.cold_work_at("e0", parts, known.now + std::chrono::seconds(10)),
+                  0.001);
+    DOUBLES_EQUAL(
+        336.0, known.table.cold_work_at("e0", parts, known.now + std::chrono::seconds(20)), 0.001);
+    DOUBLES_EQUAL(
+        672.0, known.table.cold_work_at("e0", parts, known.now + std::chrono::seconds(30)), 0.001);
 }
 
 // Two requests share a part, and one of them ends: the others hear of the part as long as any is
--- a/decision/test/rollout_dispatch_test.cpp
+++ b/decision/test/rollout_dispatch_test.cpp
@@ -213,8 +213,8 @@
     LONGS_EQUAL(1, router.rollouts().at(0).seen.bad);
 }
 
-// All routers fill one endpoint at once. Its queue is longer than anyone waits for a first sign, and
-// the version is a good one.
+// All routers fill one endpoint at once. Its queue is longer than anyone waits for a first sign,
+// and the version is a good one.
 TEST(rollout_dispatch_test, the_silence_of_a_filled_endpoint_with_a_long_queue_is_none)
 {
     begin();
--- a/router/src/peer_desk.cpp
+++ b/router/src/peer_desk.cpp
@@ -138,9 +138,9 @@
     if (wanted != this->mode) {
         this->mode = wanted;
         this->used.mirror.set_mode(wanted);
-        adapters::log_change("watch_mode", {{"mode", name_of(wanted)},
-                                            {"revision",
-                                             std::to_string(this->used.mirror.revision())}});
+        adapters::log_change("watch_mode",
+                             {{"mode", name_of(wanted)},
+                              {"revision", std::to_string(this->used.mirror.revision())}});
     }
 }
 
@@ -183,8 +183,7 @@
         this->used.mirror.on_told(news);
         this->used.on_news();
     }
-    this->share.on_word(news.as_of, this->used.mirror.revision(), news.age,
-                        this->used.loop.now());
+    this->share.on_word(news.as_of, this->used.mirror.revision(), news.age, this->used.loop.now());
 }
 
 // The store may serve the one that asks again before the answer comes; what is told late is older
