Add failing tests: what comes while the loop is busy counts as silence

Seen by callers: a connection that they kept open is closed without an answer though a whole request was sent on it, beside a large change of the configuration.

Two tests hold the event loop in one callback for longer than a limit of silence, and send meanwhile: a request on a kept connection, and an endpoint's answer.

--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -284,6 +285,35 @@
     CHECK_FALSE(this->listener.called_inside);
 }
 
+// A caller uses its open connection again within the time that it may, and the connection is closed
+// without an answer. Its request came while the router was busy for seconds with something else;
+// the look for connections that had been idle for too long was the next thing that it did, and it
+// read the clock, not the socket.
+TEST(http_inbound, a_request_that_came_while_the_loop_was_busy_is_answered)
+{
+    constexpr milliseconds idle_time{1000};
+    inbound_limits limits;
+    limits.idle_time = idle_time;
+    this->server->set_limits(limits);
+    const auto busy = script_socket::connect(this->server->port());
+    loop_script script(this->loop);
+    this->caller->send(request("/first"));
+    script.when(this->has_requests(1), [this] { this->listener.use(answer); })
+        .when([this] { return this->caller->has("whole"); },
+              [this, &busy, idle_time] {
+                  this->listener.act = [this, idle_time] {
+                      this->listener.act = nullptr;
+                      this->caller->send(request("/second"));
+                      std::this_thread::sleep_for(idle_time + milliseconds(500));
+                  };
+                  busy->send(request("/busy"));
+              })
+        .until([this] { return this->listener.targets.size() == 3 || this->caller->is_ended(); });
+    CHECK_TRUE(script.run());
+    CHECK_EQUAL(3, this->listener.targets.size());
+    STRCMP_EQUAL("/second", this->listener.targets.back().c_str());
+}
+
 // The balancer has just opened the connection; its first request is on the way.
 TEST(http_inbound, a_connection_that_has_just_come_is_not_idle)
 {
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -1,11 +1,13 @@
 #include "pearhaven/adapters/http_outbound.hpp"
 
+#include "loop_script.hpp"
 #include "tcp_socket.hpp"
 
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -295,6 +297,42 @@
     CHECK_TRUE(this->ask(request)->broken->why == outbound_fault::silent);
 }
 
+// An endpoint answers in time, and its request is given up as silent. The answer came while the
+// router was busy with something else for longer than the endpoint may be silent; the timer of that
+// silence ran next, before the socket was read.
+TEST(http_outbound, an_answer_that_came_while_the_loop_was_busy_is_not_silence)
+{
+    constexpr milliseconds patience{1000};
+    tests::script_listener slow_endpoint;
+    boost::intrusive_ptr<noting_listener> waiting(new noting_listener);
+    outbound_request patient;
+    patient.fields = {{"Host", "h"}};
+    patient.answer_time = patience;
+    this->client->start({"slow", "127.0.0.1", slow_endpoint.port()}, patient, waiting);
+    this->endpoint->answers = {answer};
+    outbound_request other;
+    other.fields = {{"Host", "h"}};
+    const auto hold_loop = [&slow_endpoint, patience](const whole_answer& /*brought*/) {
+        slow_endpoint.connections().front()->send(answer);
+        std::this_thread::sleep_for(patience + milliseconds(500));
+    };
+    tests::loop_script script(this->loop);
+    script
+        .when(
+            [&slow_endpoint] {
+                auto& open = slow_endpoint.connections();
+                return !open.empty() && open.front()->has("\r\n\r\n");
+            },
+            [this, &other, &hold_loop] {
+                this->client->start(this->endpoint->target(), other,
+                                    gather_answer(1024, hold_loop));
+            })
+        .until([&waiting] { return waiting->ended || waiting->broken; });
+    CHECK_TRUE(script.run());
+    CHECK_FALSE(waiting->broken.has_value());
+    STRCMP_EQUAL("ok", waiting->body.c_str());
+}
+
 TEST(http_outbound, nobody_listening_means_not_sent)
 {
     auto target = this->endpoint->target();
