Show pauses of the event loop, and callers who send on a closed connection

- closed_as_idle, sent_to_closed (and a line with how long the connection had rested), unacknowledged.
- pearhaven_peer_news_bytes: what a watcher of the store passes on over the same link.

No decision changes.

--- a/adapters/include/pearhaven/adapters/event_loop.hpp
+++ b/adapters/include/pearhaven/adapters/event_loop.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace pearhaven::adapters {
 
@@ -21,6 +22,12 @@
     virtual void on_ready(bool readable, bool writable, bool failed) = 0;
 };
 
+// A callback that took long. No other socket, timer or task of the loop was served meanwhile.
+struct loop_pause {
+    decision::duration took{};
+    std::string_view work; // as the callback named it, or what kind of callback it was
+};
+
 // One thread that waits for many sockets and timers and runs what is due. A router that holds a
 // few thousand mostly idle connections on a quarter of a core cannot afford a thread, a stack and
 // two context switches for each of them; here an idle connection costs its descriptor.
@@ -66,6 +73,13 @@
     // Runs `task` on the loop's thread. For any thread.
     void post(std::function<void()> task);
 
+    // `told` hears of each callback that takes at least `least`, once it has returned.
+    void watch_pauses(decision::duration least, std::function<void(const loop_pause&)> told);
+
+    // Names what the callback that is being run does, for whoever hears of pauses. The text must
+    // outlive the loop.
+    void name_work(std::string_view what);
+
     // Runs until `stop`.
     void run();
     void stop();
--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -71,7 +71,12 @@
 struct inbound_counts {
     std::uint64_t accepted = 0;
     std::uint64_t refused_heads = 0; // malformed or too long
+    std::uint64_t unacknowledged = 0; // given up since the caller's host acknowledged nothing
+    std::uint64_t closed_as_idle = 0;
+    std::uint64_t sent_to_closed = 0; // of those: connections on which more came, and was lost
     std::size_t open = 0;
+
+    friend bool operator==(const inbound_counts&, const inbound_counts&) = default;
 };
 
 // An HTTP/1.1 server on an event loop. Each connection carries one request at a time; the next one
--- a/adapters/src/event_loop.cpp
+++ b/adapters/src/event_loop.cpp
@@ -16,6 +16,8 @@
 class event_loop::state {
 public:
     void run_soon();
+    template <typename Callback>
+    void run_callback(std::string_view kind, Callback&& callback);
     void run_posted();
     void run_timers();
     void run_sockets();
@@ -29,6 +31,9 @@
     std::map<timer_number, std::function<void()>> soon; // in the order in which they were asked for
     timer_number last_timer = 0;
     decision::instant clock = read_clock();
+    std::string_view work; // of the callback that is being run
+    decision::duration least_pause{};
+    std::function<void(const loop_pause&)> tell_pause;
     std::atomic<bool> stopping{false};
     std::mutex posted_guard;
     std::vector<std::function<void()>> posted;
@@ -42,30 +47,41 @@
     }
 }
 
+// One reading of the clock ends a callback and begins the next one.
+template <typename Callback>
+void event_loop::state::run_callback(std::string_view kind, Callback&& callback)
+{
+    this->work = kind;
+    callback();
+    this->run_soon();
+    const auto ended = read_clock();
+    const auto took = ended - this->clock;
+    this->clock = ended;
+    if (this->tell_pause && took >= this->least_pause) {
+        this->tell_pause({took, this->work});
+    }
+}
+
 void event_loop::state::run_posted()
 {
-    this->clock = read_clock();
     std::vector<std::function<void()>> tasks;
     {
         const std::lock_guard<std::mutex> hold(this->posted_guard);
         tasks.swap(this->posted);
     }
     for (const auto& task : tasks) {
-        task();
-        this->run_soon();
+        this->run_callback("posted task", task);
     }
 }
 
 void event_loop::state::run_timers()
 {
     // Those that become due meanwhile wait for the next turn, after the sockets.
-    const auto due_by = read_clock();
+    const auto due_by = this->clock;
     while (!this->timers.empty() && this->timers.begin()->first.first <= due_by) {
-        this->clock = read_clock();
         const auto node = this->timers.extract(this->timers.begin());
         this->due.erase(node.key().second);
-        node.mapped()();
-        this->run_soon();
+        this->run_callback("timer", node.mapped());
     }
 }
 
@@ -80,13 +96,14 @@
 void event_loop::state::run_sockets()
 {
     const auto& ready = this->sockets.wait(this->time_to_next_timer());
+    this->clock = read_clock();
     this->forgotten.clear();
     for (const auto& socket : ready) {
         const auto found = this->listeners.find(socket.socket);
         if (found != this->listeners.end() && this->forgotten.count(socket.socket) == 0) {
-            this->clock = read_clock();
-            found->second->on_ready(socket.readable, socket.writable, socket.failed);
-            this->run_soon();
+            this->run_callback("socket", [&socket, listener = found->second] {
+                listener->on_ready(socket.readable, socket.writable, socket.failed);
+            });
         }
     }
 }
@@ -156,6 +173,17 @@
     this->inner->sockets.wake();
 }
 
+void event_loop::watch_pauses(decision::duration least, std::function<void(const loop_pause&)> told)
+{
+    this->inner->least_pause = least;
+    this->inner->tell_pause = std::move(told);
+}
+
+void event_loop::name_work(std::string_view what)
+{
+    this->inner->work = what;
+}
+
 void event_loop::run()
 {
     while (!this->inner->stopping) {
--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -2,6 +2,8 @@
 
 #include "inbound_socket.hpp"
 
+#include "pearhaven/adapters/log.hpp"
+
 #include <unordered_map>
 
 namespace pearhaven::adapters {
@@ -50,6 +52,9 @@
     [[nodiscard]] const inbound_limits& limits() const override { return this->bounds; }
     [[nodiscard]] bool is_closing() const override { return this->closing; }
     void on_refused_head() override { ++this->counted.refused_heads; }
+    void on_unacknowledged() override;
+    void on_closed_as_idle() override { ++this->counted.closed_as_idle; }
+    void on_sent_to_closed(decision::duration closed, decision::duration rested) override;
     [[nodiscard]] timer_number give_turn(inbound_socket& connection) override;
     void on_ready(bool readable, bool writable, bool failed) override;
 
@@ -94,6 +99,19 @@
     });
 }
 
+void inbound_server::on_unacknowledged()
+{
+    ++this->counted.unacknowledged;
+    log_warning("caller_unreachable", {{"cause", "what was sent is not acknowledged"}});
+}
+
+void inbound_server::on_sent_to_closed(decision::duration closed, decision::duration rested)
+{
+    ++this->counted.sent_to_closed;
+    log_warning("sent_to_closed",
+                {{"closed_ms", milliseconds(closed)}, {"rested_ms", milliseconds(rested)}});
+}
+
 // Called by the loop alone, when none of the connection's own functions is under way.
 void inbound_server::drop(const inbound_socket& connection)
 {
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <sys/socket.h>
 
 namespace pearhaven::adapters {
@@ -144,6 +145,9 @@
         return;
     }
     if (transfer.outcome == tcp_outcome::closed || transfer.bytes == 0) {
+        if (transfer.error == ETIMEDOUT) {
+            this->host.on_unacknowledged();
+        }
         this->close(true);
         return;
     }
@@ -154,6 +158,16 @@
         if (this->kept.size() >= most_kept) {
             this->watch();
         }
+    } else if (this->step == phase::lingering) {
+        this->note_sent_to_closed();
+    }
+}
+
+// Of a request that is lost so its caller knows nothing, and this end nothing but these bytes.
+void inbound_socket::note_sent_to_closed()
+{
+    if (std::exchange(this->closed_as_idle, false)) {
+        this->host.on_sent_to_closed(this->host.loop().now() - this->since, this->rested);
     }
 }
 
@@ -294,6 +308,14 @@
     }
 }
 
+void inbound_socket::close_as_idle()
+{
+    this->closed_as_idle = true;
+    this->rested = this->host.loop().now() - this->since;
+    this->host.on_closed_as_idle();
+    this->linger();
+}
+
 void inbound_socket::abort()
 {
     this->drop_exchange();
@@ -357,7 +379,7 @@
     }
     if (!this->reader.inside_message()) {
         if (waited > std::max(this->idle_time, this->host.limits().idle_time)) {
-            this->linger();
+            this->close_as_idle();
         }
         return;
     }
@@ -392,7 +414,7 @@
         this->read_more();
     }
     if (this->is_idle()) {
-        this->linger();
+        this->close_as_idle();
     }
 }
 
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -18,6 +18,11 @@
     [[nodiscard]] virtual const inbound_limits& limits() const = 0;
     [[nodiscard]] virtual bool is_closing() const = 0;
     virtual void on_refused_head() = 0;
+    virtual void on_unacknowledged() = 0;
+    virtual void on_closed_as_idle() = 0;
+
+    // Bytes came on a connection that was closed as idle, so long ago, after so long a rest.
+    virtual void on_sent_to_closed(decision::duration closed, decision::duration rested) = 0;
 
     // Calls the connection's `take_turn` once the callback that is being run has returned, and then
     // destroys the connection if it is over.
@@ -94,6 +99,8 @@
     void drop_exchange();
     void refuse(int status);
     void linger();
+    void close_as_idle();
+    void note_sent_to_closed();
     void close(bool caller_left);
     void tell_loss();
     void ask_for_turn();
@@ -108,6 +115,7 @@
     bool running = false; // inside `take`, which goes on with the next request by itself
     bool has_served = false;
     bool closes_if_idle = false; // at its turn
+    bool closed_as_idle = false; // and nothing has come since
     timer_number turn = 0;
     std::string kept; // bytes after the request under way
 
@@ -115,6 +123,7 @@
     // left.
     boost::intrusive_ptr<connection_exchange> exchange;
     decision::instant since;        // of the present wait
+    decision::duration rested{};    // until it was closed as idle
     decision::duration idle_time{}; // as promised to the caller when the wait began
 };
 
--- a/adapters/src/tcp_socket.cpp
+++ b/adapters/src/tcp_socket.cpp
@@ -49,7 +49,7 @@
         return {tcp_outcome::done, static_cast<std::size_t>(count)};
     }
     const bool again = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
-    return {again ? tcp_outcome::would_block : tcp_outcome::closed, 0};
+    return {again ? tcp_outcome::would_block : tcp_outcome::closed, 0, errno};
 }
 
 } // namespace
--- a/adapters/src/tcp_socket.hpp
+++ b/adapters/src/tcp_socket.hpp
@@ -14,6 +14,7 @@
 struct tcp_transfer {
     tcp_outcome outcome = tcp_outcome::closed;
     std::size_t bytes = 0;
+    int error = 0; // the system's, of a connection that is closed; 0 where the other end closed it
 };
 
 // Owns one non-blocking TCP socket; may be empty. Hosts are IP numbers.
--- a/adapters/test/event_loop_test.cpp
+++ b/adapters/test/event_loop_test.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <functional>
@@ -10,6 +11,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -231,3 +233,30 @@
     loop.run();
     STRCMP_EQUAL("a", order.c_str());
 }
+
+// While one callback works nobody else is heard; whoever watches for it learns how long, and what
+// did it.
+TEST(event_loop, a_long_callback_is_told_with_its_work)
+{
+    constexpr milliseconds work{30};
+    adapters::event_loop loop;
+    std::vector<std::string> told;
+    decision::duration longest{};
+    loop.watch_pauses(work, [&told, &longest](const adapters::loop_pause& pause) {
+        told.emplace_back(pause.work);
+        longest = std::max(longest, pause.took);
+    });
+    slow_reader unnamed(loop, this->first[0], work);
+    loop.watch(this->first[0], unnamed, true, false);
+    CHECK_EQUAL(1, write(this->first[1], "x", 1));
+    loop.after(2 * work, [&loop, work] {
+        loop.name_work("sums");
+        std::this_thread::sleep_for(work);
+    });
+    loop.after(4 * work, [&loop] { loop.stop(); });
+    loop.run();
+    loop.forget(this->first[0]);
+    CHECK_TRUE(std::count(told.begin(), told.end(), "socket") == 1);
+    CHECK_TRUE(std::count(told.begin(), told.end(), "sums") == 1);
+    CHECK_TRUE(longest >= work);
+}
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -10,6 +10,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
 using namespace pearhaven;
 using namespace pearhaven::adapters;
 using std::chrono::milliseconds;
@@ -340,6 +342,22 @@
     CHECK_TRUE(script.run());
 }
 
+// What a caller sends on a connection that was closed a moment ago is lost; the server counts it.
+TEST(http_inbound, a_request_on_a_connection_closed_as_idle_is_counted)
+{
+    IGNORE_ALL_LEAKS_IN_TEST(); // the log is made with its first line, and kept
+    loop_script script(this->loop);
+    this->caller->send(request("/first"));
+    script.when(this->has_requests(1), [this] { this->listener.use(answer); })
+        .when([this] { return this->caller->has("whole"); }, [this] { this->server->close_idle(); })
+        .when([this] { return this->caller->is_ended(); },
+              [this] { this->caller->send(request("/late")); })
+        .until([this] { return this->server->counts().sent_to_closed == 1; });
+    CHECK_TRUE(script.run());
+    CHECK_EQUAL(1, this->server->counts().closed_as_idle);
+    CHECK_EQUAL(1, this->listener.targets.size());
+}
+
 // A listener that answers and aborts as soon as it hears of a request, while its bytes are still
 // being taken.
 TEST(http_inbound, a_connection_aborted_while_its_bytes_are_taken_takes_no_more_of_them)
--- a/router/src/peer_desk.cpp
+++ b/router/src/peer_desk.cpp
@@ -160,8 +160,13 @@
     news->age = this->used.loop.now() - mirror.confirmed_at();
     this->passed_on = news->as_of;
     this->passed_on_at = mirror.confirmed_at();
+    std::size_t bytes = 0;
+    for (const auto& entry : news->entries) {
+        bytes += entry.value.size();
+    }
     for (const auto& peer : this->exchange.near()) {
         this->link->send({peer.host, peer.port}, *news);
+        this->used.counts.add("pearhaven_peer_news_bytes", {}, bytes);
     }
 }
 
