Add a failing test: a large value fills the links of a zone's watchers

Seen by callers: a whole request gets no answer and its connection is closed, beside a large change of the configuration.

--- a/coordination/test/watch_share_test.cpp
+++ b/coordination/test/watch_share_test.cpp
@@ -2,6 +2,7 @@
 
 #include "pearhaven/coordination/prefix_mirror.hpp"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -31,6 +32,11 @@
 class model_store {
 public:
     void write() { ++this->revision; }
+    void write_large(std::size_t bytes)
+    {
+        ++this->revision;
+        this->large.insert_or_assign(this->revision, std::string(bytes, 'x'));
+    }
 
     [[nodiscard]] kv_reply read_after(store_revision after) const
     {
@@ -38,14 +44,28 @@
         reply.outcome = kv_outcome::ok;
         reply.revision = this->revision;
         for (auto at = after + 1; at <= this->revision; ++at) {
-            reply.entries.push_back({"key-" + std::to_string(at), "value", at});
+            const auto found = this->large.find(at);
+            const auto value = found == this->large.end() ? "value" : found->second;
+            reply.entries.push_back({"key-" + std::to_string(at), value, at});
         }
         return reply;
     }
 
     store_revision revision = 1;
+
+private:
+    std::map<store_revision, std::string> large;
 };
 
+std::size_t bytes_of(const mirror_news& news)
+{
+    std::size_t sum = 0;
+    for (const auto& entry : news.entries) {
+        sum += entry.key.size() + entry.value.size();
+    }
+    return sum;
+}
+
 // One router of a zone: its mirror, its idea of who watches, and its one open call to the store.
 struct model_router {
     explicit model_router(std::size_t number)
@@ -61,6 +81,7 @@
     bool alive = true;
     bool cut_off = false; // from the store
     int calls = 0;
+    std::size_t bytes_passed_on = 0;
 };
 
 class watching_zone {
@@ -182,10 +203,11 @@
         }
     }
 
-    void hear(model_router& listener, const model_router& teller, const mirror_news& news) const
+    void hear(model_router& listener, model_router& teller, const mirror_news& news) const
     {
         const auto known = listener.mirror.revision();
         const auto rest = news.after > known ? teller.mirror.news_after(known).value() : news;
+        teller.bytes_passed_on += bytes_of(rest);
         listener.mirror.on_told(rest);
         listener.share.on_word(rest.as_of, listener.mirror.revision(), {}, this->now);
     }
@@ -227,6 +249,24 @@
     CHECK_TRUE(watch_mode::alone == share.mode(start));
 }
 
+// Callers get no answers from two routers of each zone, for many seconds after the operators stated
+// a configuration of half a megabyte: it went from them to all the others of the zone, and whatever
+// these two had to send waited behind it for their links.
+TEST(watch_share, a_large_value_takes_no_watchers_link)
+{
+    constexpr std::size_t half_a_megabyte = 500'000;
+    constexpr std::size_t part_of_a_link = 500'000; // passed on to 28 others
+    watching_zone zone(30);
+    zone.play(seconds(2));
+    zone.store.write_large(half_a_megabyte);
+    zone.store.write(); // an endpoint leaves
+    zone.play(milliseconds(600));
+    CHECK_TRUE(zone.all_know());
+    for (const auto& router : zone.routers) {
+        CHECK_COMPARE(router->bytes_passed_on, <, part_of_a_link);
+    }
+}
+
 // Callers are refused on a route that was added two seconds ago. Both watchers of the zone died at
 // the moment of the change, and are registered still. Their followers notice that no word comes and
 // ask the store themselves.
