Leave large values out of a watcher's words

Callers saw no answers from a few routers for eight seconds after a large change of the configuration, and requests whose connections closed without one. Two routers of a large zone watch the store for the others; they passed the whole value on to each of 22 over their own link, 10 Mbit/s, and answers, new connections, acknowledgements and the renewal of their own lease waited behind it. The others, who heard nothing younger than 1.2 s, all asked the store; the leases ran out, and the next two routers by name did the same to their links.

Ruled out for that router: processor time (0 to 1% of a core in those seconds, by the monitoring), an end of the process (its log goes on), the endpoints (other routers reached them).

A word to many now holds 16 KB of values at most, the smallest first. Of what it leaves out it names the lowest revision, and a listener asks the store once from there, also while it follows others; what the word does tell (an endpoint that leaves) holds at once, also behind a gap. A router that the store turns away still hears the whole from one peer that it asks. One that failed to reach the store goes on asking until it is answered, where a follower counted as out of touch for ever.

Model of thirty routers, one value of 500,000 bytes: 14,500,495 bytes passed on by one watcher before, under 500,000 after (the failing test).

--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -201,6 +201,7 @@
         message.whole = table.whole();
         message.after = table.after();
         message.age = decision::duration(table.age_us());
+        message.left_out = table.left_out();
         return take_all(table.entries(), message.entries);
     }
 
--- a/adapters/src/peer_encoder.cpp
+++ b/adapters/src/peer_encoder.cpp
@@ -170,7 +170,8 @@
     {
         const auto entries = this->put_all<wire::StoreEntry>(message.entries);
         return wire::CreateMirrorNews(this->out, message.nonce, message.as_of, message.whole,
-                                      entries, message.after, message.age.count());
+                                      entries, message.after, message.age.count(),
+                                      message.left_out);
     }
 
     // The offset's own type names the union's member.
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -1820,7 +1820,8 @@
     VT_WHOLE = 8,
     VT_ENTRIES = 10,
     VT_AFTER = 12,
-    VT_AGE_US = 14
+    VT_AGE_US = 14,
+    VT_LEFT_OUT = 16
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -1840,6 +1841,9 @@
   int64_t age_us() const {
     return GetField<int64_t>(VT_AGE_US, 0);
   }
+  uint64_t left_out() const {
+    return GetField<uint64_t>(VT_LEFT_OUT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
@@ -1850,6 +1854,7 @@
            verifier.VerifyVectorOfTables(entries()) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LEFT_OUT, 8) &&
            verifier.EndTable();
   }
 };
@@ -1876,6 +1881,9 @@
   void add_age_us(int64_t age_us) {
     fbb_.AddElement<int64_t>(MirrorNews::VT_AGE_US, age_us, 0);
   }
+  void add_left_out(uint64_t left_out) {
+    fbb_.AddElement<uint64_t>(MirrorNews::VT_LEFT_OUT, left_out, 0);
+  }
   explicit MirrorNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1895,8 +1903,10 @@
     bool whole = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>>> entries = 0,
     uint64_t after = 0,
-    int64_t age_us = 0) {
+    int64_t age_us = 0,
+    uint64_t left_out = 0) {
   MirrorNewsBuilder builder_(_fbb);
+  builder_.add_left_out(left_out);
   builder_.add_age_us(age_us);
   builder_.add_after(after);
   builder_.add_as_of(as_of);
@@ -1918,7 +1928,8 @@
     bool whole = false,
     const std::vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>> *entries = nullptr,
     uint64_t after = 0,
-    int64_t age_us = 0) {
+    int64_t age_us = 0,
+    uint64_t left_out = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>>(*entries) : 0;
   return pearhaven::adapters::wire::CreateMirrorNews(
       _fbb,
@@ -1927,7 +1938,8 @@
       whole,
       entries__,
       after,
-      age_us);
+      age_us,
+      left_out);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/adapters/test/peer_message_generators.hpp
+++ b/adapters/test/peer_message_generators.hpp
@@ -40,9 +40,9 @@
         case 8:
             return mirror_pull{number(), number()};
         case 9:
-            return mirror_news{number(),          number(),
-                               number() % 2 == 0, some(&message_source::one_entry),
-                               number(),          time()};
+            return mirror_news{
+                number(), number(), number() % 2 == 0, some(&message_source::one_entry),
+                number(), time(),   number()};
         default:
             return fact_push{some(&message_source::one_fact)};
         }
--- a/coordination/include/pearhaven/coordination/peer_message.hpp
+++ b/coordination/include/pearhaven/coordination/peer_message.hpp
@@ -176,8 +176,9 @@
     store_revision as_of = 0;
     bool whole = false;
     std::vector<kv_entry> entries;
-    store_revision after = 0; // what is not whole is of use only up from there
-    decision::duration age{}; // since the store said so
+    store_revision after = 0;    // what is not whole is of use only up from there
+    decision::duration age{};    // since the store said so
+    store_revision left_out = 0; // lowest one of which the value is not told; 0 for none
     friend bool operator==(const mirror_news&, const mirror_news&) = default;
 };
 
--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -67,6 +67,10 @@
     friend bool operator==(const mirror_regained&, const mirror_regained&) = default;
 };
 
+// The news without their largest values, for many that hear them at once from one router: these
+// would share its link with its callers. A listener asks the store for what is left out.
+[[nodiscard]] mirror_news without_large_values(mirror_news news);
+
 // Follows all keys under one prefix: a list, then watches from the list's revision, and a list
 // again where the store no longer holds the history that a watch needs. The revision of a key never
 // goes back, whatever order replies come in.
@@ -87,9 +91,13 @@
 
     // Another router's mirror tells what it holds. The store may turn some routers away while it
     // serves the others and the operator: these would keep what is no longer in force, for as long
-    // as that lasts. Revisions make it safe to hear of a change from anybody, in any order.
+    // as that lasts. Revisions make it safe to hear of a change from anybody, in any order. What
+    // the news leave out this mirror asks the store for, whether it follows others or not.
     void on_told(const mirror_news& news);
 
+    // Whether others have told of changes without what changed, and the store has yet to say it.
+    [[nodiscard]] bool has_to_ask() const { return this->watched < this->told_of; }
+
     // Whether this mirror watches the store. One that follows others makes no calls once it has
     // listed, and goes on from where they have brought it when it has to watch again.
     void set_mode(watch_mode wanted) { this->mode = wanted; }
@@ -120,6 +128,8 @@
     [[nodiscard]] std::vector<std::string> missing_from(const std::set<std::string>& listed,
                                                         store_revision as_of) const;
     void note_change(const std::string& key, store_revision revision);
+    void go_on_to(const mirror_news& news);
+    void drop_false_word();
 
     struct change {
         store_revision revision = 0; // of the mirror when it heard of it, if not of the key itself
@@ -138,8 +148,10 @@
     bool has_list = false;
     bool needs_list = true;
     store_revision watched = 0;
-    std::deque<change> changes;       // the newest ones, for others, in no order of revision
-    store_revision changes_since = 0; // all after it are among them
+    store_revision told_of = 0;         // up to there others know of changes
+    store_revision told_of_at_call = 0; // when the open call was made
+    std::deque<change> changes;         // the newest ones, for others, in no order of revision
+    store_revision changes_since = 0;   // all after it are among them
     std::optional<call_tag> open_call;
     call_tag next_tag = 1;
     std::uint32_t failures = 0;
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -17,13 +17,43 @@
 // Changes of which others can be told; one that has missed more is told everything.
 constexpr std::size_t most_changes_kept = 512;
 
+// Values that one word to many holds at most, in bytes. Twenty hosts of a zone with links of 10
+// Mbit/s get as much within a third of a second.
+constexpr std::size_t most_told_to_many = 16U << 10U;
+
 } // namespace
 
+mirror_news without_large_values(mirror_news news)
+{
+    if (news.whole) {
+        // All that is held is large, and a listener takes what a whole list lacks for removed.
+        news.whole = false;
+        news.entries.clear();
+        news.left_out = news.after + 1;
+        return news;
+    }
+    auto& entries = news.entries;
+    std::stable_sort(entries.begin(), entries.end(), [](const auto& left, const auto& right) {
+        return left.value.size() < right.value.size();
+    });
+    std::size_t told = 0;
+    const auto first_left_out = std::find_if(entries.begin(), entries.end(), [&told](auto& entry) {
+        told += entry.value.size();
+        return told > most_told_to_many;
+    });
+    for (auto at = first_left_out; at != entries.end(); ++at) {
+        news.left_out = news.left_out == 0 ? at->revision : std::min(news.left_out, at->revision);
+    }
+    entries.erase(first_left_out, entries.end());
+    return news;
+}
+
 prefix_mirror::prefix_mirror(prefix_mirror_settings chosen) : settings(std::move(chosen)) {}
 
 void prefix_mirror::call(kv_request request)
 {
     this->open_call = this->next_tag++;
+    this->told_of_at_call = this->told_of;
     this->actions.emplace_back(store_call(*this->open_call, std::move(request)));
 }
 
@@ -35,8 +65,8 @@
     }
     if (this->needs_list) {
         this->call(kv_range{this->settings.prefix});
-    } else if (this->mode != watch_mode::follows) {
-        const bool shares = this->mode == watch_mode::for_others;
+    } else if (this->mode != watch_mode::follows || this->has_to_ask() || this->failures > 0) {
+        const bool shares = this->mode != watch_mode::alone;
         const auto wait = shares ? this->settings.shared_watch_wait : this->settings.watch_wait;
         this->call(kv_watch{this->settings.prefix, this->watched, wait});
     }
@@ -62,6 +92,7 @@
         this->succeed(now);
         const bool brought = !this->needs_list && !reply.entries.empty();
         this->needs_list ? this->on_list(reply, now) : this->on_watch(reply, now);
+        this->drop_false_word();
         this->due = brought ? now + this->settings.gather_time : now;
     } else if (reply.outcome == kv_outcome::not_found && !this->needs_list) {
         // The history has been dropped: only a list tells what has changed.
@@ -73,6 +104,15 @@
     this->on_tick(now);
 }
 
+// The store's answer is of the time of the call or later. What others told of before and the store
+// does not hold by then, there has never been; it would be asked for without end.
+void prefix_mirror::drop_false_word()
+{
+    if (this->told_of == this->told_of_at_call) {
+        this->told_of = std::min(this->told_of, this->watched);
+    }
+}
+
 void prefix_mirror::fail(decision::instant now)
 {
     if (this->failures == 0) {
@@ -196,13 +236,25 @@
             this->drop(key, 0);
         }
     }
-    this->watched = news.as_of;
+    this->go_on_to(news);
     if (news.whole && !this->has_list) {
         this->has_list = true;
         this->actions.emplace_back(mirror_listed{});
     }
 }
 
+// Behind a gap, and from where something is left out, not everything is known that was before.
+void prefix_mirror::go_on_to(const mirror_news& news)
+{
+    const bool lacks_some = news.left_out > this->watched;
+    if (lacks_some) {
+        this->told_of = std::max(this->told_of, news.as_of);
+    }
+    if (news.whole || news.after <= this->watched) {
+        this->watched = lacks_some ? news.left_out - 1 : news.as_of;
+    }
+}
+
 // A key that this mirror heard of after the list was made, as from another router while the list
 // was on its way, is not missing from it.
 std::vector<std::string> prefix_mirror::missing_from(const std::set<std::string>& listed,
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -243,6 +243,102 @@
     CHECK_EQUAL(14U, this->mirror.revision());
 }
 
+// A watcher of the zone tells of a large configuration without its text, and in the same word that
+// an endpoint leaves. Nothing more goes there at once, and this router asks the store for the rest.
+TEST(prefix_mirror, asks_the_store_for_what_a_word_leaves_out)
+{
+    this->list_one();
+    this->answer(reply_of(kv_outcome::ok, 11, {}), start);
+    this->mirror.set_mode(watch_mode::follows);
+    this->answer(reply_of(kv_outcome::ok, 11, {}), start);
+    const auto asked_before = this->calls.size();
+    this->tick(start + seconds(1));
+    CHECK_EQUAL(asked_before, this->calls.size());
+    mirror_news word;
+    word.after = 11;
+    word.as_of = 14;
+    word.left_out = 12;
+    word.entries = {{"things/a", "", 13}};
+    this->mirror.on_told(word);
+    this->collect();
+    CHECK_TRUE(this->saw(mirror_removed{"things/a", 13}));
+    CHECK_TRUE(this->mirror.has_to_ask());
+    CHECK_EQUAL(11U, this->mirror.revision());
+    this->tick(start + seconds(2));
+    CHECK_EQUAL(11U, this->last_watch()->after);
+    const kv_entry large{"things/large", std::string(100'000, 'x'), 12};
+    this->answer(reply_of(kv_outcome::ok, 14, {large, {"things/a", "", 13}}), start + seconds(2));
+    CHECK_TRUE(this->saw(mirror_changed{large}));
+    CHECK_FALSE(this->mirror.has_to_ask());
+    CHECK_EQUAL(14U, this->mirror.revision());
+    const auto asked = this->calls.size();
+    this->tick(start + seconds(4));
+    CHECK_EQUAL(asked, this->calls.size());
+}
+
+// The store turns this router away just when it has to ask. It goes on asking until it is answered,
+// also when another router has told it everything meanwhile: else it would count as cut off for
+// ever.
+TEST(prefix_mirror, one_that_was_turned_away_comes_back_into_touch)
+{
+    this->list_one();
+    this->mirror.set_mode(watch_mode::follows);
+    this->answer(reply_of(kv_outcome::unavailable), start);
+    CHECK_FALSE(this->mirror.is_in_touch());
+    mirror_news news;
+    news.after = 10;
+    news.as_of = 12;
+    news.entries = {{"things/large", std::string(100'000, 'x'), 12}};
+    this->mirror.on_told(news);
+    this->tick(start + seconds(1));
+    CHECK_EQUAL(12U, this->last_watch()->after);
+    this->answer(reply_of(kv_outcome::ok, 12, {}), start + seconds(1));
+    CHECK_TRUE(this->mirror.is_in_touch());
+}
+
+// A peer tells of a revision that the store has never had. The store is asked once for it.
+TEST(prefix_mirror, a_word_of_what_never_was_is_forgotten)
+{
+    this->list_one();
+    this->mirror.set_mode(watch_mode::follows);
+    this->answer(reply_of(kv_outcome::ok, 10, {}), start);
+    mirror_news word;
+    word.after = 10;
+    word.as_of = 1'000'000;
+    word.left_out = 999'999;
+    this->mirror.on_told(word);
+    this->collect();
+    this->tick(start + seconds(1));
+    const auto asked = this->calls.size();
+    this->answer(reply_of(kv_outcome::ok, 11, {}), start + seconds(2));
+    this->tick(start + seconds(3));
+    CHECK_EQUAL(asked, this->calls.size());
+    CHECK_FALSE(this->mirror.has_to_ask());
+}
+
+TEST(prefix_mirror, a_word_to_many_holds_small_values)
+{
+    mirror_news news;
+    news.after = 10;
+    news.as_of = 15;
+    news.entries = {{"large", std::string(500'000, 'x'), 11},
+                    {"small", "1", 12},
+                    {"gone", "", 13},
+                    {"larger", std::string(600'000, 'x'), 14}};
+    const auto word = without_large_values(news);
+    CHECK_TRUE((std::vector<kv_entry>{{"gone", "", 13}, {"small", "1", 12}}) == word.entries);
+    CHECK_EQUAL(11U, word.left_out);
+    CHECK_EQUAL(15U, word.as_of);
+    news.entries.erase(news.entries.begin());
+    news.entries.pop_back();
+    CHECK_EQUAL(0U, without_large_values(news).left_out);
+    news.whole = true;
+    const auto nothing = without_large_values(news);
+    CHECK_FALSE(nothing.whole);
+    CHECK_TRUE(nothing.entries.empty());
+    CHECK_EQUAL(11U, nothing.left_out);
+}
+
 TEST(prefix_mirror, tells_others_what_has_changed_since_they_heard)
 {
     this->list_one();
--- a/coordination/test/watch_share_test.cpp
+++ b/coordination/test/watch_share_test.cpp
@@ -193,12 +193,12 @@
             return;
         }
         const auto from = router.passed_on == 0 ? router.mirror.revision() : router.passed_on;
-        auto news = router.mirror.news_after(from);
-        router.passed_on = news->as_of;
+        const auto news = without_large_values(router.mirror.news_after(from).value());
+        router.passed_on = news.as_of;
         router.passed_on_at = router.mirror.confirmed_at();
         for (std::size_t to = 0; to < this->routers.size(); ++to) {
             if (to != number && this->routers[to]->alive) {
-                this->hear(*this->routers[to], router, *news);
+                this->hear(*this->routers[to], router, news);
             }
         }
     }
@@ -206,7 +206,9 @@
     void hear(model_router& listener, model_router& teller, const mirror_news& news) const
     {
         const auto known = listener.mirror.revision();
-        const auto rest = news.after > known ? teller.mirror.news_after(known).value() : news;
+        const bool asks_teller = news.after > known && !listener.mirror.has_to_ask();
+        const auto rest =
+            asks_teller ? without_large_values(teller.mirror.news_after(known).value()) : news;
         teller.bytes_passed_on += bytes_of(rest);
         listener.mirror.on_told(rest);
         listener.share.on_word(rest.as_of, listener.mirror.revision(), {}, this->now);
--- a/router/src/peer_desk.cpp
+++ b/router/src/peer_desk.cpp
@@ -157,21 +157,22 @@
     if (!news) {
         return;
     }
-    news->age = this->used.loop.now() - mirror.confirmed_at();
-    this->passed_on = news->as_of;
+    auto word = coordination::without_large_values(std::move(*news));
+    word.age = this->used.loop.now() - mirror.confirmed_at();
+    this->passed_on = word.as_of;
     this->passed_on_at = mirror.confirmed_at();
     std::size_t bytes = 0;
-    for (const auto& entry : news->entries) {
+    for (const auto& entry : word.entries) {
         bytes += entry.value.size();
     }
     for (const auto& peer : this->exchange.near()) {
-        this->link->send({peer.host, peer.port}, *news);
+        this->link->send({peer.host, peer.port}, word);
         this->used.counts.add("pearhaven_peer_news_bytes", {}, bytes);
     }
 }
 
 // What a watcher passes on follows what it passed on before. Whoever missed that asks it for the
-// rest.
+// rest, unless it has to ask the store anyway; what the word itself tells holds all the same.
 void peer_desk::take(const std::string& from, const adapters::peer_address& reply_to,
                      const coordination::mirror_news& news)
 {
@@ -180,14 +181,14 @@
         return;
     }
     const auto known = this->used.mirror.revision();
-    if (!news.whole && news.after > known) {
-        this->link->send(reply_to, coordination::mirror_pull{0, known});
-        return;
-    }
     if (news.as_of > known) {
         this->used.mirror.on_told(news);
         this->used.on_news();
     }
+    if (!news.whole && news.after > known && !this->used.mirror.has_to_ask()) {
+        this->link->send(reply_to, coordination::mirror_pull{0, known});
+        return;
+    }
     this->share.on_word(news.as_of, this->used.mirror.revision(), news.age, this->used.loop.now());
 }
 
@@ -212,6 +213,10 @@
 {
     auto news = this->used.mirror.news_after(asked.after);
     if (news && this->link) {
+        const bool reaches_store = asked.nonce == 0;
+        if (reaches_store) {
+            news = coordination::without_large_values(std::move(*news));
+        }
         news->nonce = asked.nonce;
         news->age = this->used.loop.now() - this->used.mirror.confirmed_at();
         this->link->send(to, *news);
