Judge silence by what has been heard, and not by the clock

Callers saw a connection that they kept open close without an answer, with a whole request sent on it, beside a large change of the configuration; and answers that had come in time counted as silence or as late.

Cause: an event loop that was busy for long with one callback (hundreds of milliseconds to seconds, for a configuration of thousands of routes on a tenth of a core) went on with its timers. They measured how long a caller or an endpoint had been silent by the clock, which had gone on, while what had come lay unread. The class is a limit on silence that counts the time in which nobody listened.

The loop now tells up to when all that came has been told (heard_until), and a timer does not run before the sockets have been looked at since it was due. A connection is closed as idle in one way only, after a look for what has come on it. The product's own path handles what waits in its ring before it judges deadlines.

Why it holds: a limit passes only once the sockets were read after it; however long a callback takes, one look more comes before anybody is given up. Sockets that are always ready cannot keep timers from running: after 32 full looks they do.

--- a/adapters/include/pearhaven/adapters/event_loop.hpp
+++ b/adapters/include/pearhaven/adapters/event_loop.hpp
@@ -49,7 +49,8 @@
     // so that they cannot reach a new socket that was given the same number.
     void forget(int socket);
 
-    // Runs `task` once after the time, unless it is cancelled.
+    // Runs `task` once after the time, unless it is cancelled, and not before the sockets have been
+    // looked at since it became due: what came in time is heard before its time is up.
     timer_number after(decision::duration delay, std::function<void()> task);
 
     // Runs `task` once, unless it is cancelled, as soon as the callback that is being run has
@@ -67,6 +68,11 @@
     // a request is judged by a moment before it came, and taken after a limit that has passed.
     [[nodiscard]] decision::instant now() const;
 
+    // All that had come to a watched socket by this moment has been told to its listener, though a
+    // listener may have read only a part. A silence is to be judged by it: while a callback takes
+    // long the clock goes on, and what has come meanwhile is read only afterwards.
+    [[nodiscard]] decision::instant heard_until() const;
+
     // The same clock at this moment. For any thread.
     [[nodiscard]] static decision::instant read_clock();
 
--- a/adapters/src/event_loop.cpp
+++ b/adapters/src/event_loop.cpp
@@ -13,6 +13,14 @@
 
 namespace pearhaven::adapters {
 
+namespace {
+
+// Looks that tell of as many ready sockets as one look can, before what they leave out is no longer
+// waited for. Enough for all sockets that a process may have.
+constexpr std::size_t most_full_looks = 32;
+
+} // namespace
+
 class event_loop::state {
 public:
     void run_soon();
@@ -21,6 +29,7 @@
     void run_posted();
     void run_timers();
     void run_sockets();
+    void note_look(decision::instant looked_at, std::size_t ready);
     [[nodiscard]] std::optional<std::chrono::nanoseconds> time_to_next_timer() const;
 
     poller sockets;
@@ -31,7 +40,9 @@
     std::map<timer_number, std::function<void()>> soon; // in the order in which they were asked for
     timer_number last_timer = 0;
     decision::instant clock = read_clock();
-    std::string_view work; // of the callback that is being run
+    decision::instant heard_until = clock;
+    std::size_t full_looks = 0; // in a row, after which more sockets may have been ready
+    std::string_view work;      // of the callback that is being run
     decision::duration least_pause{};
     std::function<void(const loop_pause&)> tell_pause;
     std::atomic<bool> stopping{false};
@@ -76,8 +87,8 @@
 
 void event_loop::state::run_timers()
 {
-    // Those that become due meanwhile wait for the next turn, after the sockets.
-    const auto due_by = this->clock;
+    // Those that became due since the sockets were looked at wait for the next turn.
+    const auto due_by = this->heard_until;
     while (!this->timers.empty() && this->timers.begin()->first.first <= due_by) {
         const auto node = this->timers.extract(this->timers.begin());
         this->due.erase(node.key().second);
@@ -97,6 +108,7 @@
 {
     const auto& ready = this->sockets.wait(this->time_to_next_timer());
     this->clock = read_clock();
+    const auto looked_at = this->clock;
     this->forgotten.clear();
     for (const auto& socket : ready) {
         const auto found = this->listeners.find(socket.socket);
@@ -106,6 +118,19 @@
             });
         }
     }
+    this->note_look(looked_at, ready.size());
+}
+
+// The system tells of the ready sockets in turn, a bounded number at once. Sockets that are ready
+// all the time must not keep timers from running for ever.
+void event_loop::state::note_look(decision::instant looked_at, std::size_t ready)
+{
+    const bool may_lack_some =
+        ready >= poller::events_at_once && this->full_looks < most_full_looks;
+    this->full_looks = may_lack_some ? this->full_looks + 1 : 0;
+    if (!may_lack_some) {
+        this->heard_until = looked_at;
+    }
 }
 
 event_loop::event_loop() : inner(std::make_unique<event_loop::state>()) {}
@@ -164,6 +189,11 @@
     return this->inner->clock;
 }
 
+decision::instant event_loop::heard_until() const
+{
+    return this->inner->heard_until;
+}
+
 void event_loop::post(std::function<void()> task)
 {
     {
--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -131,8 +131,8 @@
 void inbound_server::check_later()
 {
     this->check = this->events.after(check_period, [this] {
-        const auto now = this->events.now();
-        this->for_each([now](inbound_socket& connection) { connection.check_time(now); });
+        const auto until = this->events.heard_until();
+        this->for_each([until](inbound_socket& connection) { connection.check_time(until); });
         this->check_later();
     });
 }
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -367,9 +367,12 @@
     }
 }
 
-void inbound_socket::check_time(decision::instant now)
+// A caller that was not listened to is not one that is silent: while the router is busy for seconds
+// with something else, requests come and are not read, and their connections would be closed as
+// idle, or refused as too slow, with the whole request in them. What was heard until then decides.
+void inbound_socket::check_time(decision::instant heard_until)
 {
-    const auto waited = now - this->since;
+    const auto waited = heard_until - this->since;
     if (this->step == phase::lingering && waited > linger_bound) {
         this->close(false);
         return;
@@ -379,7 +382,8 @@
     }
     if (!this->reader.inside_message()) {
         if (waited > std::max(this->idle_time, this->host.limits().idle_time)) {
-            this->close_as_idle();
+            this->closes_if_idle = true;
+            this->ask_for_turn();
         }
         return;
     }
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -82,8 +82,9 @@
     // Carries out what calls have left to the loop. True when the connection is over.
     [[nodiscard]] bool take_turn();
 
-    // Ends what has taken longer than the limits allow. To be called now and then.
-    void check_time(decision::instant now);
+    // Ends what has taken longer than the limits allow. To be called now and then, with the time
+    // up to which all that came has been told.
+    void check_time(decision::instant heard_until);
 
     // Closes the connection, at its turn, if nothing has come on it by then.
     void close_if_idle();
--- a/adapters/src/poller.hpp
+++ b/adapters/src/poller.hpp
@@ -20,6 +20,9 @@
 // any thread may wake it.
 class poller {
 public:
+    // The most sockets that one wait tells of.
+    static constexpr std::size_t events_at_once = 256;
+
     // Throws std::system_error when the system refuses.
     poller();
     ~poller();
@@ -39,8 +42,6 @@
     void wake() const;
 
 private:
-    static constexpr std::size_t events_at_once = 256;
-
     int epoll = -1;
     int wake_event = -1;
     std::array<epoll_event, events_at_once> events{};
--- a/adapters/test/event_loop_test.cpp
+++ b/adapters/test/event_loop_test.cpp
@@ -234,6 +234,36 @@
     STRCMP_EQUAL("a", order.c_str());
 }
 
+// A caller's request came in time, and its connection was closed since its time was up. Something
+// else had kept the loop; the timer became due meanwhile and ran before the socket was looked at.
+TEST(event_loop, what_came_before_a_timer_was_due_is_heard_before_it_runs)
+{
+    constexpr milliseconds due{20};
+    adapters::event_loop loop;
+    std::string order;
+    decision::instant heard_when_busy;
+    acting_reader busy(this->first[0], [&] {
+        CHECK_EQUAL(1, write(this->second[1], "x", 1));
+        std::this_thread::sleep_for(2 * due);
+        heard_when_busy = loop.heard_until();
+    });
+    acting_reader caller(this->second[0], [&order] { order += "caller "; });
+    loop.watch(this->first[0], busy, true, false);
+    loop.watch(this->second[0], caller, true, false);
+    CHECK_EQUAL(1, write(this->first[1], "x", 1));
+    const auto began = adapters::event_loop::read_clock();
+    loop.after(due, [&] {
+        order += "timer";
+        CHECK_TRUE(loop.heard_until() >= began + 2 * due);
+        loop.stop();
+    });
+    loop.run();
+    loop.forget(this->first[0]);
+    loop.forget(this->second[0]);
+    STRCMP_EQUAL("caller timer", order.c_str());
+    CHECK_TRUE(heard_when_busy < began + 2 * due);
+}
+
 // While one callback works nobody else is heard; whoever watches for it learns how long, and what
 // did it.
 TEST(event_loop, a_long_callback_is_told_with_its_work)
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -288,9 +288,10 @@
 }
 
 // A caller uses its open connection again within the time that it may, and the connection is closed
-// without an answer. Its request came while the router was busy for seconds with something else;
-// the look for connections that had been idle for too long was the next thing that it did, and it
-// read the clock, not the socket.
+// without an answer. Its request came while the router was busy for seconds with something else, as
+// with a large configuration; the look for connections that had been idle for too long was the next
+// thing that it did, and it read the clock, not the socket. The bytes were found after the close,
+// and counted.
 TEST(http_inbound, a_request_that_came_while_the_loop_was_busy_is_answered)
 {
     constexpr milliseconds idle_time{1000};
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -266,7 +266,10 @@
     // Gives up all that is left. What never ran is said not to have run.
     void end_stop(instant now);
 
-    void on_tick(instant now);
+    // `heard_until`: all that had come by then from endpoints has been told. A run is past its
+    // deadline by it, and not by the clock: an answer may have come that nobody has read yet.
+    void on_tick(instant now, instant heard_until);
+    void on_tick(instant now) { this->on_tick(now, now); }
 
     [[nodiscard]] std::vector<dispatch_action> take_actions();
     [[nodiscard]] std::size_t in_flight() const { return this->requests.size(); }
@@ -379,7 +382,7 @@
     static void settle_rate(counted_arrivals& counted, double seconds);
     void note_finished_work(double work, instant now);
     void give_up_all_queued(const failure& why);
-    void give_up_overdue(instant now);
+    void give_up_overdue(instant now, instant heard_until);
     void give_up(ticket_number ticket, failure why);
     void forget(ticket_number ticket);
     void publish_standings();
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -413,7 +413,7 @@
     }
 }
 
-void dispatcher::on_tick(instant now)
+void dispatcher::on_tick(instant now, instant heard_until)
 {
     for (const auto& entry : this->queue.expire(now)) {
         const auto& state = this->requests.at(entry.ticket);
@@ -426,13 +426,13 @@
         this->give_up_all_queued(passing(failure_code::not_in_touch, soon,
                                          "the configuration in force cannot be confirmed"));
     }
-    this->give_up_overdue(now);
+    this->give_up_overdue(now, heard_until);
     this->note_finished_work(0.0, now);
     this->dispatch(now);
 }
 
 // Ends runs that are past their deadline: the caller has no use for the rest, the endpoint has.
-void dispatcher::give_up_overdue(instant now)
+void dispatcher::give_up_overdue(instant now, instant heard_until)
 {
     if (now - this->overdue_checked < overdue_period) {
         return;
@@ -440,7 +440,7 @@
     this->overdue_checked = now;
     std::vector<ticket_number> overdue;
     for (const auto& [ticket, state] : this->requests) {
-        if (!state.address.empty() && now >= state.what.deadline) {
+        if (!state.address.empty() && heard_until >= state.what.deadline) {
             overdue.push_back(ticket);
         }
     }
--- a/decision/test/dispatcher_test.cpp
+++ b/decision/test/dispatcher_test.cpp
@@ -279,6 +279,22 @@
     LONGS_EQUAL(7, resumes[0].offset);
 }
 
+// An endpoint answers in time, and its caller hears that the deadline passed while the request ran.
+// The router was busy with something else meanwhile: the answer lay unread when the clock showed
+// the deadline.
+TEST(dispatcher_test, a_run_whose_answer_may_lie_unread_is_not_past_its_deadline)
+{
+    const auto router = this->make();
+    auto asked = this->request(1);
+    asked.deadline = now + seconds(2);
+    router->on_arrival(asked, now);
+    static_cast<void>(router->take_actions());
+    router->on_tick(now + seconds(3), now + seconds(1));
+    CHECK_TRUE(router->take_actions().empty());
+    router->on_tick(now + seconds(4), now + seconds(2));
+    CHECK_EQUAL(1, pick<cancel_attempt>(router->take_actions()).size());
+}
+
 // The endpoint dies in mid-answer. The caller holds part of one run; another run's rest does not
 // fit.
 TEST(dispatcher_test, a_stream_that_has_begun_is_not_continued_by_another_run)
--- a/router/src/routing_duty.cpp
+++ b/router/src/routing_duty.cpp
@@ -99,13 +99,25 @@
         }
         if (now() >= this->next_tick) {
             this->next_tick = now() + tick_period;
-            this->dispatcher.on_tick(now());
+            const auto heard_until = now();
+            this->handle_waiting();
+            this->dispatcher.on_tick(now(), heard_until);
             this->poll_when_due();
         }
         this->carry_out();
     }
 }
 
+// What has come by now is handled: its time is judged next.
+void routing_duty::handle_waiting()
+{
+    for (auto waiting = this->ring.size(); waiting > 0; --waiting) {
+        if (auto event = this->ring.pop_for(std::chrono::milliseconds::zero())) {
+            std::visit([this](auto& what) { this->handle(what); }, *event);
+        }
+    }
+}
+
 void routing_duty::handle(request_arrived& event)
 {
     this->notes.emplace(event.what.ticket, request_note{event.caller, nullptr, {}, 0.0});
--- a/router/src/routing_duty.hpp
+++ b/router/src/routing_duty.hpp
@@ -63,6 +63,7 @@
     };
 
     void run();
+    void handle_waiting();
     void handle(request_arrived& event);
     void handle(attempt_ended& ended);
     void handle(caller_gone& event);
