Ask a peer for large values apart from small changes

Callers would be refused on a new route for as long as the store turned their router away: the same cause as with the watchers' links, found by looking for it elsewhere. A router that the store does not answer asks a peer every 300 ms for all that has changed. Half a megabyte takes 0.46 s over 10 Mbit/s; by then the next question was open, the answer counted as one to an old question and was thrown away, and the next peer was asked to send all of it again, without end.

The question every 300 ms now brings small values and says which revision is left out. Large ones are asked for apart, one peer at a time, each 1.5 s, and that answer is taken whenever it comes within this time.

--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -182,7 +182,7 @@
 
     static bool take(const wire::MirrorPull& table, mirror_pull& message)
     {
-        message = {table.nonce(), table.after()};
+        message = {table.nonce(), table.after(), table.large()};
         return true;
     }
 
--- a/adapters/src/peer_encoder.cpp
+++ b/adapters/src/peer_encoder.cpp
@@ -155,7 +155,7 @@
 
     offset<wire::MirrorPull> put(const mirror_pull& message)
     {
-        return wire::CreateMirrorPull(this->out, message.nonce, message.after);
+        return wire::CreateMirrorPull(this->out, message.nonce, message.after, message.large);
     }
 
     offset<wire::StoreEntry> put(const kv_entry& item)
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -1674,7 +1674,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NONCE = 4,
-    VT_AFTER = 6
+    VT_AFTER = 6,
+    VT_LARGE = 8
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -1682,10 +1683,14 @@
   uint64_t after() const {
     return GetField<uint64_t>(VT_AFTER, 0);
   }
+  bool large() const {
+    return GetField<uint8_t>(VT_LARGE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LARGE, 1) &&
            verifier.EndTable();
   }
 };
@@ -1700,6 +1705,9 @@
   void add_after(uint64_t after) {
     fbb_.AddElement<uint64_t>(MirrorPull::VT_AFTER, after, 0);
   }
+  void add_large(bool large) {
+    fbb_.AddElement<uint8_t>(MirrorPull::VT_LARGE, static_cast<uint8_t>(large), 0);
+  }
   explicit MirrorPullBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1714,10 +1722,12 @@
 inline flatbuffers::Offset<MirrorPull> CreateMirrorPull(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t nonce = 0,
-    uint64_t after = 0) {
+    uint64_t after = 0,
+    bool large = false) {
   MirrorPullBuilder builder_(_fbb);
   builder_.add_after(after);
   builder_.add_nonce(nonce);
+  builder_.add_large(large);
   return builder_.Finish();
 }
 
--- a/adapters/test/peer_message_generators.hpp
+++ b/adapters/test/peer_message_generators.hpp
@@ -38,7 +38,7 @@
         case 7:
             return load_push{some(&message_source::one_load)};
         case 8:
-            return mirror_pull{number(), number()};
+            return mirror_pull{number(), number(), number() % 2 == 0};
         case 9:
             return mirror_news{
                 number(), number(), number() % 2 == 0, some(&message_source::one_entry),
--- a/coordination/include/pearhaven/coordination/peer_exchange.hpp
+++ b/coordination/include/pearhaven/coordination/peer_exchange.hpp
@@ -40,9 +40,23 @@
 
     // Time between two questions to peers while the store does not answer this router.
     decision::duration pull_period = std::chrono::milliseconds{300};
+
+    // The same for large values. A configuration of half a megabyte takes that long from a peer
+    // whose link of 10 Mbit/s is in use, and a question that is asked anew meanwhile doubles the
+    // work and gets no answer either.
+    decision::duration large_pull_period = std::chrono::milliseconds{1500};
     std::uint64_t seed = 0; // spreads the routers' questions over the peers
 };
 
+// How far this router has followed the store.
+struct mirror_standing {
+    bool in_touch = false; // the store answers it
+    store_revision revision = 0;
+    bool lacks_large = false; // it knows of values that it was not told for their size
+
+    friend bool operator==(const mirror_standing&, const mirror_standing&) = default;
+};
+
 // A message to a router.
 struct peer_send {
     peer_router to;
@@ -62,15 +76,14 @@
     void set_peer(const std::string& name, const peer_router& where);
     void drop_peer(const std::string& name) { this->peers.erase(name); }
 
-    // `in_touch` says whether the store answers this router, `revision` up to where it has heard.
     [[nodiscard]] std::vector<peer_send> on_tick(const std::vector<decision::endpoint_load>& own,
-                                                 bool in_touch, store_revision revision,
+                                                 const mirror_standing& mirror,
                                                  decision::instant now);
 
     // The peers of this router's zone.
     [[nodiscard]] std::vector<peer_router> near() const;
 
-    // Whether the news answers the open question. One answer to each is taken.
+    // Whether the news answers an open question. One answer to each is taken.
     [[nodiscard]] bool takes(const mirror_news& news);
 
     [[nodiscard]] std::size_t size() const { return this->peers.size(); }
@@ -78,15 +91,19 @@
 private:
     void add_loads(const std::vector<decision::endpoint_load>& own, std::vector<peer_send>& sends,
                    decision::instant now);
-    void add_pull(store_revision revision, std::vector<peer_send>& sends, decision::instant now);
+    void add_pulls(const mirror_standing& mirror, std::vector<peer_send>& sends,
+                   decision::instant now);
+    [[nodiscard]] peer_send ask(store_revision after, bool large);
 
     peer_exchange_settings settings;
     std::map<std::string, peer_router> peers; // by name
     std::vector<decision::endpoint_load> told;
     decision::instant told_at;
     decision::instant next_pull;
+    decision::instant next_large_pull;
     std::uint64_t questions = 0;
     std::optional<std::uint64_t> open_question;
+    std::optional<std::uint64_t> open_large_question;
 };
 
 } // namespace pearhaven::coordination
--- a/coordination/include/pearhaven/coordination/peer_message.hpp
+++ b/coordination/include/pearhaven/coordination/peer_message.hpp
@@ -166,6 +166,7 @@
 struct mirror_pull {
     std::uint64_t nonce = 0;
     store_revision after = 0;
+    bool large = false; // with large values, which a plain answer leaves out
     friend bool operator==(const mirror_pull&, const mirror_pull&) = default;
 };
 
--- a/coordination/src/peer_exchange.cpp
+++ b/coordination/src/peer_exchange.cpp
@@ -16,18 +16,18 @@
 }
 
 std::vector<peer_send> peer_exchange::on_tick(const std::vector<decision::endpoint_load>& own,
-                                              bool in_touch, store_revision revision,
-                                              decision::instant now)
+                                              const mirror_standing& mirror, decision::instant now)
 {
     std::vector<peer_send> sends;
     if (this->peers.empty()) {
         return sends;
     }
     this->add_loads(own, sends, now);
-    if (in_touch) {
+    if (mirror.in_touch) {
         this->open_question.reset();
-    } else if (now >= this->next_pull) {
-        this->add_pull(revision, sends, now);
+        this->open_large_question.reset();
+    } else {
+        this->add_pulls(mirror, sends, now);
     }
     return sends;
 }
@@ -59,16 +59,30 @@
     }
 }
 
+// Small changes are asked for often, and not held up by a large value that is on its way.
+void peer_exchange::add_pulls(const mirror_standing& mirror, std::vector<peer_send>& sends,
+                              decision::instant now)
+{
+    if (now >= this->next_pull) {
+        this->next_pull = now + this->settings.pull_period;
+        sends.push_back(this->ask(mirror.revision, false));
+        this->open_question = this->questions;
+    }
+    if (mirror.lacks_large && now >= this->next_large_pull) {
+        this->next_large_pull = now + this->settings.large_pull_period;
+        sends.push_back(this->ask(mirror.revision, true));
+        this->open_large_question = this->questions;
+    }
+}
+
 // Another peer each time: the one that was asked may be gone, or be turned away as well.
-void peer_exchange::add_pull(store_revision revision, std::vector<peer_send>& sends,
-                             decision::instant now)
+peer_send peer_exchange::ask(store_revision after, bool large)
 {
-    this->next_pull = now + this->settings.pull_period;
-    this->open_question = ++this->questions;
+    ++this->questions;
     const auto start = decision::mix(this->settings.seed) % this->peers.size();
     const auto place = (start + this->questions) % this->peers.size();
     const auto asked = std::next(this->peers.begin(), static_cast<std::ptrdiff_t>(place));
-    sends.push_back({asked->second, mirror_pull{*this->open_question, revision}});
+    return {asked->second, mirror_pull{this->questions, after, large}};
 }
 
 std::vector<peer_router> peer_exchange::near() const
@@ -84,11 +98,13 @@
 
 bool peer_exchange::takes(const mirror_news& news)
 {
-    if (this->open_question != news.nonce) {
-        return false;
+    for (auto* const open : {&this->open_question, &this->open_large_question}) {
+        if (*open == news.nonce) {
+            open->reset();
+            return true;
+        }
     }
-    this->open_question.reset();
-    return true;
+    return false;
 }
 
 } // namespace pearhaven::coordination
--- a/coordination/test/peer_exchange_test.cpp
+++ b/coordination/test/peer_exchange_test.cpp
@@ -46,12 +46,14 @@
 {
     auto exchange = make_exchange("edge-100");
     set_peers(exchange, 3);
-    CHECK_EQUAL(2U, exchange.on_tick(some_load, true, 5, start).size());
-    CHECK_EQUAL(0U, exchange.on_tick(some_load, true, 5, start + milliseconds(100)).size());
-    CHECK_EQUAL(2U, exchange.on_tick({{"e1", 3, 90.0}}, true, 5, start + milliseconds(100)).size());
-    CHECK_EQUAL(2U, exchange.on_tick({{"e1", 3, 90.0}}, true, 5, start + milliseconds(500)).size());
-    CHECK_EQUAL(2U, exchange.on_tick({}, true, 5, start + milliseconds(600)).size());
-    CHECK_EQUAL(0U, exchange.on_tick({}, true, 5, start + seconds(9)).size());
+    CHECK_EQUAL(2U, exchange.on_tick(some_load, {true, 5}, start).size());
+    CHECK_EQUAL(0U, exchange.on_tick(some_load, {true, 5}, start + milliseconds(100)).size());
+    CHECK_EQUAL(2U,
+                exchange.on_tick({{"e1", 3, 90.0}}, {true, 5}, start + milliseconds(100)).size());
+    CHECK_EQUAL(2U,
+                exchange.on_tick({{"e1", 3, 90.0}}, {true, 5}, start + milliseconds(500)).size());
+    CHECK_EQUAL(2U, exchange.on_tick({}, {true, 5}, start + milliseconds(600)).size());
+    CHECK_EQUAL(0U, exchange.on_tick({}, {true, 5}, start + seconds(9)).size());
 }
 
 TEST(peer_exchange, nothing_is_told_more_often_than_once_a_period)
@@ -61,7 +63,7 @@
     std::uint32_t requests = 1;
     std::size_t told = 0;
     for (auto now = start; now < start + seconds(1); now += milliseconds(10)) {
-        told += exchange.on_tick({{"e1", requests++, 0.0}}, true, 5, now).size();
+        told += exchange.on_tick({{"e1", requests++, 0.0}}, {true, 5}, now).size();
     }
     CHECK_EQUAL(10U, told);
 }
@@ -75,7 +77,7 @@
     for (int number = 0; number < count; ++number) {
         auto exchange = make_exchange(name_of(number));
         set_peers(exchange, count);
-        for (const auto& send : exchange.on_tick(some_load, true, 5, start)) {
+        for (const auto& send : exchange.on_tick(some_load, {true, 5}, start)) {
             ++heard[send.to.host];
         }
     }
@@ -92,7 +94,7 @@
     for (int number = 0; number < 17; ++number) {
         exchange.set_peer("near-" + std::to_string(number), {"10.1.0.1", 7340, "osu"});
     }
-    for (const auto& send : exchange.on_tick(some_load, true, 5, start)) {
+    for (const auto& send : exchange.on_tick(some_load, {true, 5}, start)) {
         CHECK_EQUAL(std::string("osu"), send.to.zone);
     }
 }
@@ -105,7 +107,7 @@
     set_peers(exchange, 4);
     std::set<std::string> asked;
     for (int round = 0; round < 3; ++round) {
-        const auto sends = exchange.on_tick({}, false, 17, start + milliseconds(300) * round);
+        const auto sends = exchange.on_tick({}, {false, 17}, start + milliseconds(300) * round);
         CHECK_EQUAL(1U, sends.size());
         const auto* pull = std::get_if<mirror_pull>(&sends[0].message);
         CHECK_TRUE(pull != nullptr);
@@ -113,14 +115,14 @@
         asked.insert(sends[0].to.host);
     }
     CHECK_EQUAL(3U, asked.size());
-    CHECK_EQUAL(0U, exchange.on_tick({}, true, 17, start + seconds(2)).size());
+    CHECK_EQUAL(0U, exchange.on_tick({}, {true, 17}, start + seconds(2)).size());
 }
 
 TEST(peer_exchange, only_the_answer_to_the_open_question_is_taken_and_once)
 {
     auto exchange = make_exchange("edge-100");
     set_peers(exchange, 2);
-    const auto sends = exchange.on_tick({}, false, 17, start);
+    const auto sends = exchange.on_tick({}, {false, 17}, start);
     mirror_news news;
     news.nonce = std::get<mirror_pull>(sends[0].message).nonce + 1;
     CHECK_FALSE(exchange.takes(news));
@@ -129,10 +131,36 @@
     CHECK_FALSE(exchange.takes(news));
 }
 
+// Callers are refused on a route that was added many seconds ago, at a router that the store turns
+// away. The configuration is large, and comes from a peer later than the next question goes out;
+// its answer counted as one to an old question, and the next peer was asked for all of it again.
+TEST(peer_exchange, a_large_value_may_come_later_than_the_next_question)
+{
+    auto exchange = make_exchange("edge-100");
+    set_peers(exchange, 4);
+    std::vector<mirror_pull> large;
+    std::vector<mirror_pull> small;
+    for (int round = 0; round < 4; ++round) {
+        const auto now = start + milliseconds(300) * round;
+        for (const auto& send : exchange.on_tick({}, {false, 17, true}, now)) {
+            const auto& pull = std::get<mirror_pull>(send.message);
+            (pull.large ? large : small).push_back(pull);
+        }
+    }
+    CHECK_EQUAL(4U, small.size());
+    CHECK_EQUAL(1U, large.size());
+    mirror_news news;
+    news.nonce = large[0].nonce;
+    CHECK_TRUE(exchange.takes(news));
+    CHECK_FALSE(exchange.takes(news));
+    news.nonce = small[3].nonce;
+    CHECK_TRUE(exchange.takes(news));
+}
+
 TEST(peer_exchange, a_router_alone_says_nothing)
 {
     auto exchange = make_exchange("edge-100");
     exchange.set_peer("edge-100", {"10.0.0.1", 7340, "osu"});
     CHECK_EQUAL(0U, exchange.size());
-    CHECK_EQUAL(0U, exchange.on_tick(some_load, false, 5, start).size());
+    CHECK_EQUAL(0U, exchange.on_tick(some_load, {false, 5}, start).size());
 }
--- a/router/src/peer_desk.cpp
+++ b/router/src/peer_desk.cpp
@@ -112,9 +112,10 @@
         return;
     }
     this->set_watch_mode();
-    const auto sends = this->exchange.on_tick(this->used.dispatcher.endpoints().own_loads(),
-                                              this->used.mirror.is_in_touch(),
-                                              this->used.mirror.revision(), this->used.loop.now());
+    const auto& mirror = this->used.mirror;
+    const auto sends = this->exchange.on_tick(
+        this->used.dispatcher.endpoints().own_loads(),
+        {mirror.is_in_touch(), mirror.revision(), mirror.has_to_ask()}, this->used.loop.now());
     for (const auto& send : sends) {
         this->link->send({send.to.host, send.to.port}, send.message);
     }
@@ -213,8 +214,7 @@
 {
     auto news = this->used.mirror.news_after(asked.after);
     if (news && this->link) {
-        const bool reaches_store = asked.nonce == 0;
-        if (reaches_store) {
+        if (!asked.large) {
             news = coordination::without_large_values(std::move(*news));
         }
         news->nonce = asked.nonce;
