Find a route by its host and prefix, not by a walk over all routes

Ruled out: an index of prefixes that end in slashes only. The configuration's reader takes any prefix, so the lengths that occur at the host are asked instead, the longest that the path can hold first; they are fewer than the path has bytes.

Change: hash of host (case folded, no copy) to hash of prefix to route, and the distinct lengths of the host's prefixes.

The answers are those of before: a property compares them with the plain rule (hosts with ports and upper case, queries, prefixes and paths without slashes). Seen red with the index broken on purpose: host kept with its port, last instead of first of two equal prefixes, shortest first. The walk's order of equal prefixes was open beyond 16 routes of a host (std::sort); it is now always the first name.

--- a/decision/include/pearhaven/decision/traffic_route.hpp
+++ b/decision/include/pearhaven/decision/traffic_route.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace pearhaven::decision {
@@ -73,7 +74,8 @@
     route_table& operator=(const route_table&) = delete;
     ~route_table() = default;
 
-    // Null where there is none. `host` may carry a port, `path` a query.
+    // Null where there is none. `host` may carry a port, `path` a query. The cost grows with the
+    // length of the path, not with the number of routes.
     [[nodiscard]] const traffic_route* find(std::string_view host, std::string_view path) const;
 
     [[nodiscard]] const std::map<std::string, traffic_route>& by_name() const
@@ -87,8 +89,26 @@
     }
 
 private:
+    // Hashes and compares host names without regard to case.
+    struct host_hash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view host) const;
+    };
+    struct same_host {
+        using is_transparent = void;
+        bool operator()(std::string_view left, std::string_view right) const;
+    };
+
+    // The routes of one host. What stands here points into `routes`.
+    struct host_routes {
+        std::unordered_map<std::string_view, const traffic_route*> by_prefix;
+        std::vector<std::size_t> lengths; // of the prefixes, each once, longest first
+    };
+
+    void index(const traffic_route& one);
+
     std::map<std::string, traffic_route> routes;
-    std::map<std::string, std::vector<std::string>, std::less<>> by_host; // longest prefix first
+    std::unordered_map<std::string_view, host_routes, host_hash, same_host> by_host;
 };
 
 using route_table_ptr = boost::intrusive_ptr<const route_table>;
--- a/decision/src/traffic_route.cpp
+++ b/decision/src/traffic_route.cpp
@@ -1,22 +1,27 @@
 #include "pearhaven/decision/traffic_route.hpp"
 
+#include <boost/container_hash/hash.hpp>
+
 #include <algorithm>
 #include <cctype>
+#include <functional>
 #include <utility>
 
 namespace pearhaven::decision {
 
 namespace {
 
-std::string host_key(std::string_view host)
+std::string_view without_port(std::string_view host)
 {
     const auto colon = host.rfind(':');
     const bool has_port = colon != std::string_view::npos &&
                           host.find_first_not_of("0123456789", colon + 1) == std::string_view::npos;
-    std::string key(has_port ? host.substr(0, colon) : host);
-    std::transform(key.begin(), key.end(), key.begin(),
-                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-    return key;
+    return has_port ? host.substr(0, colon) : host;
+}
+
+char lower(char letter)
+{
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
 }
 
 } // namespace
@@ -28,33 +33,58 @@
         this->routes.insert_or_assign(std::move(name), std::move(one));
     }
     for (const auto& [name, one] : this->routes) {
-        this->by_host[host_key(one.host)].push_back(name);
+        this->index(one);
     }
-    for (auto& [host, names] : this->by_host) {
-        std::sort(names.begin(), names.end(), [this](const auto& left, const auto& right) {
-            const auto& one = this->routes.at(left).path_prefix;
-            const auto& other = this->routes.at(right).path_prefix;
-            return std::make_pair(other.size(), one) < std::make_pair(one.size(), other);
-        });
+    for (auto& [host, known] : this->by_host) {
+        std::sort(known.lengths.begin(), known.lengths.end(), std::greater<>());
+        known.lengths.erase(std::unique(known.lengths.begin(), known.lengths.end()),
+                            known.lengths.end());
     }
 }
 
+// Of two routes with the same host and prefix the first one stays.
+void route_table::index(const traffic_route& one)
+{
+    host_routes& known = this->by_host[without_port(one.host)];
+    known.by_prefix.try_emplace(one.path_prefix, &one);
+    known.lengths.push_back(one.path_prefix.size());
+}
+
 const traffic_route* route_table::find(std::string_view host, std::string_view path) const
 {
-    const auto names = this->by_host.find(host_key(host));
-    if (names == this->by_host.end()) {
+    const auto known = this->by_host.find(without_port(host));
+    if (known == this->by_host.end()) {
         return nullptr;
     }
     const auto plain = path.substr(0, path.find('?'));
-    for (const auto& name : names->second) {
-        const auto& candidate = this->routes.at(name);
-        if (plain.substr(0, candidate.path_prefix.size()) == candidate.path_prefix) {
-            return &candidate;
+    const auto& lengths = known->second.lengths;
+    const auto& by_prefix = known->second.by_prefix;
+    // The longest first, from the first one that the path can hold.
+    auto length = std::lower_bound(lengths.begin(), lengths.end(), plain.size(), std::greater<>());
+    for (; length != lengths.end(); ++length) {
+        const auto found = by_prefix.find(plain.substr(0, *length));
+        if (found != by_prefix.end()) {
+            return found->second;
         }
     }
     return nullptr;
 }
 
+std::size_t route_table::host_hash::operator()(std::string_view host) const
+{
+    std::size_t seed = 0;
+    for (const char letter : host) {
+        boost::hash_combine(seed, lower(letter));
+    }
+    return seed;
+}
+
+bool route_table::same_host::operator()(std::string_view left, std::string_view right) const
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](char one, char other) { return lower(one) == lower(other); });
+}
+
 const route_target* draw_target(const traffic_route& from, std::uint64_t random)
 {
     std::uint64_t total = 0;
