--- a/decision/include/pearhaven/decision/traffic_route.hpp
+++ b/decision/include/pearhaven/decision/traffic_route.hpp
@@ -3,11 +3,15 @@
 
 #include "pearhaven/decision/time.hpp"
 
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace pearhaven::decision {
@@ -57,13 +61,21 @@
 };
 
 // Finds the route of a request: among those of its host, the one with the longest prefix that
-// begins the path.
-class route_table {
+// begins the path. Immutable once made; shared by count among the configurations that state the
+// same routes.
+class route_table : public boost::intrusive_ref_counter<route_table> {
 public:
     route_table() = default;
+
+    // Of routes with the same name the last one stays.
     explicit route_table(std::vector<traffic_route> all);
 
-    // Null where there is none. `host` may carry a port, `path` a query.
+    route_table(const route_table&) = delete;
+    route_table& operator=(const route_table&) = delete;
+    ~route_table() = default;
+
+    // Null where there is none. `host` may carry a port, `path` a query. The cost grows with the
+    // length of the path, not with the number of routes.
     [[nodiscard]] const traffic_route* find(std::string_view host, std::string_view path) const;
 
     [[nodiscard]] const std::map<std::string, traffic_route>& by_name() const
@@ -71,11 +83,36 @@
         return this->routes;
     }
 
+    friend bool operator==(const route_table& left, const route_table& right)
+    {
+        return left.routes == right.routes;
+    }
+
 private:
+    // Hashes and compares host names without regard to case.
+    struct host_hash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view host) const;
+    };
+    struct same_host {
+        using is_transparent = void;
+        bool operator()(std::string_view left, std::string_view right) const;
+    };
+
+    // The routes of one host. What stands here points into `routes`.
+    struct host_routes {
+        std::unordered_map<std::string_view, const traffic_route*> by_prefix;
+        std::vector<std::size_t> lengths; // of the prefixes, each once, longest first
+    };
+
+    void index(const traffic_route& one);
+
     std::map<std::string, traffic_route> routes;
-    std::map<std::string, std::vector<std::string>, std::less<>> by_host; // longest prefix first
+    std::unordered_map<std::string_view, host_routes, host_hash, same_host> by_host;
 };
 
+using route_table_ptr = boost::intrusive_ptr<const route_table>;
+
 // The target for a request: targets get their weight's share of all random numbers.
 [[nodiscard]] const route_target* draw_target(const traffic_route& from, std::uint64_t random);
 
