Share routes and teams among configurations that state the same

Ruled out: comparing in the builder. Who builds knows whether the operator stated anything new; a comparison of 10,000 routes for each change is again work that grows with all of them. The tables can be compared by their callers.

Change: route_table and team_table are immutable parts, counted and shared. The builder takes ready ones; what states teams and routes one by one works as before.

Shown by pointer equality in configuration_test (does not compile without the change).

--- a/decision/include/pearhaven/decision/configuration.hpp
+++ b/decision/include/pearhaven/decision/configuration.hpp
@@ -56,6 +56,36 @@
     friend bool operator==(const team&, const team&) = default;
 };
 
+// All teams, and whose each key is. Immutable once made; shared by count among the configurations
+// that state the same teams.
+class team_table : public boost::intrusive_ref_counter<team_table> {
+public:
+    team_table() = default;
+
+    // Of teams with the same name the last one stays; a key that several hold is the last one's.
+    explicit team_table(std::vector<team> all);
+
+    [[nodiscard]] const std::map<std::string, team>& by_name() const { return this->teams; }
+
+    // Null where no team holds the key.
+    [[nodiscard]] const team* find_by_key(std::string_view key_sha256) const;
+
+    friend bool operator==(const team_table& left, const team_table& right)
+    {
+        return left.teams == right.teams && left.name_by_key == right.name_by_key;
+    }
+
+private:
+    friend class configuration_builder;
+
+    void add(team object);
+
+    std::map<std::string, team> teams;
+    std::map<std::string, std::string, std::less<>> name_by_key;
+};
+
+using team_table_ptr = boost::intrusive_ptr<const team_table>;
+
 // One version of a model. Its tags always hold `model` and `version` beside the operators' labels.
 struct version {
     std::string name;
@@ -140,7 +170,10 @@
 class configuration : public boost::intrusive_ref_counter<configuration> {
 public:
     [[nodiscard]] std::uint64_t revision() const { return this->revision_number; }
-    [[nodiscard]] const std::map<std::string, team>& teams() const { return this->team_map; }
+    [[nodiscard]] const std::map<std::string, team>& teams() const
+    {
+        return this->team_part->by_name();
+    }
     [[nodiscard]] const std::map<std::string, version>& versions() const
     {
         return this->version_map;
@@ -158,7 +191,12 @@
     {
         return this->cascade_map;
     }
-    [[nodiscard]] const route_table& routes() const { return this->routing; }
+    [[nodiscard]] const route_table& routes() const { return *this->route_part; }
+
+    // The parts that a later configuration with the same routes or teams can be made of. Never
+    // null.
+    [[nodiscard]] const route_table_ptr& shared_routes() const { return this->route_part; }
+    [[nodiscard]] const team_table_ptr& shared_teams() const { return this->team_part; }
 
     // Session key numbers, newest first. The newest seals new tokens; all of them open old ones.
     [[nodiscard]] const std::vector<std::uint32_t>& session_keys() const
@@ -178,20 +216,20 @@
     friend class configuration_builder;
 
     std::uint64_t revision_number = 0;
-    std::map<std::string, team> team_map;
+    team_table_ptr team_part{new team_table};
     std::map<std::string, version> version_map;
     std::map<std::string, pool> pool_map;
     std::map<std::string, service> service_map;
     std::map<std::string, rollout> rollout_map;
     std::map<std::string, cascade> cascade_map;
-    route_table routing;
+    route_table_ptr route_part{new route_table};
     std::vector<std::uint32_t> session_key_list = {1};
-    std::map<std::string, std::string, std::less<>> team_by_key;
 };
 
 using configuration_ptr = boost::intrusive_ptr<const configuration>;
 
-// Collects objects and makes the immutable configuration. The builder is spent by `build`.
+// Collects objects and makes the immutable configuration. Parts that are given ready are shared
+// with it, not copied. The builder is spent by `build`.
 class configuration_builder {
 public:
     configuration_builder& revision(std::uint64_t number);
@@ -202,11 +240,19 @@
     configuration_builder& add(rollout object);
     configuration_builder& add(cascade object);
     configuration_builder& routes(std::vector<traffic_route> all);
+
+    // In place of all routes stated so far. Must not be null.
+    configuration_builder& routes(route_table_ptr ready);
+
+    // In place of all teams added so far. A team that is added after it goes into a copy. Must not
+    // be null.
+    configuration_builder& teams(team_table_ptr ready);
     configuration_builder& session_keys(std::vector<std::uint32_t> newest_first);
     [[nodiscard]] configuration_ptr build();
 
 private:
     boost::intrusive_ptr<configuration> product{new configuration};
+    boost::intrusive_ptr<team_table> own_teams; // those added one by one; null: none was
 };
 
 } // namespace pearhaven::decision
--- a/decision/include/pearhaven/decision/traffic_route.hpp
+++ b/decision/include/pearhaven/decision/traffic_route.hpp
@@ -3,6 +3,9 @@
 
 #include "pearhaven/decision/time.hpp"
 
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -57,12 +60,19 @@
 };
 
 // Finds the route of a request: among those of its host, the one with the longest prefix that
-// begins the path.
-class route_table {
+// begins the path. Immutable once made; shared by count among the configurations that state the
+// same routes.
+class route_table : public boost::intrusive_ref_counter<route_table> {
 public:
     route_table() = default;
+
+    // Of routes with the same name the last one stays.
     explicit route_table(std::vector<traffic_route> all);
 
+    route_table(const route_table&) = delete;
+    route_table& operator=(const route_table&) = delete;
+    ~route_table() = default;
+
     // Null where there is none. `host` may carry a port, `path` a query.
     [[nodiscard]] const traffic_route* find(std::string_view host, std::string_view path) const;
 
@@ -71,11 +81,18 @@
         return this->routes;
     }
 
+    friend bool operator==(const route_table& left, const route_table& right)
+    {
+        return left.routes == right.routes;
+    }
+
 private:
     std::map<std::string, traffic_route> routes;
     std::map<std::string, std::vector<std::string>, std::less<>> by_host; // longest prefix first
 };
 
+using route_table_ptr = boost::intrusive_ptr<const route_table>;
+
 // The target for a request: targets get their weight's share of all random numbers.
 [[nodiscard]] const route_target* draw_target(const traffic_route& from, std::uint64_t random);
 
--- a/decision/src/configuration.cpp
+++ b/decision/src/configuration.cpp
@@ -35,14 +35,35 @@
                        });
 }
 
-const team* configuration::find_team_by_key(std::string_view key_sha256) const
+team_table::team_table(std::vector<team> all)
+{
+    for (auto& one : all) {
+        this->add(std::move(one));
+    }
+}
+
+void team_table::add(team object)
+{
+    for (const auto& digest : object.key_sha256) {
+        this->name_by_key.insert_or_assign(digest, object.name);
+    }
+    auto name = object.name;
+    this->teams.insert_or_assign(std::move(name), std::move(object));
+}
+
+const team* team_table::find_by_key(std::string_view key_sha256) const
 {
-    const auto found = this->team_by_key.find(key_sha256);
-    if (found == this->team_by_key.end()) {
+    const auto found = this->name_by_key.find(key_sha256);
+    if (found == this->name_by_key.end()) {
         return nullptr;
     }
-    const auto owner = this->team_map.find(found->second);
-    return owner == this->team_map.end() ? nullptr : &owner->second;
+    const auto owner = this->teams.find(found->second);
+    return owner == this->teams.end() ? nullptr : &owner->second;
+}
+
+const team* configuration::find_team_by_key(std::string_view key_sha256) const
+{
+    return this->team_part->find_by_key(key_sha256);
 }
 
 const version* configuration::find_version(std::string_view name) const
@@ -64,11 +85,18 @@
 
 configuration_builder& configuration_builder::add(team object)
 {
-    for (const auto& digest : object.key_sha256) {
-        this->product->team_by_key.insert_or_assign(digest, object.name);
+    if (this->own_teams == nullptr) {
+        this->own_teams = new team_table(*this->product->team_part);
+        this->product->team_part = this->own_teams;
     }
-    auto name = object.name;
-    this->product->team_map.insert_or_assign(std::move(name), std::move(object));
+    this->own_teams->add(std::move(object));
+    return *this;
+}
+
+configuration_builder& configuration_builder::teams(team_table_ptr ready)
+{
+    this->product->team_part = std::move(ready);
+    this->own_teams = nullptr;
     return *this;
 }
 
@@ -111,7 +139,12 @@
 
 configuration_builder& configuration_builder::routes(std::vector<traffic_route> all)
 {
-    this->product->routing = route_table(std::move(all));
+    return this->routes(route_table_ptr(new route_table(std::move(all))));
+}
+
+configuration_builder& configuration_builder::routes(route_table_ptr ready)
+{
+    this->product->route_part = std::move(ready);
     return *this;
 }
 
@@ -123,6 +156,7 @@
 
 configuration_ptr configuration_builder::build()
 {
+    this->own_teams = nullptr;
     return std::exchange(this->product, nullptr);
 }
 
--- a/decision/test/configuration_test.cpp
+++ b/decision/test/configuration_test.cpp
@@ -24,15 +24,33 @@
     CHECK_FALSE(chosen.matches({{"tier", "bronze"}, {"zone", "osu"}}));
 }
 
-TEST_GROUP(configuration_test){configuration_ptr build(bool withdrawn){team deposits;
-deposits.name = "deposits";
-deposits.key_sha256 = {"aa"};
-deposits.versions = selector().require("model", {"adjudicator"});
-version second;
+namespace {
+
+team make_team(const std::string& name, const std::string& key)
+{
+    team made;
+    made.name = name;
+    made.key_sha256 = {key};
+    made.versions = selector().require("model", {"adjudicator"});
+    return made;
+}
+
+traffic_route make_route(const std::string& name)
+{
+    traffic_route made;
+    made.name = name;
+    made.host = "a.example";
+    made.path_prefix = "/" + name + "/";
+    return made;
+}
+
+} // namespace
+
+TEST_GROUP(configuration_test){configuration_ptr build(bool withdrawn){version second;
 second.name = "adjudicator-2";
 second.model = "adjudicator";
 second.withdrawn = withdrawn;
-return configuration_builder().revision(7).add(deposits).add(second).build();
+return configuration_builder().revision(7).add(make_team("deposits", "aa")).add(second).build();
 }
 }
 ;
@@ -53,3 +71,60 @@
     CHECK_FALSE(
         after->allows(after->teams().at("deposits"), *after->find_version("adjudicator-2")));
 }
+
+TEST(configuration_test, a_configuration_made_from_ready_parts_copies_neither_routes_nor_teams)
+{
+    const route_table_ptr routes(new route_table({make_route("claims")}));
+    const team_table_ptr teams(new team_table({make_team("deposits", "aa")}));
+    const auto first = configuration_builder().revision(1).routes(routes).teams(teams).build();
+    const auto second = configuration_builder()
+                            .revision(2)
+                            .routes(first->shared_routes())
+                            .teams(first->shared_teams())
+                            .build();
+    POINTERS_EQUAL(routes.get(), &first->routes());
+    POINTERS_EQUAL(routes.get(), &second->routes());
+    POINTERS_EQUAL(&teams->by_name().at("deposits"), second->find_team_by_key("aa"));
+    POINTERS_EQUAL(&teams->by_name(), &second->teams());
+}
+
+TEST(configuration_test, a_team_added_to_ready_ones_leaves_those_of_other_configurations_alone)
+{
+    const auto first = configuration_builder().add(make_team("deposits", "aa")).build();
+    const auto second =
+        configuration_builder().teams(first->shared_teams()).add(make_team("claims", "bb")).build();
+    POINTERS_EQUAL(nullptr, first->find_team_by_key("bb"));
+    CHECK_EQUAL(std::string("claims"), second->find_team_by_key("bb")->name);
+    CHECK_EQUAL(std::string("deposits"), second->find_team_by_key("aa")->name);
+}
+
+TEST(configuration_test, ready_parts_take_the_place_of_what_was_stated_before)
+{
+    const auto first = configuration_builder().add(make_team("deposits", "aa")).build();
+    const auto second = configuration_builder()
+                            .add(make_team("claims", "bb"))
+                            .routes({make_route("claims")})
+                            .teams(first->shared_teams())
+                            .routes(first->shared_routes())
+                            .build();
+    POINTERS_EQUAL(nullptr, second->find_team_by_key("bb"));
+    CHECK_TRUE(second->routes().by_name().empty());
+}
+
+TEST(configuration_test, a_configuration_without_routes_and_teams_knows_none)
+{
+    const auto empty = configuration_builder().build();
+    CHECK_TRUE(empty->teams().empty());
+    POINTERS_EQUAL(nullptr, empty->find_team_by_key("aa"));
+    POINTERS_EQUAL(nullptr, empty->routes().find("a.example", "/claims/"));
+}
+
+TEST(configuration_test, parts_are_equal_when_they_state_the_same)
+{
+    const route_table routes({make_route("claims")});
+    CHECK_TRUE(routes == route_table({make_route("claims")}));
+    CHECK_FALSE(routes == route_table({make_route("deposits")}));
+    const team_table teams({make_team("deposits", "aa")});
+    CHECK_TRUE(teams == team_table({make_team("deposits", "aa")}));
+    CHECK_FALSE(teams == team_table({make_team("deposits", "bb")}));
+}
