Wait for a roll-out's record that cannot be read, in place of beginning anew

A router that took up an order beside an unreadable record took it for none: it wrote the first record of a course of its own over it, and a version that had been given up as bad met callers once more. The same where the nonsense came after the order and before any record. A router that knew the record kept to it, but never wrote it again after the last step, so that the value stayed unreadable for all who started later.

Now a course told of an unreadable value writes nothing and grants nothing until it is told of a record or of none. Who knows what the record said writes it again in its turn: at most 8 turns of 0.4 s, 3.2 s. Where nobody alive knows it the wait has no end: only the record says whether the version may have callers, and a missed roll-out costs less than callers of a bad version. A value whose revision is below the order's cannot be a record of it and is written over, so that nonsense left by an earlier roll-out holds up no later order.

Ruled out: beginning after a time limit (the record may say `bad` however long one waits); reading the platform's status in its place (it is written after the record and lags it).

--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -167,6 +167,13 @@
     // The record as the store holds it; none where it has no record yet.
     void on_record(const std::optional<course_record>& record, store_revision revision,
                    decision::instant now);
+
+    // The store's value at `revision` is no record. A course that knows what the record said goes
+    // on by that, and writes it again in its turn. One that does not know it waits: it begins
+    // nothing and writes nothing until `on_record` tells of a record, or of none. A value from
+    // before the order cannot be a record of it, and is written over.
+    void on_unreadable_record(store_revision revision, decision::instant now);
+
     void on_evidence(const std::string& router, const course_evidence& told);
     void on_own_evidence(const decision::run_counts& seen, const decision::run_counts& speed,
                          bool tripped);
@@ -180,6 +187,10 @@
                                          const course_rates& rates, decision::instant now);
 
     [[nodiscard]] const std::optional<course_record>& record() const { return this->held; }
+
+    // Whether it can neither begin nor go on, for a record that it cannot read.
+    [[nodiscard]] bool waits_for_record() const { return this->unreadable_since && !this->held; }
+
     [[nodiscard]] const course_evidence& own_evidence() const { return this->own; }
 
     // The most requests that were seen at once at the endpoint that is being filled.
@@ -212,6 +223,9 @@
                                                                  decision::duration elapsed) const;
     [[nodiscard]] std::optional<course_record>
     next_record(std::size_t size, const course_rates& rates, decision::instant now) const;
+    [[nodiscard]] std::optional<course_record> mended_record(decision::instant now) const;
+    void ask_for_write(const std::optional<course_record>& record, decision::instant now,
+                       course_actions& wanted);
     [[nodiscard]] std::optional<course_state> next_state(std::size_t size,
                                                          decision::instant now) const;
     [[nodiscard]] std::optional<course_state> state_after_whole(decision::duration elapsed) const;
@@ -222,6 +236,7 @@
     decision::instant began;
     std::optional<course_record> held;
     store_revision held_revision = 0;
+    std::optional<decision::instant> unreadable_since; // while the store's value is no record
     decision::instant step_began;
     std::map<std::string, course_evidence> others; // by router
     course_evidence own;
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -53,6 +53,7 @@
 {
     const bool other_run = record && record->run != this->what.run;
     this->held_revision = revision;
+    this->unreadable_since.reset();
     if (!record || other_run) {
         // An earlier attempt's record is written over by this one's first.
         this->held.reset();
@@ -67,6 +68,16 @@
     this->held = record;
 }
 
+void rollout_course::on_unreadable_record(store_revision revision, decision::instant now)
+{
+    if (!this->held && revision < this->what.run) {
+        this->on_record(std::nullopt, revision, now);
+        return;
+    }
+    this->held_revision = revision;
+    this->unreadable_since = this->unreadable_since.value_or(now);
+}
+
 void rollout_course::on_evidence(const std::string& router, const course_evidence& told)
 {
     if (told.run == this->what.run) {
@@ -259,6 +270,9 @@
                                                          const course_rates& rates,
                                                          decision::instant now) const
 {
+    if (this->waits_for_record()) {
+        return std::nullopt;
+    }
     if (!this->held) {
         return this->first_record(size);
     }
@@ -339,11 +353,35 @@
     return is_due ? std::make_optional(course_state::bad) : std::nullopt;
 }
 
+// What the store held before its value became unreadable. Routers that start meanwhile wait for it,
+// and after the last step no other write would come.
+std::optional<course_record> rollout_course::mended_record(decision::instant now) const
+{
+    const bool is_due = this->unreadable_since && now >= *this->unreadable_since;
+    return is_due ? this->held : std::nullopt;
+}
+
+void rollout_course::ask_for_write(const std::optional<course_record>& record,
+                                   decision::instant now, course_actions& wanted)
+{
+    if (!record || this->writing || now < this->retry_at) {
+        return;
+    }
+    this->writing = true;
+    wanted.write_record = record;
+    wanted.record_revision = this->held_revision;
+}
+
 course_actions rollout_course::on_tick(std::size_t rank, std::size_t size,
                                        const course_rates& rates, decision::instant now)
 {
     course_actions wanted;
+    // What is wanted now was wanted a turn ago by those before this router: they have had theirs.
+    const auto turns =
+        this->settings.turn * static_cast<std::int64_t>(std::min<std::size_t>(rank, 8));
+    const auto mended = this->mended_record(now - turns);
     if (is_final(this->held)) {
+        this->ask_for_write(mended, now, wanted);
         return wanted;
     }
     if (this->is_bad() && !this->told_trip) {
@@ -362,15 +400,10 @@
         this->next_report = now + this->settings.report_period;
         wanted.report = this->own;
     }
-    // What is wanted now was wanted a turn ago by those before this router: they have had theirs.
-    const auto turns =
-        this->settings.turn * static_cast<std::int64_t>(std::min<std::size_t>(rank, 8));
     const auto next = this->next_record(size, rates, this->is_bad() ? now : now - turns);
     const bool first_waits = !this->held && now - this->began < turns;
-    if (next && !first_waits && !this->writing && now >= this->retry_at) {
-        this->writing = true;
-        wanted.write_record = next;
-        wanted.record_revision = this->held_revision;
+    if (!first_waits) {
+        this->ask_for_write(next ? next : mended, now, wanted);
     }
     return wanted;
 }
--- a/coordination/test/rollout_course_test.cpp
+++ b/coordination/test/rollout_course_test.cpp
@@ -402,6 +402,68 @@
     CHECK_TRUE(course_state::staged == wanted.write_record->state);
 }
 
+// A router starts while the record of a roll-out that it does not know holds nonsense. Taken for no
+// record, it would begin the roll-out anew: a version that was given up as bad would meet callers
+// once more. It waits, sends nothing to the new version and writes nothing, until the record can be
+// read, and then goes on from there.
+TEST(rollout_course, nothing_begins_beside_a_record_that_cannot_be_read)
+{
+    rollout_course course({}, make_order(), start);
+    course.on_unreadable_record(attempt + 3, start);
+    for (auto now = start; now < start + seconds(60); now += milliseconds(50)) {
+        CHECK_FALSE(course.on_tick(0, 1, usual_rates, now).write_record.has_value());
+    }
+    CHECK_EQUAL(0U, course.plan("model").run);
+    course.on_record(course_record{attempt, 2, 9, 0, course_state::bad}, attempt + 4,
+                     start + seconds(60));
+    CHECK_TRUE(rollout_state::rolled_back == course.plan("model").state);
+}
+
+// The order is younger than the value that cannot be read, so that value is no record of it: the
+// one who waited for it would hold up every later order.
+TEST(rollout_course, what_could_not_be_read_before_the_order_is_written_over)
+{
+    rollout_course course({}, make_order(), start);
+    course.on_unreadable_record(attempt - 1, start);
+    const auto wanted = course.on_tick(0, 9, usual_rates, start);
+    CHECK_EQUAL(attempt - 1, wanted.record_revision);
+    const course_record first{attempt, 0, 9, 0, course_state::staged};
+    CHECK_TRUE(wanted.write_record == first);
+}
+
+// The operator takes the nonsense away, or the store's history tells of it: there is no record, and
+// the roll-out begins.
+TEST(rollout_course, a_course_begins_once_the_unreadable_record_is_gone)
+{
+    rollout_course course({}, make_order(), start);
+    course.on_unreadable_record(attempt + 3, start);
+    course.on_record(std::nullopt, 0, start + seconds(1));
+    const auto wanted = course.on_tick(0, 9, usual_rates, start + seconds(1));
+    CHECK_TRUE(wanted.write_record.has_value());
+    CHECK_EQUAL(0U, wanted.record_revision);
+}
+
+// Routers that wait are helped by any that knows what the record said: it writes it again, in turn,
+// also where the roll-out has ended and no step follows.
+TEST(rollout_course, who_knows_what_the_record_said_writes_it_again)
+{
+    for (const auto state : {course_state::staged, course_state::finished, course_state::bad}) {
+        const course_record said{attempt, 1, 9, 0, state};
+        rollout_course course({}, make_order(), start);
+        course.on_record(said, attempt + 2, start);
+        course.on_unreadable_record(attempt + 3, start);
+        CHECK_FALSE(
+            course.on_tick(2, 9, usual_rates, start + milliseconds(750)).write_record.has_value());
+        const auto wanted = course.on_tick(2, 9, usual_rates, start + milliseconds(850));
+        CHECK_TRUE(wanted.write_record == said);
+        CHECK_EQUAL(attempt + 3, wanted.record_revision);
+        course.on_written(start + milliseconds(900));
+        course.on_record(said, attempt + 4, start + milliseconds(900));
+        CHECK_FALSE(
+            course.on_tick(2, 9, usual_rates, start + milliseconds(950)).write_record.has_value());
+    }
+}
+
 // Routers die and wake at random while evidence comes in at random places. Whatever happens, the
 // record's states follow each other in order and a bad one is the last.
 TEST(rollout_course, states_follow_each_other_under_random_faults)
