Drop a load report of another life than the endpoint's known one

Reports of our own interface named no incarnation. An answer of an earlier life that came after the host list had named the next one was taken for the next one's: its load kept callers away from an empty endpoint, and its `draining` marked the new life as leaving, which nothing takes back.

A report now has an incarnation: the optional field of that name, or else the one that the router knew when it asked. One of another life than is known when it comes changes nothing and is counted (pearhaven_load_reports_dropped_total). A report without one, of an endpoint without a known one, counts as before. Ruled out: asking for the field always, which would drop every report of an engine that does not know its incarnation.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -213,7 +213,9 @@
 
     void on_configuration(configuration_ptr current, instant now);
     void on_hosts(const std::vector<endpoint_host>& hosts, instant now);
-    void on_load_report(const std::string& address, const load_report& report, instant now);
+
+    // False for a report that says nothing of the endpoint as it is known now.
+    bool on_load_report(const std::string& address, const load_report& report, instant now);
 
     // Another router says what it holds at the endpoints.
     void on_loads_told(const std::string& router, std::vector<endpoint_load> loads, instant now);
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -36,6 +36,7 @@
     double capacity = 0.0;
     duration age{};
     bool draining = false;
+    std::uint64_t incarnation = 0; // of the process that said it; 0: not known
 
     friend bool operator==(const load_report&, const load_report&) = default;
 };
@@ -176,8 +177,10 @@
     void lightened(const std::string& address, double work,
                    std::optional<std::uint64_t> incarnation = std::nullopt);
 
-    // Reports lag; what was sent since the moment they describe is added to them.
-    void reported(const std::string& address, const load_report& report, instant now);
+    // Reports lag; what was sent since the moment they describe is added to them. False for one
+    // that changes nothing: of an endpoint that is not known, or of another incarnation than is
+    // known.
+    bool reported(const std::string& address, const load_report& report, instant now);
 
     // Another router says what it holds; it replaces what that router said before. What it holds at
     // an incarnation that is not the one known here counts once the host list names that one.
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -52,12 +52,15 @@
     this->dispatch(now);
 }
 
-void dispatcher::on_load_report(const std::string& address, const load_report& report, instant now)
+bool dispatcher::on_load_report(const std::string& address, const load_report& report, instant now)
 {
-    this->table.reported(address, report, now);
+    if (!this->table.reported(address, report, now)) {
+        return false;
+    }
     if (report.draining) {
         this->table.mark_leaving(address, 0, now);
     }
+    return true;
 }
 
 void dispatcher::on_loads_told(const std::string& router, std::vector<endpoint_load> loads,
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -30,6 +30,16 @@
            incarnation.value_or(where->host.incarnation) == where->host.incarnation;
 }
 
+// Where either side does not know the incarnation, nothing speaks against it.
+bool may_be_of(const endpoint* where, const load_report& report)
+{
+    if (where == nullptr) {
+        return false;
+    }
+    const auto known = where->host.incarnation;
+    return report.incarnation == 0 || known == 0 || report.incarnation == known;
+}
+
 } // namespace
 
 class endpoint_table::state {
@@ -274,11 +284,14 @@
     }
 }
 
-void endpoint_table::reported(const std::string& address, const load_report& report, instant now)
+bool endpoint_table::reported(const std::string& address, const load_report& report, instant now)
 {
-    if (endpoint* where = this->inner->directory.find(address)) {
-        where->load.on_report(report, now);
+    endpoint* where = this->inner->directory.find(address);
+    if (!may_be_of(where, report)) {
+        return false;
     }
+    where->load.on_report(report, now);
+    return true;
 }
 
 std::optional<std::string> endpoint_table::choose(const placement& wanted, instant now,
--- a/decision/test/dispatcher_test.cpp
+++ b/decision/test/dispatcher_test.cpp
@@ -400,6 +400,22 @@
     CHECK_EQUAL(1U, pick<announce_leaving>(actions).at(0).incarnation);
 }
 
+// An endpoint says that it drains, stops, and starts again before that report is read. Believed of
+// the new process, it would get nothing for the rest of its life: leaving is never taken back.
+TEST(dispatcher_test, a_draining_report_of_an_earlier_life_does_not_bind_the_new_one)
+{
+    current.hosts = 1;
+    const auto router = this->make();
+    router->on_hosts(this->restarted(2), now);
+    const auto address = this->restarted(2).at(0).address;
+    CHECK_FALSE(router->on_load_report(address, {16, 0, 16, {}, true, 1}, now));
+    router->on_arrival(this->request(1), now);
+    CHECK_EQUAL(address, only_start(*router).address);
+    CHECK_TRUE(router->on_load_report(address, {16, 0, 16, {}, true, 2}, now));
+    router->on_arrival(this->request(2), now);
+    CHECK_TRUE(pick<start_attempt>(router->take_actions()).empty());
+}
+
 // Counted off, it would hide a request that the new process holds, and that one would be
 // overfilled.
 TEST(dispatcher_test, the_end_of_a_request_of_an_earlier_life_is_not_counted_off_the_new_one)
--- a/decision/test/endpoint_table_test.cpp
+++ b/decision/test/endpoint_table_test.cpp
@@ -192,6 +192,34 @@
     CHECK_EQUAL(2U, known.chosen(a_lookup).size());
 }
 
+// An endpoint starts again while its earlier life's answer is under way: full, and draining. Taken
+// for the new life's, callers would go round an empty endpoint until the next report came.
+TEST(endpoint_table_test, a_report_of_an_earlier_life_says_nothing_of_the_new_one)
+{
+    osu_table known(2, 16);
+    known.restart("e0", 2);
+    CHECK_FALSE(known.table.reported("e0", {16, 0, 16, {}, true, 1}, known.now));
+    CHECK_EQUAL(2U, known.chosen(a_lookup).size());
+    CHECK_TRUE(known.table.reported("e0", {16, 0, 16, {}, true, 2}, known.now));
+    CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
+}
+
+// The new life reports before the list names it: the life that is known here goes on as it did.
+TEST(endpoint_table_test, a_report_of_a_life_not_yet_listed_says_nothing_of_the_known_one)
+{
+    osu_table known(2, 16);
+    CHECK_FALSE(known.table.reported("e0", {16, 0, 16, {}, true, 2}, known.now));
+    CHECK_EQUAL(2U, known.chosen(a_lookup).size());
+}
+
+TEST(endpoint_table_test, a_report_that_names_no_life_is_of_the_known_one)
+{
+    osu_table known(2, 16);
+    CHECK_TRUE(known.table.reported("e0", {16, 0, 16, {}, true, 0}, known.now));
+    CHECK_TRUE((names{"e1"}) == known.chosen(a_lookup));
+    CHECK_FALSE(known.table.reported("no-such", {16, 0, 16, {}, true, 0}, known.now));
+}
+
 TEST(endpoint_table_test, only_endpoints_of_a_pool_that_selects_the_version_serve_it)
 {
     osu_table known(1, 4);
--- a/router/src/engine_event.cpp
+++ b/router/src/engine_event.cpp
@@ -87,7 +87,7 @@
     return error != nullptr && text_in(*error, "code") == "draining";
 }
 
-std::optional<decision::load_report> read_load(const std::string& body)
+std::optional<decision::load_report> read_load(const std::string& body, std::uint64_t asked)
 {
     const auto report = json::parse(body, nullptr, false);
     if (!report.is_object()) {
@@ -105,6 +105,13 @@
     }
     load.age = std::chrono::milliseconds(static_cast<std::int64_t>(age_ms));
     load.draining = draining != nullptr && draining->get<bool>();
+    load.incarnation = asked;
+    if (const auto* const incarnation = member(report, "incarnation")) {
+        if (!incarnation->is_number_unsigned()) {
+            return std::nullopt;
+        }
+        load.incarnation = incarnation->get<std::uint64_t>();
+    }
     return load;
 }
 
--- a/router/src/engine_event.hpp
+++ b/router/src/engine_event.hpp
@@ -31,7 +31,9 @@
 [[nodiscard]] bool says_leaving(const std::string& error_body);
 
 // An endpoint's report of its load. Nothing when a field is of another type or out of its range.
-[[nodiscard]] std::optional<decision::load_report> read_load(const std::string& body);
+// Where it does not name its incarnation, it is taken to be of the `asked` one.
+[[nodiscard]] std::optional<decision::load_report> read_load(const std::string& body,
+                                                             std::uint64_t asked);
 
 } // namespace pearhaven::router
 
--- a/router/src/routing_duty.cpp
+++ b/router/src/routing_duty.cpp
@@ -152,7 +152,9 @@
 
 void routing_duty::handle(load_reported& event)
 {
-    this->dispatcher.on_load_report(event.address, event.report, now());
+    if (!this->dispatcher.on_load_report(event.address, event.report, now())) {
+        this->counts.add("pearhaven_load_reports_dropped_total", {});
+    }
 }
 
 void routing_duty::handle(leaving_told& event)
@@ -434,31 +436,31 @@
 }
 
 // Engines give load reports. A plain service has its own paths: asking it would be a call of it.
-bool routing_duty::gives_load_reports(const std::string& address) const
+bool routing_duty::gives_load_reports(const decision::endpoint_host& host) const
 {
     const auto& current = this->dispatcher.current();
-    const auto host = this->dispatcher.endpoints().find(address);
-    if (!current || !host) {
+    if (!current) {
         return false;
     }
     const auto& pools = current->pools();
     return std::any_of(pools.begin(), pools.end(), [&host](const auto& named) {
-        return named.second.hosts.matches(host->tags);
+        return named.second.hosts.matches(host.tags);
     });
 }
 
 void routing_duty::poll_loads()
 {
     for (const auto& address : this->dispatcher.endpoints().used_addresses(now())) {
-        if (!this->gives_load_reports(address)) {
+        const auto host = this->dispatcher.endpoints().find(address);
+        if (!host || !this->gives_load_reports(*host)) {
             continue;
         }
         adapters::http_request request;
         request.url = "http://" + address + "/v1/load";
         request.total_timeout = load_timeout;
         adapters::fetch(this->client, std::move(request), max_load_body,
-                        [this, address](const auto& answer) {
-                            const auto load = read_load(answer.body);
+                        [this, address, asked = host->incarnation](const auto& answer) {
+                            const auto load = read_load(answer.body, asked);
                             if (!answer.result.error && load) {
                                 this->submit(load_reported{address, *load});
                             }
--- a/router/src/routing_duty.hpp
+++ b/router/src/routing_duty.hpp
@@ -93,7 +93,7 @@
     void tell_rollout(const decision::rollout_report& report);
     void poll_hosts();
     void poll_loads();
-    [[nodiscard]] bool gives_load_reports(const std::string& address) const;
+    [[nodiscard]] bool gives_load_reports(const decision::endpoint_host& host) const;
     void publish_view();
 
     const router_settings& settings;
--- a/router/test/engine_attempt_test.cpp
+++ b/router/test/engine_attempt_test.cpp
@@ -202,14 +202,23 @@
 
 TEST(engine_attempt_test, a_load_report_with_a_field_out_of_its_range_is_none)
 {
-    const auto load = read_load(R"({"running":2,"queued":1.5,"age_ms":20,"draining":true})");
+    const auto load = read_load(R"({"running":2,"queued":1.5,"age_ms":20,"draining":true})", 0);
     CHECK_TRUE(load.has_value());
     DOUBLES_EQUAL(1.5, load->queued, 0.0);
     CHECK_TRUE(load->age == std::chrono::milliseconds(20));
     CHECK_TRUE(load->draining);
     for (const auto* const body :
          {"", "[]", R"({"running":"2"})", R"({"capacity":-1})", R"({"age_ms":1e300})",
-          R"({"age_ms":9223372036854775807})", R"({"draining":1})", R"({"queued":null})"}) {
-        CHECK_FALSE(read_load(body).has_value());
+          R"({"age_ms":9223372036854775807})", R"({"draining":1})", R"({"queued":null})",
+          R"({"incarnation":-1})", R"({"incarnation":1.5})", R"({"incarnation":"7"})"}) {
+        CHECK_FALSE(read_load(body, 0).has_value());
     }
 }
+
+// An engine that starts again answers with what its earlier life said, or the list names the new
+// life only after the answer. A report without a life of its own would be believed of either.
+TEST(engine_attempt_test, a_load_report_is_of_the_life_that_it_names_or_else_of_the_one_asked)
+{
+    CHECK_EQUAL(7U, read_load(R"({"running":2,"incarnation":7})", 8)->incarnation);
+    CHECK_EQUAL(8U, read_load(R"({"running":2})", 8)->incarnation);
+}
--- a/router/test/parser_fuzz_test.cpp
+++ b/router/test/parser_fuzz_test.cpp
@@ -111,17 +111,18 @@
         R"({"id":"r","index":0,"model":"m","choices":[{"delta":{"content":"x"},"finish_reason":null}]})",
         R"({"id":"r","index":1,"choices":[{"delta":{},"finish_reason":"stop"}],
             "usage":{"prompt_tokens":3,"completion_tokens":1}})",
-        R"({"error":{"code":"draining"}})", R"({"running":2,"queued":1,"capacity":8,"age_ms":20})"};
+        R"({"error":{"code":"draining"}})", R"({"running":2,"queued":1,"capacity":8,"age_ms":20,
+            "incarnation":3})"};
     CHECK_TRUE(read_engine_event(examples[0])->content == "x");
     CHECK_TRUE(read_engine_event(examples[1])->closes);
     CHECK_TRUE(says_leaving(examples[2]));
-    CHECK_TRUE(read_load(examples[3]).has_value());
+    CHECK_TRUE(read_load(examples[3], 1).has_value());
     const auto wrong = first_fault(examples, 1'000, [](const std::string& bytes, byte_mutator&) {
         engine_run run("r", "m");
         std::vector<std::string> told;
         const bool taken = run.take(bytes, told);
         static_cast<void>(says_leaving(bytes));
-        const auto load = read_load(bytes);
+        const auto load = read_load(bytes, 1);
         return (taken || told.empty()) && (!load || load->running >= 0.0);
     });
     CHECK_EQUAL(std::string(), wrong);
