Refuse flag files that name themselves

`--flagfile=a` of a file that names itself, straight or through others, was expanded again and again: the program neither started nor ended. Behind a space, or in PREFIX_FLAGFILE, gflags' own reader took it and went down until its stack ended. Files that name the next one twice double their time with each.

All three ways to name a file go through our reader; the environment's is read before the command line, which wins over it.

Ruled out: refusing any file that is named twice; one that has ended may be named again, and what it says then stands.

--- a/adapters/include/pearhaven/adapters/flags.hpp
+++ b/adapters/include/pearhaven/adapters/flags.hpp
@@ -15,8 +15,9 @@
 
 // Sets the program's gflags from the command line, then from environment variables PREFIX_NAME (in
 // capitals) those that the command line left out. `--flagfile=PATH` stands for the arguments in a
-// file, one a line. All faults come back together, where gflags' own
-// parser would end the process at the first.
+// file, one a line; PREFIX_FLAGFILE names one that is read before the command line. A file that is
+// named within itself is a fault, as are more than 100. All faults come back together, where
+// gflags' own parser would end the process at the first.
 read_flags_result read_flags(int argc, char** argv, const std::string& environment_prefix);
 
 // The flags that the program itself defines, with type, default and meaning, one a line.
--- a/adapters/src/flags.cpp
+++ b/adapters/src/flags.cpp
@@ -4,15 +4,32 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstddef>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <set>
+#include <system_error>
 
 namespace pearhaven::adapters {
 
 namespace {
 
+// Files that one command line may name, each counted as often as it is named. Files that name the
+// next one twice would otherwise take a time that doubles with each.
+constexpr std::size_t most_flag_files = 100;
+
+constexpr const char* flag_file_flag = "flagfile";
+
+// One name for all the ways to write the path.
+std::string identity_of(const std::string& path)
+{
+    std::error_code failed;
+    const auto whole = std::filesystem::weakly_canonical(path, failed);
+    return failed ? path : whole.string();
+}
+
 std::string environment_name(const std::string& prefix, const std::string& flag)
 {
     std::string name = prefix + "_";
@@ -21,6 +38,12 @@
     return name;
 }
 
+// A file whose arguments are being read.
+struct open_flag_file {
+    std::string identity;
+    std::size_t left_after = 0; // arguments that follow its own
+};
+
 // One argument `--name=value`, `--name value`, `--name` or `--noname`.
 class argument_reader {
 public:
@@ -29,6 +52,7 @@
     read_flags_result read()
     {
         while (this->next < this->arguments.size()) {
+            this->close_ended_files();
             const auto argument = this->arguments[this->next++];
             if (argument == "--") {
                 break;
@@ -45,6 +69,9 @@
         return this->result;
     }
 
+    // Puts the file's arguments before all others.
+    void begin_with_file(const std::string& path) { this->take_file(path); }
+
     [[nodiscard]] const std::set<std::string>& seen() const { return this->names; }
 
 private:
@@ -60,10 +87,6 @@
         }
         gflags::CommandLineFlagInfo info;
         const bool known = gflags::GetCommandLineFlagInfo(name.c_str(), &info);
-        if (name == "flagfile" && equals != std::string::npos) {
-            this->take_file(argument.substr(equals + 1));
-            return;
-        }
         if (equals != std::string::npos) {
             this->set(name, known, argument.substr(equals + 1));
         } else if (known && info.type == "bool") {
@@ -78,10 +101,23 @@
         }
     }
 
+    // The argument that is about to be read is a file's as long as more are left than follow the
+    // file.
+    void close_ended_files()
+    {
+        const auto left = this->arguments.size() - this->next;
+        while (!this->open_files.empty() && left <= this->open_files.back().left_after) {
+            this->open_files.pop_back();
+        }
+    }
+
     // A file of arguments, one a line; empty lines and those that begin with # are passed over. Its
     // flags stand where the file is named.
     void take_file(const std::string& path)
     {
+        if (!this->may_open(path)) {
+            return;
+        }
         std::ifstream file(path);
         if (!file) {
             this->result.faults.push_back("--flagfile: found \"" + path +
@@ -94,10 +130,34 @@
                 lines.push_back(line);
             }
         }
+        this->open_files.push_back({identity_of(path), this->arguments.size() - this->next});
         this->arguments.insert(this->arguments.begin() + static_cast<std::ptrdiff_t>(this->next),
                                lines.begin(), lines.end());
     }
 
+    // A file that names itself, straight or through others, would be read without end: the program
+    // would neither start nor say why. A ring always comes back to a file that is open.
+    [[nodiscard]] bool may_open(const std::string& path)
+    {
+        const bool is_open = std::any_of(
+            this->open_files.begin(), this->open_files.end(),
+            [identity = identity_of(path)](const auto& file) { return file.identity == identity; });
+        if (is_open) {
+            this->result.faults.push_back("--flagfile: found \"" + path +
+                                          "\" within itself, allowed are files that do not name "
+                                          "themselves, nor name each other in a ring");
+            return false;
+        }
+        ++this->named_files;
+        if (this->named_files == most_flag_files + 1) {
+            const auto most = std::to_string(most_flag_files);
+            this->result.faults.push_back("--flagfile: found more than " + most +
+                                          " files, counted each time they are named, allowed are " +
+                                          most);
+        }
+        return this->named_files <= most_flag_files;
+    }
+
     [[nodiscard]] static bool is_bool(const std::string& name)
     {
         gflags::CommandLineFlagInfo info;
@@ -112,6 +172,10 @@
             return;
         }
         this->names.insert(name);
+        if (name == flag_file_flag) { // gflags' own reader goes round a ring until its stack ends
+            this->take_file(value);
+            return;
+        }
         if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
             const auto info = gflags::GetCommandLineFlagInfoOrDie(name.c_str());
             this->result.faults.push_back("--" + name + ": found \"" + value +
@@ -122,6 +186,8 @@
     std::vector<std::string> arguments;
     std::size_t next = 0;
     std::set<std::string> names;
+    std::vector<open_flag_file> open_files; // the one named last comes last
+    std::size_t named_files = 0;
     read_flags_result result;
 };
 
@@ -130,13 +196,17 @@
 read_flags_result read_flags(int argc, char** argv, const std::string& environment_prefix)
 {
     argument_reader reader(argc, argv);
+    const auto file_variable = environment_name(environment_prefix, flag_file_flag);
+    if (const char* path = std::getenv(file_variable.c_str())) {
+        reader.begin_with_file(path);
+    }
     auto result = reader.read();
     std::vector<gflags::CommandLineFlagInfo> flags;
     gflags::GetAllFlags(&flags);
     for (const auto& flag : flags) {
         const auto variable = environment_name(environment_prefix, flag.name);
         const char* value = std::getenv(variable.c_str());
-        if (value == nullptr || reader.seen().count(flag.name) > 0) {
+        if (value == nullptr || flag.name == flag_file_flag || reader.seen().count(flag.name) > 0) {
             continue;
         }
         if (gflags::SetCommandLineOption(flag.name.c_str(), value).empty()) {
--- a/adapters/test/flags_test.cpp
+++ b/adapters/test/flags_test.cpp
@@ -5,7 +5,9 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -15,6 +17,26 @@
 
 using pearhaven::adapters::read_flags;
 
+namespace {
+
+// A file in the working folder, for as long as the object lives.
+class flag_file {
+public:
+    flag_file(std::string where, const std::string& lines) : path(std::move(where))
+    {
+        std::ofstream(this->path) << lines;
+    }
+    ~flag_file() { std::remove(this->path.c_str()); }
+
+    flag_file(const flag_file&) = delete;
+    flag_file& operator=(const flag_file&) = delete;
+
+private:
+    std::string path;
+};
+
+} // namespace
+
 TEST_GROUP(flags_test){
     static pearhaven::adapters::read_flags_result read(std::vector<std::string> arguments){
         std::vector<char*> pointers;
@@ -79,3 +101,66 @@
 {
     LONGS_EQUAL(1, read({"program", "--flagfile=no/such/file"}).faults.size());
 }
+
+// A file that names itself, straight or through others: its arguments would be read again and again
+// and the program would neither start nor end. The caller gets one fault that names the file.
+TEST(flags_test, a_flag_file_that_names_itself_is_a_fault)
+{
+    const flag_file own("flags_test_own.flags", "--flagfile=flags_test_own.flags\n");
+    const auto faults = read({"program", "--flagfile=flags_test_own.flags"}).faults;
+    CHECK_EQUAL(1U, faults.size());
+    CHECK_EQUAL(std::string("--flagfile: found \"flags_test_own.flags\" within itself, allowed are "
+                            "files that do not name themselves, nor name each other in a ring"),
+                faults.at(0));
+}
+
+TEST(flags_test, a_ring_of_flag_files_is_a_fault_however_it_is_written)
+{
+    const flag_file first("flags_test_1.flags", "--flags_test_count=4\n--flagfile\n"
+                                                "./flags_test_2.flags\n--noflags_test_switch\n");
+    const flag_file second("flags_test_2.flags", "--flagfile=flags_test_1.flags");
+    CHECK_EQUAL(1U, read({"program", "--flagfile=flags_test_1.flags"}).faults.size());
+    CHECK_EQUAL(1U, read({"program", "--flagfile", "flags_test_2.flags"}).faults.size());
+    LONGS_EQUAL(4, FLAGS_flags_test_count);
+    CHECK_FALSE(FLAGS_flags_test_switch);
+}
+
+TEST(flags_test, a_flag_file_named_by_the_environment_is_read_as_the_others)
+{
+    const flag_file own("flags_test_own.flags",
+                        "--flags_test_count=7\n--flagfile=flags_test_own.flags\n");
+    setenv("FLAGSTEST_FLAGFILE", "flags_test_own.flags", 1);
+    CHECK_EQUAL(1U, read({"program"}).faults.size());
+    LONGS_EQUAL(7, FLAGS_flags_test_count);
+    read({"program", "--flags_test_count=8"});
+    LONGS_EQUAL(8, FLAGS_flags_test_count);
+    unsetenv("FLAGSTEST_FLAGFILE");
+}
+
+TEST(flags_test, a_flag_file_may_be_named_again_once_it_has_ended)
+{
+    const flag_file inner("flags_test_inner.flags", "--flags_test_count=5\n");
+    const flag_file outer("flags_test_outer.flags", "--flagfile=flags_test_inner.flags\n"
+                                                    "--flags_test_count=6\n"
+                                                    "--flagfile=flags_test_inner.flags\n");
+    CHECK_TRUE(read({"program", "--flagfile=flags_test_outer.flags", "--flags_test_count=6",
+                     "--flagfile=flags_test_inner.flags"})
+                   .faults.empty());
+    LONGS_EQUAL(5, FLAGS_flags_test_count);
+}
+
+// Forty files that name the next one twice each: no ring, and yet without an end for any caller.
+TEST(flags_test, files_that_multiply_are_a_fault)
+{
+    std::vector<std::unique_ptr<flag_file>> files;
+    for (int number = 0; number < 40; ++number) {
+        const auto next = "--flagfile=flags_test_" + std::to_string(number + 1) + ".flags\n";
+        files.push_back(std::make_unique<flag_file>(
+            "flags_test_" + std::to_string(number) + ".flags", number < 39 ? next + next : ""));
+    }
+    const auto faults = read({"program", "--flagfile=flags_test_0.flags"}).faults;
+    CHECK_EQUAL(1U, faults.size());
+    CHECK_EQUAL(std::string("--flagfile: found more than 100 files, counted each time they are "
+                            "named, allowed are 100"),
+                faults.at(0));
+}
