Keep a caller's connection for longer than it is told

A caller sent a request on a connection that had rested just as long as it may, and got no answer: the close was on its way, behind other bytes on the host's link, and crossed the request.

The router now closes 5 s later than it says. A late close costs a descriptor; nobody counts on it. The caller's own count of the rest starts later than the router's, and ends before it.

--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -65,12 +65,17 @@
     decision::duration head_time = std::chrono::seconds(3);  // from a head's first byte to its last
     decision::duration idle_time = std::chrono::seconds(15); // between two requests
 
+    // How much longer than told a connection is kept. What a caller sends at the end of its time is
+    // on its way for a while, it counts from when the answer reached it, and a close that its
+    // request crosses leaves it without an answer. A late close costs a descriptor.
+    decision::duration idle_slack = std::chrono::seconds(5);
+
     friend bool operator==(const inbound_limits&, const inbound_limits&) = default;
 };
 
 struct inbound_counts {
     std::uint64_t accepted = 0;
-    std::uint64_t refused_heads = 0; // malformed or too long
+    std::uint64_t refused_heads = 0;  // malformed or too long
     std::uint64_t unacknowledged = 0; // given up since the caller's host acknowledged nothing
     std::uint64_t closed_as_idle = 0;
     std::uint64_t sent_to_closed = 0; // of those: connections on which more came, and was lost
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -381,7 +381,8 @@
         return;
     }
     if (!this->reader.inside_message()) {
-        if (waited > std::max(this->idle_time, this->host.limits().idle_time)) {
+        const auto& limits = this->host.limits();
+        if (waited > std::max(this->idle_time, limits.idle_time) + limits.idle_slack) {
             this->closes_if_idle = true;
             this->ask_for_turn();
         }
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -297,6 +297,7 @@
     constexpr milliseconds idle_time{1000};
     inbound_limits limits;
     limits.idle_time = idle_time;
+    limits.idle_slack = milliseconds(0);
     this->server->set_limits(limits);
     const auto busy = script_socket::connect(this->server->port());
     loop_script script(this->loop);
@@ -317,6 +318,45 @@
     STRCMP_EQUAL("/second", this->listener.targets.back().c_str());
 }
 
+// A caller sends its next request just when the time is up that it was told, and gets no answer:
+// its request and the close crossed on the way.
+TEST(http_inbound, a_connection_is_kept_for_longer_than_its_callers_are_told)
+{
+    constexpr milliseconds idle_time{50};
+    constexpr milliseconds several_looks{600};
+    inbound_limits limits;
+    limits.idle_time = idle_time;
+    limits.idle_slack = std::chrono::minutes(1);
+    this->server->set_limits(limits);
+    loop_script script(this->loop);
+    decision::instant answered;
+    this->caller->send(request("/first"));
+    script
+        .when(this->has_requests(1),
+              [this, &answered] {
+                  this->listener.use(answer);
+                  answered = event_loop::read_clock();
+              })
+        .when([&answered,
+               several_looks] { return event_loop::read_clock() > answered + several_looks; },
+              [this] { this->caller->send(request("/second")); })
+        .until([this] { return this->listener.targets.size() == 2 || this->caller->is_ended(); });
+    CHECK_TRUE(script.run());
+    CHECK_EQUAL(2, this->listener.targets.size());
+}
+
+TEST(http_inbound, a_connection_that_rests_beyond_its_time_and_slack_is_closed)
+{
+    inbound_limits limits;
+    limits.idle_time = milliseconds(20);
+    limits.idle_slack = milliseconds(20);
+    this->server->set_limits(limits);
+    loop_script script(this->loop);
+    script.until([this] { return this->caller->is_ended(); });
+    CHECK_TRUE(script.run());
+    CHECK_EQUAL(1, this->server->counts().closed_as_idle);
+}
+
 // The balancer has just opened the connection; its first request is on the way.
 TEST(http_inbound, a_connection_that_has_just_come_is_not_idle)
 {
