Let one endpoint's change touch that endpoint, its group and its routes

Cause: each host list was gone over whole for one endpoint that changed, and then everything that follows from hosts and configuration was worked out anew: each endpoint was held against all pools, all routes were cleared, and the next request of each version went over all endpoints times all pools.

Ruled out: to keep set_hosts and find the difference inside. Finding it costs all endpoints as well, and so does the list that is made for it.

Change: endpoint_table::set_host and drop_host. The directory puts an endpoint into its group and the routes that are built, and takes it out again; pools, versions, services and endpoints are found by labels, not by asking all. A new configuration is compared to the last one, which is shared and not copied, and only what differs is followed. All three calls tell the lives that ended by them, so that no caller keeps a map of all endpoints to find them. set_hosts with a whole list stays and goes the same way.

Two things differ from before, both seen in endpoint_changes_test: - What is known of an address (its leaving, its ended lives) is kept for leaving_memory from the moment it left the list.

--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -29,6 +29,16 @@
     friend bool operator==(const endpoint_host&, const endpoint_host&) = default;
 };
 
+// A listed endpoint's process that is there no longer: the list names its address no more, or
+// another process at it.
+struct ended_life {
+    std::string address;
+    std::uint64_t incarnation = 0;
+    std::optional<std::uint64_t> next; // incarnation of the process that took its place
+
+    friend bool operator==(const ended_life&, const ended_life&) = default;
+};
+
 // What an endpoint said of itself, `age` before it was received.
 struct load_report {
     double running = 0.0;
@@ -146,14 +156,21 @@
     endpoint_table& operator=(const endpoint_table&) = delete;
     ~endpoint_table();
 
-    // Which endpoints serve which version or service, and their bounds.
+    // Which endpoints serve which version or service, and their bounds. The table shares the
+    // configuration.
     void configure(const configuration& current);
 
     // The whole host list. A host marked leaving comes back only with a newer incarnation. With a
     // newer incarnation all is dropped that was known of the earlier one, and what still runs there
     // counts no longer. Newer is a higher one; where lists come in order, any that was not replaced
-    // before. An incarnation that is older than the known one is passed over.
-    void set_hosts(const std::vector<endpoint_host>& hosts, instant now);
+    // before. An incarnation that is older than the known one is passed over. Tells the lives that
+    // ended by it.
+    std::vector<ended_life> set_hosts(const std::vector<endpoint_host>& hosts, instant now);
+
+    // As the last whole list, with this host added or in the place of the one at its address; or
+    // without the one at the address. The cost does not grow with the other endpoints.
+    std::vector<ended_life> set_host(const endpoint_host& host, instant now);
+    std::vector<ended_life> drop_host(const std::string& address, instant now);
 
     // The incarnation at the address gets no new work. 0 means the one now known. The mark does not
     // bind a newer one, and that of an incarnation already replaced is passed over.
--- a/decision/src/endpoint_directory.cpp
+++ b/decision/src/endpoint_directory.cpp
@@ -1,76 +1,252 @@
 #include "endpoint_directory.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pearhaven::decision {
 
+namespace {
+
+// The names under which the maps hold something else, or only one of them holds anything.
+template <typename Object>
+name_set differing(const std::map<std::string, Object>& before,
+                   const std::map<std::string, Object>& after)
+{
+    name_set names;
+    for (const auto& [name, object] : before) {
+        const auto other = after.find(name);
+        if (other == after.end() || !(other->second == object)) {
+            names.insert(name);
+        }
+    }
+    for (const auto& [name, object] : after) {
+        if (before.count(name) == 0) {
+            names.insert(name);
+        }
+    }
+    return names;
+}
+
+template <typename Object>
+const Object* find_in(const std::map<std::string, Object>& objects, const std::string& name)
+{
+    const auto found = objects.find(name);
+    return found == objects.end() ? nullptr : &found->second;
+}
+
+} // namespace
+
 void endpoint_directory::configure(const configuration& current)
 {
-    if (this->pools == current.pools() && this->versions == current.versions() &&
-        this->services == current.services()) {
+    const configuration_ptr before = this->config;
+    const auto pools = differing(before->pools(), current.pools());
+    const auto versions = differing(before->versions(), current.versions());
+    const auto services = differing(before->services(), current.services());
+    touched all;
+    for (const auto& name : versions) {
+        all.routes.insert({false, name});
+    }
+    this->touch_pools(pools, all);
+    this->touch_services(services, all);
+    this->unindex(pools, versions, services);
+    this->config = configuration_ptr(&current);
+    this->index(pools, versions, services);
+    this->touch_pools(pools, all);
+    this->touch_services(services, all);
+    for (const auto& key : all.routes) {
+        this->forget_route(key);
+    }
+    for (const auto& address : all.addresses) {
+        this->place_anew(this->endpoints.at(address));
+    }
+}
+
+void endpoint_directory::forget_route(const route_key& key)
+{
+    const auto built = this->routes.extract(key);
+    if (built.empty()) {
         return;
     }
-    this->pools = current.pools();
-    this->versions = current.versions();
-    this->services = current.services();
-    this->refresh();
+    for (endpoint* where : built.mapped().local) {
+        std::erase(where->routes, key);
+    }
+    for (endpoint* where : built.mapped().remote) {
+        std::erase(where->routes, key);
+    }
+}
+
+// What the pools select, as the configuration in force states them.
+void endpoint_directory::touch_pools(const name_set& names, touched& all) const
+{
+    for (const auto& name : names) {
+        const pool* offered = find_in(this->config->pools(), name);
+        if (offered == nullptr) {
+            continue;
+        }
+        all.addresses.merge(this->endpoints_of(offered->hosts));
+        for (const auto& version_name : this->versions_of(*offered)) {
+            all.routes.insert({false, version_name});
+        }
+    }
+}
+
+void endpoint_directory::touch_services(const name_set& names, touched& all) const
+{
+    for (const auto& name : names) {
+        all.routes.insert({true, name});
+        if (const service* offered = find_in(this->config->services(), name)) {
+            all.addresses.merge(this->endpoints_of(offered->hosts));
+        }
+    }
+}
+
+void endpoint_directory::unindex(const name_set& pools, const name_set& versions,
+                                 const name_set& services)
+{
+    for (const auto& name : pools) {
+        if (const pool* offered = find_in(this->config->pools(), name)) {
+            this->pools_by_hosts.remove(offered->hosts, name);
+            this->pools_by_versions.remove(offered->versions, name);
+        }
+    }
+    for (const auto& name : versions) {
+        if (const version* offered = find_in(this->config->versions(), name)) {
+            this->versions_by_tags.remove(offered->tags, name);
+        }
+    }
+    for (const auto& name : services) {
+        if (const service* offered = find_in(this->config->services(), name)) {
+            this->services_by_hosts.remove(offered->hosts, name);
+        }
+    }
+}
+
+void endpoint_directory::index(const name_set& pools, const name_set& versions,
+                               const name_set& services)
+{
+    for (const auto& name : pools) {
+        if (const pool* offered = find_in(this->config->pools(), name)) {
+            this->pools_by_hosts.add(offered->hosts, name);
+            this->pools_by_versions.add(offered->versions, name);
+        }
+    }
+    for (const auto& name : versions) {
+        if (const version* offered = find_in(this->config->versions(), name)) {
+            this->versions_by_tags.add(offered->tags, name);
+        }
+    }
+    for (const auto& name : services) {
+        if (const service* offered = find_in(this->config->services(), name)) {
+            this->services_by_hosts.add(offered->hosts, name);
+        }
+    }
 }
 
-void endpoint_directory::set_hosts(const std::vector<endpoint_host>& hosts, instant now)
+host_news endpoint_directory::set_hosts(const std::vector<endpoint_host>& hosts, instant now)
 {
-    bool changed = false;
-    std::set<std::string> listed;
+    host_news news;
+    name_set listed;
+    this->refused.clear();
     for (const auto& host : hosts) {
         listed.insert(host.address);
-        changed = this->take_host(host) || changed;
-        if (host.leaving) {
-            this->mark_leaving(host.address, host.incarnation, now);
-        }
+        this->take(host, now, news);
     }
-    changed = this->drop_unlisted(listed) || changed;
-    this->forget_old_addresses(now);
-    if (changed) {
-        this->refresh();
+    this->drop_unlisted(listed, now, news);
+    this->forget_old_addresses(now, news);
+    return news;
+}
+
+host_news endpoint_directory::set_host(const endpoint_host& host, instant now)
+{
+    host_news news;
+    this->take(host, now, news);
+    this->drop_idle_unlisted(now, news);
+    this->forget_old_addresses(now, news);
+    return news;
+}
+
+host_news endpoint_directory::drop_host(const std::string& address, instant now)
+{
+    host_news news;
+    this->refused.erase(address);
+    this->drop(address, now, news);
+    this->drop_idle_unlisted(now, news);
+    this->forget_old_addresses(now, news);
+    return news;
+}
+
+void endpoint_directory::take(const endpoint_host& host, instant now, host_news& news)
+{
+    this->take_host(host, news);
+    if (host.leaving) {
+        this->mark_leaving(host.address, host.incarnation, now);
     }
 }
 
-// Whether anything changed by it.
-bool endpoint_directory::take_host(const endpoint_host& host)
+void endpoint_directory::take_host(const endpoint_host& host, host_news& news)
 {
     endpoint_host newer = host;
     if (this->settings.lists_in_order && newer.incarnation == 0) {
         newer.incarnation = this->last_life(host.address); // without one it tells of no new start
     }
-    if (this->find(host.address) == nullptr && this->has_ended(host.address, newer.incarnation)) {
-        return false;
+    this->refused.erase(host.address);
+    endpoint* known = this->find(host.address);
+    if (known == nullptr && this->has_ended(host.address, newer.incarnation)) {
+        this->refused.emplace(host.address, host);
+        return;
     }
-    const auto [at, is_new] = this->endpoints.try_emplace(host.address, newer);
-    endpoint& known = at->second;
-    const bool was_listed = std::exchange(known.listed, true);
-    if (newer.incarnation != known.host.incarnation && this->begin_life(known, newer)) {
-        return true;
+    if (known == nullptr) {
+        this->begin(newer);
+        return;
+    }
+    if (known->listed && newer == known->host) {
+        return;
+    }
+    this->unplace(*known);
+    const bool was_listed = std::exchange(known->listed, true);
+    this->unlisted.erase(host.address);
+    this->change(*known, newer, was_listed, news);
+    this->place(*known);
+}
+
+void endpoint_directory::begin(const endpoint_host& host)
+{
+    const auto memory = this->memories.find(host.address);
+    if (memory != this->memories.end()) {
+        this->kept.erase({memory->second.made, host.address});
     }
-    this->remember_life(host.address, known.host.incarnation);
+    endpoint& added = this->endpoints.try_emplace(host.address, host).first->second;
+    this->remember_life(host.address, host.incarnation);
+    this->place(added);
+}
+
+void endpoint_directory::change(endpoint& known, const endpoint_host& newer, bool was_listed,
+                                host_news& news)
+{
+    const auto before = known.host.incarnation;
+    if (newer.incarnation != before && this->is_newer(known, newer)) {
+        if (was_listed) {
+            news.ended.push_back({newer.address, before, newer.incarnation});
+        }
+        news.outstanding_lost += known.outstanding;
+        news.readings_lost += known.readings;
+        this->remember_life(newer.address, before);
+        this->remember_life(newer.address, newer.incarnation);
+        known.replace(newer);
+        return;
+    }
+    this->remember_life(newer.address, before);
     // The list lags: it may still name a process that another one has replaced since.
-    if (newer.incarnation != known.host.incarnation || newer == known.host) {
-        return is_new || !was_listed;
+    if (newer.incarnation == before) {
+        known.host = newer;
     }
-    known.host = newer;
-    return true;
 }
 
 // Whether the host is a process that replaced the known one.
-bool endpoint_directory::begin_life(endpoint& known, const endpoint_host& host)
+bool endpoint_directory::is_newer(const endpoint& known, const endpoint_host& host) const
 {
-    const bool is_newer = this->settings.lists_in_order
-                              ? !this->has_ended(host.address, host.incarnation)
-                              : host.incarnation > known.host.incarnation;
-    if (is_newer) {
-        this->remember_life(host.address, known.host.incarnation);
-        this->remember_life(host.address, host.incarnation);
-        known.replace(host);
-    }
-    return is_newer;
+    return this->settings.lists_in_order ? !this->has_ended(host.address, host.incarnation)
+                                         : host.incarnation > known.host.incarnation;
 }
 
 void endpoint_directory::remember_life(const std::string& address, std::uint64_t incarnation)
@@ -108,40 +284,77 @@
            std::find(lives.begin(), lives.end() - 1, incarnation) != lives.end() - 1;
 }
 
-bool endpoint_directory::drop_unlisted(const std::set<std::string>& listed)
+void endpoint_directory::drop(const std::string& address, instant now, host_news& news)
 {
-    bool changed = false;
-    for (auto at = this->endpoints.begin(); at != this->endpoints.end();) {
-        endpoint& known = at->second;
-        if (listed.count(at->first) > 0) {
-            ++at;
-            continue;
+    const auto at = this->endpoints.find(address);
+    if (at == this->endpoints.end()) {
+        return;
+    }
+    endpoint& known = at->second;
+    this->unplace(known);
+    if (std::exchange(known.listed, false)) {
+        news.ended.push_back({address, known.host.incarnation, std::nullopt});
+    }
+    // What runs there must still be counted, should the host come back to the list.
+    if (known.outstanding > 0) {
+        this->unlisted.insert(address);
+        this->place(known);
+        return;
+    }
+    news.readings_lost += known.readings;
+    this->endpoints.erase(at);
+    this->unlisted.erase(address);
+    this->keep_memory(address, now);
+}
+
+void endpoint_directory::drop_unlisted(const name_set& listed, instant now, host_news& news)
+{
+    name_set gone;
+    for (const auto& [address, known] : this->endpoints) {
+        if (listed.count(address) == 0) {
+            gone.insert(address);
         }
-        changed = std::exchange(known.listed, false) || changed;
-        // What runs there must still be counted, should the host come back to the list.
-        const bool in_use = known.outstanding > 0;
-        changed = changed || !in_use;
-        at = in_use ? std::next(at) : this->endpoints.erase(at);
     }
-    return changed;
+    for (const auto& address : gone) {
+        this->drop(address, now, news);
+    }
 }
 
-void endpoint_directory::forget_old_addresses(instant now)
+void endpoint_directory::drop_idle_unlisted(instant now, host_news& news)
 {
-    for (auto at = this->memories.begin(); at != this->memories.end();) {
-        const bool listed = this->endpoints.count(at->first) > 0;
-        if (listed) {
-            at->second.made = now;
+    const name_set candidates = this->unlisted;
+    for (const auto& address : candidates) {
+        this->drop(address, now, news);
+    }
+}
+
+// From now on, for an address without an endpoint.
+void endpoint_directory::keep_memory(const std::string& address, instant now)
+{
+    address_memory& memory = this->memories[address];
+    this->kept.erase({memory.made, address});
+    memory.made = now;
+    this->kept.insert({now, address});
+}
+
+// A listed host that was refused for what is forgotten here is taken.
+void endpoint_directory::forget_old_addresses(instant now, host_news& news)
+{
+    while (!this->kept.empty() && now - this->kept.begin()->made > this->settings.leaving_memory) {
+        const std::string address = this->kept.begin()->address;
+        this->kept.erase(this->kept.begin());
+        this->memories.erase(address);
+        const auto waiting = this->refused.extract(address);
+        if (!waiting.empty()) {
+            this->take(waiting.mapped(), now, news);
         }
-        const bool old = now - at->second.made > this->settings.leaving_memory;
-        at = old ? this->memories.erase(at) : std::next(at);
     }
 }
 
 void endpoint_directory::mark_leaving(const std::string& address, std::uint64_t incarnation,
                                       instant now)
 {
-    const endpoint* known = this->find(address);
+    endpoint* known = this->find(address);
     if (incarnation == 0 && known != nullptr) {
         incarnation = known->host.incarnation;
     }
@@ -149,11 +362,17 @@
     if (this->has_ended(address, incarnation) || (this->settings.lists_in_order && is_other)) {
         return;
     }
+    if (known == nullptr) {
+        this->keep_memory(address, now);
+    }
     address_memory& memory = this->memories[address];
-    memory.made = now;
-    if (this->settings.lists_in_order || incarnation >= memory.leaving.value_or(0)) {
-        memory.leaving = incarnation;
-        this->routes.clear();
+    if (!this->settings.lists_in_order && incarnation < memory.leaving.value_or(0)) {
+        return;
+    }
+    const bool was_leaving = known != nullptr && this->is_leaving(*known);
+    memory.leaving = incarnation;
+    if (known != nullptr && this->is_leaving(*known) != was_leaving) {
+        this->place_anew(*known);
     }
 }
 
@@ -174,16 +393,64 @@
     return found == this->endpoints.end() ? nullptr : &found->second;
 }
 
-// Works out anew what follows from the configuration and the host list.
-void endpoint_directory::refresh()
+// Puts the endpoint where its tags, its listing and its leaving have it.
+void endpoint_directory::place(endpoint& where)
+{
+    this->describe(where);
+    this->endpoints_by_tags.add(where.host.tags, where.host.address);
+    if (!where.listed) {
+        return;
+    }
+    auto& group = this->groups[where.group];
+    const auto before = [](const endpoint* left, const endpoint* right) {
+        return left->host.address < right->host.address;
+    };
+    group.insert(std::lower_bound(group.begin(), group.end(), &where, before), &where);
+    if (!this->is_leaving(where)) {
+        this->put_into_routes(where);
+    }
+}
+
+// Undoes `place`. The endpoint must be as it was then.
+void endpoint_directory::unplace(endpoint& where)
+{
+    this->endpoints_by_tags.remove(where.host.tags, where.host.address);
+    const auto group = this->groups.find(where.group);
+    if (group != this->groups.end()) {
+        std::erase(group->second, &where);
+        if (group->second.empty()) {
+            this->groups.erase(group);
+        }
+    }
+    for (const auto& key : where.routes) {
+        route& built = this->routes.at(key);
+        std::erase(built.local, &where);
+        std::erase(built.remote, &where);
+    }
+    where.routes.clear();
+}
+
+void endpoint_directory::place_anew(endpoint& where)
 {
-    this->routes.clear();
-    this->groups.clear();
-    for (auto& [address, known] : this->endpoints) {
-        this->describe(known);
-        if (known.listed) {
-            this->groups[known.group].push_back(&known);
+    this->unplace(where);
+    this->place(where);
+}
+
+// Those that are built; the others find it when they are.
+void endpoint_directory::put_into_routes(endpoint& where)
+{
+    const bool is_local = where.host.zone == this->settings.zone;
+    const auto better = [this](const endpoint* left, const endpoint* right) {
+        return this->is_better(*left, *right);
+    };
+    for (auto& key : this->served_by(where.host)) {
+        const auto built = this->routes.find(key);
+        if (built == this->routes.end()) {
+            continue;
         }
+        auto& ranked = is_local ? built->second.local : built->second.remote;
+        ranked.insert(std::lower_bound(ranked.begin(), ranked.end(), &where, better), &where);
+        where.routes.push_back(std::move(key));
     }
 }
 
@@ -192,7 +459,8 @@
     double slots = this->settings.service_slots;
     where.long_share = 1.0;
     where.group.clear();
-    for (const auto& [name, offered] : this->pools) {
+    for (const auto& name : this->pools_by_hosts.candidates(where.host.tags)) {
+        const pool& offered = this->config->pools().at(name);
         if (!offered.hosts.matches(where.host.tags)) {
             continue;
         }
@@ -201,7 +469,8 @@
         where.long_share = std::min(where.long_share, offered.long_share);
         where.group = where.group.empty() ? "pool " + name : where.group;
     }
-    for (const auto& [name, offered] : this->services) {
+    for (const auto& name : this->services_by_hosts.candidates(where.host.tags)) {
+        const service& offered = this->config->services().at(name);
         if (where.group.empty() && offered.hosts.matches(where.host.tags)) {
             where.group = "service " + name;
         }
@@ -209,56 +478,103 @@
     where.limit.set_ceiling(slots);
 }
 
-bool endpoint_directory::serves(const std::string& name, bool is_service,
-                                const endpoint_host& host) const
+// All that the host serves, each once.
+std::vector<route_key> endpoint_directory::served_by(const endpoint_host& host) const
 {
-    return is_service ? this->services.at(name).hosts.matches(host.tags)
-                      : this->serves_version(this->versions.at(name), host);
+    std::set<route_key> served;
+    for (const auto& name : this->pools_by_hosts.candidates(host.tags)) {
+        const pool& offered = this->config->pools().at(name);
+        if (!offered.hosts.matches(host.tags)) {
+            continue;
+        }
+        for (const auto& version_name : this->versions_of(offered)) {
+            served.insert({false, version_name});
+        }
+    }
+    for (const auto& name : this->services_by_hosts.candidates(host.tags)) {
+        if (this->config->services().at(name).hosts.matches(host.tags)) {
+            served.insert({true, name});
+        }
+    }
+    return {served.begin(), served.end()};
 }
 
-bool endpoint_directory::serves_version(const version& wanted, const endpoint_host& host) const
+name_set endpoint_directory::versions_of(const pool& offered) const
 {
-    return std::any_of(this->pools.begin(), this->pools.end(), [&](const auto& named) {
-        return named.second.versions.matches(wanted.tags) && named.second.hosts.matches(host.tags);
+    name_set names = this->versions_by_tags.candidates(offered.versions);
+    std::erase_if(names, [&](const std::string& name) {
+        return !offered.versions.matches(this->config->versions().at(name).tags);
     });
+    return names;
+}
+
+name_set endpoint_directory::endpoints_of(const selector& hosts) const
+{
+    name_set addresses = this->endpoints_by_tags.candidates(hosts);
+    std::erase_if(addresses, [&](const std::string& address) {
+        return !hosts.matches(this->endpoints.at(address).host.tags);
+    });
+    return addresses;
+}
+
+// The configuration must hold the name.
+name_set endpoint_directory::endpoints_of(const route_key& key) const
+{
+    if (key.is_service) {
+        return this->endpoints_of(this->config->services().at(key.name).hosts);
+    }
+    name_set addresses;
+    const auto& tags = this->config->versions().at(key.name).tags;
+    for (const auto& name : this->pools_by_versions.candidates(tags)) {
+        const pool& offered = this->config->pools().at(name);
+        if (offered.versions.matches(tags)) {
+            addresses.merge(this->endpoints_of(offered.hosts));
+        }
+    }
+    return addresses;
 }
 
 const route& endpoint_directory::route_for(const std::string& name, bool is_service)
 {
-    const auto key = std::make_pair(is_service, name);
+    const route_key key{is_service, name};
     const auto found = this->routes.find(key);
     if (found != this->routes.end()) {
         return found->second;
     }
     // Only names of the configuration are kept, so that callers' inventions take no memory.
-    const bool exists =
-        is_service ? this->services.count(name) > 0 : this->versions.count(name) > 0;
+    const bool exists = is_service ? this->config->services().count(name) > 0
+                                   : this->config->versions().count(name) > 0;
     static const route empty;
-    return exists ? this->routes.emplace(key, this->build_route(name, is_service)).first->second
-                  : empty;
+    return exists ? this->routes.emplace(key, this->build_route(key)).first->second : empty;
 }
 
-route endpoint_directory::build_route(const std::string& name, bool is_service)
+route endpoint_directory::build_route(const route_key& key)
 {
     route built;
-    for (auto& [address, known] : this->endpoints) {
-        if (known.listed && !this->is_leaving(known) &&
-            this->serves(name, is_service, known.host)) {
+    for (const auto& address : this->endpoints_of(key)) {
+        endpoint& known = this->endpoints.at(address);
+        if (known.listed && !this->is_leaving(known)) {
             const bool is_local = known.host.zone == this->settings.zone;
             (is_local ? built.local : built.remote).push_back(&known);
+            known.routes.push_back(key);
         }
     }
-    // Rendezvous hashing: each router prefers other endpoints, and a host that comes or goes moves
-    // nothing but its own place.
     const auto better = [this](const endpoint* left, const endpoint* right) {
-        return mix(left->identity ^ this->settings.router_seed) <
-               mix(right->identity ^ this->settings.router_seed);
+        return this->is_better(*left, *right);
     };
     std::sort(built.local.begin(), built.local.end(), better);
     std::sort(built.remote.begin(), built.remote.end(), better);
     return built;
 }
 
+// Rendezvous hashing: each router prefers other endpoints, and a host that comes or goes moves
+// nothing but its own place.
+bool endpoint_directory::is_better(const endpoint& left, const endpoint& right) const
+{
+    return mix(left.identity ^ this->settings.router_seed) <
+           mix(right.identity ^ this->settings.router_seed);
+}
+
 const std::vector<endpoint*>& endpoint_directory::peers_of(const endpoint& where) const
 {
     static const std::vector<endpoint*> nobody;
--- a/decision/src/endpoint_directory.hpp
+++ b/decision/src/endpoint_directory.hpp
@@ -2,14 +2,16 @@
 #define PEARHAVEN_DECISION_ENDPOINT_DIRECTORY_HPP
 
 #include "endpoint_state.hpp"
+#include "label_index.hpp"
 
 #include "pearhaven/decision/configuration.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace pearhaven::decision {
@@ -20,14 +22,27 @@
     std::vector<endpoint*> remote;
 };
 
-// Which endpoints there are, which of them leave, and what each serves.
+// What followed from a change of the host list.
+struct host_news {
+    std::vector<ended_life> ended;
+    std::uint32_t outstanding_lost = 0; // requests that ran in those lives and count no longer
+    std::uint32_t readings_lost = 0;    // of them
+};
+
+// Which endpoints there are, which of them leave, and what each serves. A change of an endpoint
+// costs what that endpoint, its group and its routes hold; one of the configuration, besides the
+// comparison, what the pools, versions and services that differ select.
 class endpoint_directory {
 public:
     // Settings must outlive the directory.
     explicit endpoint_directory(const endpoint_table_settings& chosen) : settings(chosen) {}
 
+    // Shares the configuration.
     void configure(const configuration& current);
-    void set_hosts(const std::vector<endpoint_host>& hosts, instant now);
+
+    [[nodiscard]] host_news set_hosts(const std::vector<endpoint_host>& hosts, instant now);
+    [[nodiscard]] host_news set_host(const endpoint_host& host, instant now);
+    [[nodiscard]] host_news drop_host(const std::string& address, instant now);
     void mark_leaving(const std::string& address, std::uint64_t incarnation, instant now);
 
     endpoint* find(const std::string& address);
@@ -42,11 +57,11 @@
     [[nodiscard]] const std::map<std::string, endpoint>& all() const { return this->endpoints; }
     [[nodiscard]] const std::map<std::string, version>& served_versions() const
     {
-        return this->versions;
+        return this->config->versions();
     }
     [[nodiscard]] const std::map<std::string, service>& served_services() const
     {
-        return this->services;
+        return this->config->services();
     }
 
 private:
@@ -54,31 +69,73 @@
     struct address_memory {
         std::optional<std::uint64_t> leaving; // the incarnation that was marked
         std::vector<std::uint64_t> lives;     // incarnations in the order they came, newest last
+        instant made{};                       // since when it is kept for an unlisted address
+    };
+
+    // An address of which only the memory is there. Ordered by the moment from which it is kept.
+    struct kept_memory {
         instant made{};
+        std::string address;
+
+        friend bool operator<(const kept_memory& left, const kept_memory& right)
+        {
+            return std::tie(left.made, left.address) < std::tie(right.made, right.address);
+        }
+    };
+
+    // What a change of the configuration touches.
+    struct touched {
+        name_set addresses;
+        std::set<route_key> routes;
     };
 
-    bool take_host(const endpoint_host& host);
-    bool begin_life(endpoint& known, const endpoint_host& host);
+    void take(const endpoint_host& host, instant now, host_news& news);
+    void take_host(const endpoint_host& host, host_news& news);
+    void begin(const endpoint_host& host);
+    void change(endpoint& known, const endpoint_host& newer, bool was_listed, host_news& news);
+    [[nodiscard]] bool is_newer(const endpoint& known, const endpoint_host& host) const;
     void remember_life(const std::string& address, std::uint64_t incarnation);
     [[nodiscard]] std::uint64_t last_life(const std::string& address) const;
     [[nodiscard]] bool has_ended(const std::string& address, std::uint64_t incarnation) const;
-    bool drop_unlisted(const std::set<std::string>& listed);
-    void forget_old_addresses(instant now);
-    void refresh();
+    void drop(const std::string& address, instant now, host_news& news);
+    void drop_unlisted(const name_set& listed, instant now, host_news& news);
+    void drop_idle_unlisted(instant now, host_news& news);
+    void keep_memory(const std::string& address, instant now);
+    void forget_old_addresses(instant now, host_news& news);
+
+    void place(endpoint& where);
+    void unplace(endpoint& where);
+    void place_anew(endpoint& where);
+    void put_into_routes(endpoint& where);
     void describe(endpoint& where) const;
-    [[nodiscard]] bool serves(const std::string& name, bool is_service,
-                              const endpoint_host& host) const;
-    [[nodiscard]] bool serves_version(const version& wanted, const endpoint_host& host) const;
-    [[nodiscard]] route build_route(const std::string& name, bool is_service);
+    [[nodiscard]] std::vector<route_key> served_by(const endpoint_host& host) const;
+    [[nodiscard]] name_set endpoints_of(const route_key& key) const;
+    [[nodiscard]] name_set endpoints_of(const selector& hosts) const;
+    [[nodiscard]] name_set versions_of(const pool& offered) const;
+    [[nodiscard]] route build_route(const route_key& key);
+    [[nodiscard]] bool is_better(const endpoint& left, const endpoint& right) const;
+
+    void forget_route(const route_key& key);
+    void touch_pools(const name_set& names, touched& all) const;
+    void touch_services(const name_set& names, touched& all) const;
+    void unindex(const name_set& pools, const name_set& versions, const name_set& services);
+    void index(const name_set& pools, const name_set& versions, const name_set& services);
 
     const endpoint_table_settings& settings;
+    configuration_ptr config = configuration_builder().build();
     std::map<std::string, endpoint> endpoints;
-    std::map<std::string, version> versions;
-    std::map<std::string, pool> pools;
-    std::map<std::string, service> services;
+    std::map<std::string, endpoint_host> refused; // listed, but of a life that has ended
+    name_set unlisted;                            // endpoints that no list names, but in use then
     std::map<std::string, address_memory> memories;
-    std::map<std::pair<bool, std::string>, route> routes;
-    std::map<std::string, std::vector<endpoint*>> groups;
+    std::set<kept_memory> kept; // the memories whose address has no endpoint
+    std::map<route_key, route> routes;
+    std::map<std::string, std::vector<endpoint*>> groups; // in the order of their addresses
+
+    label_index endpoints_by_tags;
+    label_index versions_by_tags;
+    selector_index pools_by_hosts;
+    selector_index pools_by_versions;
+    selector_index services_by_hosts;
 };
 
 } // namespace pearhaven::decision
--- a/decision/src/endpoint_state.hpp
+++ b/decision/src/endpoint_state.hpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -34,6 +35,18 @@
     }
 };
 
+// A version or service as the target of requests.
+struct route_key {
+    bool is_service = false;
+    std::string name;
+
+    friend bool operator==(const route_key&, const route_key&) = default;
+    friend bool operator<(const route_key& left, const route_key& right)
+    {
+        return std::tie(left.is_service, left.name) < std::tie(right.is_service, right.name);
+    }
+};
+
 // All that is known of one endpoint.
 struct endpoint {
     explicit endpoint(endpoint_host listed_host)
@@ -46,6 +59,7 @@
     bool listed = true;
     std::string group; // pool or service, whose endpoints are compared with each other
     double long_share = 1.0;
+    std::vector<route_key> routes; // those it stands in
 
     std::uint32_t outstanding = 0;
     std::uint32_t readings = 0;       // of the outstanding ones
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -36,7 +36,7 @@
 public:
     explicit state(endpoint_table_settings chosen) : settings(std::move(chosen)) {}
 
-    void set_hosts(const std::vector<endpoint_host>& hosts, instant now);
+    std::vector<ended_life> take(host_news news);
     void started(endpoint& where, work_class kind, double work, instant now);
     void ended(endpoint& where, work_class kind, double work, attempt_result result,
                duration first_token, instant now);
@@ -66,14 +66,11 @@
 };
 
 // What ran at processes that were replaced is held no longer.
-void endpoint_table::state::set_hosts(const std::vector<endpoint_host>& hosts, instant now)
+std::vector<ended_life> endpoint_table::state::take(host_news news)
 {
-    this->directory.set_hosts(hosts, now);
-    this->own = {};
-    for (const auto& [address, known] : this->directory.all()) {
-        this->own.outstanding += known.outstanding;
-        this->own.readings += known.readings;
-    }
+    this->own.outstanding -= news.outstanding_lost;
+    this->own.readings -= news.readings_lost;
+    return std::move(news.ended);
 }
 
 void endpoint_table::state::note_told(const std::vector<endpoint_load>& loads, instant now)
@@ -230,9 +227,20 @@
     this->inner->directory.configure(current);
 }
 
-void endpoint_table::set_hosts(const std::vector<endpoint_host>& hosts, instant now)
+std::vector<ended_life> endpoint_table::set_hosts(const std::vector<endpoint_host>& hosts,
+                                                  instant now)
+{
+    return this->inner->take(this->inner->directory.set_hosts(hosts, now));
+}
+
+std::vector<ended_life> endpoint_table::set_host(const endpoint_host& host, instant now)
+{
+    return this->inner->take(this->inner->directory.set_host(host, now));
+}
+
+std::vector<ended_life> endpoint_table::drop_host(const std::string& address, instant now)
 {
-    this->inner->set_hosts(hosts, now);
+    return this->inner->take(this->inner->directory.drop_host(address, now));
 }
 
 void endpoint_table::mark_leaving(const std::string& address, std::uint64_t incarnation,
--- /dev/null
+++ b/decision/test/endpoint_changes_test.cpp
@@ -0,0 +1,424 @@
+#include "pearhaven/decision/endpoint_table.hpp"
+
+#include <rapidcheck.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::decision;
+
+namespace {
+
+endpoint_host host_at(const std::string& address, std::uint64_t incarnation,
+                      const std::string& served)
+{
+    return {address, "name-" + address, "osu", incarnation, false, {{"served", served}}};
+}
+
+pool pool_of(const std::string& name, selector hosts, selector versions, std::uint32_t slots)
+{
+    pool made;
+    made.name = name;
+    made.hosts = std::move(hosts);
+    made.versions = std::move(versions);
+    made.slots_per_host = slots;
+    return made;
+}
+
+version version_of(const std::string& name, const std::string& model)
+{
+    version made;
+    made.name = name;
+    made.model = model;
+    return made;
+}
+
+placement wanting(const std::string& name, bool is_service)
+{
+    placement wanted;
+    wanted.version_or_service = name;
+    wanted.is_service = is_service;
+    wanted.work = 100.0;
+    return wanted;
+}
+
+configuration_ptr two_versions()
+{
+    const auto pool_for = [](const std::string& name) {
+        return pool_of(name, selector().require("served", {name}),
+                       selector().require("version", {name}), 4);
+    };
+    return configuration_builder()
+        .add(version_of("a", "m"))
+        .add(version_of("b", "m"))
+        .add(pool_for("a"))
+        .add(pool_for("b"))
+        .build();
+}
+
+using lives = std::vector<ended_life>;
+
+// A table whose endpoints come and go one by one.
+struct changing_table {
+    changing_table()
+    {
+        this->table.configure(*two_versions());
+        this->table.set_host(host_at("e0", 1, "a"), this->now);
+        this->table.set_host(host_at("e1", 1, "a"), this->now);
+    }
+
+    std::string choose(const std::string& name)
+    {
+        return this->table.choose(wanting(name, false), this->now, ++this->random).value_or("none");
+    }
+
+    endpoint_table table{{}};
+    instant now{std::chrono::hours(1)};
+    std::uint64_t random = 0;
+};
+
+} // namespace
+
+TEST_GROUP(endpoint_changes){};
+
+TEST(endpoint_changes, an_endpoint_that_comes_gets_work_and_the_others_keep_theirs)
+{
+    changing_table known;
+    known.table.started("e0", work_class::lookup, 100.0, {}, known.now);
+    CHECK_EQUAL(std::string("none"), known.choose("b"));
+    CHECK_TRUE(lives{} == known.table.set_host(host_at("e2", 1, "b"), known.now));
+    CHECK_EQUAL(std::string("e2"), known.choose("b"));
+    CHECK_EQUAL(1U, known.table.own_loads().size());
+    CHECK_EQUAL(3U, known.table.addresses().size());
+}
+
+TEST(endpoint_changes, an_endpoint_that_is_dropped_ends_its_life_and_gets_nothing)
+{
+    changing_table known;
+    known.choose("a");
+    CHECK_TRUE((lives{{"e0", 1, std::nullopt}}) == known.table.drop_host("e0", known.now));
+    CHECK_TRUE(lives{} == known.table.drop_host("e0", known.now));
+    CHECK_EQUAL(std::string("e1"), known.choose("a"));
+    CHECK_TRUE((std::vector<std::string>{"e1"}) == known.table.addresses());
+}
+
+TEST(endpoint_changes, a_process_that_takes_over_tells_the_life_that_it_ended)
+{
+    changing_table known;
+    CHECK_TRUE((lives{{"e0", 1, 2}}) == known.table.set_host(host_at("e0", 2, "a"), known.now));
+    CHECK_TRUE(lives{} == known.table.set_host(host_at("e0", 2, "a"), known.now));
+    CHECK_EQUAL(2U, known.table.incarnation_of("e0"));
+}
+
+TEST(endpoint_changes, an_endpoint_that_serves_another_version_moves_to_its_route)
+{
+    changing_table known;
+    known.choose("a");
+    known.choose("b");
+    known.table.set_host(host_at("e0", 1, "b"), known.now);
+    CHECK_EQUAL(std::string("e0"), known.choose("b"));
+    CHECK_EQUAL(std::string("e1"), known.choose("a"));
+}
+
+TEST(endpoint_changes, a_whole_list_tells_all_lives_that_ended)
+{
+    changing_table known;
+    const auto ended = known.table.set_hosts({host_at("e1", 5, "a")}, known.now);
+    CHECK_TRUE((lives{{"e1", 1, 5}, {"e0", 1, std::nullopt}}) == ended);
+}
+
+// An operator's stop is noticed, then the router is quiet for long. The store's list that still
+// names the stopped endpoint comes late, and a request that was sent there would be lost. What is
+// known of an address is kept from the moment it left the list, however long no list came before.
+TEST(endpoint_changes, what_is_known_of_an_address_is_kept_from_when_it_left_the_list)
+{
+    changing_table known;
+    known.table.mark_leaving("e0", 0, known.now);
+    known.now += std::chrono::hours(1);
+    known.table.drop_host("e0", known.now);
+    known.now += std::chrono::minutes(1);
+    known.table.set_host(host_at("e0", 1, "a"), known.now);
+    CHECK_TRUE(known.table.find("e0")->leaving);
+}
+
+TEST(endpoint_changes, a_life_that_ended_is_taken_back_when_that_is_forgotten)
+{
+    changing_table known;
+    known.table.set_host(host_at("e0", 2, "a"), known.now);
+    known.table.drop_host("e0", known.now);
+    known.table.set_host(host_at("e0", 1, "a"), known.now);
+    CHECK_FALSE(known.table.find("e0").has_value());
+    known.now += std::chrono::minutes(11);
+    known.table.set_host(host_at("e1", 1, "a"), known.now);
+    CHECK_EQUAL(1U, known.table.incarnation_of("e0"));
+}
+
+namespace {
+
+// Of the full range from the first trial on, where the library begins with the smallest values.
+int any_below(int bound)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, bound));
+}
+
+selector any_hosts()
+{
+    return *rc::gen::element(selector(), selector::nothing(), selector().require("served", {"a"}),
+                             selector().require("served", {"a", "b"}),
+                             selector().require("served", {"b"}).require("kind", {"x"}),
+                             selector().require("kind", {"x", "y"}));
+}
+
+selector any_versions()
+{
+    return *rc::gen::element(selector(), selector::nothing(), selector().require("version", {"a"}),
+                             selector().require("version", {"a", "b"}),
+                             selector().require("model", {"m", "n"}));
+}
+
+std::string any_version()
+{
+    return *rc::gen::element<std::string>("a", "b", "c");
+}
+
+std::string any_service()
+{
+    return *rc::gen::element<std::string>("s", "t");
+}
+
+// Of few names, so that one that follows another changes some parts and leaves others.
+configuration_ptr any_configuration()
+{
+    configuration_builder builder;
+    for (int count = any_below(5); count > 0; --count) {
+        builder.add(pool_of("p" + std::to_string(any_below(3)), any_hosts(), any_versions(),
+                            1U + static_cast<std::uint32_t>(any_below(3))));
+    }
+    for (int count = 1 + any_below(5); count > 0; --count) {
+        builder.add(version_of(any_version(), *rc::gen::element<std::string>("m", "n")));
+    }
+    for (int count = any_below(3); count > 0; --count) {
+        service made;
+        made.name = any_service();
+        made.hosts = any_hosts();
+        builder.add(made);
+    }
+    return builder.build();
+}
+
+endpoint_host any_host(const std::string& address)
+{
+    endpoint_host host;
+    host.address = address;
+    host.zone = *rc::gen::element<std::string>("osu", "esu");
+    host.incarnation = static_cast<std::uint64_t>(any_below(4));
+    host.leaving = any_below(5) == 0;
+    host.tags = {{"served", any_version()}, {"kind", *rc::gen::element<std::string>("x", "y")}};
+    return host;
+}
+
+endpoint_table_settings any_settings()
+{
+    endpoint_table_settings chosen;
+    chosen.zone = "osu";
+    chosen.subset_size = *rc::gen::element<std::size_t>(2, 48);
+    chosen.lists_in_order = *rc::gen::arbitrary<bool>();
+    chosen.weighs_all = *rc::gen::arbitrary<bool>();
+    return chosen;
+}
+
+// One table is told each whole list and another what changed, and all else alike. A third one is
+// told whole lists too, but is asked nothing on the way: its routes are built from the lists, where
+// those of the others were there already and had to follow.
+class twin_tables {
+public:
+    twin_tables()
+    {
+        this->configure();
+        for (const auto* address : {"e0", "e1", "e2", "e3", "e4"}) {
+            this->set(any_host(address));
+        }
+    }
+
+    void play_one_event()
+    {
+        this->now += std::chrono::seconds(
+            *rc::gen::weightedElement<int>({{12, 0}, {3, 1}, {1, 500}, {1, 1300}}));
+        const auto address = "e" + std::to_string(any_below(5));
+        switch (any_below(12)) {
+        case 0:
+            this->configure();
+            break;
+        case 1:
+        case 2:
+            this->drop(address);
+            break;
+        case 3:
+            this->mark_leaving(address);
+            break;
+        case 4:
+        case 5:
+            this->end_one(address);
+            break;
+        case 6:
+        case 7:
+        case 8:
+            this->start_one(address);
+            break;
+        default:
+            this->set(any_host(address));
+            break;
+        }
+    }
+
+    void compare_answers()
+    {
+        RC_ASSERT(this->whole.status(this->now) == this->changed.status(this->now));
+        RC_ASSERT(this->whole.addresses() == this->changed.addresses());
+        RC_ASSERT(this->whole.own_loads() == this->changed.own_loads());
+        const auto random = ++this->draws;
+        for (const auto* name : {"a", "b", "c"}) {
+            this->compare_target(wanting(name, false), random);
+        }
+        for (const auto* name : {"s", "t"}) {
+            this->compare_target(wanting(name, true), random);
+        }
+    }
+
+    void compare_with_unasked()
+    {
+        RC_ASSERT(this->unasked.status(this->now) == this->changed.status(this->now));
+        RC_ASSERT(this->unasked.used_addresses(this->now) ==
+                  this->changed.used_addresses(this->now));
+        for (const auto* name : {"a", "b", "c"}) {
+            RC_ASSERT(this->unasked.choose(wanting(name, false), this->now, this->draws) ==
+                      this->changed.choose(wanting(name, false), this->now, this->draws));
+        }
+    }
+
+private:
+    void compare_target(const placement& wanted, std::uint64_t random)
+    {
+        RC_ASSERT(this->whole.serves(wanted, this->now) == this->changed.serves(wanted, this->now));
+        RC_ASSERT(this->whole.choose(wanted, this->now, random) ==
+                  this->changed.choose(wanted, this->now, random));
+        RC_ASSERT(this->whole.used_addresses(this->now) == this->changed.used_addresses(this->now));
+    }
+
+    template <typename Event>
+    void on_all(Event event)
+    {
+        event(this->whole);
+        event(this->changed);
+        event(this->unasked);
+    }
+
+    void configure()
+    {
+        const auto next = any_configuration();
+        this->on_all([&](endpoint_table& table) { table.configure(*next); });
+    }
+
+    void mark_leaving(const std::string& address)
+    {
+        const auto incarnation = static_cast<std::uint64_t>(any_below(4));
+        this->on_all(
+            [&](endpoint_table& table) { table.mark_leaving(address, incarnation, this->now); });
+    }
+
+    void start_one(const std::string& address)
+    {
+        const auto kind = *rc::gen::element(work_class::lookup, work_class::reading);
+        this->on_all(
+            [&](endpoint_table& table) { table.started(address, kind, 100.0, {}, this->now); });
+        this->running[address].push_back(kind);
+    }
+
+    void end_one(const std::string& address)
+    {
+        auto& here = this->running[address];
+        if (here.empty()) {
+            return;
+        }
+        const auto result = *rc::gen::element(attempt_result::finished, attempt_result::refused,
+                                              attempt_result::unreachable);
+        this->on_all([&](endpoint_table& table) {
+            table.ended(address, here.back(), 100.0, result, std::chrono::milliseconds(100),
+                        this->now);
+        });
+        here.pop_back();
+    }
+
+    void set(const endpoint_host& host)
+    {
+        this->listed.insert_or_assign(host.address, host);
+        this->compare_ended(this->changed.set_host(host, this->now));
+    }
+
+    void drop(const std::string& address)
+    {
+        this->listed.erase(address);
+        this->compare_ended(this->changed.drop_host(address, this->now));
+    }
+
+    // The lives that ended are those that a caller would find who keeps all.
+    void compare_ended(const lives& ended)
+    {
+        const auto before = this->lives_of(this->whole);
+        std::vector<endpoint_host> hosts;
+        for (const auto& [address, host] : this->listed) {
+            hosts.push_back(host);
+        }
+        RC_ASSERT(this->whole.set_hosts(hosts, this->now) == ended);
+        this->unasked.set_hosts(hosts, this->now);
+        const auto after = this->lives_of(this->whole);
+        lives found;
+        for (const auto& [address, incarnation] : before) {
+            const auto next = after.find(address);
+            if (next == after.end()) {
+                found.push_back({address, incarnation, std::nullopt});
+            } else if (next->second != incarnation) {
+                found.push_back({address, incarnation, next->second});
+            }
+        }
+        RC_ASSERT(found == ended);
+    }
+
+    static std::map<std::string, std::uint64_t> lives_of(const endpoint_table& table)
+    {
+        std::map<std::string, std::uint64_t> present;
+        for (const auto& address : table.addresses()) {
+            present.emplace(address, table.incarnation_of(address));
+        }
+        return present;
+    }
+
+    const endpoint_table_settings settings = any_settings();
+    endpoint_table whole{this->settings};
+    endpoint_table changed{this->settings};
+    endpoint_table unasked{this->settings};
+    std::map<std::string, endpoint_host> listed;
+    std::map<std::string, std::vector<work_class>> running;
+    instant now{std::chrono::hours(1)};
+    std::uint64_t draws = 0;
+};
+
+} // namespace
+
+TEST(endpoint_changes, changes_one_by_one_come_to_the_same_as_whole_lists)
+{
+    CHECK_TRUE(rc::check("same as whole lists", [] {
+        constexpr int events = 60;
+        twin_tables twins;
+        for (int event = 0; event < events; ++event) {
+            twins.play_one_event();
+            twins.compare_answers();
+        }
+        twins.compare_with_unasked();
+    }));
+}
--- a/decision/test/endpoint_table_test.cpp
+++ b/decision/test/endpoint_table_test.cpp
@@ -476,6 +476,19 @@
     CHECK_TRUE(known.takes("e1", a_reading));
 }
 
+// Lookups of an earlier life that were never taken off again would make the others' work look like
+// lookups, and readings would fill the slots that lookups need.
+TEST(endpoint_table_test, lookups_of_an_earlier_life_are_held_no_longer)
+{
+    osu_table known(3, 16);
+    known.start_many("e0", 8);
+    known.start("e1", work_class::reading);
+    known.table.reported("e2", {8, 0, 16, {}, false}, known.now);
+    CHECK_TRUE(known.takes("e2", a_reading));
+    known.restart("e0", 2);
+    CHECK_FALSE(known.takes("e2", a_reading));
+}
+
 TEST(endpoint_table_test, what_others_hold_at_an_earlier_life_counts_for_nothing)
 {
     osu_table known(2, 16);
