--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -18,8 +18,8 @@
   CXXFLAGS=-O1 PEARHAVEN_BUILD_TYPE=None PEARHAVEN_SANITIZE=address,undefined,float-cast-overflow \
     scripts/build.sh
 }
-# The tests whose programs have threads, with two of those that start real routers.
-threaded_tests=(adapters_tests router_tests standins_tests path_test planned_stop_test)
+# The tests whose programs have threads, with three of those that start real routers.
+threaded_tests=(adapters_tests router_tests platform_tests standins_tests path_test planned_stop_test platform_path_test)
 build_threaded_tests() {
   CXXFLAGS=-O1 PEARHAVEN_BUILD="$PEARHAVEN_BUILD-threads" PEARHAVEN_BUILD_TYPE=None \
     PEARHAVEN_SANITIZE=thread scripts/build.sh "${threaded_tests[@]}"
