Tell the dispatcher of single endpoints, not of all of them

Cause: for an endpoint that came, changed or left, the node listed all endpoints for the dispatcher, and held two maps of all of them against each other to find whose idle connections were void.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -200,6 +200,14 @@
     friend bool operator==(const planned_stop&, const planned_stop&) = default;
 };
 
+// What became of some hosts of the list; all others are as before.
+struct host_changes {
+    std::vector<endpoint_host> present;
+    std::vector<std::string> gone; // addresses
+
+    friend bool operator==(const host_changes&, const host_changes&) = default;
+};
+
 // Decides for every request of one router when, where and on which version it runs, and what
 // becomes of it when that fails. Event in, actions out: each event function may add actions, which
 // the caller takes with `take_actions` and carries out in order. Every admitted ticket gets exactly
@@ -213,6 +221,11 @@
 
     void on_configuration(configuration_ptr current, instant now);
     void on_hosts(const std::vector<endpoint_host>& hosts, instant now);
+
+    // As `on_hosts` with a list so changed. The cost does not grow with the other hosts. Tells the
+    // lives that ended by it; whoever keeps connections to them must not use these for what the
+    // actions then start.
+    std::vector<ended_life> on_host_changes(const host_changes& changes, instant now);
     void on_load_report(const std::string& address, const load_report& report, instant now);
 
     // Another router says what it holds at the endpoints.
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -52,6 +52,21 @@
     this->dispatch(now);
 }
 
+std::vector<ended_life> dispatcher::on_host_changes(const host_changes& changes, instant now)
+{
+    std::vector<ended_life> ended;
+    for (const auto& host : changes.present) {
+        const auto replaced = this->table.set_host(host, now);
+        ended.insert(ended.end(), replaced.begin(), replaced.end());
+    }
+    for (const auto& address : changes.gone) {
+        const auto dropped = this->table.drop_host(address, now);
+        ended.insert(ended.end(), dropped.begin(), dropped.end());
+    }
+    this->dispatch(now);
+    return ended;
+}
+
 void dispatcher::on_load_report(const std::string& address, const load_report& report, instant now)
 {
     this->table.reported(address, report, now);
--- a/decision/test/dispatcher_test.cpp
+++ b/decision/test/dispatcher_test.cpp
@@ -383,6 +383,44 @@
     CHECK_EQUAL(first.address, only_start(*router).address);
 }
 
+// A request waits since the only endpoint is full. It is sent as soon as another one comes.
+TEST(dispatcher_test, a_request_that_waits_is_sent_to_a_host_that_comes)
+{
+    current.hosts = 2;
+    const auto hosts = make_hosts(current);
+    current.hosts = 1;
+    current.slots = 1;
+    const auto router = this->make();
+    router->on_arrival(this->request(1), now);
+    CHECK_EQUAL(hosts[0].address, only_start(*router).address);
+    router->on_arrival(this->request(2), now);
+    LONGS_EQUAL(0, pick<start_attempt>(router->take_actions()).size());
+    CHECK_TRUE(router->on_host_changes({{hosts[1]}, {}}, now).empty());
+    CHECK_EQUAL(hosts[1].address, only_start(*router).address);
+}
+
+TEST(dispatcher_test, hosts_that_go_or_are_replaced_end_their_lives_and_the_others_stay)
+{
+    current.hosts = 3;
+    const auto hosts = this->restarted(7);
+    const auto router = this->make();
+    const auto ended = router->on_host_changes({{hosts[0]}, {hosts[1].address}}, now);
+    LONGS_EQUAL(2, ended.size());
+    CHECK_EQUAL(hosts[0].address, ended[0].address);
+    CHECK_EQUAL(7U, *ended[0].next);
+    CHECK_EQUAL(hosts[1].address, ended[1].address);
+    CHECK_FALSE(ended[1].next.has_value());
+    LONGS_EQUAL(4, router->endpoints().addresses().size()); // two engines and the plain services
+    for (ticket_number ticket = 1; ticket < 9; ++ticket) {
+        router->on_arrival(this->request(ticket), now);
+    }
+    const auto starts = pick<start_attempt>(router->take_actions());
+    LONGS_EQUAL(8, starts.size());
+    for (const auto& start : starts) {
+        CHECK_TRUE(start.address != hosts[1].address);
+    }
+}
+
 // A refusal that an endpoint gave while it left comes late, when a new process has its name
 // already.
 TEST(dispatcher_test, a_late_word_that_an_earlier_life_leaves_does_not_bind_the_new_one)
