Answer every request whose team, version or service is removed meanwhile

A caller sees its connection, and those of all other callers of the router, end without an answer: the operator has removed a team while one of its requests ran, and that request was refused by its endpoint, lost with it, or its answer dropped as poor. Cause: enqueue looked up the team's share with at(), which threw std::out_of_range out of the event loop.

A request may come back to the queue for a team that is gone. It gets a weight there and is refused at its turn, with a status that says whether it may have run. Two more of the same class: an answer that the small model doubts was dropped, and a silent run given up, though no other run may begin any more; now the answer is delivered and the run waited for.

Tests: decision_tests, group changed_dispatch, ten tests.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -238,7 +238,8 @@
 
     // The attempt's answer has begun, with the model's own opinion of it, 0 to 100. Whether the
     // answer is to be delivered. If not, nothing of it may reach the caller: the run is over for
-    // the dispatcher, its connection is to be closed, and a larger model gets the request.
+    // the dispatcher, its connection is to be closed, and a larger model gets the request. An
+    // answer is never dropped where no other run may begin.
     [[nodiscard]] bool accepts_answer(ticket_number ticket, attempt_number attempt,
                                       double confidence, instant now);
 
@@ -254,7 +255,7 @@
                                                   double part_of_objective) const;
 
     // Whether the request would get another attempt if its present one were given up now. If not,
-    // waiting on is its only hope.
+    // waiting on is its only hope: so it is, too, once the operator has removed what it asks for.
     [[nodiscard]] bool may_move(ticket_number ticket, instant now) const;
     void on_caller_gone(ticket_number ticket, instant now);
 
@@ -351,6 +352,7 @@
     [[nodiscard]] duration expected_wait() const;
     [[nodiscard]] bool helps_to_fill(const request_state& state, const std::string& version) const;
 
+    [[nodiscard]] double weight_of(const std::string& team) const;
     bool enqueue(const request_state& state);
     void dispatch(instant now);
     void dispatch_entry(ticket_number ticket, instant now);
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -23,6 +23,9 @@
 // Weight of the newest period in the smoothed rate.
 constexpr double rate_gain = 0.3;
 
+// Share of a team that is no longer configured, relative to the other teams.
+constexpr double removed_team_weight = 1.0;
+
 // Whether the request keeps a slot of its endpoint for long, and may be repeated elsewhere should
 // the endpoint not bear it.
 bool fills_endpoint(const arrival& request)
@@ -222,12 +225,23 @@
     return chosen_start{std::move(*address), std::move(target), std::move(exposed_by)};
 }
 
+// The operator may remove a team while its requests run, and each of them may come back to the
+// queue. A look that takes the team for granted threw there, and the router ended with all its
+// callers' connections. The queue needs any weight for it: nothing of the team starts any more, and
+// its turn only refuses it.
+double dispatcher::weight_of(const std::string& team) const
+{
+    const auto& teams = this->config->teams();
+    const auto found = teams.find(team);
+    return found == teams.end() ? removed_team_weight : found->second.weight;
+}
+
 bool dispatcher::enqueue(const request_state& state)
 {
     queue_entry entry;
     entry.ticket = state.what.ticket;
     entry.team = state.what.team;
-    entry.weight = this->config->teams().at(state.what.team).weight;
+    entry.weight = this->weight_of(state.what.team);
     entry.kind = state.what.work.kind;
     entry.priority = state.what.priority;
     entry.work = state.what.work.tokens;
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -292,7 +292,7 @@
     ++next.losses;
     return state.what.idempotent && this->has_time_for_run(state.what, now) &&
            this->may_run_once_more(next) && budget != this->budgets.end() &&
-           budget->second.balance() >= 1.0;
+           budget->second.balance() >= 1.0 && !this->target_failure(state, now);
 }
 
 // An answer that has begun has its prompt read. Counted on, a prompt of half a second would keep
@@ -332,7 +332,7 @@
     const auto next = next_size(question, this->settings.sizes);
     const bool drops = next != state.size && !state.delivered &&
                        state.runs + 1 < std::max(request.max_attempts, 1U) &&
-                       this->budget_of(request).try_spend();
+                       !this->target_failure(state, now) && this->budget_of(request).try_spend();
     if (!drops) {
         this->note_begun(state);
         return true;
--- /dev/null
+++ b/decision/test/changed_dispatch_test.cpp
@@ -0,0 +1,383 @@
+#include "pearhaven/decision/dispatcher.hpp"
+
+#include <rapidcheck.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::decision;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr instant now{seconds(100)};
+
+// What the operator has stated. Tests take parts of it away while requests are under way.
+struct stated {
+    bool has_team = true;
+    bool has_version = true;
+    bool has_service = true;
+    std::uint32_t slots = 64;
+    std::uint64_t revision = 1;
+};
+
+configuration_ptr make_configuration(const stated& from)
+{
+    configuration_builder builder;
+    builder.revision(from.revision);
+    team landlords;
+    landlords.name = "landlords";
+    landlords.versions = selector();
+    landlords.max_in_flight = 1000;
+    if (from.has_team) {
+        builder.add(landlords);
+    }
+    version served;
+    served.name = "model@v1";
+    served.model = "model";
+    if (from.has_version) {
+        builder.add(served);
+    }
+    pool engines;
+    engines.name = "engines";
+    engines.versions = selector().require("version", {"model@v1"});
+    engines.hosts = selector().require("served", {"model@v1"});
+    engines.slots_per_host = from.slots;
+    service booking;
+    booking.name = "booking";
+    booking.hosts = selector().require("role", {"booking"});
+    if (from.has_service) {
+        builder.add(booking);
+    }
+    return builder.add(engines).build();
+}
+
+std::vector<endpoint_host> make_hosts()
+{
+    std::vector<endpoint_host> hosts;
+    for (const auto* const id : {"a", "b", "c"}) {
+        hosts.push_back({id, id, "osu", 0, false, {{"served", "model@v1"}}});
+    }
+    hosts.push_back({"d", "d", "osu", 0, false, {{"role", "booking"}}});
+    return hosts;
+}
+
+arrival make_request(ticket_number ticket)
+{
+    arrival request;
+    request.ticket = ticket;
+    request.team = "landlords";
+    request.asked = "model";
+    request.work = {work_class::lookup, 100.0};
+    request.deadline = now + seconds(10);
+    request.fingerprint = ticket;
+    request.on_loss = continuation::at_other_run;
+    request.max_attempts = 3;
+    request.sizes = 3;
+    return request;
+}
+
+arrival make_call(ticket_number ticket)
+{
+    auto call = make_request(ticket);
+    call.asked = "booking";
+    call.is_service = true;
+    call.idempotent = false;
+    call.on_loss = continuation::none;
+    call.max_attempts = 1;
+    call.sizes = 0;
+    return call;
+}
+
+} // namespace
+
+// The operator changes the configuration while requests are under way. Whatever is taken away, each
+// caller gets one answer or one refusal, and a refusal says truly whether the request may have run.
+TEST_GROUP(changed_dispatch)
+{
+    stated operators;
+    std::unique_ptr<dispatcher> router;
+
+    void setup() override
+    {
+        this->make();
+    }
+    void teardown() override
+    {
+        this->router.reset();
+    }
+
+    void make()
+    {
+        dispatcher_settings settings;
+        settings.endpoints.zone = "osu";
+        this->router = std::make_unique<dispatcher>(settings);
+        this->router->on_configuration(make_configuration(this->operators), now);
+        this->router->on_hosts(make_hosts(), now);
+        this->router->on_touch(instant::max(), now);
+        static_cast<void>(this->router->take_actions());
+    }
+
+    void change()
+    {
+        ++this->operators.revision;
+        this->router->on_configuration(make_configuration(this->operators), now);
+    }
+
+    // All places of the endpoints are taken: what comes next waits.
+    void fill_endpoints()
+    {
+        this->operators.slots = 1;
+        this->make();
+        for (ticket_number ticket = 101; ticket <= 103; ++ticket) {
+            this->start_of(make_request(ticket));
+        }
+    }
+
+    start_attempt start_of(const arrival& request)
+    {
+        this->router->on_arrival(request, now);
+        const auto actions = this->router->take_actions();
+        CHECK_EQUAL(1U, actions.size());
+        const auto* start = std::get_if<start_attempt>(&actions[0]);
+        CHECK_TRUE(start != nullptr);
+        return *start;
+    }
+
+    void end(const start_attempt& attempt, attempt_result result, instant at = now)
+    {
+        attempt_end ended;
+        ended.ticket = attempt.ticket;
+        ended.attempt = attempt.attempt;
+        ended.result = result;
+        this->router->on_attempt_end(ended, at);
+    }
+
+    failure only_failure()
+    {
+        const auto actions = this->router->take_actions();
+        CHECK_EQUAL(1U, actions.size());
+        const auto* given_up = std::get_if<give_up_request>(&actions[0]);
+        CHECK_TRUE(given_up != nullptr);
+        return given_up->why;
+    }
+
+    void check_refused(failure_code code, run_state run)
+    {
+        const auto why = this->only_failure();
+        CHECK_TRUE(why.code == code);
+        CHECK_TRUE(why.run == run);
+        CHECK_EQUAL(0U, this->router->queued());
+    }
+};
+
+// A caller's request is refused by its endpoint, and its team is gone by then. The look for the
+// team's share threw out of the event loop: the router ended with the connections of all its
+// callers. The caller is told that the request has not run.
+TEST(changed_dispatch, a_request_that_its_endpoint_refuses_is_answered_though_its_team_is_gone)
+{
+    const auto start = this->start_of(make_request(1));
+    this->operators.has_team = false;
+    this->change();
+    this->end(start, attempt_result::refused);
+    this->check_refused(failure_code::not_allowed, run_state::not_run);
+}
+
+// As above, but the endpoint is lost with the run. The caller is told that it may have run.
+TEST(changed_dispatch, a_request_that_is_lost_with_its_endpoint_is_answered_though_its_team_is_gone)
+{
+    const auto start = this->start_of(make_request(1));
+    this->operators.has_team = false;
+    this->change();
+    this->end(start, attempt_result::failed);
+    this->check_refused(failure_code::not_allowed, run_state::unknown);
+}
+
+// A caller's stream has begun when its team is taken away and its endpoint lost. Its connection
+// ends; the rest of the stream is not asked for in the name of a team that is gone.
+TEST(changed_dispatch, a_stream_that_breaks_off_is_not_gone_on_with_for_a_team_that_is_gone)
+{
+    auto request = make_request(1);
+    request.streamed = true;
+    const auto start = this->start_of(request);
+    CHECK_TRUE(this->router->accepts_answer(1, start.attempt, 100.0, now));
+    this->operators.has_team = false;
+    this->change();
+    attempt_end broken;
+    broken.ticket = 1;
+    broken.attempt = start.attempt;
+    broken.tokens = 3;
+    this->router->on_attempt_end(broken, now);
+    this->check_refused(failure_code::not_allowed, run_state::unknown);
+}
+
+// Two requests run, and both are done after their team is gone: what was sent before is answered.
+TEST(changed_dispatch, what_runs_when_its_team_is_removed_is_answered)
+{
+    const auto first = this->start_of(make_request(1));
+    const auto second = this->start_of(make_call(2));
+    this->operators = {};
+    this->operators.has_team = false;
+    this->operators.has_version = false;
+    this->operators.has_service = false;
+    this->change();
+    this->end(first, attempt_result::finished);
+    this->end(second, attempt_result::finished);
+    const auto actions = this->router->take_actions();
+    CHECK_EQUAL(2U, actions.size());
+    CHECK_TRUE(std::holds_alternative<complete_request>(actions[0]));
+    CHECK_TRUE(std::holds_alternative<complete_request>(actions[1]));
+    CHECK_EQUAL(0U, this->router->in_flight());
+}
+
+// A caller waits for a place. What it asks for is taken away meanwhile: it is refused at once, and
+// not at its deadline.
+TEST(changed_dispatch, a_waiting_request_is_refused_unrun_when_its_team_is_removed)
+{
+    this->fill_endpoints();
+    this->router->on_arrival(make_request(1), now);
+    CHECK_EQUAL(1U, this->router->queued());
+    this->operators.has_team = false;
+    this->change();
+    this->check_refused(failure_code::not_allowed, run_state::not_run);
+}
+
+TEST(changed_dispatch, a_waiting_request_is_refused_unrun_when_its_version_is_removed)
+{
+    this->fill_endpoints();
+    this->router->on_arrival(make_request(1), now);
+    this->operators.has_version = false;
+    this->change();
+    this->check_refused(failure_code::unknown_model, run_state::not_run);
+}
+
+// The endpoint refuses the call after its service was taken away. A call that must not be repeated
+// is told apart from one that may have run.
+TEST(changed_dispatch, a_call_that_its_endpoint_refuses_is_said_not_to_have_run_for_a_service_gone)
+{
+    const auto start = this->start_of(make_call(1));
+    this->operators.has_service = false;
+    this->change();
+    this->end(start, attempt_result::refused);
+    this->check_refused(failure_code::unknown_model, run_state::not_run);
+}
+
+// The small model doubts its answer, which would be dropped for a larger model's. But nobody may be
+// asked any more: the router threw, as above. The caller gets the answer that there is.
+TEST(changed_dispatch, a_doubted_answer_is_delivered_when_no_other_may_be_asked_for)
+{
+    const auto for_team = this->start_of(make_request(1));
+    const auto for_version = this->start_of(make_request(2));
+    this->operators.has_team = false;
+    this->change();
+    CHECK_TRUE(this->router->accepts_answer(1, for_team.attempt, 10.0, now));
+    this->operators.has_team = true;
+    this->operators.has_version = false;
+    this->change();
+    CHECK_TRUE(this->router->accepts_answer(2, for_version.attempt, 10.0, now));
+    CHECK_EQUAL(0U, this->router->take_actions().size());
+}
+
+// The endpoint is silent. Giving it up ends in a refusal once the version is withdrawn; the run
+// that was allowed when it began is its caller's only hope.
+TEST(changed_dispatch, a_silent_run_is_waited_for_when_no_other_may_begin)
+{
+    this->start_of(make_request(1));
+    CHECK_TRUE(this->router->may_move(1, now));
+    this->operators.has_version = false;
+    this->change();
+    CHECK_FALSE(this->router->may_move(1, now));
+    this->operators.has_version = true;
+    this->operators.has_team = false;
+    this->change();
+    CHECK_FALSE(this->router->may_move(1, now));
+}
+
+// A schedule of requests that come, end in all ways and wait, while the operator takes away and
+// brings back what they ask for. Each has one answer or refusal, and none that was sent is said not
+// to have run unless the endpoint said so.
+TEST(changed_dispatch, no_schedule_of_changes_leaves_a_caller_without_an_answer)
+{
+    const bool holds = rc::check("one answer", [this] {
+        this->operators = {};
+        this->operators.slots = 2;
+        this->make();
+        auto clock = now;
+        std::map<ticket_number, start_attempt> running;
+        std::map<ticket_number, int> finals;
+        std::map<ticket_number, bool> may_have_run;
+        ticket_number last = 0;
+        const auto absorb = [&] {
+            for (const auto& action : this->router->take_actions()) {
+                if (const auto* start = std::get_if<start_attempt>(&action)) {
+                    const bool is_call = start->version == "booking";
+                    RC_ASSERT(this->operators.has_team);
+                    const bool is_there =
+                        is_call ? this->operators.has_service : this->operators.has_version;
+                    RC_ASSERT(is_there);
+                    running[start->ticket] = *start;
+                } else if (const auto* done = std::get_if<complete_request>(&action)) {
+                    ++finals[done->ticket];
+                } else if (const auto* given_up = std::get_if<give_up_request>(&action)) {
+                    ++finals[given_up->ticket];
+                    RC_ASSERT(given_up->why.run != run_state::not_run ||
+                              !may_have_run[given_up->ticket]);
+                } else if (const auto* cancelled = std::get_if<cancel_attempt>(&action)) {
+                    may_have_run[cancelled->ticket] = true;
+                    running.erase(cancelled->ticket);
+                }
+            }
+        };
+        const auto steps = *rc::gen::container<std::vector<int>>(150, rc::gen::inRange(0, 14));
+        for (const int step : steps) {
+            clock += milliseconds(50);
+            if (step < 4) {
+                auto request = step == 0 ? make_call(++last) : make_request(++last);
+                request.streamed = step == 1;
+                request.deadline = clock + seconds(step == 2 ? 1 : 30);
+                this->router->on_arrival(request, clock);
+            } else if (step == 8 && !running.empty()) {
+                const auto attempt = running.begin()->second;
+                const auto ticket = attempt.ticket;
+                may_have_run[ticket] = true;
+                if (this->router->accepts_answer(ticket, attempt.attempt, 0.0, clock)) {
+                    this->end(attempt, attempt_result::finished, clock);
+                }
+                running.erase(ticket);
+            } else if (step < 8 && !running.empty()) {
+                const auto attempt = running.begin()->second;
+                running.erase(running.begin());
+                const attempt_result results[] = {attempt_result::finished, attempt_result::refused,
+                                                  attempt_result::failed,
+                                                  attempt_result::unreachable};
+                const auto result = results[step - 4];
+                const bool runs = result == attempt_result::failed;
+                may_have_run[attempt.ticket] = may_have_run[attempt.ticket] || runs;
+                this->end(attempt, result, clock);
+            } else if (step >= 9 && step < 13) {
+                auto& taken = step == 9    ? this->operators.has_team
+                              : step == 10 ? this->operators.has_version
+                                           : this->operators.has_service;
+                taken = !taken;
+                this->operators.slots = step == 12 ? 1 : 2;
+                ++this->operators.revision;
+                this->router->on_configuration(make_configuration(this->operators), clock);
+            }
+            absorb();
+            this->router->on_tick(clock);
+            absorb();
+        }
+        this->router->end_stop(clock);
+        absorb();
+        for (ticket_number ticket = 1; ticket <= last; ++ticket) {
+            RC_ASSERT(finals[ticket] == 1);
+        }
+        RC_ASSERT(this->router->in_flight() == 0U);
+    });
+    CHECK_TRUE(holds);
+}
