Send nothing more for a key that was revoked meanwhile

A caller's request waits for a place, or its endpoint is lost, and the operator revokes its key; it was sent all the same, in the name of the key's old team, also where the key is another team's by then. Cause: only the team's name goes with a request, and the team is still there.

The digest of the key goes with the request, and each start looks whether the team still holds it. What needed no key has none and goes on; what was sent before goes on; other keys of the team change nothing. The refusal says whether the request may have run.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -75,8 +75,9 @@
 struct arrival {
     ticket_number ticket = 0;
     std::string team;
-    std::string asked; // model, version, cascade or, with `is_service`, service name
-    std::string kind;  // requests of one kind take about as long; empty: those of one `asked` do
+    std::string key_sha256; // of the key that the caller showed; empty where it needed none
+    std::string asked;      // model, version, cascade or, with `is_service`, service name
+    std::string kind; // requests of one kind take about as long; empty: those of one `asked` do
     bool is_service = false;
     bool idempotent = true;
     bool streamed = false; // pieces of the answer reach the caller as they come
@@ -205,8 +206,11 @@
 // the caller takes with `take_actions` and carries out in order. Every admitted ticket gets exactly
 // one `complete_request` or `give_up_request`, unless its caller is gone.
 //
-// New work is started against the configuration in force at that moment, never at arrival: a
-// version withdrawn while a request waits, retries or escalates does not get it.
+// A request is what the configuration in force at its arrival made of it: its target, times, number
+// of attempts, models. But what the operator removes meanwhile, a version, a service, a team or a
+// key, binds every start: while a request waits, retries or escalates, nothing is sent for it any
+// more, and it is refused with a status that says whether it may have run. What was sent before
+// goes on.
 class dispatcher {
 public:
     explicit dispatcher(dispatcher_settings settings);
@@ -337,6 +341,7 @@
                                                            instant now) const;
     [[nodiscard]] std::optional<failure> stop_failure(const arrival& request, instant now) const;
     [[nodiscard]] std::optional<failure> load_failure(const arrival& request, instant now) const;
+    [[nodiscard]] std::optional<failure> caller_failure(const arrival& request) const;
     [[nodiscard]] std::optional<failure> target_failure(const request_state& state,
                                                         instant now) const;
     [[nodiscard]] std::optional<chosen_start> find_start(const request_state& state, instant now);
--- a/decision/src/dispatcher_admission.cpp
+++ b/decision/src/dispatcher_admission.cpp
@@ -134,14 +134,31 @@
     return chosen;
 }
 
-std::optional<failure> dispatcher::target_failure(const request_state& state, instant now) const
+// Whether the caller may still send anything, whatever it asks for.
+std::optional<failure> dispatcher::caller_failure(const arrival& request) const
 {
-    const auto& request = state.what;
-    const auto owner = this->config->teams().find(request.team);
-    if (owner == this->config->teams().end()) {
+    if (this->config->teams().count(request.team) == 0) {
         return lasting(failure_code::not_allowed,
                        "the team " + request.team + " is no longer configured");
     }
+    if (request.key_sha256.empty()) {
+        return std::nullopt;
+    }
+    const auto* holder = this->config->find_team_by_key(request.key_sha256);
+    if (holder == nullptr || holder->name != request.team) {
+        return lasting(failure_code::not_allowed,
+                       "the key is no longer one of the team " + request.team);
+    }
+    return std::nullopt;
+}
+
+std::optional<failure> dispatcher::target_failure(const request_state& state, instant now) const
+{
+    const auto& request = state.what;
+    if (auto refused = this->caller_failure(request)) {
+        return refused;
+    }
+    const auto& owner = this->config->teams().at(request.team);
     if (this->suspects.look(request.fingerprint, now) == suspect_table::standing::quarantined) {
         return lasting(failure_code::request_quarantined,
                        "endpoints that ran this request have crashed");
@@ -152,7 +169,7 @@
         if (found == this->config->services().end()) {
             return lasting(failure_code::unknown_model, "no service is named " + request.asked);
         }
-        if (!found->second.teams.matches(owner->second.tags)) {
+        if (!found->second.teams.matches(owner.tags)) {
             return lasting(failure_code::not_allowed, "the team may not call " + request.asked);
         }
     } else {
--- a/decision/test/changed_dispatch_test.cpp
+++ b/decision/test/changed_dispatch_test.cpp
@@ -20,6 +20,8 @@
 // What the operator has stated. Tests take parts of it away while requests are under way.
 struct stated {
     bool has_team = true;
+    std::vector<std::string> keys = {"digest"};
+    std::string other_teams_key = "another";
     bool has_version = true;
     bool has_service = true;
     std::uint32_t slots = 64;
@@ -34,6 +36,11 @@
     landlords.name = "landlords";
     landlords.versions = selector();
     landlords.max_in_flight = 1000;
+    landlords.key_sha256 = from.keys;
+    team brokers;
+    brokers.name = "brokers";
+    brokers.key_sha256 = {from.other_teams_key};
+    builder.add(brokers);
     if (from.has_team) {
         builder.add(landlords);
     }
@@ -72,6 +79,7 @@
     arrival request;
     request.ticket = ticket;
     request.team = "landlords";
+    request.key_sha256 = "digest";
     request.asked = "model";
     request.work = {work_class::lookup, 100.0};
     request.deadline = now + seconds(10);
@@ -256,6 +264,69 @@
     this->check_refused(failure_code::unknown_model, run_state::not_run);
 }
 
+// A caller waits for a place, and its key is revoked. The platform counts on it that nothing of
+// the key runs any more: the request is refused, and never runs.
+TEST(changed_dispatch, a_waiting_request_is_refused_unrun_when_its_key_is_revoked)
+{
+    this->fill_endpoints();
+    this->router->on_arrival(make_request(1), now);
+    this->operators.keys.clear();
+    this->change();
+    this->check_refused(failure_code::not_allowed, run_state::not_run);
+}
+
+// The key belongs to another team now. The request was paid for by the first one, which does not
+// hold the key any more, and the other one has not sent it.
+TEST(changed_dispatch, a_waiting_request_is_refused_unrun_when_its_key_is_given_to_another_team)
+{
+    this->fill_endpoints();
+    this->router->on_arrival(make_request(1), now);
+    this->operators.keys.clear();
+    this->operators.other_teams_key = "digest";
+    this->change();
+    this->check_refused(failure_code::not_allowed, run_state::not_run);
+}
+
+// The endpoint is lost with the run, and the key was revoked since. No second run is begun; the
+// caller is told that the first one may have done its work.
+TEST(changed_dispatch, a_lost_request_is_not_repeated_when_its_key_is_revoked)
+{
+    const auto start = this->start_of(make_request(1));
+    this->operators.keys.clear();
+    this->change();
+    this->end(start, attempt_result::failed);
+    this->check_refused(failure_code::not_allowed, run_state::unknown);
+}
+
+// The team gets a key beside the one that the caller has used, and loses a third one.
+TEST(changed_dispatch, a_waiting_request_runs_when_other_keys_of_its_team_change)
+{
+    this->operators.keys = {"digest", "third"};
+    this->fill_endpoints();
+    this->router->on_arrival(make_request(1), now);
+    this->operators.keys = {"second", "digest"};
+    this->operators.slots = 64;
+    this->change();
+    const auto actions = this->router->take_actions();
+    CHECK_EQUAL(1U, actions.size());
+    CHECK_TRUE(std::holds_alternative<start_attempt>(actions[0]));
+}
+
+// A caller that needed no key goes on without one.
+TEST(changed_dispatch, a_waiting_request_without_a_key_runs_when_keys_are_revoked)
+{
+    this->fill_endpoints();
+    auto request = make_request(1);
+    request.key_sha256.clear();
+    this->router->on_arrival(request, now);
+    this->operators.keys.clear();
+    this->operators.slots = 64;
+    this->change();
+    const auto actions = this->router->take_actions();
+    CHECK_EQUAL(1U, actions.size());
+    CHECK_TRUE(std::holds_alternative<start_attempt>(actions[0]));
+}
+
 // The endpoint refuses the call after its service was taken away. A call that must not be repeated
 // is told apart from one that may have run.
 TEST(changed_dispatch, a_call_that_its_endpoint_refuses_is_said_not_to_have_run_for_a_service_gone)
@@ -317,6 +388,7 @@
                 if (const auto* start = std::get_if<start_attempt>(&action)) {
                     const bool is_call = start->version == "booking";
                     RC_ASSERT(this->operators.has_team);
+                    RC_ASSERT(!this->operators.keys.empty());
                     const bool is_there =
                         is_call ? this->operators.has_service : this->operators.has_version;
                     RC_ASSERT(is_there);
@@ -360,6 +432,9 @@
                 may_have_run[attempt.ticket] = may_have_run[attempt.ticket] || runs;
                 this->end(attempt, result, clock);
             } else if (step >= 9 && step < 13) {
+                if (step == 12) {
+                    this->operators.keys.resize(1 - this->operators.keys.size(), "digest");
+                }
                 auto& taken = step == 9    ? this->operators.has_team
                               : step == 10 ? this->operators.has_version
                                            : this->operators.has_service;
--- a/router/src/caller_server.cpp
+++ b/router/src/caller_server.cpp
@@ -219,6 +219,7 @@
     decision::arrival arrival;
     arrival.ticket = request->ticket;
     arrival.team = request->team;
+    arrival.key_sha256 = from.fields.key_digest;
     arrival.idempotent = request->idempotent;
     arrival.streamed = request->streamed;
     arrival.priority = request->priority;
