Tell the dispatcher of a configuration before callers are taken by it

A request of the product's own path is taken by a caller's thread under the published configuration and judged by the dispatcher under the one that it was told of. It was told second: a request of a team or key that is new to it was turned away for good (403) when it came in between.

--- a/router/src/fleet_duty.cpp
+++ b/router/src/fleet_duty.cpp
@@ -455,8 +455,11 @@
         adapters::log_warning("configuration_object_ignored",
                               {{"fault", adapters::to_string(fault)}});
     }
-    this->all.configuration.set(built.configuration);
-    this->routing->submit(configuration_changed{std::move(built.configuration)});
+    // The threads of callers take requests by what is published, and the dispatcher judges them by
+    // what it was told. Told later, it turned a caller away whose team or key was new to it alone.
+    // In this order each request comes behind the configuration that it was taken by.
+    this->routing->submit(configuration_changed{built.configuration});
+    this->all.configuration.set(std::move(built.configuration));
     this->fleet->set_config_revision(action.state->revision());
     adapters::log_change("configuration_in_force",
                          {{"revision", std::to_string(action.state->revision())}});
