Keep to the limits that a request began with, and show what callers get in a change

A caller's body is half there when the operator lowers the bound of bodies: 413, which no caller repeats. Its head is half there when the time for heads is shortened: 408. On a connection that stands, a raised bound of heads was never taken up: 431 for what the configuration in force allows. Cause: the present limits were looked at in the middle of a message, and the reader kept the bound of heads that it was made with. http_inbound.hpp promised 'shorter ones for what begins after the change'.

A message is bounded by the limits in force at its first byte, or by longer and larger ones set since. Ruled out: a shortened idle time (green before).

--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -57,8 +57,9 @@
     virtual void on_room(inbound_exchange& exchange) = 0;
 };
 
-// Bounds on what callers may send. They may change at any time; longer times hold at once, shorter
-// ones for what begins after the change.
+// Bounds on what callers may send. They may change at any time; longer times and larger bodies hold
+// at once, shorter and smaller ones for what begins after the change, and so does the bound of
+// heads.
 struct inbound_limits {
     std::size_t head_bytes = 16U << 10U;
     std::size_t body_bytes = 4U << 20U;
@@ -70,7 +71,7 @@
 
 struct inbound_counts {
     std::uint64_t accepted = 0;
-    std::uint64_t refused_heads = 0; // malformed or too long
+    std::uint64_t refused_heads = 0;  // malformed or too long
     std::uint64_t unacknowledged = 0; // given up since the caller's host acknowledged nothing
     std::uint64_t closed_as_idle = 0;
     std::uint64_t sent_to_closed = 0; // of those: connections on which more came, and was lost
--- a/adapters/include/pearhaven/adapters/http_message.hpp
+++ b/adapters/include/pearhaven/adapters/http_message.hpp
@@ -79,6 +79,9 @@
     http_reader(const http_reader&) = delete;
     http_reader& operator=(const http_reader&) = delete;
 
+    // Holds from the next message on; not to be called inside one.
+    void set_max_head(std::size_t max_head);
+
     // Takes bytes up to the end of one message at most, and returns how many it took. After a
     // fault nothing more is taken.
     std::size_t feed(std::string_view bytes);
--- a/adapters/src/http_message.cpp
+++ b/adapters/src/http_message.cpp
@@ -376,6 +376,11 @@
 
 http_reader::~http_reader() = default;
 
+void http_reader::set_max_head(std::size_t max_head)
+{
+    this->inner->max_head = max_head;
+}
+
 std::size_t http_reader::feed(std::string_view bytes)
 {
     return this->inner->feed(bytes);
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -171,10 +171,19 @@
     }
 }
 
+// What has begun ends by the limits that it began with: a caller whose request was allowed when it
+// began to send it would else be refused in the middle of it.
+void inbound_socket::begin_message()
+{
+    this->since = this->host.loop().now();
+    this->begun = this->host.limits();
+    this->reader.set_max_head(this->begun.head_bytes);
+}
+
 void inbound_socket::take(std::string_view bytes)
 {
     if (!this->reader.inside_message()) {
-        this->since = this->host.loop().now();
+        this->begin_message();
     }
     this->running = true;
     while (!bytes.empty() && this->step == phase::reading) {
@@ -223,7 +232,8 @@
     if (!this->exchange || this->step != phase::reading) {
         return;
     }
-    if (this->exchange->body().size() + piece.size() > this->host.limits().body_bytes) {
+    const auto bound = std::max(this->begun.body_bytes, this->host.limits().body_bytes);
+    if (this->exchange->body().size() + piece.size() > bound) {
         this->refuse(status_too_large);
         return;
     }
@@ -390,7 +400,8 @@
     // A head that comes byte by byte would hold its connection for ever. A body may be long: it
     // has the head's time for each megabyte or part of one.
     const auto parts = 1 + (this->exchange ? this->exchange->body().size() >> 20U : 0U);
-    if (waited > this->host.limits().head_time * static_cast<int>(parts + 1)) {
+    const auto head_time = std::max(this->begun.head_time, this->host.limits().head_time);
+    if (waited > head_time * static_cast<int>(parts + 1)) {
         this->refuse(status_timeout);
     }
 }
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -97,6 +97,7 @@
     void read_more();
     void take(std::string_view bytes);
     void take_kept();
+    void begin_message();
     void drop_exchange();
     void refuse(int status);
     void linger();
@@ -126,6 +127,7 @@
     decision::instant since;        // of the present wait
     decision::duration rested{};    // until it was closed as idle
     decision::duration idle_time{}; // as promised to the caller when the wait began
+    inbound_limits begun;           // those in force when the message under way began
 };
 
 } // namespace pearhaven::adapters
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -66,6 +66,10 @@
     bool inside = false;
 };
 
+// In which the loop looks several times at its connections, and at the time that they have taken.
+constexpr milliseconds few_looks{20};
+constexpr milliseconds time_of_checks{700};
+
 std::string request(const std::string& target)
 {
     return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -124,6 +128,15 @@
         return [this, count] { return this->listener.targets.size() == count; };
     }
 
+    // From the first look on.
+    std::function<bool()> has_passed(milliseconds time)
+    {
+        return [this, time, end = decision::instant()]() mutable {
+            end = end == decision::instant() ? this->loop.now() + time : end;
+            return this->loop.now() >= end;
+        };
+    }
+
     std::function<bool()> all_closed()
     {
         return [this] { return this->server->counts().open == 0; };
@@ -408,6 +421,91 @@
     CHECK_TRUE(script.run());
 }
 
+// A caller's head is half there when the operator shortens the time for heads. What has begun keeps
+// the time that it began with: the caller was answered 408 for a request that came in good time.
+TEST(http_inbound, a_shorter_time_for_heads_does_not_refuse_one_that_is_half_there)
+{
+    inbound_limits shorter;
+    shorter.head_time = milliseconds(1);
+    this->caller->send("GET /a HTTP/1.1\r\nHo");
+    loop_script script(this->loop);
+    script.when(this->has_passed(few_looks), [this, shorter] { this->server->set_limits(shorter); })
+        .when(this->has_passed(time_of_checks), [this] { this->caller->send("st: h\r\n\r\n"); })
+        .until(this->has_requests(1));
+    CHECK_TRUE(script.run());
+}
+
+// The caller's body is half there when the operator lowers the bound of bodies. The answer was 413,
+// which no caller repeats, for a body that was allowed when its head was taken.
+TEST(http_inbound, a_lower_bound_of_bodies_does_not_refuse_one_that_is_half_there)
+{
+    inbound_limits lower;
+    lower.body_bytes = 4;
+    this->caller->send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\nhalf");
+    loop_script script(this->loop);
+    script.when(this->has_passed(few_looks), [this, lower] { this->server->set_limits(lower); })
+        .when([] { return true; }, [this] { this->caller->send("half"); })
+        .when(this->has_requests(1),
+              [this] {
+                  STRCMP_EQUAL("halfhalf", this->listener.held.front()->body().c_str());
+                  this->listener.use(answer);
+                  this->caller->send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n"
+                                     "halfhalf");
+              })
+        .until([this] { return this->caller->has(" 413 "); });
+    CHECK_TRUE(script.run());
+}
+
+// The caller's connection rests between two requests when the operator shortens that rest. The
+// caller was promised the longer one, and sends its next request within it.
+TEST(http_inbound, a_shorter_rest_does_not_close_a_connection_that_rests_already)
+{
+    inbound_limits shorter;
+    shorter.idle_time = milliseconds(1);
+    this->caller->send(request("/a"));
+    loop_script script(this->loop);
+    script
+        .when(this->has_requests(1),
+              [this, shorter] {
+                  this->listener.use(answer);
+                  this->listener.held.clear();
+                  this->server->set_limits(shorter);
+              })
+        .when(this->has_passed(time_of_checks), [this] { this->caller->send(request("/b")); })
+        .until(this->has_requests(2));
+    CHECK_TRUE(script.run());
+}
+
+// The bound of heads is raised and lowered while a connection stands. The caller is answered by the
+// bound that is in force when its request begins; it was the one at which it had connected.
+TEST(http_inbound, the_bound_of_heads_in_force_holds_on_a_connection_that_stands)
+{
+    const auto long_request =
+        "GET /a HTTP/1.1\r\nHost: h\r\nA: " + std::string(400, 'a') + "\r\n\r\n";
+    inbound_limits low;
+    low.head_bytes = 100;
+    this->server->set_limits(low);
+    this->caller = script_socket::connect(this->server->port());
+    this->caller->send(request("/a"));
+    loop_script script(this->loop);
+    script
+        .when(this->has_requests(1),
+              [this, long_request] {
+                  this->listener.use(answer);
+                  this->listener.held.clear();
+                  this->server->set_limits({});
+                  this->caller->send(long_request);
+              })
+        .when(this->has_requests(2),
+              [this, long_request, low] {
+                  this->listener.use(answer);
+                  this->server->set_limits(low);
+                  this->caller->send(long_request);
+              })
+        .until([this] { return this->caller->has(" 431 "); });
+    CHECK_TRUE(script.run());
+}
+
 // The caller takes nothing of a long answer, and resets while the rest of it waits.
 TEST(http_inbound, a_reset_while_bytes_wait_is_told_once)
 {
