--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -57,8 +57,9 @@
     virtual void on_room(inbound_exchange& exchange) = 0;
 };
 
-// Bounds on what callers may send. They may change at any time; longer times hold at once, shorter
-// ones for what begins after the change.
+// Bounds on what callers may send. They may change at any time; longer times and larger bodies hold
+// at once, shorter and smaller ones for what begins after the change, and so does the bound of
+// heads.
 struct inbound_limits {
     std::size_t head_bytes = 16U << 10U;
     std::size_t body_bytes = 4U << 20U;
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -75,8 +75,9 @@
 struct arrival {
     ticket_number ticket = 0;
     std::string team;
-    std::string asked; // model, version, cascade or, with `is_service`, service name
-    std::string kind;  // requests of one kind take about as long; empty: those of one `asked` do
+    std::string key_sha256; // of the key that the caller showed; empty where it needed none
+    std::string asked;      // model, version, cascade or, with `is_service`, service name
+    std::string kind; // requests of one kind take about as long; empty: those of one `asked` do
     bool is_service = false;
     bool idempotent = true;
     bool streamed = false; // pieces of the answer reach the caller as they come
@@ -213,8 +214,11 @@
 // the caller takes with `take_actions` and carries out in order. Every admitted ticket gets exactly
 // one `complete_request` or `give_up_request`, unless its caller is gone.
 //
-// New work is started against the configuration in force at that moment, never at arrival: a
-// version withdrawn while a request waits, retries or escalates does not get it.
+// A request is what the configuration in force at its arrival made of it: its target, times, number
+// of attempts, models. But what the operator removes meanwhile, a version, a service, a team or a
+// key, binds every start: while a request waits, retries or escalates, nothing is sent for it any
+// more, and it is refused with a status that says whether it may have run. What was sent before
+// goes on.
 class dispatcher {
 public:
     explicit dispatcher(dispatcher_settings settings);
@@ -253,7 +257,8 @@
 
     // The attempt's answer has begun, with the model's own opinion of it, 0 to 100. Whether the
     // answer is to be delivered. If not, nothing of it may reach the caller: the run is over for
-    // the dispatcher, its connection is to be closed, and a larger model gets the request.
+    // the dispatcher, its connection is to be closed, and a larger model gets the request. An
+    // answer is never dropped where no other run may begin.
     [[nodiscard]] bool accepts_answer(ticket_number ticket, attempt_number attempt,
                                       double confidence, instant now);
 
@@ -269,7 +274,7 @@
                                                   double part_of_objective) const;
 
     // Whether the request would get another attempt if its present one were given up now. If not,
-    // waiting on is its only hope.
+    // waiting on is its only hope: so it is, too, once the operator has removed what it asks for.
     [[nodiscard]] bool may_move(ticket_number ticket, instant now) const;
     void on_caller_gone(ticket_number ticket, instant now);
 
@@ -351,6 +356,7 @@
                                                            instant now) const;
     [[nodiscard]] std::optional<failure> stop_failure(const arrival& request, instant now) const;
     [[nodiscard]] std::optional<failure> load_failure(const arrival& request, instant now) const;
+    [[nodiscard]] std::optional<failure> caller_failure(const arrival& request) const;
     [[nodiscard]] std::optional<failure> target_failure(const request_state& state,
                                                         instant now) const;
     [[nodiscard]] std::optional<chosen_start> find_start(const request_state& state, instant now);
@@ -366,6 +372,7 @@
     [[nodiscard]] duration expected_wait() const;
     [[nodiscard]] bool helps_to_fill(const request_state& state, const std::string& version) const;
 
+    [[nodiscard]] double weight_of(const std::string& team) const;
     bool enqueue(const request_state& state);
     void dispatch(instant now);
     void dispatch_entry(ticket_number ticket, instant now);
