Read host lists and operators' pages and bodies on random bytes, and mend what fails

No test fed changed bytes to the reader of the host list's answers, nor to what pearhavenctl reads of routers' status pages and of stored bodies. Of what they take for good:

- An entry of the host list whose address is no IP:port was an endpoint: chosen, as an idle one, and never reached; its text went into the head of a request.
Such entries are now left out; IPv4 and [IPv6], a port from 1 to 65535.
- A member's operator port was cut down to sixteen bits: 65541 was asked at 5.
It is now left out.
- A status page or a stored body that is nested without reason ended pearhavenctl by the end of its stack, since each level is copied, compared and printed by a call.
Objects had a bound already; it is now one function (adapters/shallow_json), used for objects, bodies and pages.

Ruled out: nlohmann's parser as the cause of the last; it goes down no stack, its values do.

--- a/adapters/include/pearhaven/adapters/platform.hpp
+++ b/adapters/include/pearhaven/adapters/platform.hpp
@@ -39,8 +39,9 @@
 };
 
 // Fetches the host list once. Calls back on the client's thread, with nothing when the list cannot
-// be had within 2 s. Entries without a name, an address or an incarnation are left out, so that one
-// of them does not hide all others; a state other than "live" counts as leaving.
+// be had within 2 s. Entries without a name, an IP number with a port, or an incarnation are
+// left out, so that one of them does not hide all others; a state other than "live" counts as
+// leaving.
 void fetch_host_list(http_client& client, const std::string& base_url,
                      std::function<void(const std::optional<std::vector<listed_host>>&)> done);
 
--- a/adapters/src/configuration_codec.cpp
+++ b/adapters/src/configuration_codec.cpp
@@ -4,6 +4,8 @@
 #include "configuration_codec_kinds.hpp"
 #include "configuration_codec_yaml.hpp"
 
+#include "pearhaven/adapters/shallow_json.hpp"
+
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
@@ -19,7 +21,6 @@
 using nlohmann::json;
 
 constexpr std::size_t largest_body = 64U << 10U;
-constexpr int deepest_body = 16;
 
 const line_map no_lines;
 
@@ -129,18 +130,14 @@
     if (!faults.empty()) {
         return std::nullopt;
     }
-    bool too_deep = false;
-    const auto watch_depth = [&too_deep](int depth, json::parse_event_t, json&) {
-        too_deep = too_deep || depth > deepest_body;
-        return !too_deep;
-    };
-    json root = json::parse(body, watch_depth, false);
-    if (too_deep || !root.is_object()) {
+    auto read = parse_shallow_json(body);
+    const bool too_deep = read.fault == json_fault::too_deep;
+    if (!read.value.is_object()) {
         faults.add("", too_deep ? "deeper nesting than any object has" : "text that is no JSON map",
                    "a JSON map with labels and spec");
         return std::nullopt;
     }
-    return root;
+    return std::move(read.value);
 }
 
 // A stored object's parts. Nothing when it has a fault, or is deleted.
--- a/adapters/src/host_list_client.cpp
+++ b/adapters/src/host_list_client.cpp
@@ -1,7 +1,12 @@
-#include "pearhaven/adapters/platform.hpp"
+#include "host_list.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <arpa/inet.h>
+
+#include <charconv>
+#include <system_error>
+
 namespace pearhaven::adapters {
 
 namespace {
@@ -33,6 +38,34 @@
     return tags;
 }
 
+bool is_ip_number(const std::string& text)
+{
+    if (text.find('\0') != std::string::npos) { // where inet_pton takes it to end
+        return false;
+    }
+    in_addr ignored{};
+    in6_addr ignored_six{};
+    const bool in_brackets = text.size() > 2 && text.front() == '[' && text.back() == ']';
+    return in_brackets
+               ? inet_pton(AF_INET6, text.substr(1, text.size() - 2).c_str(), &ignored_six) == 1
+               : inet_pton(AF_INET, text.c_str(), &ignored) == 1;
+}
+
+// IP:port. Anything else in its place would be an endpoint that is chosen, as an idle one, and
+// never reached.
+bool is_address(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return false;
+    }
+    std::uint16_t port = 0;
+    const auto* const end = text.data() + text.size();
+    const auto read = std::from_chars(text.data() + colon + 1, end, port);
+    return read.ec == std::errc() && read.ptr == end && port != 0 &&
+           is_ip_number(text.substr(0, colon));
+}
+
 // Empty for an entry that names no reachable host.
 std::optional<listed_host> host_of(const json& item)
 {
@@ -45,7 +78,7 @@
     host.zone = text_of(item, "zone");
     const auto incarnation = item.find("incarnation");
     const bool numbered = incarnation != item.end() && incarnation->is_number_unsigned();
-    if (host.name.empty() || host.address.empty() || !numbered) {
+    if (host.name.empty() || !is_address(host.address) || !numbered) {
         return std::nullopt;
     }
     host.incarnation = incarnation->get<std::uint64_t>();
@@ -59,7 +92,14 @@
     if (answer.result.error || answer.result.status != status_ok) {
         return std::nullopt;
     }
-    const json body = json::parse(answer.body, nullptr, false);
+    return read_host_list(answer.body);
+}
+
+} // namespace
+
+std::optional<std::vector<listed_host>> read_host_list(const std::string& text)
+{
+    const json body = json::parse(text, nullptr, false);
     const auto list = body.is_object() ? body.find("hosts") : body.end();
     if (!body.is_object() || list == body.end() || !list->is_array()) {
         return std::nullopt;
@@ -73,8 +113,6 @@
     return hosts;
 }
 
-} // namespace
-
 void fetch_host_list(http_client& client, const std::string& base_url,
                      std::function<void(const std::optional<std::vector<listed_host>>&)> done)
 {
--- a/adapters/test/parser_fuzz_test.cpp
+++ b/adapters/test/parser_fuzz_test.cpp
@@ -1,5 +1,6 @@
 #include "byte_fuzzing.hpp"
 #include "frame_buffer.hpp"
+#include "host_list.hpp"
 #include "key_value_wire.hpp"
 #include "peer_codec.hpp"
 #include "peer_message_generators.hpp"
@@ -12,6 +13,7 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -291,6 +293,30 @@
     CHECK_EQUAL(std::string(), wrong);
 }
 
+// An entry that names something else than a place on the network would be an endpoint that is
+// chosen, as an idle one, and never reached; its text would stand in the head of a request.
+TEST(parser_fuzz, answers_of_the_host_list)
+{
+    const std::vector<std::string> examples = {
+        R"({"hosts":[{"name":"e1","address":"127.0.0.1:80","zone":"osu","incarnation":3,
+            "state":"live","labels":{"role":"engine"}},{"name":"e2","address":"[::1]:81",
+            "zone":"tema","incarnation":18446744073709551615,"state":"leaving"}]})",
+        R"({"hosts":[]})"};
+    CHECK_EQUAL(2U, read_host_list(examples[0])->size());
+    CHECK_TRUE(read_host_list(examples[1])->empty());
+    const auto wrong = first_fault(examples, 2'000, [](const std::string& bytes, byte_mutator&) {
+        const auto hosts = read_host_list(bytes).value_or(std::vector<listed_host>());
+        return std::all_of(hosts.begin(), hosts.end(), [](const listed_host& host) {
+            const auto colon = host.address.rfind(':');
+            return !host.name.empty() && colon != std::string::npos && colon > 0 &&
+                   host.address.find_first_not_of("0123456789abcdefABCDEF.:[]") ==
+                       std::string::npos &&
+                   std::stoul("0" + host.address.substr(colon + 1)) - 1 < 65'535U;
+        });
+    });
+    CHECK_EQUAL(std::string(), wrong);
+}
+
 TEST(parser_fuzz, frames_come_out_alike_however_they_are_split)
 {
     const frame_code code{};
--- a/adapters/test/platform_test.cpp
+++ b/adapters/test/platform_test.cpp
@@ -262,6 +262,18 @@
     CHECK_TRUE(hosts == expected);
 }
 
+TEST(host_list, an_address_is_an_ip_number_and_a_port)
+{
+    for (const auto* const address :
+         {"e1", "e1:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536",
+          "127.0.0.1:80/x", "127.0.0.1:80\\r\\nx", "127.0.0.1 :80", "127.0.0.256:80", "::1:80",
+          "[::1:80", "[]:80", "u@127.0.0.1:80", "127.0.0.1\\u0000x:80", "127.0.0.1:+80"}) {
+        const auto body = R"({"hosts":[{"name":"e1","incarnation":1,"address":")" +
+                          std::string(address) + R"("}]})";
+        CHECK_TRUE(fetched(200, body).value().empty());
+    }
+}
+
 TEST(host_list, no_readable_list_is_no_list)
 {
     CHECK_FALSE(fetched(503, R"({"hosts":[]})").has_value());
--- a/control/src/object_difference.cpp
+++ b/control/src/object_difference.cpp
@@ -1,6 +1,9 @@
 #include "object_difference.hpp"
 
+#include "pearhaven/adapters/shallow_json.hpp"
+
 #include <map>
+#include <utility>
 
 namespace pearhaven::control {
 
@@ -28,8 +31,8 @@
     if (body.empty()) {
         return json::object();
     }
-    json value = json::parse(body, nullptr, false);
-    return value.is_discarded() ? json(body) : value;
+    auto read = adapters::parse_shallow_json(body);
+    return read.fault == adapters::json_fault::none ? std::move(read.value) : json(body);
 }
 
 field_map fields_of(const std::string& body)
--- a/control/src/object_lookup.cpp
+++ b/control/src/object_lookup.cpp
@@ -3,6 +3,7 @@
 #include "object_difference.hpp"
 
 #include "pearhaven/adapters/configuration_codec.hpp"
+#include "pearhaven/adapters/shallow_json.hpp"
 
 namespace pearhaven::control {
 
@@ -33,7 +34,7 @@
 std::optional<config_object> edit_object(command_context& context, const config_object& object,
                                          const std::function<void(json&)>& edit)
 {
-    json body = json::parse(object.body, nullptr, false);
+    json body = adapters::parse_shallow_json(object.body).value;
     if (!body.is_object()) {
         context.out.complain(object_text(object.kind, object.name) + ": the stored body " +
                              "cannot be read; apply the object from a file");
--- a/control/src/router_inspector.cpp
+++ b/control/src/router_inspector.cpp
@@ -1,9 +1,12 @@
 #include "router_inspector.hpp"
 
+#include "pearhaven/adapters/shallow_json.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <condition_variable>
+#include <limits>
 #include <mutex>
 
 namespace pearhaven::control {
@@ -48,10 +51,16 @@
            is_flag(page, "ready") && is_flag(page, "draining") && is_count(page, "in_flight");
 }
 
+bool is_port(const json& page, const char* field)
+{
+    return is_count(page, field) && page[field] > 0 &&
+           page[field] <= std::numeric_limits<std::uint16_t>::max();
+}
+
 bool is_live_member(const json& value)
 {
     return value.is_object() && is_text(value, "incarnation") && is_text(value, "host") &&
-           is_text(value, "zone") && is_text(value, "state") && is_count(value, "operator_port") &&
+           is_text(value, "zone") && is_text(value, "state") && is_port(value, "operator_port") &&
            value["state"] != "dead";
 }
 
@@ -113,7 +122,7 @@
     if (answer.result.status != status_ok) {
         return problem("answered with status " + std::to_string(answer.result.status));
     }
-    const json page = json::parse(answer.body, nullptr, false);
+    const json page = adapters::parse_shallow_json(answer.body).value;
     if (!is_status_page(page)) {
         return problem("answered with something that is no status");
     }
--- a/control/test/router_inspector_test.cpp
+++ b/control/test/router_inspector_test.cpp
@@ -61,3 +61,17 @@
                     read_status(answer(200, body), "i1").problem);
     }
 }
+
+// Cut down to sixteen bits, it would be the port of somebody else.
+TEST(router_inspector_test, a_member_with_a_port_out_of_range_is_left_out)
+{
+    for (const auto* const port : {"0", "65536", "65541", "18446744073709551615", "-1", "5.5"}) {
+        const auto members = R"({"incarnation":"i1","revision":7,"ready":true,"draining":false,)"
+                             R"("in_flight":3,"members":[{"incarnation":"i2","zone":"osu",)"
+                             R"("host":"10.0.0.2","state":"alive","operator_port":)" +
+                             std::string(port) + "}]}";
+        const auto status = read_status(answer(200, members), "i1");
+        CHECK_EQUAL(std::string(), status.problem);
+        CHECK_TRUE(status.members.empty());
+    }
+}
