--- a/decision/src/endpoint_directory.cpp
+++ b/decision/src/endpoint_directory.cpp
@@ -1,6 +1,7 @@
 #include "endpoint_directory.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace pearhaven::decision {
@@ -13,16 +14,17 @@
                    const std::map<std::string, Object>& after)
 {
     name_set names;
-    for (const auto& [name, object] : before) {
-        const auto other = after.find(name);
-        if (other == after.end() || !(other->second == object)) {
-            names.insert(name);
-        }
-    }
-    for (const auto& [name, object] : after) {
-        if (before.count(name) == 0) {
-            names.insert(name);
+    auto left = before.begin();
+    auto right = after.begin();
+    while (left != before.end() || right != after.end()) {
+        const int order = left == before.end()   ? 1
+                          : right == after.end() ? -1
+                                                 : left->first.compare(right->first);
+        if (order != 0 || !(left->second == right->second)) {
+            names.insert(order <= 0 ? left->first : right->first);
         }
+        left = order <= 0 ? std::next(left) : left;
+        right = order >= 0 ? std::next(right) : right;
     }
     return names;
 }
