--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -226,7 +226,9 @@
     // lives that ended by it; whoever keeps connections to them must not use these for what the
     // actions then start.
     std::vector<ended_life> on_host_changes(const host_changes& changes, instant now);
-    void on_load_report(const std::string& address, const load_report& report, instant now);
+
+    // False for a report that says nothing of the endpoint as it is known now.
+    bool on_load_report(const std::string& address, const load_report& report, instant now);
 
     // Another router says what it holds at the endpoints.
     void on_loads_told(const std::string& router, std::vector<endpoint_load> loads, instant now);
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -67,12 +67,15 @@
     return ended;
 }
 
-void dispatcher::on_load_report(const std::string& address, const load_report& report, instant now)
+bool dispatcher::on_load_report(const std::string& address, const load_report& report, instant now)
 {
-    this->table.reported(address, report, now);
+    if (!this->table.reported(address, report, now)) {
+        return false;
+    }
     if (report.draining) {
         this->table.mark_leaving(address, 0, now);
     }
+    return true;
 }
 
 void dispatcher::on_loads_told(const std::string& router, std::vector<endpoint_load> loads,
