--- a/decision/test/rollout_dispatch_test.cpp
+++ b/decision/test/rollout_dispatch_test.cpp
@@ -17,6 +17,7 @@
     std::string served = "adjudicator"; // model whose versions the engines serve
     bool fills_endpoint = false;
     bool has_old = true;
+    std::uint32_t session_ppm = 0;
 };
 
 configuration_ptr make_configuration(const fleet_plan& wanted)
@@ -35,6 +36,7 @@
     plan.step_callers = {2};
     plan.run = 3;
     plan.fills_endpoint = wanted.fills_endpoint;
+    plan.session_ppm = wanted.session_ppm;
     configuration_builder builder;
     builder.add(deposits).add(engines);
     if (wanted.begun) {
@@ -106,8 +108,14 @@
     }
 
     start_attempt arrive()
+    {
+        return this->arrive_in_session(0);
+    }
+
+    start_attempt arrive_in_session(std::uint64_t session_key)
     {
         arrival request;
+        request.session_key = session_key;
         request.ticket = ++this->last_ticket;
         request.team = "deposits";
         request.asked = "adjudicator";
@@ -245,6 +253,49 @@
     CHECK_EQUAL(std::string("adjudicator-1"), arrive_long().version);
 }
 
+// All callers of a team name the same session, and it is one of the sample that moves early: all of
+// their requests go to the new version, which always fails. One router of ninety that sees only its
+// own part of it stops after a handful, and each caller is answered by the old version.
+TEST(rollout_dispatch_test, one_session_of_all_callers_is_taken_off_a_bad_version_at_once)
+{
+    constexpr int handful = 10;
+    constexpr int callers = 100;
+    begin();
+    router.on_fleet(0, 90);
+    fleet_plan sampled;
+    sampled.session_ppm = 100'000;
+    router.on_configuration(make_configuration(sampled), now);
+    int on_new = 0;
+    for (int caller = 0; caller < callers; ++caller) {
+        auto attempt = arrive_in_session(50'000);
+        if (attempt.version == "adjudicator-2") {
+            ++on_new;
+            attempt = end(attempt, attempt_result::failed, true);
+        }
+        CHECK_EQUAL(std::string("adjudicator-1"), attempt.version);
+        end(attempt, attempt_result::finished, false);
+    }
+    CHECK_TRUE(on_new > 0);
+    CHECK_TRUE(on_new <= handful);
+    CHECK_TRUE(router.rollouts().at(0).tripped);
+}
+
+// As above, for a session that is not of the sample: none of its requests moves early, however many
+// there are.
+TEST(rollout_dispatch_test, one_session_of_all_callers_stays_whole_on_the_old_version)
+{
+    constexpr int callers = 100;
+    begin();
+    fleet_plan sampled;
+    sampled.session_ppm = 100'000;
+    router.on_configuration(make_configuration(sampled), now);
+    for (int caller = 0; caller < callers; ++caller) {
+        const auto attempt = arrive_in_session(100'000);
+        CHECK_EQUAL(std::string("adjudicator-1"), attempt.version);
+        end(attempt, attempt_result::finished, false);
+    }
+}
+
 // The new version answers rightly, and writes several times as slowly. First pieces come late for
 // many reasons, so only the pace of what is written tells.
 TEST(rollout_dispatch_test, a_stream_that_is_written_slowly_is_evidence_of_slowness)
