Let the demo build only what it runs, and show how far it is

scripts/demo.sh built everything, tests and benchmarks too, and kept the build's output to itself: on a busy machine it printed nothing for minutes. It now builds the six programs that it starts and shows the build's steps, with a line for each stage.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,8 +4,13 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${PEARHAVEN_BUILD:-build}
+programs=(pearhavend pearhavenctl standin_kv standin_engine standin_plain standin_hosts)
+
+echo "demo: looking for the packages that the build needs"
 scripts/packages.sh
-scripts/build.sh >/dev/null
+echo "demo: building ${programs[*]}"
+scripts/build.sh "${programs[@]}"
+echo "demo: starting stand-ins and three routers"
 source scripts/fleet.sh
 
 expected=0
