Show that a router skips what a watcher's word leaves out behind what it knows

Callers would be answered by an older configuration, or sent to an endpoint that has left, at one router, until it lists anew.

A word names the lowest revision that it leaves out. Where a listener is past that one already (it heard it from the store, or from the other watcher), prefix_mirror::go_on_to counts nothing as left out and goes on to the word's end, past other values that were left out too. The same with a word that leaves out all. The other watcher's word is no newer then, and is not looked at.

--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -276,6 +276,43 @@
     CHECK_EQUAL(asked, this->calls.size());
 }
 
+// Callers are answered as an older configuration wants, or go to an endpoint that has left, at one
+// router and for as long as it runs. Two routers watch for it, and their words overlap: the second
+// one leaves out two values, of which this router has the first. Only the first one's revision is
+// named; since that is known, the second value counts as heard, and nobody asks for it again.
+TEST(prefix_mirror, a_word_that_leaves_out_a_known_value_and_another_one_is_asked_for)
+{
+    this->list_one();
+    this->answer(reply_of(kv_outcome::ok, 15, {{"things/b", std::string(20'000, 'x'), 12}}), start);
+    mirror_news of_other;
+    of_other.after = 11;
+    of_other.as_of = 20;
+    of_other.entries = {{"things/b", std::string(20'000, 'x'), 12},
+                        {"things/c", std::string(20'000, 'x'), 18}};
+    this->mirror.on_told(without_large_values(of_other));
+    this->collect();
+    CHECK_TRUE(this->mirror.has_to_ask());
+    CHECK_TRUE(this->mirror.revision() < 18);
+}
+
+// As above, by a word of a router that watches again after a while: more has changed since its last
+// word than it keeps, so all is left out, from a revision on that this router knows already. What
+// its newest watch brought is told by nobody any more, since the other watcher's word is no newer.
+TEST(prefix_mirror, a_word_that_leaves_out_all_is_asked_for_also_behind_what_is_known)
+{
+    this->list_one();
+    this->answer(reply_of(kv_outcome::ok, 15, {}), start);
+    mirror_news everything;
+    everything.whole = true;
+    everything.after = 5;
+    everything.as_of = 20;
+    everything.entries = {{"things/a", "1", 7}, {"things/c", "new", 18}};
+    this->mirror.on_told(without_large_values(everything));
+    this->collect();
+    CHECK_TRUE(this->mirror.has_to_ask());
+    CHECK_TRUE(this->mirror.revision() < 18);
+}
+
 // The store turns this router away just when it has to ask. It goes on asking until it is answered,
 // also when another router has told it everything meanwhile: else it would count as cut off for
 // ever.
