Show that a halt of the process still counts as a silence of others

Answers that came during a halt would count as silence, and kept connections as idle, when the router goes on.

The halt ends epoll_wait with EINTR and no sockets. run_sockets takes that for a look that found nothing: heard_until becomes the time after the halt, and the timers that became due meanwhile run before anything has been read.

--- a/adapters/test/event_loop_test.cpp
+++ b/adapters/test/event_loop_test.cpp
@@ -1,11 +1,13 @@
 #include "pearhaven/adapters/event_loop.hpp"
 
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <string>
@@ -264,6 +266,36 @@
     CHECK_TRUE(heard_when_busy < began + 2 * due);
 }
 
+// An endpoint's answer came in time and counts as silence, when a router goes on after it was
+// halted. The halt ended the wait for the sockets, which told of none; what came during the halt
+// was still unread when the timers ran, and by the time up to which all had been heard it was late.
+TEST(event_loop, what_came_while_the_process_was_halted_is_heard_before_a_timer_runs)
+{
+    constexpr milliseconds due{300};
+    const auto halted = fork();
+    if (halted == 0) {
+        adapters::event_loop loop;
+        bool was_heard = false;
+        acting_reader caller(this->first[0], [&was_heard] { was_heard = true; });
+        loop.watch(this->first[0], caller, true, false);
+        loop.after(due, [&loop] { loop.stop(); });
+        const auto is_in_time = [&was_heard] { return was_heard ? 0 : 1; };
+        loop.run();
+        _exit(is_in_time());
+    }
+    std::this_thread::sleep_for(due / 3);
+    CHECK_EQUAL(0, kill(halted, SIGSTOP));
+    int status = 0;
+    CHECK_EQUAL(halted, waitpid(halted, &status, WUNTRACED));
+    CHECK_TRUE(WIFSTOPPED(status));
+    CHECK_EQUAL(1, write(this->first[1], "x", 1));
+    std::this_thread::sleep_for(2 * due);
+    CHECK_EQUAL(0, kill(halted, SIGCONT));
+    CHECK_EQUAL(halted, waitpid(halted, &status, 0));
+    CHECK_TRUE(WIFEXITED(status));
+    CHECK_EQUAL(0, WEXITSTATUS(status));
+}
+
 // While one callback works nobody else is heard; whoever watches for it learns how long, and what
 // did it.
 TEST(event_loop, a_long_callback_is_told_with_its_work)
