Show that a router that has listed anew hides removals from others

Callers would be sent to an endpoint that has left, by a router that goes by another one's word.

prefix_mirror::on_list moves changes_since on for the very first list only, and on_told never. A mirror that skipped a part of the history by a list says later that it knows every change of it: news_after is not whole, and lacks the removal of what came and went meanwhile, or was gone before a first list from a peer.

--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -313,6 +313,47 @@
     CHECK_TRUE(this->mirror.revision() < 18);
 }
 
+// Callers are sent to an endpoint that left long ago, by a router that goes by another one's word.
+// The other one had lost the store's history and listed anew: it never heard of the endpoint, which
+// came and left meanwhile, and so tells of no removal; but it says that its word is all there was.
+TEST(prefix_mirror, a_list_after_a_lost_history_hides_no_removal_from_others)
+{
+    this->list_one();
+    this->answer(reply_of(kv_outcome::not_found), start);
+    this->answer(reply_of(kv_outcome::ok, 30, {{"things/a", "1", 7}}), start);
+    const auto word = this->mirror.news_after(15);
+    CHECK_TRUE(word.has_value());
+    prefix_mirror follower{prefix_mirror_settings{}};
+    follower.on_tick(start);
+    follower.on_reply(
+        1, reply_of(kv_outcome::ok, 15, {{"things/a", "1", 7}, {"things/b", "1", 12}}), start);
+    follower.on_told(*word);
+    CHECK_TRUE(follower.entries().count("things/b") == 0 || follower.revision() < 18);
+}
+
+// As above; the other one started while the store turned it away, and has its first list from a
+// peer. What was removed before that list it cannot know.
+TEST(prefix_mirror, a_first_list_from_a_peer_hides_no_removal_from_others)
+{
+    this->tick(start);
+    this->answer(reply_of(kv_outcome::unavailable), start);
+    mirror_news everything;
+    everything.whole = true;
+    everything.as_of = 20;
+    everything.entries = {{"things/a", "1", 7}};
+    this->mirror.on_told(everything);
+    this->tick(start + seconds(1));
+    this->answer(reply_of(kv_outcome::ok, 30, {{"things/a", "1", 7}}), start + seconds(1));
+    const auto word = this->mirror.news_after(15);
+    CHECK_TRUE(word.has_value());
+    prefix_mirror follower{prefix_mirror_settings{}};
+    follower.on_tick(start);
+    follower.on_reply(
+        1, reply_of(kv_outcome::ok, 15, {{"things/a", "1", 7}, {"things/b", "1", 12}}), start);
+    follower.on_told(*word);
+    CHECK_TRUE(follower.entries().count("things/b") == 0 || follower.revision() < 18);
+}
+
 // The store turns this router away just when it has to ask. It goes on asking until it is answered,
 // also when another router has told it everything meanwhile: else it would count as cut off for
 // ever.
