Show that a look of 256 events with a task among them counts as whole

A caller's connection would be judged by a look that left it out, on a router with very many ready sockets.

poller::wait leaves the wake event out of what it returns, and note_look compares that number with the most that one look can tell of: 255 sockets and a task are taken for all there was.

--- a/adapters/test/event_loop_test.cpp
+++ b/adapters/test/event_loop_test.cpp
@@ -296,6 +296,41 @@
     CHECK_EQUAL(0, WEXITSTATUS(status));
 }
 
+// As above, on a router with very many connections. One look tells of a bounded number of them; a
+// task of another thread was among them, so that it counted as a look that left nothing out.
+TEST(event_loop, a_full_look_that_tells_of_a_task_is_a_full_look)
+{
+    constexpr std::size_t besides_the_task = 255;
+    std::vector<std::array<int, 2>> others(besides_the_task);
+    std::vector<std::unique_ptr<acting_reader>> readers;
+    adapters::event_loop loop;
+    std::string order;
+    for (auto& pair : others) {
+        CHECK_EQUAL(0, socketpair(AF_UNIX, SOCK_STREAM, 0, pair.data()));
+        readers.push_back(std::make_unique<acting_reader>(pair[0], [] {}));
+        loop.watch(pair[0], *readers.back(), true, false);
+    }
+    acting_reader caller(this->first[0], [&order] { order += "caller "; });
+    loop.watch(this->first[0], caller, true, false);
+    loop.post([] {});
+    for (const auto& pair : others) {
+        CHECK_EQUAL(1, write(pair[1], "x", 1));
+    }
+    CHECK_EQUAL(1, write(this->first[1], "x", 1));
+    loop.after(decision::duration::zero(), [&] {
+        order += "timer";
+        loop.stop();
+    });
+    loop.run();
+    loop.forget(this->first[0]);
+    for (const auto& pair : others) {
+        loop.forget(pair[0]);
+        close(pair[0]);
+        close(pair[1]);
+    }
+    STRCMP_EQUAL("caller timer", order.c_str());
+}
+
 // While one callback works nobody else is heard; whoever watches for it learns how long, and what
 // did it.
 TEST(event_loop, a_long_callback_is_told_with_its_work)
