Show that a large value that takes longer than the period is never taken

Callers would be refused on a new route at a router that the store turns away, for as long as its peers' links are full.

peer_exchange keeps the number of the last large question only. The period of 1.5 s moves the limit of before; it is still a fixed time, and past it each peer in turn sends the whole value for nothing.

--- a/coordination/test/peer_exchange_test.cpp
+++ b/coordination/test/peer_exchange_test.cpp
@@ -157,6 +157,26 @@
     CHECK_TRUE(exchange.takes(news));
 }
 
+// As above, where the links of the peers are full: the value takes longer than any one period. Each
+// peer in turn sends all of it, and each time the next one has been asked when it comes.
+TEST(peer_exchange, a_large_value_that_takes_longer_than_the_period_is_taken)
+{
+    auto exchange = make_exchange("edge-100");
+    set_peers(exchange, 4);
+    std::vector<mirror_pull> large;
+    for (auto now = start; large.size() < 2; now += milliseconds(300)) {
+        for (const auto& send : exchange.on_tick({}, {false, 17, true}, now)) {
+            const auto& pull = std::get<mirror_pull>(send.message);
+            if (pull.large) {
+                large.push_back(pull);
+            }
+        }
+    }
+    mirror_news news;
+    news.nonce = large[0].nonce;
+    CHECK_TRUE(exchange.takes(news));
+}
+
 TEST(peer_exchange, a_router_alone_says_nothing)
 {
     auto exchange = make_exchange("edge-100");
