Ask for all that a word leaves out, and hide no removal behind a list

Callers would be answered by an older configuration, or sent to an endpoint that has left, at one router until it lists anew.

- A word names the lowest revision that it leaves out.
A listener that knew that one counted as past everything up to the word's end.
Now whatever is left out makes it ask, and it goes no further than before the lowest one; at worst one call too many.
- A mirror that listed anew, after the store dropped its history or from a peer, told others later that it knew every change.
What came and went meanwhile it had never heard of.
Now it tells all that is there to whoever asks from before its list.
- A removal of a key that is not held was passed over; it is passed on now.

The test tells_others_of_removals_that_only_a_list_has_shown asked for one removal in place of the whole: an asker from before the list could be left with a key that came and went.

--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -127,6 +127,7 @@
     void drop_lapsed(decision::instant now);
     [[nodiscard]] std::vector<std::string> missing_from(const std::set<std::string>& listed,
                                                         store_revision as_of) const;
+    void note_removal(const std::string& key, store_revision revision);
     void note_change(const std::string& key, store_revision revision);
     void go_on_to(const mirror_news& news);
     void drop_false_word();
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -154,6 +154,9 @@
 void prefix_mirror::miss(const std::string& key, store_revision revision, decision::instant now)
 {
     const auto held = this->known.find(key);
+    if (held == this->known.end() && revision != 0) {
+        this->note_removal(key, revision);
+    }
     if (held == this->known.end() || (revision != 0 && revision < held->second.revision)) {
         return;
     }
@@ -177,6 +180,17 @@
     this->actions.emplace_back(mirror_removed{key, revision});
 }
 
+// Of a key that is not held: it came and went since this mirror last heard. Others may hold it, and
+// go by what this mirror tells.
+void prefix_mirror::note_removal(const std::string& key, store_revision revision)
+{
+    auto& at = this->removed[key];
+    if (revision > at) {
+        at = revision;
+        this->note_change(key, revision);
+    }
+}
+
 void prefix_mirror::note_change(const std::string& key, store_revision revision)
 {
     this->changes.push_back({revision, key});
@@ -227,11 +241,14 @@
         const bool is_older = held != this->known.end() && held->second.revision > entry.revision;
         if (!entry.value.empty()) {
             this->adopt(entry);
-        } else if (held != this->known.end() && !is_older) {
+        } else if (held == this->known.end()) {
+            this->note_removal(entry.key, entry.revision);
+        } else if (!is_older) {
             this->drop(entry.key, entry.revision);
         }
     }
     if (news.whole) {
+        this->changes_since = std::max(this->changes_since, news.as_of);
         for (const auto& key : this->missing_from(listed, news.as_of)) {
             this->drop(key, 0);
         }
@@ -243,15 +260,16 @@
     }
 }
 
-// Behind a gap, and from where something is left out, not everything is known that was before.
+// Behind a gap, and from where something is left out, not everything is known that was before. Only
+// the lowest revision that is left out is named: that one may be known already, and others not.
 void prefix_mirror::go_on_to(const mirror_news& news)
 {
-    const bool lacks_some = news.left_out > this->watched;
+    const bool lacks_some = news.left_out != 0;
     if (lacks_some) {
         this->told_of = std::max(this->told_of, news.as_of);
     }
     if (news.whole || news.after <= this->watched) {
-        this->watched = lacks_some ? news.left_out - 1 : news.as_of;
+        this->watched = lacks_some ? std::max(this->watched, news.left_out - 1) : news.as_of;
     }
 }
 
@@ -286,8 +304,8 @@
 {
     this->removed.clear();
     this->watched = std::max(this->watched, reply.revision);
-    // What was before the first list is not known change by change.
-    this->changes_since = this->has_list ? this->changes_since : reply.revision;
+    // What was before a list is not known change by change.
+    this->changes_since = std::max(this->changes_since, reply.revision);
     std::set<std::string> listed;
     for (const auto& entry : reply.entries) {
         listed.insert(entry.key);
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -441,14 +441,23 @@
 }
 
 // A key that a list lacks was removed at some time since the list before. Whoever asks from before
-// this list is told.
+// this list is told: of all that is there now, since other keys may have come and gone meanwhile.
 TEST(prefix_mirror, tells_others_of_removals_that_only_a_list_has_shown)
 {
     this->list_one();
     this->answer(reply_of(kv_outcome::not_found), start); // the history is gone
     this->answer(reply_of(kv_outcome::ok, 20, {{"things/b", "2", 15}}), start);
     const auto news = this->mirror.news_after(19);
-    CHECK_TRUE((std::vector<kv_entry>{{"things/a", "", 20}}) == news->entries);
+    CHECK_TRUE(news->whole);
+    CHECK_TRUE((std::vector<kv_entry>{{"things/b", "2", 15}}) == news->entries);
+    prefix_mirror follower{prefix_mirror_settings{}};
+    follower.on_tick(start);
+    const std::vector<kv_entry> held = {{"things/a", "1", 7}, {"things/b", "2", 15}};
+    follower.on_reply(1, reply_of(kv_outcome::ok, 19, held), start);
+    follower.on_told(*news);
+    CHECK_TRUE(follower.entries() == this->mirror.entries());
+    CHECK_EQUAL(20U, follower.revision());
+    CHECK_TRUE(this->mirror.news_after(20)->entries.empty());
 }
 
 // Two mirrors of one store. One hears everything from the store, the other now and then from the
