Take a large value from a peer however long it takes

A value that took longer than 1.5 s, as over a link in use, was thrown away, and the next peer was asked for all of it: callers would be refused on a new route for as long as links are full, at a router that the store turns away. The answer to any question that is still open is taken, and the time between two of them doubles up to 6 s.

--- a/coordination/include/pearhaven/coordination/peer_exchange.hpp
+++ b/coordination/include/pearhaven/coordination/peer_exchange.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,10 +42,11 @@
     // Time between two questions to peers while the store does not answer this router.
     decision::duration pull_period = std::chrono::milliseconds{300};
 
-    // The same for large values. A configuration of half a megabyte takes that long from a peer
-    // whose link of 10 Mbit/s is in use, and a question that is asked anew meanwhile doubles the
-    // work and gets no answer either.
+    // The same for large values, after the first question; doubled with each one that has no answer
+    // yet. A configuration of half a megabyte takes that long from a peer whose link of 10 Mbit/s
+    // is in use, and longer where many ask. The answer to any of the questions is taken.
     decision::duration large_pull_period = std::chrono::milliseconds{1500};
+    decision::duration longest_large_pull_period = std::chrono::seconds{6};
     std::uint64_t seed = 0; // spreads the routers' questions over the peers
 };
 
@@ -94,6 +96,7 @@
     void add_pulls(const mirror_standing& mirror, std::vector<peer_send>& sends,
                    decision::instant now);
     [[nodiscard]] peer_send ask(store_revision after, bool large);
+    void forget_large_questions();
 
     peer_exchange_settings settings;
     std::map<std::string, peer_router> peers; // by name
@@ -103,7 +106,8 @@
     decision::instant next_large_pull;
     std::uint64_t questions = 0;
     std::optional<std::uint64_t> open_question;
-    std::optional<std::uint64_t> open_large_question;
+    std::set<std::uint64_t> open_large_questions;
+    decision::duration large_pull_period = this->settings.large_pull_period;
 };
 
 } // namespace pearhaven::coordination
--- a/coordination/src/peer_exchange.cpp
+++ b/coordination/src/peer_exchange.cpp
@@ -25,7 +25,7 @@
     this->add_loads(own, sends, now);
     if (mirror.in_touch) {
         this->open_question.reset();
-        this->open_large_question.reset();
+        this->forget_large_questions();
     } else {
         this->add_pulls(mirror, sends, now);
     }
@@ -69,9 +69,11 @@
         this->open_question = this->questions;
     }
     if (mirror.lacks_large && now >= this->next_large_pull) {
-        this->next_large_pull = now + this->settings.large_pull_period;
+        this->next_large_pull = now + this->large_pull_period;
+        this->large_pull_period =
+            std::min(2 * this->large_pull_period, this->settings.longest_large_pull_period);
         sends.push_back(this->ask(mirror.revision, true));
-        this->open_large_question = this->questions;
+        this->open_large_questions.insert(this->questions);
     }
 }
 
@@ -98,13 +100,21 @@
 
 bool peer_exchange::takes(const mirror_news& news)
 {
-    for (auto* const open : {&this->open_question, &this->open_large_question}) {
-        if (*open == news.nonce) {
-            open->reset();
-            return true;
-        }
+    if (this->open_question == news.nonce) {
+        this->open_question.reset();
+        return true;
+    }
+    const bool answers_large = this->open_large_questions.count(news.nonce) > 0;
+    if (answers_large) {
+        this->forget_large_questions();
     }
-    return false;
+    return answers_large;
+}
+
+void peer_exchange::forget_large_questions()
+{
+    this->open_large_questions.clear();
+    this->large_pull_period = this->settings.large_pull_period;
 }
 
 } // namespace pearhaven::coordination
