Count as heard only what came before a look at the sockets began

A halt of the process ends the wait for sockets without a look at them; it counted as one that found nothing, and what came during the halt as silence. The wait is repeated, without waiting, and the time of a look is that of its beginning, so that a halt right after it counts for nothing either; a timer that falls due in a wait runs after one look more. A look is full by what the system told, with the wake of a posted task among it.

--- a/adapters/src/event_loop.cpp
+++ b/adapters/src/event_loop.cpp
@@ -29,8 +29,9 @@
     void run_posted();
     void run_timers();
     void run_sockets();
-    void note_look(decision::instant looked_at, std::size_t ready);
-    [[nodiscard]] std::optional<std::chrono::nanoseconds> time_to_next_timer() const;
+    void note_look(decision::instant looked_at);
+    [[nodiscard]] std::optional<std::chrono::nanoseconds>
+    time_to_next_timer(decision::instant now) const;
 
     poller sockets;
     std::unordered_map<int, socket_listener*> listeners;
@@ -40,9 +41,9 @@
     std::map<timer_number, std::function<void()>> soon; // in the order in which they were asked for
     timer_number last_timer = 0;
     decision::instant clock = read_clock();
-    decision::instant heard_until = clock;
-    std::size_t full_looks = 0; // in a row, after which more sockets may have been ready
-    std::string_view work;      // of the callback that is being run
+    decision::instant heard_until{}; // before the first look nothing has been heard
+    std::size_t full_looks = 0;      // in a row, after which more sockets may have been ready
+    std::string_view work;           // of the callback that is being run
     decision::duration least_pause{};
     std::function<void(const loop_pause&)> tell_pause;
     std::atomic<bool> stopping{false};
@@ -96,19 +97,22 @@
     }
 }
 
-std::optional<std::chrono::nanoseconds> event_loop::state::time_to_next_timer() const
+std::optional<std::chrono::nanoseconds>
+event_loop::state::time_to_next_timer(decision::instant now) const
 {
     if (this->timers.empty()) {
         return std::nullopt;
     }
-    return this->timers.begin()->first.first - read_clock();
+    return this->timers.begin()->first.first - now;
 }
 
 void event_loop::state::run_sockets()
 {
-    const auto& ready = this->sockets.wait(this->time_to_next_timer());
+    // Whatever came before the look began is in it. The moment after it says less: the process may
+    // have been halted in between.
+    const auto looked_at = read_clock();
+    const auto& ready = this->sockets.wait(this->time_to_next_timer(looked_at));
     this->clock = read_clock();
-    const auto looked_at = this->clock;
     this->forgotten.clear();
     for (const auto& socket : ready) {
         const auto found = this->listeners.find(socket.socket);
@@ -118,15 +122,14 @@
             });
         }
     }
-    this->note_look(looked_at, ready.size());
+    this->note_look(looked_at);
 }
 
 // The system tells of the ready sockets in turn, a bounded number at once. Sockets that are ready
 // all the time must not keep timers from running for ever.
-void event_loop::state::note_look(decision::instant looked_at, std::size_t ready)
+void event_loop::state::note_look(decision::instant looked_at)
 {
-    const bool may_lack_some =
-        ready >= poller::events_at_once && this->full_looks < most_full_looks;
+    const bool may_lack_some = this->sockets.was_full() && this->full_looks < most_full_looks;
     this->full_looks = may_lack_some ? this->full_looks + 1 : 0;
     if (!may_lack_some) {
         this->heard_until = looked_at;
--- a/adapters/src/poller.cpp
+++ b/adapters/src/poller.cpp
@@ -67,8 +67,14 @@
 const std::vector<ready_socket>& poller::wait(std::optional<std::chrono::nanoseconds> at_most)
 {
     this->ready.clear();
-    const int count = epoll_wait(this->epoll, this->events.data(),
-                                 static_cast<int>(this->events.size()), to_milliseconds(at_most));
+    const auto room = static_cast<int>(this->events.size());
+    int count = epoll_wait(this->epoll, this->events.data(), room, to_milliseconds(at_most));
+    // A halt of the process ends the wait without a look at the sockets. What came meanwhile would
+    // count as not there.
+    while (count < 0 && errno == EINTR) {
+        count = epoll_wait(this->epoll, this->events.data(), room, 0);
+    }
+    this->full = count == room;
     for (int index = 0; index < count; ++index) {
         const epoll_event& event = this->events[static_cast<std::size_t>(index)];
         if (event.data.fd == this->wake_event) {
--- a/adapters/src/poller.hpp
+++ b/adapters/src/poller.hpp
@@ -20,9 +20,6 @@
 // any thread may wake it.
 class poller {
 public:
-    // The most sockets that one wait tells of.
-    static constexpr std::size_t events_at_once = 256;
-
     // Throws std::system_error when the system refuses.
     poller();
     ~poller();
@@ -39,13 +36,19 @@
     // until the next call.
     const std::vector<ready_socket>& wait(std::optional<std::chrono::nanoseconds> at_most);
 
+    // Whether more may have been ready in the last wait than it had room for.
+    [[nodiscard]] bool was_full() const { return this->full; }
+
     void wake() const;
 
 private:
+    static constexpr std::size_t events_at_once = 256;
+
     int epoll = -1;
     int wake_event = -1;
     std::array<epoll_event, events_at_once> events{};
     std::vector<ready_socket> ready;
+    bool full = false;
 };
 
 } // namespace pearhaven::adapters
