Let routers of two releases tell each other of large values

A router of the earlier release takes the end of a word for what it knows, and skipped what the word leaves out; asked by it, a router of this one left large values out. On the wire a word now ends before what it leaves out, with the true end in a field of its own, and a question names that it wants small values only. The codec translates; nothing else changes. Not played with two releases.

--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -182,7 +182,7 @@
 
     static bool take(const wire::MirrorPull& table, mirror_pull& message)
     {
-        message = {table.nonce(), table.after(), table.large()};
+        message = {table.nonce(), table.after(), !table.small()};
         return true;
     }
 
@@ -197,7 +197,7 @@
     static bool take(const wire::MirrorNews& table, mirror_news& message)
     {
         message.nonce = table.nonce();
-        message.as_of = table.as_of();
+        message.as_of = table.left_out() == 0 ? table.as_of() : table.until();
         message.whole = table.whole();
         message.after = table.after();
         message.age = decision::duration(table.age_us());
--- a/adapters/src/peer_encoder.cpp
+++ b/adapters/src/peer_encoder.cpp
@@ -155,7 +155,7 @@
 
     offset<wire::MirrorPull> put(const mirror_pull& message)
     {
-        return wire::CreateMirrorPull(this->out, message.nonce, message.after, message.large);
+        return wire::CreateMirrorPull(this->out, message.nonce, message.after, !message.large);
     }
 
     offset<wire::StoreEntry> put(const kv_entry& item)
@@ -169,9 +169,10 @@
     offset<wire::MirrorNews> put(const mirror_news& message)
     {
         const auto entries = this->put_all<wire::StoreEntry>(message.entries);
-        return wire::CreateMirrorNews(this->out, message.nonce, message.as_of, message.whole,
-                                      entries, message.after, message.age.count(),
-                                      message.left_out);
+        const auto as_of = message.left_out == 0 ? message.as_of : message.left_out - 1;
+        const auto until = message.left_out == 0 ? 0 : message.as_of;
+        return wire::CreateMirrorNews(this->out, message.nonce, as_of, message.whole, entries,
+                                      message.after, message.age.count(), message.left_out, until);
     }
 
     // The offset's own type names the union's member.
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -1675,7 +1675,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NONCE = 4,
     VT_AFTER = 6,
-    VT_LARGE = 8
+    VT_SMALL = 8
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -1683,14 +1683,14 @@
   uint64_t after() const {
     return GetField<uint64_t>(VT_AFTER, 0);
   }
-  bool large() const {
-    return GetField<uint8_t>(VT_LARGE, 0) != 0;
+  bool small() const {
+    return GetField<uint8_t>(VT_SMALL, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
-           VerifyField<uint8_t>(verifier, VT_LARGE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SMALL, 1) &&
            verifier.EndTable();
   }
 };
@@ -1705,8 +1705,8 @@
   void add_after(uint64_t after) {
     fbb_.AddElement<uint64_t>(MirrorPull::VT_AFTER, after, 0);
   }
-  void add_large(bool large) {
-    fbb_.AddElement<uint8_t>(MirrorPull::VT_LARGE, static_cast<uint8_t>(large), 0);
+  void add_small(bool small) {
+    fbb_.AddElement<uint8_t>(MirrorPull::VT_SMALL, static_cast<uint8_t>(small), 0);
   }
   explicit MirrorPullBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1723,11 +1723,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t nonce = 0,
     uint64_t after = 0,
-    bool large = false) {
+    bool small = false) {
   MirrorPullBuilder builder_(_fbb);
   builder_.add_after(after);
   builder_.add_nonce(nonce);
-  builder_.add_large(large);
+  builder_.add_small(small);
   return builder_.Finish();
 }
 
@@ -1831,7 +1831,8 @@
     VT_ENTRIES = 10,
     VT_AFTER = 12,
     VT_AGE_US = 14,
-    VT_LEFT_OUT = 16
+    VT_LEFT_OUT = 16,
+    VT_UNTIL = 18
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -1854,6 +1855,9 @@
   uint64_t left_out() const {
     return GetField<uint64_t>(VT_LEFT_OUT, 0);
   }
+  uint64_t until() const {
+    return GetField<uint64_t>(VT_UNTIL, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
@@ -1865,6 +1869,7 @@
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_LEFT_OUT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_UNTIL, 8) &&
            verifier.EndTable();
   }
 };
@@ -1894,6 +1899,9 @@
   void add_left_out(uint64_t left_out) {
     fbb_.AddElement<uint64_t>(MirrorNews::VT_LEFT_OUT, left_out, 0);
   }
+  void add_until(uint64_t until) {
+    fbb_.AddElement<uint64_t>(MirrorNews::VT_UNTIL, until, 0);
+  }
   explicit MirrorNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1914,8 +1922,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>>> entries = 0,
     uint64_t after = 0,
     int64_t age_us = 0,
-    uint64_t left_out = 0) {
+    uint64_t left_out = 0,
+    uint64_t until = 0) {
   MirrorNewsBuilder builder_(_fbb);
+  builder_.add_until(until);
   builder_.add_left_out(left_out);
   builder_.add_age_us(age_us);
   builder_.add_after(after);
@@ -1939,7 +1949,8 @@
     const std::vector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>> *entries = nullptr,
     uint64_t after = 0,
     int64_t age_us = 0,
-    uint64_t left_out = 0) {
+    uint64_t left_out = 0,
+    uint64_t until = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>>(*entries) : 0;
   return pearhaven::adapters::wire::CreateMirrorNews(
       _fbb,
@@ -1949,7 +1960,8 @@
       entries__,
       after,
       age_us,
-      left_out);
+      left_out,
+      until);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
