Merge the pause of a transfer, and what counts as no answer of the store

The order in which a transfer's pause flag and the second look at the caller's ring come was written twice, for engines and for services, with the reason at one of them; it is now a function of the exchange, and tested for both (there was no test). `has_no_answer` stood twice in coordination and once more without its name.

Looked at among the first twenty and left: the bill as it is stored and as pearhavenctl prints it (two contracts that may part), schemas of configuration kinds, the two threads' start and stop, relays' declarations (the same shape, other content), generated code.

Seen red: exchange_test 2 of 2 with the flag not set. Green: router_tests 73, coordination_tests 134.

--- a/coordination/src/config_writer.cpp
+++ b/coordination/src/config_writer.cpp
@@ -1,6 +1,7 @@
 #include "pearhaven/coordination/config_writer.hpp"
 
 #include "config_pages.hpp"
+#include "kv_answers.hpp"
 #include "mix.hpp"
 
 #include <algorithm>
@@ -13,11 +14,6 @@
 
 namespace {
 
-bool has_no_answer(const kv_reply& reply)
-{
-    return reply.outcome == kv_outcome::unavailable || reply.outcome == kv_outcome::unknown;
-}
-
 bool touches(const config_change& change, const config_object& object)
 {
     return std::any_of(change.objects.begin(), change.objects.end(), [&](const auto& touched) {
--- /dev/null
+++ b/coordination/src/kv_answers.hpp
@@ -0,0 +1,16 @@
+#ifndef PEARHAVEN_COORDINATION_SRC_KV_ANSWERS_HPP
+#define PEARHAVEN_COORDINATION_SRC_KV_ANSWERS_HPP
+
+#include "pearhaven/coordination/key_value.hpp"
+
+namespace pearhaven::coordination {
+
+// Whether the store has said nothing: the call may be made again, and a write may have been done.
+inline bool has_no_answer(const kv_reply& reply)
+{
+    return reply.outcome == kv_outcome::unavailable || reply.outcome == kv_outcome::unknown;
+}
+
+} // namespace pearhaven::coordination
+
+#endif
--- a/coordination/src/lease_holder.cpp
+++ b/coordination/src/lease_holder.cpp
@@ -1,5 +1,6 @@
 #include "pearhaven/coordination/lease_holder.hpp"
 
+#include "kv_answers.hpp"
 #include "mix.hpp"
 
 #include <utility>
@@ -9,15 +10,6 @@
 using decision::duration;
 using decision::instant;
 
-namespace {
-
-bool has_no_answer(const kv_reply& reply)
-{
-    return reply.outcome == kv_outcome::unavailable || reply.outcome == kv_outcome::unknown;
-}
-
-} // namespace
-
 lease_holder::lease_holder(lease_holder_settings chosen, const duty_codec& record_codec,
                            instant now)
     : settings(std::move(chosen)), codec(record_codec),
--- a/coordination/src/registration.cpp
+++ b/coordination/src/registration.cpp
@@ -1,5 +1,7 @@
 #include "pearhaven/coordination/registration.hpp"
 
+#include "kv_answers.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -100,7 +102,7 @@
 
 void registration::on_read(const kv_reply& reply, instant now)
 {
-    if (reply.outcome == kv_outcome::unavailable || reply.outcome == kv_outcome::unknown) {
+    if (has_no_answer(reply)) {
         this->retry_later(now);
         return;
     }
--- a/router/src/engine_attempt.cpp
+++ b/router/src/engine_attempt.cpp
@@ -82,14 +82,8 @@
         }
         return true;
     }
-    if (!this->caller->has_room()) {
-        // The flag goes up before the second look: else the caller's thread could empty the ring in
-        // between, see no flag, and the transfer would stay paused for good.
-        this->caller->paused.store(true);
-        if (!this->caller->has_room()) {
-            return false;
-        }
-        this->caller->paused.store(false);
+    if (!this->caller->has_room_or_pauses()) {
+        return false;
     }
     answer_piece tokens;
     for (const auto& event : this->reader.feed(piece)) {
--- a/router/src/exchange.hpp
+++ b/router/src/exchange.hpp
@@ -75,6 +75,23 @@
 
     [[nodiscard]] bool has_room() const { return this->events.size() + reserved < ring_size; }
 
+    // Whether the next piece of the answer finds a place. If not, `paused` is set, and the caller's
+    // thread resumes the transfer once it has taken something.
+    [[nodiscard]] bool has_room_or_pauses()
+    {
+        if (this->has_room()) {
+            return true;
+        }
+        // The flag goes up before the second look: else the caller's thread could empty the ring in
+        // between, see no flag, and the transfer would stay paused for good.
+        this->paused.store(true);
+        if (!this->has_room()) {
+            return false;
+        }
+        this->paused.store(false);
+        return true;
+    }
+
     void push(exchange_event event)
     {
         // A full ring here means that its caller has left.
--- a/router/src/service_attempt.cpp
+++ b/router/src/service_attempt.cpp
@@ -27,13 +27,8 @@
     if (this->not_run) {
         return true;
     }
-    if (!this->caller->has_room()) {
-        // The flag goes up before the second look, as for an engine's answer.
-        this->caller->paused.store(true);
-        if (!this->caller->has_room()) {
-            return false;
-        }
-        this->caller->paused.store(false);
+    if (!this->caller->has_room_or_pauses()) {
+        return false;
     }
     this->caller->push(answer_piece{{}, std::string(piece)});
     return true;
--- /dev/null
+++ b/router/test/exchange_test.cpp
@@ -0,0 +1,74 @@
+#include "engine_attempt.hpp"
+#include "service_attempt.hpp"
+
+#include <chrono>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pearhaven::router;
+
+namespace {
+
+class no_events : public routing_sink {
+public:
+    bool submit(routing_event /*event*/) override { return true; }
+    bool offer(routing_event& /*event*/) override { return true; }
+};
+
+const std::string token =
+    R"(data: {"id":"run-1","index":0,"choices":[{"delta":{"content":"x"},"finish_reason":null}]})"
+    "\n\n";
+
+} // namespace
+
+TEST_GROUP(exchange_test)
+{
+    no_events sink;
+    exchange_ptr caller{new exchange};
+
+    void teardown() override
+    {
+        this->caller.reset();
+    }
+
+    void fill()
+    {
+        while (this->caller->has_room()) {
+            this->caller->push(answer_piece{});
+        }
+    }
+
+    // The piece waits for the caller, and is taken once when the caller has taken something.
+    void check_that_it_waits(pearhaven::adapters::http_listener & attempt, const std::string& piece)
+    {
+        this->fill();
+        const auto held = this->caller->events.size();
+        CHECK_FALSE(attempt.on_body(piece));
+        CHECK_TRUE(this->caller->paused.load());
+        CHECK_EQUAL(held, this->caller->events.size());
+        static_cast<void>(this->caller->events.pop_for(std::chrono::seconds(0)));
+        this->caller->paused.store(false); // by the caller's thread, which resumes the transfer
+        CHECK_TRUE(attempt.on_body(piece));
+        CHECK_FALSE(this->caller->paused.load());
+        CHECK_EQUAL(held, this->caller->events.size());
+    }
+};
+
+// A caller reads slowly, and its ring is full. A piece that was pushed all the same would be lost
+// without a word; a transfer that waits without its flag would never go on.
+TEST(exchange_test, an_engines_piece_waits_where_the_caller_has_no_room)
+{
+    const boost::intrusive_ptr<engine_attempt> attempt(
+        new engine_attempt(this->sink, this->caller, new engine_run("run-1", "m"), 1, false));
+    attempt->on_head(200, {});
+    check_that_it_waits(*attempt, token);
+}
+
+TEST(exchange_test, a_services_piece_waits_where_the_caller_has_no_room)
+{
+    const boost::intrusive_ptr<service_attempt> attempt(
+        new service_attempt(this->sink, this->caller, 1));
+    attempt->on_head(200, {});
+    check_that_it_waits(*attempt, "piece");
+}
