--- a/coordination/include/pearhaven/coordination/watch_share.hpp
+++ b/coordination/include/pearhaven/coordination/watch_share.hpp
@@ -40,9 +40,10 @@
 };
 
 // Divides the watching of the store among the routers of a zone. With a watch of its own for each,
-// ninety routers made 6,300 calls in 45 s, since each write wakes all of them. Who watches follows
-// from the names of the live routers alone, alike everywhere and without a write; who hears nothing
-// in time watches for itself, so that a wrong idea of the others costs calls and nothing else.
+// every write costs as many calls as there are routers, since it wakes all of them. Who watches
+// follows from the names of the live routers alone, alike everywhere and without a write; who hears
+// nothing in time watches for itself, so that a wrong idea of the others costs calls and nothing
+// else.
 class watch_share {
 public:
     explicit watch_share(watch_share_settings chosen) : settings(std::move(chosen)) {}
--- a/decision/src/dispatcher_admission.cpp
+++ b/decision/src/dispatcher_admission.cpp
@@ -62,8 +62,8 @@
 // A request that is taken and broken off by the end of the stop costs its caller an answer half
 // delivered, and its endpoint the work. Nine of ten answers of a kind keep to its known length; one
 // that is refused for it may go to another router. Streams that another router can go on with are
-// left out: on days with many stops, refusing them for their length served no more callers (0.874
-// of them against 0.878, six days), as the next router is often one that stops, too.
+// left out: where many routers stop in turn the next one is often one that stops, too, and refusing
+// them serves no more callers.
 std::optional<failure> dispatcher::stop_failure(const arrival& request, instant now) const
 {
     if (!this->stop) {
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -253,10 +253,9 @@
     return part_of_burst(all, this->settings.retry_burst, place, this->fleet_size);
 }
 
-// Where prompts are long or endpoints busy the objective is no measure of what is lost: runs that
-// would have begun were given up, begun anew at the next endpoint, and given up there. With what is
-// usual in the measure, engines that read prompts of 13,300 tokens got 4 and 5 in 100 fewer sends
-// on two days, and 0.775 and 0.679 of the callers were served in place of 0.757 and 0.678.
+// Where prompts are long or endpoints busy the objective alone is no measure of what is lost: runs
+// that would have begun are given up, begun anew at the next endpoint, and given up there. What is
+// usual for the kind of request bounds it from below.
 duration dispatcher::patience_before_answer(const arrival& request, double part_of_objective) const
 {
     if (request.objective <= duration::zero()) {
