Drop what is gone at once where the store served others all the while

Callers were sent to an endpoint 2.5 s after it had left. The store had turned their router away and served the others, as these said several times a second; when it was served again it heard that the endpoint's key was gone, and gave it the 2.5 s in which a key may come back after the store was away. That time is for owners who could not renew their keys: the store was there for them.

The word of others that the store serves them now counts: where it has, for at least as long as a key may be missing and up to now, nothing lapsed. After an outage for everybody, words of others are too young for that, and the time stays.

Not traced elsewhere.

--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -95,6 +95,10 @@
     // the news leave out this mirror asks the store for, whether it follows others or not.
     void on_told(const mirror_news& news);
 
+    // The store has served another router at that time, as that one says. It was not away then, for
+    // whoever keeps keys alive there.
+    void on_others_served(decision::instant at);
+
     // Whether others have told of changes without what changed, and the store has yet to say it.
     [[nodiscard]] bool has_to_ask() const { return this->watched < this->told_of; }
 
@@ -131,6 +135,7 @@
     void note_change(const std::string& key, store_revision revision);
     void go_on_to(const mirror_news& news);
     void drop_false_word();
+    [[nodiscard]] bool has_served_others(decision::instant now) const;
 
     struct change {
         store_revision revision = 0; // of the mirror when it heard of it, if not of the key itself
@@ -149,6 +154,8 @@
     bool has_list = false;
     bool needs_list = true;
     store_revision watched = 0;
+    decision::instant served_others_since; // without a longer gap than a key may be missing for
+    decision::instant served_others_at;
     store_revision told_of = 0;         // up to there others know of changes
     store_revision told_of_at_call = 0; // when the open call was made
     std::deque<change> changes;         // the newest ones, for others, in no order of revision
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -131,11 +131,29 @@
 {
     if (this->failures > 0) {
         this->failures = 0;
-        this->regained_at = now;
+        if (!this->has_served_others(now)) {
+            this->regained_at = now;
+        }
         this->actions.emplace_back(mirror_regained{});
     }
 }
 
+void prefix_mirror::on_others_served(decision::instant at)
+{
+    if (at - this->served_others_at > this->settings.lapse_grace) {
+        this->served_others_since = at;
+    }
+    this->served_others_at = std::max(this->served_others_at, at);
+}
+
+// Whether it did so for as long as a key may be missing after an outage: what is missing now was
+// taken away, and did not lapse.
+bool prefix_mirror::has_served_others(decision::instant now) const
+{
+    return now - this->served_others_at <= this->settings.lapse_grace &&
+           now - this->served_others_since >= this->settings.lapse_grace;
+}
+
 void prefix_mirror::adopt(const kv_entry& entry)
 {
     const auto gone = this->removed.find(entry.key);
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -374,6 +374,40 @@
     CHECK_TRUE(this->mirror.is_in_touch());
 }
 
+// Callers are sent to an endpoint for 2.5 s after it has left. The store had turned this router
+// away and served the others all the while, as these said; when it is served again it hears that
+// the endpoint's key is gone, and waits for it as if the store had been away for the endpoint as
+// well.
+TEST(prefix_mirror, a_removal_holds_at_once_where_the_store_served_others_all_the_while)
+{
+    this->list_one();
+    this->answer(reply_of(kv_outcome::unavailable), start);
+    auto now = start;
+    for (; now < start + seconds(4); now += milliseconds(300)) {
+        this->mirror.on_others_served(now - milliseconds(100));
+    }
+    this->tick(now);
+    this->answer(reply_of(kv_outcome::ok, 12, {{"things/a", "", 12}}), now);
+    CHECK_TRUE(this->saw(mirror_removed{"things/a", 12}));
+}
+
+// The store was away for everybody, and others are served again a moment before this router. What
+// could not be renewed meanwhile may still come back.
+TEST(prefix_mirror, a_removal_waits_where_the_store_has_served_others_for_a_moment)
+{
+    this->list_one();
+    this->mirror.on_others_served(start);
+    this->answer(reply_of(kv_outcome::unavailable), start);
+    const auto back = start + seconds(6);
+    this->mirror.on_others_served(back - milliseconds(400));
+    this->mirror.on_others_served(back - milliseconds(100));
+    this->tick(back);
+    this->answer(reply_of(kv_outcome::ok, 12, {{"things/a", "", 12}}), back);
+    CHECK_FALSE(this->saw(mirror_removed{"things/a", 12}));
+    this->tick(back + seconds(3));
+    CHECK_TRUE(this->saw(mirror_removed{"things/a", 12}));
+}
+
 // A peer tells of a revision that the store has never had. The store is asked once for it.
 TEST(prefix_mirror, a_word_of_what_never_was_is_forgotten)
 {
--- a/router/src/peer_desk.cpp
+++ b/router/src/peer_desk.cpp
@@ -197,8 +197,13 @@
 // than what is known, and changes nothing.
 void peer_desk::tell_mirror(const std::string& from, const coordination::mirror_news& news)
 {
-    const bool brings = news.as_of > this->used.mirror.revision();
-    if (!this->exchange.takes(news) || !brings) {
+    if (!this->exchange.takes(news)) {
+        return;
+    }
+    if (news.age >= decision::duration::zero()) {
+        this->used.mirror.on_others_served(this->used.loop.now() - news.age);
+    }
+    if (news.as_of <= this->used.mirror.revision()) {
         return;
     }
     this->used.counts.add("pearhaven_peer_news", {});
