Tell others nothing past a key that may come back

One of the two had lost the store and had it back 0.7 s before the endpoints left. It gave their keys the time in which a key may come back after an outage, and told on that its word was whole up to then. Its followers counted as past the removals; the other router's word, which had them, was no newer, and was passed over. When the time was up the drop was noted at the revision that had been told already, and so told to nobody.

News now end before the first key that may come back. A follower takes the removal from the other router, or from this one when the time is up.

--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -135,6 +135,7 @@
     void note_change(const std::string& key, store_revision revision);
     void go_on_to(const mirror_news& news);
     void drop_false_word();
+    [[nodiscard]] store_revision told_until() const;
     [[nodiscard]] bool has_served_others(decision::instant now) const;
 
     struct change {
@@ -143,7 +144,8 @@
     };
 
     struct lapse {
-        store_revision revision = 0;
+        store_revision revision = 0; // of the removal; 0 where a list lacks the key
+        store_revision seen_at = 0;  // the mirror's, up to which it was heard of
         decision::instant until;
     };
 
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -181,8 +181,9 @@
     const bool may_come_back =
         this->regained_at && now - *this->regained_at < this->settings.lapse_grace;
     if (may_come_back) {
-        this->lapsed.try_emplace(key,
-                                 lapse{revision, *this->regained_at + this->settings.lapse_grace});
+        const auto seen_at = revision == 0 ? this->watched : revision;
+        this->lapsed.try_emplace(
+            key, lapse{revision, seen_at, *this->regained_at + this->settings.lapse_grace});
     } else {
         this->drop(key, revision);
     }
@@ -218,13 +219,24 @@
     }
 }
 
+// Whoever goes by this mirror's word must not count as past a removal that it was not told: nobody
+// would tell it any more. A key that may come back is still told to be there.
+store_revision prefix_mirror::told_until() const
+{
+    auto until = this->watched;
+    for (const auto& [key, missing] : this->lapsed) {
+        until = std::min(until, missing.seen_at - 1);
+    }
+    return until;
+}
+
 std::optional<mirror_news> prefix_mirror::news_after(store_revision after) const
 {
     if (!this->is_in_touch()) {
         return std::nullopt;
     }
     mirror_news news;
-    news.as_of = this->watched;
+    news.as_of = this->told_until();
     news.after = after;
     news.whole = after < this->changes_since;
     if (news.whole) {
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -408,6 +408,37 @@
     CHECK_TRUE(this->saw(mirror_removed{"things/a", 12}));
 }
 
+// Callers are sent to an endpoint that has left, by routers that go by the words of others. One of
+// two that watch for them had lost the store a moment before; it waits for the key to come back,
+// and told that its word was all there was. The other one's word, with the removal, was no newer
+// then; and when the time of the key was up, nothing newer was there to tell.
+TEST(prefix_mirror, others_are_not_told_past_a_key_that_may_come_back)
+{
+    this->list_one();
+    this->answer(reply_of(kv_outcome::unavailable), start);
+    this->tick(start + milliseconds(100));
+    this->answer(reply_of(kv_outcome::ok, 10, {}), start + milliseconds(100));
+    this->answer(reply_of(kv_outcome::ok, 13, {{"things/a", "", 12}, {"things/b", "1", 13}}),
+                 start + milliseconds(200));
+    prefix_mirror follower{prefix_mirror_settings{}};
+    follower.on_tick(start);
+    follower.on_reply(1, reply_of(kv_outcome::ok, 10, {{"things/a", "1", 7}}), start);
+    follower.on_told(*this->mirror.news_after(10));
+    CHECK_EQUAL(2U, follower.entries().size());
+    CHECK_EQUAL(11U, follower.revision());
+    auto by_other = follower;
+    mirror_news of_other;
+    of_other.after = 10;
+    of_other.as_of = 13;
+    of_other.entries = {{"things/a", "", 12}, {"things/b", "1", 13}};
+    by_other.on_told(of_other);
+    CHECK_EQUAL(1U, by_other.entries().size());
+    this->tick(start + seconds(3));
+    follower.on_told(*this->mirror.news_after(11));
+    CHECK_EQUAL(1U, follower.entries().size());
+    CHECK_EQUAL(13U, follower.revision());
+}
+
 // A peer tells of a revision that the store has never had. The store is asked once for it.
 TEST(prefix_mirror, a_word_of_what_never_was_is_forgotten)
 {
