Keep a trial on the endpoint that it fills when a lost one comes back

Cause, from the logs of all routers: all long answers go to the endpoint of the new version that ranks first by its address. It was lost at 17.98 s, its successor held 23 answers by 20.89 s, then the first came back empty, ranked first again, and the trial began anew with nothing running. Ruled out: routers that disagree on the successor (all changed within 0.1 s).

An endpoint that has an eighth of its slots taken now goes before all that have less; ranks decide between those alike. Ordinary requests leave each endpoint of a new version with fewer.

Seen to fail before: packed_requests_stay_where_they_are_when_a_lost_endpoint_comes_back (it is the new part of endpoint_table_test, run without the change of rank).

--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -20,6 +20,10 @@
 constexpr double likely_at_first = 0.6;
 constexpr double likely_at_second = 0.3;
 
+// Part of its slots that an endpoint has taken once packed requests have begun to fill it. Ordinary
+// ones are spread, and leave each with less.
+constexpr double being_filled_share = 0.125;
+
 // How long a router keeps to its draw for a slot; covers the lag of most load reports.
 constexpr duration draw_period = std::chrono::seconds(1);
 
@@ -95,14 +99,16 @@
     return subset;
 }
 
-// Of the endpoints that may be taken the one that every router ranks first, whatever its zone and
-// its subset; null where none may.
+// Of the endpoints that may be taken the one that is being filled already, else the one that every
+// router ranks first, whatever its zone and its subset; null where none may. By rank alone an
+// endpoint that was lost and comes back empty would take the place of its successor.
 const endpoint* endpoint_choice::packed_on(const route& from) const
 {
     const endpoint* first = nullptr;
     for (const auto* side : {&from.local, &from.remote}) {
         for (const endpoint* where : *side) {
-            const bool ranks = first == nullptr || mix(where->identity) > mix(first->identity);
+            const bool ranks =
+                first == nullptr || this->rank_of_packed(*where) > this->rank_of_packed(*first);
             if (ranks && !is_left_out(*where, this->wanted.avoid, this->now) &&
                 this->has_room(*where)) {
                 first = where;
@@ -112,6 +118,12 @@
     return first;
 }
 
+std::pair<bool, std::uint64_t> endpoint_choice::rank_of_packed(const endpoint& where) const
+{
+    const double least = being_filled_share * where.capacity();
+    return {this->requests_at(where) >= least, mix(where.identity)};
+}
+
 const endpoint* endpoint_choice::choose(const route& from, std::uint64_t random)
 {
     const endpoint* packed = this->wanted.packed ? this->packed_on(from) : nullptr;
--- a/decision/src/endpoint_choice.hpp
+++ b/decision/src/endpoint_choice.hpp
@@ -5,8 +5,10 @@
 #include "prompt_map.hpp"
 #include "told_loads.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace pearhaven::decision {
@@ -48,6 +50,7 @@
     };
 
     [[nodiscard]] const endpoint* packed_on(const route& from) const;
+    [[nodiscard]] std::pair<bool, std::uint64_t> rank_of_packed(const endpoint& where) const;
     [[nodiscard]] bool has_room(const endpoint& where) const;
     [[nodiscard]] bool readings_have_room(const endpoint& where, double limit) const;
     [[nodiscard]] bool reports_room(const endpoint& where) const;
--- a/decision/test/endpoint_table_test.cpp
+++ b/decision/test/endpoint_table_test.cpp
@@ -1072,3 +1072,19 @@
     one.table.told("other", {{next, 4, 0.0, 1}}, one.now);
     DOUBLES_EQUAL(7.0, one.table.packed_requests("reader-1", one.now), 0.001);
 }
+
+// Guards against a trial under load that starts over when the endpoint that it had lost comes back.
+TEST(endpoint_table_test, packed_requests_stay_where_they_are_when_a_lost_endpoint_comes_back)
+{
+    osu_table known(8, 16);
+    placement packed = a_lookup;
+    packed.packed = true;
+    const auto first = known.choose(packed);
+    known.table.drop_host(first, known.now);
+    const auto next = known.choose(packed);
+    CHECK_FALSE(first == next);
+    known.start_many(next, 1);
+    known.table.told("other", {{next, 5, 0.0, 1}}, known.now);
+    known.restart(first, 2);
+    CHECK_EQUAL(next, known.choose(packed));
+}
