Test a new version's runs by the load that they met, and try it until some met enough

Cause, from the logs of all routers: the trial did not know the load that its runs met. Its length came from callers' rates, its endpoint counted as full by the requests held there, of which a third waited for their prompts to be read, also by those of an endpoint that was lost since; and its failures were tested together with the good answers before the load.

Ruled out: evidence that died with its routers (it stands in the store); routers that disagree on the endpoint.

Change: routers tell each other how many answers are being written at an endpoint. Runs of the trial are counted by that, in eighths of the slots, and each level is tested with all above it. The trial lasts until 8 runs met half of the slots (16 to end early), past the order's time if need be and if callers can fill an endpoint. The trial begins with the second half of the order. The log line of each step tells all evidence that it goes by.

--- a/adapters/src/course_codec.cpp
+++ b/adapters/src/course_codec.cpp
@@ -53,6 +53,33 @@
     return record;
 }
 
+// Routers of an earlier release tell no runs under load.
+decision::load_counts read_load_counts(const json& value)
+{
+    decision::load_counts counts{};
+    const auto field = value.find("under_load");
+    if (field == value.end()) {
+        return counts;
+    }
+    if (!field->is_array() || field->size() != counts.size()) {
+        throw malformed_value();
+    }
+    for (std::size_t level = 0; level < counts.size(); ++level) {
+        counts.at(level).good = answers_field(field->at(level), "good");
+        counts.at(level).bad = answers_field(field->at(level), "bad");
+    }
+    return counts;
+}
+
+json write_load_counts(const decision::load_counts& counts)
+{
+    json levels = json::array();
+    for (const auto& level : counts) {
+        levels.push_back({{"good", level.good}, {"bad", level.bad}});
+    }
+    return levels;
+}
+
 course_evidence read_evidence_value(const json& value)
 {
     course_evidence evidence;
@@ -68,6 +95,7 @@
     if (evidence.long_rate < 0.0 || evidence.long_rate > highest_rate) {
         throw malformed_value();
     }
+    evidence.under_load = read_load_counts(value);
     return evidence;
 }
 
@@ -97,7 +125,8 @@
                            {"slow", evidence.speed.bad},
                            {"earlier_good", evidence.earlier.good},
                            {"earlier_bad", evidence.earlier.bad},
-                           {"long_rate", evidence.long_rate}});
+                           {"long_rate", evidence.long_rate},
+                           {"under_load", write_load_counts(evidence.under_load)}});
 }
 
 std::optional<course_evidence> read_course_evidence(std::string_view text)
--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -168,7 +168,8 @@
 
     static bool take(const wire::EndpointLoad& table, decision::endpoint_load& item)
     {
-        item = {take(table.address()), table.requests(), table.work(), table.incarnation(), {}};
+        item = {take(table.address()), table.requests(), table.work(), table.incarnation(), {},
+                table.writing()};
         if (table.parts() != nullptr) {
             item.parts.assign(table.parts()->begin(), table.parts()->end());
         }
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -1510,7 +1510,8 @@
     VT_REQUESTS = 6,
     VT_WORK = 8,
     VT_INCARNATION = 10,
-    VT_PARTS = 12
+    VT_PARTS = 12,
+    VT_WRITING = 14
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -1527,6 +1528,9 @@
   const flatbuffers::Vector<uint64_t> *parts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
   }
+  uint32_t writing() const {
+    return GetField<uint32_t>(VT_WRITING, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ADDRESS) &&
@@ -1536,6 +1540,7 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
+           VerifyField<uint32_t>(verifier, VT_WRITING, 4) &&
            verifier.EndTable();
   }
 };
@@ -1559,6 +1564,9 @@
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
     fbb_.AddOffset(EndpointLoad::VT_PARTS, parts);
   }
+  void add_writing(uint32_t writing) {
+    fbb_.AddElement<uint32_t>(EndpointLoad::VT_WRITING, writing, 0);
+  }
   explicit EndpointLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1577,10 +1585,12 @@
     uint32_t requests = 0,
     double work = 0.0,
     uint64_t incarnation = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    uint32_t writing = 0) {
   EndpointLoadBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_work(work);
+  builder_.add_writing(writing);
   builder_.add_parts(parts);
   builder_.add_requests(requests);
   builder_.add_address(address);
@@ -1598,7 +1608,8 @@
     uint32_t requests = 0,
     double work = 0.0,
     uint64_t incarnation = 0,
-    const std::vector<uint64_t> *parts = nullptr) {
+    const std::vector<uint64_t> *parts = nullptr,
+    uint32_t writing = 0) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return pearhaven::adapters::wire::CreateEndpointLoad(
@@ -1607,7 +1618,8 @@
       requests,
       work,
       incarnation,
-      parts__);
+      parts__,
+      writing);
 }
 
 struct LoadPush FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -40,9 +40,10 @@
     std::uint64_t run = 0;
     course_state part = course_state::staged;
     decision::run_counts seen;
-    decision::run_counts speed;   // slow answers count as bad
-    decision::run_counts earlier; // as `seen`, of the parts before
-    double long_rate = 0.0;       // long answers begun by this router each second
+    decision::run_counts speed;         // slow answers count as bad
+    decision::run_counts earlier;       // as `seen`, of the parts before
+    double long_rate = 0.0;             // long answers begun by this router each second
+    decision::load_counts under_load{}; // of all parts; see `course_settings::load_per_slot`
 
     friend bool operator==(const course_evidence&, const course_evidence&) = default;
 };
@@ -67,7 +68,7 @@
     // until the old version may stop. Sessions change their version only in the second half. A
     // quarter is left for a store that is away meanwhile.
     double step_part = 0.125;
-    double whole_part = 0.52;
+    double whole_part = 0.505;
     double finish_part = 0.75;
 
     // Part of the order's time for which all traffic is on the new version before the old one may
@@ -100,18 +101,33 @@
     // A version can be sound while its endpoints are half empty and fail beyond; at the load of an
     // ordinary hour nothing shows it, and the first crowd after the roll-out finds it out. So
     // before all traffic moves, the long answers of all routers go to one endpoint, until it has
-    // got so many for each of its slots. One version failed from 0.45 running for each slot on;
-    // what is above that is for enough failures to tell. Long answers stay long enough to add up,
-    // and their short prompts keep no one else waiting.
+    // got so many for each of its slots. Long answers stay long enough to add up, and their short
+    // prompts keep no one else waiting.
     double load_per_slot = 1.25;
     double least_load_per_slot = 0.5; // that can be reached; with less the trial shows nothing
-    double full_per_slot = 0.75;      // seen at once, from which the endpoint counts as full
 
-    // Part of the order's time that the trial may take, at most; and for which it goes on where the
-    // endpoint has not been full yet, as when it was lost, or where there are more bad answers than
-    // a good version has but too few to tell.
+    // Runs that have to begin or fail with the endpoint's load at that level or above: for the
+    // trial to end early, and to have shown anything at its end. Requests that the endpoint holds
+    // unread are no load: they wait for their prompts to be read. Of a version of which a third of
+    // the answers fail under load, the fewer ones miss it one time in twenty-five.
+    std::uint64_t many_loaded_runs = 16;
+    std::uint64_t enough_loaded_runs = 8;
+    std::size_t loaded_level = decision::load_levels / 2;
+
+    // Part of the order's time for which the trial collects its callers, at most; and for which it
+    // goes on where it has not shown enough, or where there are more bad answers than a good
+    // version has but too few to tell.
     double load_part = 0.2;
-    double longer_load_part = 0.1;
+    double longest_load_part = 0.34;
+
+    // Part of the order's time after which no trial holds up the version any longer. Until then one
+    // that has not shown enough does, where callers could show it: they lose less by a version that
+    // is late than by one that was never tried under load.
+    double end_of_trials_part = 1.5;
+
+    // Failures under load that put a version in doubt, where they are more than a good one has. One
+    // alone may be an endpoint's.
+    std::uint64_t doubtful_loaded_failures = 2;
 
     // Part of the order's time after which each router tells its rate of long answers, from which
     // the trial's length is worked out: just before the trial, so that the rates are fresh.
@@ -138,11 +154,28 @@
 struct course_rates {
     double requests = 0.0;
     double long_answers = 0.0;
-    double filling = 0.0; // requests of all routers now at the endpoint that is being filled
 
     friend bool operator==(const course_rates&, const course_rates&) = default;
 };
 
+// What a course goes by: counts of all routers, as far as they have told them, and how much more
+// likely a bad version is than a good one to give these, as logarithms.
+struct course_sight {
+    decision::run_counts in_part;
+    decision::run_counts ever;
+    decision::run_counts speed; // in this part
+    decision::load_counts under_load{};
+    double part_ratio = 0.0;
+    double ever_ratio = 0.0;
+    double speed_ratio = 0.0;
+    double load_ratio = 0.0;
+    std::size_t heard = 0; // routers that have told anything
+    decision::duration since_order{};
+    decision::duration since_step{};
+
+    friend bool operator==(const course_sight&, const course_sight&) = default;
+};
+
 // What a course wants done. Of the writes at most one is under way at a time.
 struct course_actions {
     std::optional<course_record> write_record; // over the record at `record_revision`
@@ -176,7 +209,7 @@
 
     void on_evidence(const std::string& router, const course_evidence& told);
     void on_own_evidence(const decision::run_counts& seen, const decision::run_counts& speed,
-                         bool tripped);
+                         bool tripped, const decision::load_counts& under_load = {});
 
     // The answer to a write that was asked for has come, or none will. Another is made once the
     // record has changed, or after a while.
@@ -193,8 +226,8 @@
 
     [[nodiscard]] const course_evidence& own_evidence() const { return this->own; }
 
-    // The most requests that were seen at once at the endpoint that is being filled.
-    [[nodiscard]] double most_filled_seen() const { return this->most_filled; }
+    // What its decisions go by now, for the log.
+    [[nodiscard]] course_sight sight(decision::instant now) const;
 
     // For the router's configuration.
     [[nodiscard]] decision::rollout plan(const std::string& name) const;
@@ -203,6 +236,7 @@
     [[nodiscard]] bool is_bad() const;
     [[nodiscard]] bool is_doubtful() const;
     [[nodiscard]] decision::sequential_test error_test() const;
+    [[nodiscard]] decision::sequential_test load_test() const;
     [[nodiscard]] decision::run_counts
     in_this_part(decision::run_counts course_evidence::*kind) const;
     [[nodiscard]] decision::run_counts all_seen_ever() const;
@@ -216,7 +250,14 @@
     [[nodiscard]] double fleet_rate(std::size_t size) const;
     [[nodiscard]] bool can_fill(std::size_t size) const;
     [[nodiscard]] decision::duration load_time(std::size_t size) const;
-    [[nodiscard]] decision::duration longer_load_time() const;
+    [[nodiscard]] bool trial_is_over(std::size_t size, decision::instant now) const;
+    [[nodiscard]] decision::load_counts all_under_load() const;
+    [[nodiscard]] std::uint64_t loaded_runs(const decision::load_counts& seen) const;
+    [[nodiscard]] bool has_shown_load(std::uint64_t runs) const;
+    [[nodiscard]] double load_ratio(std::uint64_t least_failures = 0) const;
+    [[nodiscard]] bool is_doubtful_under_load() const;
+    [[nodiscard]] bool has_loaded_news() const;
+    [[nodiscard]] bool rate_has_fallen() const;
     [[nodiscard]] course_record first_record(std::size_t size) const;
     [[nodiscard]] std::uint32_t sample_ppm(std::size_t size, double request_rate) const;
     [[nodiscard]] std::optional<course_state> state_after_staged(std::size_t size,
@@ -228,7 +269,10 @@
                        course_actions& wanted);
     [[nodiscard]] std::optional<course_state> next_state(std::size_t size,
                                                          decision::instant now) const;
-    [[nodiscard]] std::optional<course_state> state_after_whole(decision::duration elapsed) const;
+    [[nodiscard]] std::optional<course_state> state_after_trial(std::size_t size,
+                                                                decision::instant now) const;
+    [[nodiscard]] std::optional<course_state> state_after_whole(decision::duration in_step,
+                                                                decision::duration elapsed) const;
     [[nodiscard]] decision::duration part(double share) const;
 
     course_settings settings;
@@ -239,12 +283,12 @@
     std::optional<decision::instant> unreadable_since; // while the store's value is no record
     decision::instant step_began;
     std::map<std::string, course_evidence> others; // by router
+    decision::load_counts others_under_load{};     // of all of them
     course_evidence own;
     bool own_tripped = false;
     bool told_trip = false;
     course_evidence reported;
     bool told_rate = false;
-    double most_filled = 0.0; // requests seen at the endpoint that is being filled
     decision::instant next_report;
     bool writing = false;
     decision::instant retry_at;
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -13,6 +13,10 @@
 // only meet a conflict.
 constexpr decision::duration write_pause = std::chrono::milliseconds(500);
 
+// Probability that a good version is rejected by one of the tests by load. Each level has a test of
+// its own, so that it is smaller than that of the others.
+constexpr double load_false_alarm = 0.0025;
+
 // Routers learn up to 150 ms after each other that the trial has begun.
 constexpr decision::duration least_load_time = std::chrono::milliseconds(400);
 
@@ -80,20 +84,26 @@
 
 void rollout_course::on_evidence(const std::string& router, const course_evidence& told)
 {
-    if (told.run == this->what.run) {
-        this->others[router] = told;
+    if (told.run != this->what.run) {
+        return;
+    }
+    this->others[router] = told;
+    this->others_under_load = {};
+    for (const auto& [other, known] : this->others) {
+        this->others_under_load += known.under_load;
     }
 }
 
 void rollout_course::on_own_evidence(const decision::run_counts& seen,
-                                     const decision::run_counts& speed, bool tripped)
+                                     const decision::run_counts& speed, bool tripped,
+                                     const decision::load_counts& under_load)
 {
     const auto part = this->part_of_course();
     auto earlier = this->own.earlier;
     if (part != this->own.part) {
         earlier += this->own.seen;
     }
-    this->own = {this->what.run, part, seen, speed, earlier, this->own.long_rate};
+    this->own = {this->what.run, part, seen, speed, earlier, this->own.long_rate, under_load};
     this->own_tripped = this->own_tripped || tripped;
 }
 
@@ -142,7 +152,8 @@
 bool rollout_course::is_bad() const
 {
     const auto test = this->error_test();
-    return this->own_tripped || this->is_slow(this->in_this_part(&course_evidence::speed)) ||
+    return this->own_tripped || this->load_ratio() >= this->load_test().rejects_from() ||
+           this->is_slow(this->in_this_part(&course_evidence::speed)) ||
            test.judge(this->in_this_part(&course_evidence::seen)) ==
                decision::test_verdict::rejected ||
            test.judge(this->all_seen_ever()) == decision::test_verdict::rejected;
@@ -163,6 +174,55 @@
     return decision::sequential_test(guard);
 }
 
+decision::sequential_test rollout_course::load_test() const
+{
+    decision::error_guard guard;
+    guard.base_rate = this->settings.base_error_rate;
+    guard.max_rate = this->settings.max_error_rate;
+    guard.false_alarm = load_false_alarm;
+    return decision::sequential_test(guard);
+}
+
+// Counted over all parts: an answer that was begun in the trial may fail after it.
+decision::load_counts rollout_course::all_under_load() const
+{
+    auto sum = this->own.under_load;
+    sum += this->others_under_load;
+    return sum;
+}
+
+std::uint64_t rollout_course::loaded_runs(const decision::load_counts& seen) const
+{
+    return decision::counts_from(seen, this->settings.loaded_level).total();
+}
+
+bool rollout_course::has_shown_load(std::uint64_t runs) const
+{
+    return this->loaded_runs(this->all_under_load()) >= runs;
+}
+
+// Nobody knows from which load on a version fails, so each level is tested with all those above it.
+// Tested together, the good answers of an endpoint that fills up hide the bad ones of the full one.
+double rollout_course::load_ratio(std::uint64_t least_failures) const
+{
+    const auto seen = this->all_under_load();
+    const auto test = this->load_test();
+    decision::run_counts from_level;
+    double highest = 0.0;
+    for (std::size_t level = decision::load_levels; level-- > 0;) {
+        from_level += seen.at(level);
+        if (from_level.bad >= least_failures) {
+            highest = std::max(highest, test.log_ratio(from_level));
+        }
+    }
+    return highest;
+}
+
+bool rollout_course::is_doubtful_under_load() const
+{
+    return this->load_ratio(this->settings.doubtful_loaded_failures) > 0.0;
+}
+
 decision::sequential_test rollout_course::speed_test() const
 {
     decision::error_guard guard;
@@ -200,7 +260,19 @@
     const auto told = same_part ? this->reported.seen.total() : 0;
     const bool clears_doubt = this->is_whole() && (this->is_doubtful() || this->seems_slow()) &&
                               this->own.seen.total() > told;
-    return this->own.seen.bad > told_bad || (speed.bad > told_slow && leans_slow) || clears_doubt;
+    return this->own.seen.bad > told_bad || (speed.bad > told_slow && leans_slow) || clears_doubt ||
+           this->has_loaded_news() || this->rate_has_fallen();
+}
+
+// The trial ends by what all routers have seen of it, the good answers as well.
+bool rollout_course::has_loaded_news() const
+{
+    const bool is_awaited =
+        this->part_of_course() == course_state::loaded &&
+        (!this->has_shown_load(this->settings.many_loaded_runs) || this->load_ratio() > 0.0);
+    const auto told =
+        this->reported.run == this->what.run ? this->loaded_runs(this->reported.under_load) : 0;
+    return is_awaited && this->loaded_runs(this->own.under_load) > told;
 }
 
 bool rollout_course::rate_is_due(decision::instant now) const
@@ -208,6 +280,13 @@
     return !this->told_rate && now - this->began >= this->part(this->settings.rate_part);
 }
 
+// Where callers become too few to fill the endpoint, the trial is not to wait for them.
+bool rollout_course::rate_has_fallen() const
+{
+    return this->part_of_course() == course_state::loaded && this->told_rate &&
+           this->own.long_rate < this->reported.long_rate / 2.0;
+}
+
 // Long answers of the whole fleet in a second. Callers are spread unevenly, so one router's rate
 // says little of the others'. Routers that have not told theirs are taken to be like those that
 // have.
@@ -227,7 +306,7 @@
 // Whether the long answers of all routers can fill one endpoint in the time that a trial may take.
 bool rollout_course::can_fill(std::size_t size) const
 {
-    const auto most = this->part(this->settings.load_part + this->settings.longer_load_part);
+    const auto most = this->part(this->settings.longest_load_part);
     const double callers = this->fleet_rate(size) * std::chrono::duration<double>(most).count();
     return this->what.slots > 0 && callers >= this->settings.least_load_per_slot * this->what.slots;
 }
@@ -243,11 +322,20 @@
     return std::max(time, least_load_time);
 }
 
-decision::duration rollout_course::longer_load_time() const
+bool rollout_course::trial_is_over(std::size_t size, decision::instant now) const
 {
-    const bool was_full = this->most_filled >= this->settings.full_per_slot * this->what.slots;
-    return was_full && !this->is_doubtful() ? decision::duration::zero()
-                                            : this->part(this->settings.longer_load_part);
+    if (this->is_doubtful_under_load()) {
+        return false;
+    }
+    const auto in_trial = now - this->step_began;
+    const bool has_callers = in_trial >= this->load_time(size);
+    const bool is_decided = has_callers && this->has_shown_load(this->settings.many_loaded_runs) &&
+                            !this->is_doubtful() && this->load_ratio() <= 0.0;
+    const bool is_long = in_trial >= this->part(this->settings.longest_load_part);
+    const bool is_awaited = !this->has_shown_load(this->settings.enough_loaded_runs) &&
+                            this->can_fill(size) &&
+                            now - this->began < this->part(this->settings.end_of_trials_part);
+    return is_decided || (is_long && !is_awaited);
 }
 
 course_record rollout_course::first_record(std::size_t size) const
@@ -311,16 +399,9 @@
         }
         break;
     case course_state::loaded:
-        if (in_step >= this->load_time(size) + this->longer_load_time()) {
-            return course_state::whole;
-        }
-        break;
+        return this->state_after_trial(size, now);
     case course_state::whole:
-        if (in_step >= this->part(this->settings.least_whole_part) &&
-            elapsed >= this->part(this->settings.finish_part)) {
-            return this->state_after_whole(elapsed);
-        }
-        break;
+        return this->state_after_whole(in_step, elapsed);
     case course_state::finished:
     case course_state::bad:
         break;
@@ -342,10 +423,33 @@
     return fills ? course_state::loaded : course_state::whole;
 }
 
+// A version in doubt under load does not get all traffic to show more: spread over all endpoints,
+// it loads none of them.
+std::optional<course_state> rollout_course::state_after_trial(std::size_t size,
+                                                              decision::instant now) const
+{
+    if (this->trial_is_over(size, now)) {
+        return course_state::whole;
+    }
+    const bool is_due = now - this->began >= this->part(this->settings.decision_part);
+    return is_due && this->is_doubtful_under_load() ? std::make_optional(course_state::bad)
+                                                    : std::nullopt;
+}
+
 // A version with half of its answers slow got all traffic for two seconds before the end of its
 // order; the answers that would have told came after it was finished.
-std::optional<course_state> rollout_course::state_after_whole(decision::duration elapsed) const
+std::optional<course_state> rollout_course::state_after_whole(decision::duration in_step,
+                                                              decision::duration elapsed) const
 {
+    // No endpoint is filled any more: nothing that is still to come could clear the doubt.
+    if (this->is_doubtful_under_load()) {
+        return course_state::bad;
+    }
+    const bool is_over = in_step >= this->part(this->settings.least_whole_part) &&
+                         elapsed >= this->part(this->settings.finish_part);
+    if (!is_over) {
+        return std::nullopt;
+    }
     if (!this->is_doubtful() && !this->seems_slow()) {
         return course_state::finished;
     }
@@ -390,9 +494,6 @@
     }
     this->own.run = this->what.run;
     this->own.long_rate = rates.long_answers;
-    if (this->part_of_course() == course_state::loaded) {
-        this->most_filled = std::max(this->most_filled, rates.filling);
-    }
     const bool tells_rate = this->rate_is_due(now);
     if ((this->has_news() || tells_rate) && now >= this->next_report) {
         this->told_rate = this->told_rate || tells_rate;
@@ -408,6 +509,23 @@
     return wanted;
 }
 
+course_sight rollout_course::sight(decision::instant now) const
+{
+    course_sight seen;
+    seen.in_part = this->in_this_part(&course_evidence::seen);
+    seen.ever = this->all_seen_ever();
+    seen.speed = this->in_this_part(&course_evidence::speed);
+    seen.under_load = this->all_under_load();
+    seen.part_ratio = this->error_test().log_ratio(seen.in_part);
+    seen.ever_ratio = this->error_test().log_ratio(seen.ever);
+    seen.speed_ratio = this->speed_test().log_ratio(seen.speed);
+    seen.load_ratio = this->load_ratio();
+    seen.heard = this->others.size();
+    seen.since_order = now - this->began;
+    seen.since_step = now - this->step_began;
+    return seen;
+}
+
 decision::rollout rollout_course::plan(const std::string& name) const
 {
     decision::rollout made;
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -330,6 +330,8 @@
         instant arrived;
         instant sent_at;                // the present attempt
         bool packed = false;            // the present attempt helps to fill one endpoint
+        std::size_t load_level = 0;     // if so: of that endpoint when it was sent
+        bool writing = false;           // the present attempt's answer has begun
         double held_work = 0.0;         // of the present attempt, that its endpoint still has to do
         double reading = 0.0;           // of that, what is done once the answer begins
         std::vector<prompt_part> parts; // of the present attempt, by model
@@ -392,6 +394,7 @@
     [[nodiscard]] std::vector<prompt_part> parts_of(const request_state& state) const;
     [[nodiscard]] double work_of(const request_state& state) const;
     void note_begun(request_state& state);
+    void note_loaded_run(const request_state& state, bool good);
     [[nodiscard]] retry_budget& budget_of(const arrival& request);
     [[nodiscard]] double burst_of_router(const std::string& asked) const;
     [[nodiscard]] bool may_run_once_more(const request_state& state) const;
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -58,6 +58,7 @@
     double work = 0.0;                     // as placement::work, of all of them
     std::uint64_t incarnation = 0;         // of the endpoint that holds them
     std::vector<std::uint64_t> parts = {}; // keys of the shared parts of their prompts
+    std::uint32_t writing = 0;             // of the requests, those whose answers have begun
 
     friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
 };
@@ -194,6 +195,10 @@
     void lightened(const std::string& address, double work,
                    std::optional<std::uint64_t> incarnation = std::nullopt);
 
+    // The answer of an attempt under way begins, and ends. `ended` doesn't count it out.
+    void answer_began(const std::string& address, std::uint64_t incarnation);
+    void answer_ended(const std::string& address, std::uint64_t incarnation);
+
     // Reports lag; what was sent since the moment they describe is added to them. False for one
     // that changes nothing: of an endpoint that is not known, or of another incarnation than is
     // known.
@@ -219,6 +224,10 @@
     // of `routers` that do not all tell this one, the others' is taken to be like theirs that do.
     [[nodiscard]] double work_at(const std::string& address, std::size_t routers) const;
 
+    // Answers that are being written at the endpoint, per slot. Others' work counts as in
+    // `work_at`.
+    [[nodiscard]] double writing_per_slot(const std::string& address, std::size_t routers) const;
+
     // Requests of all routers at the endpoint that packed ones go to; zero where there is none.
     [[nodiscard]] double packed_requests(const std::string& version, instant now) const;
 
--- a/decision/include/pearhaven/decision/rollout_evidence.hpp
+++ b/decision/include/pearhaven/decision/rollout_evidence.hpp
@@ -1,6 +1,8 @@
 #ifndef PEARHAVEN_DECISION_ROLLOUT_EVIDENCE_HPP
 #define PEARHAVEN_DECISION_ROLLOUT_EVIDENCE_HPP
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace pearhaven::decision {
@@ -20,6 +22,20 @@
     friend bool operator==(const run_counts&, const run_counts&) = default;
 };
 
+// How runs ended by the load of their endpoint when they were sent: the first element is for less
+// than an eighth of its slots writing answers, the last for seven eighths and more. An answer that
+// begins counts as good at once, since the failures that load brings come sooner than answers end.
+constexpr std::size_t load_levels = 8;
+using load_counts = std::array<run_counts, load_levels>;
+
+load_counts& operator+=(load_counts& sum, const load_counts& more);
+
+// The level for so many answers being written per slot.
+[[nodiscard]] std::size_t load_level(double writing_per_slot);
+
+// Runs that were sent at that level and above.
+[[nodiscard]] run_counts counts_from(const load_counts& seen, std::size_t level);
+
 // Which error rates a version is judged by, and how often the judgement may be wrong.
 struct error_guard {
     double base_rate = 0.01;   // of a good version; above 0
--- a/decision/include/pearhaven/decision/rollout_exposure.hpp
+++ b/decision/include/pearhaven/decision/rollout_exposure.hpp
@@ -46,6 +46,7 @@
     std::uint64_t left = 0;  // callers that may yet be sent
     bool tripped = false;    // by this router's own evidence
     run_counts speed;        // of answers since the present state began; slow ones count as bad
+    load_counts under_load;  // of runs at the endpoint that is filled, of this attempt
 
     friend bool operator==(const rollout_report&, const rollout_report&) = default;
 };
@@ -73,6 +74,9 @@
     // A run of the version ended, whoever asked for it.
     void on_end(const std::string& version, bool good);
 
+    // A run at the endpoint of the version that is being filled, sent at that level of its load.
+    void on_loaded_run(const std::string& version, std::size_t level, bool good);
+
     // An answer of the version began, more slowly than its predecessor's mostly do or not.
     void on_speed(const std::string& version, bool slow);
 
@@ -99,6 +103,7 @@
         std::uint64_t spent = 0;
         run_counts seen;
         run_counts speed;
+        load_counts under_load{};
         version_watch watch;
         bool tripped_here = false;
     };
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -76,6 +76,9 @@
     this->suspects.on_finished(request.fingerprint, now);
     if (!request.is_service) {
         this->exposure.on_end(state.version, !end.answered_badly);
+        if (end.answered_badly) {
+            this->note_loaded_run(state, false);
+        }
     }
     this->note_finished_work(work, now);
     this->actions.emplace_back(complete_request{request.ticket, state.address, state.version});
@@ -184,6 +187,7 @@
     const bool tells_nothing = end.result == attempt_result::unreachable || busy || crashed;
     if (!tells_nothing) {
         this->exposure.on_end(state.version, false);
+        this->note_loaded_run(state, false);
     }
 }
 
@@ -303,6 +307,16 @@
     const double done = std::min(state.held_work, state.reading);
     state.held_work -= done;
     this->table.lightened(state.address, done, state.incarnation);
+    this->table.answer_began(state.address, state.incarnation);
+    state.writing = true;
+    this->note_loaded_run(state, true);
+}
+
+void dispatcher::note_loaded_run(const request_state& state, bool good)
+{
+    if (state.packed) {
+        this->exposure.on_loaded_run(state.version, state.load_level, good);
+    }
 }
 
 bool dispatcher::may_run_once_more(const request_state& state) const
@@ -363,6 +377,9 @@
 void dispatcher::count_end(const request_state& state, attempt_result result, duration first_token,
                            instant now)
 {
+    if (state.writing) {
+        this->table.answer_ended(state.address, state.incarnation);
+    }
     this->table.ended(state.address, state.what.work.kind, state.held_work, result, first_token,
                       now, state.incarnation, state.parts);
 }
--- a/decision/src/endpoint_state.hpp
+++ b/decision/src/endpoint_state.hpp
@@ -63,6 +63,7 @@
 
     std::uint32_t outstanding = 0;
     std::uint32_t readings = 0;       // of the outstanding ones
+    std::uint32_t writing = 0;        // of the outstanding ones, those whose answers have begun
     double work = 0.0;                // of the outstanding ones
     std::vector<std::uint64_t> parts; // of their prompts; a key for each request that has it
 
@@ -80,6 +81,7 @@
         this->host = newer;
         this->outstanding = 0;
         this->readings = 0;
+        this->writing = 0;
         this->work = 0.0;
         this->parts.clear();
         this->limit = concurrency_limit(this->limit.ceiling());
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -63,6 +63,9 @@
     // What others hold at the endpoints is read there.
     void note_told(const std::vector<endpoint_load>& loads, instant now);
 
+    // By which what this router knows of is multiplied, to stand for all `routers`.
+    [[nodiscard]] double unheard_factor(std::size_t routers) const;
+
 private:
     void count_out(endpoint& where, work_class kind, double work, instant now);
     void judge(endpoint& where, endpoint_health::verdict verdict, instant now);
@@ -96,6 +99,12 @@
     }
 }
 
+double endpoint_table::state::unheard_factor(std::size_t routers) const
+{
+    const auto heard = static_cast<double>(this->others.routers() + 1);
+    return std::max(1.0, static_cast<double>(routers) / heard);
+}
+
 void endpoint_table::state::started(endpoint& where, work_class kind, double work, instant now)
 {
     const std::uint32_t reading = kind == work_class::reading ? 1 : 0;
@@ -292,6 +301,22 @@
     }
 }
 
+void endpoint_table::answer_began(const std::string& address, std::uint64_t incarnation)
+{
+    endpoint* where = this->inner->directory.find(address);
+    if (is_at(where, incarnation)) {
+        ++where->writing;
+    }
+}
+
+void endpoint_table::answer_ended(const std::string& address, std::uint64_t incarnation)
+{
+    endpoint* where = this->inner->directory.find(address);
+    if (is_at(where, incarnation) && where->writing > 0) {
+        --where->writing;
+    }
+}
+
 bool endpoint_table::reported(const std::string& address, const load_report& report, instant now)
 {
     endpoint* where = this->inner->directory.find(address);
@@ -337,8 +362,18 @@
         return 0.0;
     }
     const double known = where->work + this->inner->others.of(where->host).work;
-    const auto heard = static_cast<double>(this->inner->others.routers() + 1);
-    return known * std::max(1.0, static_cast<double>(routers) / heard);
+    return known * this->inner->unheard_factor(routers);
+}
+
+double endpoint_table::writing_per_slot(const std::string& address, std::size_t routers) const
+{
+    const endpoint* where = this->inner->directory.find(address);
+    if (where == nullptr || where->capacity() <= 0.0) {
+        return 0.0;
+    }
+    const auto told = this->inner->others.of(where->host).writing;
+    const auto known = static_cast<double>(where->writing + told);
+    return known * this->inner->unheard_factor(routers) / where->capacity();
 }
 
 double endpoint_table::packed_requests(const std::string& version, instant now) const
@@ -359,7 +394,7 @@
     for (const auto& [address, known] : this->inner->directory.all()) {
         if (known.outstanding > 0) {
             held.push_back({address, known.outstanding, known.work, known.host.incarnation,
-                            known.distinct_parts()});
+                            known.distinct_parts(), known.writing});
         }
     }
     return held;
--- a/decision/src/rollout_evidence.cpp
+++ b/decision/src/rollout_evidence.cpp
@@ -12,6 +12,30 @@
 
 } // namespace
 
+load_counts& operator+=(load_counts& sum, const load_counts& more)
+{
+    for (std::size_t level = 0; level < load_levels; ++level) {
+        sum.at(level) += more.at(level);
+    }
+    return sum;
+}
+
+std::size_t load_level(double writing_per_slot)
+{
+    const double level = std::floor(writing_per_slot * static_cast<double>(load_levels));
+    const auto highest = static_cast<double>(load_levels - 1);
+    return static_cast<std::size_t>(std::clamp(level, 0.0, highest));
+}
+
+run_counts counts_from(const load_counts& seen, std::size_t level)
+{
+    run_counts sum;
+    for (; level < load_levels; ++level) {
+        sum += seen.at(level);
+    }
+    return sum;
+}
+
 sequential_test::sequential_test(const error_guard& guard)
     : upper(std::log((1.0 - guard.miss) / guard.false_alarm)),
       lower(std::log(guard.miss / (1.0 - guard.false_alarm))),
--- a/decision/src/rollout_exposure.cpp
+++ b/decision/src/rollout_exposure.cpp
@@ -204,6 +204,16 @@
     }
 }
 
+void rollout_exposure::on_loaded_run(const std::string& version, std::size_t level, bool good)
+{
+    for (auto& [name, known] : this->rollouts) {
+        if (known.plan.to == version) {
+            auto& seen = known.under_load.at(level);
+            ++(good ? seen.good : seen.bad);
+        }
+    }
+}
+
 void rollout_exposure::test(tracked& known, bool good) const
 {
     error_guard guard;
@@ -267,7 +277,7 @@
         }
         const auto left = known.granted - std::min(known.spent, known.granted);
         all.push_back({name, plan.to, plan.state, plan.run, known.seen, known.spent, left,
-                       known.tripped_here, known.speed});
+                       known.tripped_here, known.speed, known.under_load});
     }
     return all;
 }
--- a/decision/src/told_loads.cpp
+++ b/decision/src/told_loads.cpp
@@ -38,6 +38,7 @@
         }
         auto& total = life->total;
         total.requests += sign * static_cast<std::int64_t>(load.requests);
+        total.writing += sign * static_cast<std::int64_t>(load.writing);
         total.work = std::max(0.0, total.work + sign * load.work);
         if (total.requests <= 0) {
             lives.erase(life);
--- a/decision/src/told_loads.hpp
+++ b/decision/src/told_loads.hpp
@@ -19,6 +19,7 @@
     struct sum {
         std::int64_t requests = 0;
         double work = 0.0;
+        std::int64_t writing = 0; // answers
     };
 
     // All that the router holds; what it does not name it does not hold.
--- a/decision/test/endpoint_table_test.cpp
+++ b/decision/test/endpoint_table_test.cpp
@@ -1073,6 +1073,24 @@
     DOUBLES_EQUAL(7.0, one.table.packed_requests("reader-1", one.now), 0.001);
 }
 
+// Guards against requests that wait to be read, and answers of an earlier life, taken for load.
+TEST(endpoint_table_test, only_answers_that_have_begun_are_written)
+{
+    osu_table known(1, 16);
+    known.start_many("e0", 4);
+    known.table.told("other", {{"e0", 8, 0.0, 1, {}, 3}}, known.now);
+    DOUBLES_EQUAL(3.0 / 16.0, known.table.writing_per_slot("e0", 2), 0.001);
+    known.table.answer_began("e0", 1);
+    DOUBLES_EQUAL(4.0 / 16.0, known.table.writing_per_slot("e0", 2), 0.001);
+    DOUBLES_EQUAL(16.0 / 16.0, known.table.writing_per_slot("e0", 8), 0.001); // two of eight heard
+    known.table.answer_ended("e0", 1);
+    LONGS_EQUAL(0, known.table.own_loads().at(0).writing);
+    known.table.answer_began("e0", 1);
+    known.restart("e0", 2);
+    known.table.answer_began("e0", 1);
+    DOUBLES_EQUAL(0.0, known.table.writing_per_slot("e0", 2), 0.001);
+}
+
 // Guards against a trial under load that starts over when the endpoint that it had lost comes back.
 TEST(endpoint_table_test, packed_requests_stay_where_they_are_when_a_lost_endpoint_comes_back)
 {
--- a/decision/test/rollout_dispatch_test.cpp
+++ b/decision/test/rollout_dispatch_test.cpp
@@ -335,6 +335,26 @@
     LONGS_EQUAL(0, router.rollouts().at(0).speed.total());
 }
 
+// Guards against runs that failed under load and are counted among those of an idle endpoint.
+TEST(rollout_dispatch_test, a_run_at_a_filled_endpoint_counts_by_its_load_when_it_was_sent)
+{
+    begin();
+    router.on_configuration(make_configuration({true, "adjudicator", true}), now);
+    const auto first = arrive_long();
+    CHECK_EQUAL(std::string("adjudicator-2"), first.version);
+    CHECK_TRUE(router.accepts_answer(first.ticket, first.attempt, 100.0, now));
+    router.on_fleet(0, 2);
+    const auto slots = static_cast<std::uint32_t>(pool().slots_per_host);
+    router.on_loads_told("other", {{first.address, slots, 0.0, 1, {}, slots / 2}}, now);
+    const auto second = arrive_long();
+    router.on_loads_told("other", {}, now);
+    end(second, attempt_result::failed, true);
+    const auto seen = router.rollouts().at(0).under_load;
+    LONGS_EQUAL(1, seen.at(0).good);
+    LONGS_EQUAL(1, seen.at(4).bad);
+    LONGS_EQUAL(2, counts_from(seen, 0).total());
+}
+
 // All endpoints are gone, and only the new version is still named. There is nothing to choose
 // between, and the request is refused; a router that looked for another version would do so for
 // ever.
--- a/decision/test/rollout_evidence_test.cpp
+++ b/decision/test/rollout_evidence_test.cpp
@@ -17,6 +17,27 @@
 
 } // namespace
 
+TEST_GROUP(load_counts){};
+
+TEST(load_counts, a_level_is_an_eighth_of_the_slots)
+{
+    LONGS_EQUAL(0, load_level(0.0));
+    LONGS_EQUAL(3, load_level(0.46));
+    LONGS_EQUAL(4, load_level(0.5));
+    LONGS_EQUAL(7, load_level(1.0));
+    LONGS_EQUAL(7, load_level(40.0)); // by what others told some time ago
+}
+
+TEST(load_counts, runs_from_a_level_on_leave_out_those_below)
+{
+    load_counts seen{};
+    seen.at(2) = counts(30, 0);
+    seen.at(3) = counts(4, 1);
+    seen.at(7) = counts(1, 2);
+    CHECK_TRUE(counts(5, 3) == counts_from(seen, 3));
+    CHECK_TRUE(counts(1, 2) == counts_from(seen, 4));
+}
+
 TEST_GROUP(rollout_evidence_test)
 {
     sequential_test test{error_guard{}};
