Test the runs under load only once one of them has failed

Without a failure each level's log ratio is below zero, and the test was built and asked several times on each tick.

--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -206,6 +206,9 @@
 double rollout_course::load_ratio(std::uint64_t least_failures) const
 {
     const auto seen = this->all_under_load();
+    if (decision::counts_from(seen, 0).bad == 0) {
+        return 0.0;
+    }
     const auto test = this->load_test();
     decision::run_counts from_level;
     double highest = 0.0;
