Build the tests by errors and by load in one place; look at an endpoint's load only for the trial

load_test wrote error_test again but for its false alarm. Each start of any request asked how much its endpoint was writing, though only those of the trial use it.

--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -235,7 +235,8 @@
 private:
     [[nodiscard]] bool is_bad() const;
     [[nodiscard]] bool is_doubtful() const;
-    [[nodiscard]] decision::sequential_test error_test() const;
+    [[nodiscard]] decision::sequential_test
+    error_test(double false_alarm = decision::error_guard().false_alarm) const;
     [[nodiscard]] decision::sequential_test load_test() const;
     [[nodiscard]] decision::run_counts
     in_this_part(decision::run_counts course_evidence::*kind) const;
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -166,9 +166,10 @@
            test.log_ratio(this->all_seen_ever()) > 0.0;
 }
 
-decision::sequential_test rollout_course::error_test() const
+decision::sequential_test rollout_course::error_test(double false_alarm) const
 {
     decision::error_guard guard;
+    guard.false_alarm = false_alarm;
     guard.base_rate = this->settings.base_error_rate;
     guard.max_rate = this->settings.max_error_rate;
     return decision::sequential_test(guard);
@@ -176,11 +177,7 @@
 
 decision::sequential_test rollout_course::load_test() const
 {
-    decision::error_guard guard;
-    guard.base_rate = this->settings.base_error_rate;
-    guard.max_rate = this->settings.max_error_rate;
-    guard.false_alarm = load_false_alarm;
-    return decision::sequential_test(guard);
+    return this->error_test(load_false_alarm);
 }
 
 // Counted over all parts: an answer that was begun in the trial may fail after it.
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -314,7 +314,10 @@
     state.rollouts.ran_on = where.version;
     state.sent_at = now;
     state.packed = this->helps_to_fill(state, where.version);
-    state.load_level = load_level(this->table.writing_per_slot(where.address, this->fleet_size));
+    if (state.packed) {
+        const double load = this->table.writing_per_slot(where.address, this->fleet_size);
+        state.load_level = load_level(load);
+    }
     state.writing = false;
     if (state.packed && request.sizes > 0) {
         // The largest model's answer takes longest, and adds up with the others'.
