Fill the endpoint of a trial by a part of the callers, who leave it once it is full

Cause, from all routers' logs: in the trial each router sent every long answer (165 a second) to the one endpoint that all rank first. It took 32 at once; each router hears of 16 of the others, a tenth of a second late, so the endpoint held 99 before anyone knew, refused, and each refused request went on to the next endpoint of the same ranking. The runs began before anybody had heard of load, so that the trial had to last 5.1 s to show any. Change: the record states which part of the long answers fills the endpoint, so that filling takes a second (by the session's name, so that no session goes back); an endpoint that is known to be full gets no more, its callers go to any other endpoint of the version; a refused request does not fill again, and gets its own size of model back. What is held at the filled endpoint is told to 128 peers, without the prompts' parts. Also, as each was a herd of the same roll-out: 32 routers tell their rates for all (295 writes before, which woke all watchers with more than a word holds); routers beyond the first eight write a step 25 ms after each other (198 wrote "whole" at one moment).

--- a/adapters/src/course_codec.cpp
+++ b/adapters/src/course_codec.cpp
@@ -50,6 +50,10 @@
     }
     record.session_ppm = short_count_field(value, "session_ppm", million);
     record.state = read_name(state_names, text_field(value, "state"));
+    // Routers of an earlier release fill an endpoint with all requests that may.
+    if (value.contains("fill_ppm")) {
+        record.fill_ppm = short_count_field(value, "fill_ppm", million);
+    }
     return record;
 }
 
@@ -107,6 +111,7 @@
                            {"step", record.step},
                            {"routers", record.routers},
                            {"session_ppm", record.session_ppm},
+                           {"fill_ppm", record.fill_ppm},
                            {"state", write_name(state_names, record.state)}});
 }
 
--- a/adapters/test/course_codec_test.cpp
+++ b/adapters/test/course_codec_test.cpp
@@ -13,13 +13,32 @@
 {
     for (const auto state : {course_state::staged, course_state::loaded, course_state::whole,
                              course_state::finished, course_state::bad}) {
-        const course_record written{28, 3, 9, 40'000, state};
+        const course_record written{28, 3, 9, 40'000, state, 250'000};
         const auto read = read_course_record(write_course_record(written));
         CHECK_TRUE(read.has_value());
         CHECK_TRUE(written == *read);
     }
 }
 
+// Guards against a trial that no request takes part in while routers of two releases run.
+TEST(course_codec, a_record_of_an_earlier_release_fills_an_endpoint_with_all_requests)
+{
+    const auto read =
+        read_course_record(R"({"run":28,"step":3,"routers":9,"session_ppm":4,"state":"loaded"})");
+    CHECK_TRUE(read.has_value());
+    CHECK_EQUAL(1'000'000U, read->fill_ppm);
+}
+
+TEST(course_codec, a_record_with_a_share_that_does_not_fit_is_none)
+{
+    for (const auto* const share : {"-1", "1000001", "0.5", "null"}) {
+        const auto text = R"({"run":28,"step":3,"routers":9,"session_ppm":4,"state":"loaded",)"
+                          R"("fill_ppm":)" +
+                          std::string(share) + "}";
+        CHECK_FALSE(read_course_record(text).has_value());
+    }
+}
+
 // A step is counted through one by one whenever it is looked up; a number that wraps or goes beyond
 // all measure would hold the router up, and a fleet of none would be divided by.
 TEST(course_codec, a_record_with_a_number_that_does_not_fit_is_none)
--- a/coordination/include/pearhaven/coordination/peer_exchange.hpp
+++ b/coordination/include/pearhaven/coordination/peer_exchange.hpp
@@ -37,7 +37,10 @@
 
     // Peers that hear of own loads, those in the zone first. It bounds what a large fleet sends;
     // most requests stay in their zone.
-    std::size_t most_told = 16;
+    std::size_t most_told = decision::told_usually;
+
+    // Peers that hear of what this router holds at an endpoint that many fill together.
+    std::size_t most_told_when_filling = decision::told_when_filling;
 
     // Time between two questions to peers while the store does not answer this router.
     decision::duration pull_period = std::chrono::milliseconds{300};
@@ -78,9 +81,10 @@
     void set_peer(const std::string& name, const peer_router& where);
     void drop_peer(const std::string& name) { this->peers.erase(name); }
 
-    [[nodiscard]] std::vector<peer_send> on_tick(const std::vector<decision::endpoint_load>& own,
-                                                 const mirror_standing& mirror,
-                                                 decision::instant now);
+    // `filling`: the part of the own load that is held at endpoints that many fill together.
+    [[nodiscard]] std::vector<peer_send>
+    on_tick(const std::vector<decision::endpoint_load>& own, const mirror_standing& mirror,
+            decision::instant now, const std::vector<decision::endpoint_load>& filling = {});
 
     // The peers of this router's zone.
     [[nodiscard]] std::vector<peer_router> near() const;
@@ -91,8 +95,19 @@
     [[nodiscard]] std::size_t size() const { return this->peers.size(); }
 
 private:
+    // Loads as they were told last.
+    struct told_word {
+        std::vector<decision::endpoint_load> loads;
+        decision::instant at;
+    };
+
+    [[nodiscard]] bool is_due(const std::vector<decision::endpoint_load>& loads,
+                              const told_word& last, decision::instant now) const;
+    [[nodiscard]] std::vector<const peer_router*> listeners(std::size_t most) const;
     void add_loads(const std::vector<decision::endpoint_load>& own, std::vector<peer_send>& sends,
                    decision::instant now);
+    void add_filling(const std::vector<decision::endpoint_load>& filling,
+                     std::vector<peer_send>& sends, decision::instant now);
     void add_pulls(const mirror_standing& mirror, std::vector<peer_send>& sends,
                    decision::instant now);
     [[nodiscard]] peer_send ask(store_revision after, bool large);
@@ -100,8 +115,8 @@
 
     peer_exchange_settings settings;
     std::map<std::string, peer_router> peers; // by name
-    std::vector<decision::endpoint_load> told;
-    decision::instant told_at;
+    told_word told;
+    told_word told_of_filling;
     decision::instant next_pull;
     decision::instant next_large_pull;
     std::uint64_t questions = 0;
--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -30,6 +30,7 @@
     std::uint32_t routers = 0;     // among which each step's callers are divided
     std::uint32_t session_ppm = 0; // of the sessions, in a million, that move before all do
     course_state state = course_state::staged;
+    std::uint32_t fill_ppm = 1'000'000; // of the requests that may fill an endpoint, that do
 
     friend bool operator==(const course_record&, const course_record&) = default;
 };
@@ -104,6 +105,11 @@
     // got so many for each of its slots. Long answers stay long enough to add up, and their short
     // prompts keep no one else waiting.
     double load_per_slot = 1.25;
+
+    // The shortest time in which an endpoint is filled. Routers hear of each other's requests there
+    // some tenths of a second late: many of them would send it several times what it bears
+    // meanwhile. Where callers are more, a part of them fill it.
+    decision::duration least_fill_time = std::chrono::seconds(1);
     double least_load_per_slot = 0.5; // that can be reached; with less the trial shows nothing
 
     // Runs that have to begin or fail with the endpoint's load at that level or above: for the
@@ -133,6 +139,10 @@
     // the trial's length is worked out: just before the trial, so that the rates are fresh.
     double rate_part = 0.45;
 
+    // Routers that tell it. In a larger fleet these stand for the others: each report is a write of
+    // the store, and wakes whoever watches it.
+    std::size_t most_rates_told = 32;
+
     double base_error_rate = 0.03; // of a good version
     double max_error_rate = 0.15;  // of a bad one
 
@@ -146,8 +156,15 @@
     // Time between two reports of a router's evidence. It bounds the store's load.
     decision::duration report_period = std::chrono::milliseconds(700);
 
-    // Each further router waits so much longer before it writes what all of them want written.
+    // Each further router waits so much longer before it writes what all of them want written, as
+    // far as the first ones go.
     decision::duration turn = std::chrono::milliseconds(400);
+    std::size_t turns = 8;
+
+    // The same for those after them, from when they came to want it: what hundreds of routers learn
+    // at one moment, as the last evidence of a trial, they would else all write at that moment.
+    decision::duration late_turn = std::chrono::milliseconds(25);
+    decision::duration longest_late_wait = std::chrono::seconds(2);
 };
 
 // What a router serves of the model each second, and sees of the trial under load.
@@ -247,10 +264,11 @@
     [[nodiscard]] bool is_whole() const;
     [[nodiscard]] course_state part_of_course() const;
     [[nodiscard]] bool has_news() const;
-    [[nodiscard]] bool rate_is_due(decision::instant now) const;
+    [[nodiscard]] bool rate_is_due(std::size_t rank, std::size_t size, decision::instant now) const;
     [[nodiscard]] double fleet_rate(std::size_t size) const;
     [[nodiscard]] bool can_fill(std::size_t size) const;
     [[nodiscard]] decision::duration load_time(std::size_t size) const;
+    [[nodiscard]] std::uint32_t fill_ppm(std::size_t size) const;
     [[nodiscard]] bool trial_is_over(std::size_t size, decision::instant now) const;
     [[nodiscard]] decision::load_counts all_under_load() const;
     [[nodiscard]] std::uint64_t loaded_runs(const decision::load_counts& seen) const;
@@ -266,6 +284,8 @@
     [[nodiscard]] std::optional<course_record>
     next_record(std::size_t size, const course_rates& rates, decision::instant now) const;
     [[nodiscard]] std::optional<course_record> mended_record(decision::instant now) const;
+    [[nodiscard]] bool has_late_turn(const std::optional<course_record>& next, std::size_t rank,
+                                     decision::instant now);
     void ask_for_write(const std::optional<course_record>& record, decision::instant now,
                        course_actions& wanted);
     [[nodiscard]] std::optional<course_state> next_state(std::size_t size,
@@ -293,6 +313,8 @@
     decision::instant next_report;
     bool writing = false;
     decision::instant retry_at;
+    std::optional<course_record> wanted; // the step that is due next
+    decision::instant wanted_since;
 };
 
 } // namespace pearhaven::coordination
--- a/coordination/src/peer_exchange.cpp
+++ b/coordination/src/peer_exchange.cpp
@@ -16,13 +16,15 @@
 }
 
 std::vector<peer_send> peer_exchange::on_tick(const std::vector<decision::endpoint_load>& own,
-                                              const mirror_standing& mirror, decision::instant now)
+                                              const mirror_standing& mirror, decision::instant now,
+                                              const std::vector<decision::endpoint_load>& filling)
 {
     std::vector<peer_send> sends;
     if (this->peers.empty()) {
         return sends;
     }
     this->add_loads(own, sends, now);
+    this->add_filling(filling, sends, now);
     if (mirror.in_touch) {
         this->open_question.reset();
         this->forget_large_questions();
@@ -33,29 +35,57 @@
 }
 
 // An idle router says so once and is silent: what it said before counts no longer.
-void peer_exchange::add_loads(const std::vector<decision::endpoint_load>& own,
-                              std::vector<peer_send>& sends, decision::instant now)
+bool peer_exchange::is_due(const std::vector<decision::endpoint_load>& loads, const told_word& last,
+                           decision::instant now) const
 {
-    const auto since = now - this->told_at;
-    const bool has_changed = own != this->told && since >= this->settings.load_period;
-    const bool is_repeat = !own.empty() && since >= this->settings.repeat_period;
-    if (!has_changed && !is_repeat) {
-        return;
-    }
-    this->told = own;
-    this->told_at = now;
-    const auto first = std::as_const(this->peers).upper_bound(this->settings.self);
+    const auto since = now - last.at;
+    const bool has_changed = loads != last.loads && since >= this->settings.load_period;
+    return has_changed || (!loads.empty() && since >= this->settings.repeat_period);
+}
+
+// Those of the zone come first, and all from this router's own name on, so that in a large fleet
+// each router is heard by others, and each hears as many.
+std::vector<const peer_router*> peer_exchange::listeners(std::size_t most) const
+{
+    std::vector<const peer_router*> found;
+    const auto first = this->peers.upper_bound(this->settings.self);
     for (const bool in_zone : {true, false}) {
-        const auto tell = [&](const auto& named) {
+        const auto add = [&](const auto& named) {
             const bool is_near = named.second.zone == this->settings.zone;
-            if (is_near == in_zone && sends.size() < this->settings.most_told) {
-                sends.push_back({named.second, load_push{own}});
+            if (is_near == in_zone && found.size() < most) {
+                found.push_back(&named.second);
             }
         };
-        // From its own name on, so that in a large fleet each router is heard by others, and each
-        // hears as many.
-        std::for_each(first, this->peers.cend(), tell);
-        std::for_each(this->peers.cbegin(), first, tell);
+        std::for_each(first, this->peers.cend(), add);
+        std::for_each(this->peers.cbegin(), first, add);
+    }
+    return found;
+}
+
+void peer_exchange::add_loads(const std::vector<decision::endpoint_load>& own,
+                              std::vector<peer_send>& sends, decision::instant now)
+{
+    if (!this->is_due(own, this->told, now)) {
+        return;
+    }
+    this->told = {own, now};
+    for (const auto* listener : this->listeners(this->settings.most_told)) {
+        sends.push_back({*listener, load_push{own}});
+    }
+}
+
+// For the peers that hear of nothing else from this router. A word replaces the one before, so
+// those that hear of all its load get no part of it.
+void peer_exchange::add_filling(const std::vector<decision::endpoint_load>& filling,
+                                std::vector<peer_send>& sends, decision::instant now)
+{
+    if (!this->is_due(filling, this->told_of_filling, now)) {
+        return;
+    }
+    this->told_of_filling = {filling, now};
+    const auto all = this->listeners(this->settings.most_told_when_filling);
+    for (std::size_t i = this->settings.most_told; i < all.size(); ++i) {
+        sends.push_back({*all[i], load_push{filling}});
     }
 }
 
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -17,9 +17,6 @@
 // its own, so that it is smaller than that of the others.
 constexpr double load_false_alarm = 0.0025;
 
-// Routers learn up to 150 ms after each other that the trial has begun.
-constexpr decision::duration least_load_time = std::chrono::milliseconds(400);
-
 bool is_final(const std::optional<course_record>& record)
 {
     return record &&
@@ -275,9 +272,12 @@
     return is_awaited && this->loaded_runs(this->own.under_load) > told;
 }
 
-bool rollout_course::rate_is_due(decision::instant now) const
+// The routers that tell are spread evenly over the ranks: those of a zone follow each other.
+bool rollout_course::rate_is_due(std::size_t rank, std::size_t size, decision::instant now) const
 {
-    return !this->told_rate && now - this->began >= this->part(this->settings.rate_part);
+    const auto told = std::min(this->settings.most_rates_told, size);
+    const bool tells = size == 0 || rank * told / size != (rank + 1) * told / size;
+    return tells && !this->told_rate && now - this->began >= this->part(this->settings.rate_part);
 }
 
 // Where callers become too few to fill the endpoint, the trial is not to wait for them.
@@ -319,7 +319,16 @@
                                                rate);
     const auto time = std::min(std::chrono::duration_cast<decision::duration>(wanted),
                                this->part(this->settings.load_part));
-    return std::max(time, least_load_time);
+    return std::max(time, this->settings.least_fill_time);
+}
+
+// So many of the requests that may fill the endpoint as fill it in the least time.
+std::uint32_t rollout_course::fill_ppm(std::size_t size) const
+{
+    const double seconds = std::chrono::duration<double>(this->settings.least_fill_time).count();
+    const double callers = std::max(this->fleet_rate(size), 0.1) * seconds;
+    const double share = this->settings.load_per_slot * this->what.slots / callers;
+    return static_cast<std::uint32_t>(std::clamp(share, 1.0 / million, 1.0) * million);
 }
 
 bool rollout_course::trial_is_over(std::size_t size, decision::instant now) const
@@ -382,6 +391,9 @@
     }
     const auto state = this->next_state(size, now);
     next.state = state.value_or(next.state);
+    if (state == course_state::loaded) {
+        next.fill_ppm = this->fill_ppm(size);
+    }
     return state ? std::make_optional(next) : std::nullopt;
 }
 
@@ -476,37 +488,51 @@
     wanted.record_revision = this->held_revision;
 }
 
+bool rollout_course::has_late_turn(const std::optional<course_record>& next, std::size_t rank,
+                                   decision::instant now)
+{
+    const bool is_same = next && this->wanted && next->state == this->wanted->state &&
+                         next->step == this->wanted->step;
+    if (!is_same) {
+        this->wanted = next;
+        this->wanted_since = now;
+    }
+    const auto late = static_cast<std::int64_t>(rank - std::min(rank, this->settings.turns));
+    return now - this->wanted_since >=
+           std::min(this->settings.late_turn * late, this->settings.longest_late_wait);
+}
+
 course_actions rollout_course::on_tick(std::size_t rank, std::size_t size,
                                        const course_rates& rates, decision::instant now)
 {
-    course_actions wanted;
+    course_actions actions;
     // What is wanted now was wanted a turn ago by those before this router: they have had theirs.
     const auto turns =
-        this->settings.turn * static_cast<std::int64_t>(std::min<std::size_t>(rank, 8));
+        this->settings.turn * static_cast<std::int64_t>(std::min(rank, this->settings.turns));
     const auto mended = this->mended_record(now - turns);
     if (is_final(this->held)) {
-        this->ask_for_write(mended, now, wanted);
-        return wanted;
+        this->ask_for_write(mended, now, actions);
+        return actions;
     }
     if (this->is_bad() && !this->told_trip) {
         this->told_trip = true;
-        wanted.trip = true;
+        actions.trip = true;
     }
     this->own.run = this->what.run;
     this->own.long_rate = rates.long_answers;
-    const bool tells_rate = this->rate_is_due(now);
+    const bool tells_rate = this->rate_is_due(rank, size, now);
     if ((this->has_news() || tells_rate) && now >= this->next_report) {
         this->told_rate = this->told_rate || tells_rate;
         this->reported = this->own;
         this->next_report = now + this->settings.report_period;
-        wanted.report = this->own;
+        actions.report = this->own;
     }
     const auto next = this->next_record(size, rates, this->is_bad() ? now : now - turns);
     const bool first_waits = !this->held && now - this->began < turns;
-    if (!first_waits) {
-        this->ask_for_write(next ? next : mended, now, wanted);
+    if (this->has_late_turn(next, rank, now) && !first_waits) {
+        this->ask_for_write(next ? next : mended, now, actions);
     }
-    return wanted;
+    return actions;
 }
 
 course_sight rollout_course::sight(decision::instant now) const
@@ -541,6 +567,7 @@
         made.routers = this->held->routers;
         made.session_ppm = this->held->session_ppm;
         made.state = to_rollout_state(this->held->state);
+        made.fill_ppm = this->held->fill_ppm;
         made.fills_endpoint = this->held->state == course_state::loaded;
     }
     return made;
--- a/coordination/test/peer_exchange_test.cpp
+++ b/coordination/test/peer_exchange_test.cpp
@@ -1,5 +1,6 @@
 #include "pearhaven/coordination/peer_exchange.hpp"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -10,6 +11,8 @@
 using namespace pearhaven::coordination;
 using pearhaven::decision::endpoint_load;
 using pearhaven::decision::instant;
+using pearhaven::decision::told_usually;
+using pearhaven::decision::told_when_filling;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -87,6 +90,29 @@
     }
 }
 
+// Guards against routers that fill one endpoint and hear too little of each other to stop in time.
+TEST(peer_exchange, more_peers_hear_of_an_endpoint_that_is_being_filled)
+{
+    constexpr std::size_t others = told_when_filling - told_usually;
+    auto exchange = make_exchange("edge-100");
+    set_peers(exchange, 200);
+    const std::vector<endpoint_load> filling = {{"e2", 1, 60.0}};
+    const std::vector<endpoint_load> all = {{"e1", 2, 90.0}, {"e2", 1, 60.0}};
+    std::map<std::string, std::vector<endpoint_load>> told;
+    for (const auto& send : exchange.on_tick(all, {true, 5}, start, filling)) {
+        told[send.to.host] = std::get<load_push>(send.message).loads;
+    }
+    CHECK_EQUAL(told_when_filling, told.size());
+    const auto of_filling = [&filling](const auto& one) { return one.second == filling; };
+    LONGS_EQUAL(others, std::count_if(told.begin(), told.end(), of_filling));
+    const auto next = start + milliseconds(100);
+    const std::vector<endpoint_load> other = {{"e1", 3, 99.0}, {"e2", 1, 60.0}};
+    CHECK_EQUAL(told_usually, exchange.on_tick(other, {true, 5}, next, filling).size());
+    const auto last = next + milliseconds(100);
+    CHECK_EQUAL(others, exchange.on_tick(other, {true, 5}, last, {}).size());
+    CHECK_EQUAL(0U, exchange.on_tick(other, {true, 5}, last, {}).size());
+}
+
 TEST(peer_exchange, peers_of_the_own_zone_are_told_first)
 {
     auto exchange = make_exchange("edge-100");
--- a/coordination/test/rollout_course_test.cpp
+++ b/coordination/test/rollout_course_test.cpp
@@ -480,6 +480,58 @@
     CHECK_TRUE(course_state::whole == fleet.history.back().state);
 }
 
+// Guards against three hundred writes at one moment, each of which wakes all who watch the store.
+TEST(rollout_course, of_a_large_fleet_some_routers_tell_their_rates_for_all)
+{
+    constexpr std::size_t size = 295;
+    course_fleet fleet(size);
+    const std::vector<bool> all(size, true);
+    fleet.rates = {4.0, 0.5};
+    fleet.loaded_runs = 0;
+    play(fleet, milliseconds(12'600), all);
+    CHECK_TRUE(course_state::loaded == fleet.history.back().state);
+    LONGS_EQUAL(course_settings().most_rates_told, fleet.reports);
+    // 80 of the 147.5 that come each second.
+    CHECK_EQUAL(542'372U, fleet.history.back().fill_ppm);
+}
+
+// Guards against hundreds of writes, of which one counts, when the last evidence has come to all.
+TEST(rollout_course, of_a_large_fleet_few_routers_write_the_step_that_all_see_due)
+{
+    constexpr std::size_t size = 295;
+    std::vector<std::unique_ptr<rollout_course>> courses;
+    const course_record loaded{attempt, 3, size, 100'000, course_state::loaded};
+    for (std::size_t rank = 0; rank < size; ++rank) {
+        courses.push_back(std::make_unique<rollout_course>(course_settings{}, make_order(), start));
+        courses.back()->on_record(loaded, 5, start + milliseconds(12'200));
+    }
+    const auto last = start + milliseconds(17'000);
+    course_evidence evidence{attempt, course_state::loaded, {20, 0}, {20, 0}, {}, 40.0};
+    evidence.under_load = runs_at(5, 20);
+    for (const auto& course : courses) {
+        course->on_evidence("other", evidence);
+    }
+    // Until the record that one of them writes has come to all.
+    int writes = 0;
+    for (auto now = last; now < last + milliseconds(200); now += milliseconds(50)) {
+        for (std::size_t rank = 0; rank < size; ++rank) {
+            const auto wanted = courses[rank]->on_tick(rank, size, {6.0, 2.0}, now);
+            writes += wanted.write_record ? 1 : 0;
+        }
+    }
+    CHECK_COMPARE(writes, >, 0);
+    CHECK_COMPARE(writes, <=, 16);
+}
+
+TEST(rollout_course, in_a_fleet_that_only_just_fills_an_endpoint_all_long_answers_do)
+{
+    course_fleet fleet(9);
+    const std::vector<bool> all(9, true);
+    play(fleet, milliseconds(12'600), all);
+    CHECK_TRUE(course_state::loaded == fleet.history.back().state);
+    CHECK_EQUAL(1'000'000U, fleet.history.back().fill_ppm);
+}
+
 // The router that writes the steps dies in the middle. Nobody has to notice: the next one by rank
 // writes the next step a turn later, and the roll-out ends in time.
 TEST(rollout_course, the_death_of_any_router_holds_nothing_up)
--- a/decision/include/pearhaven/decision/configuration.hpp
+++ b/decision/include/pearhaven/decision/configuration.hpp
@@ -149,7 +149,8 @@
     std::uint32_t routers = 0; // size of the fleet among which the step's grant is divided
     std::uint32_t session_ppm =
         0; // of the sessions without tokens, in a million, that move before all do
-    bool fills_endpoint = false; // requests that fill an endpoint move, all of them to the same
+    bool fills_endpoint = false;        // requests that fill an endpoint move, to the same one
+    std::uint32_t fill_ppm = 1'000'000; // of these requests, in a million, that move
 
     friend bool operator==(const rollout&, const rollout&) = default;
 };
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -292,6 +292,9 @@
     void on_tick(instant now) { this->on_tick(now, now); }
 
     [[nodiscard]] std::vector<dispatch_action> take_actions();
+
+    // What this router holds at endpoints that it helps to fill. Without the parts of the prompts.
+    [[nodiscard]] std::vector<endpoint_load> filling_loads() const;
     [[nodiscard]] std::size_t in_flight() const { return this->requests.size(); }
     [[nodiscard]] std::size_t queued() const { return this->queue.size(); }
     [[nodiscard]] const endpoint_table& endpoints() const { return this->table; }
@@ -330,6 +333,8 @@
         instant arrived;
         instant sent_at;                // the present attempt
         bool packed = false;            // the present attempt helps to fill one endpoint
+        bool was_crowded_out = false;   // the endpoint that is being filled has refused it
+        std::uint32_t own_size = 0;     // `size`, before that endpoint made it the largest
         std::size_t load_level = 0;     // if so: of that endpoint when it was sent
         bool writing = false;           // the present attempt's answer has begun
         double held_work = 0.0;         // of the present attempt, that its endpoint still has to do
@@ -352,6 +357,7 @@
         std::string address;
         std::string version;
         std::string exposed_by;
+        bool packed = false;
     };
 
     [[nodiscard]] std::optional<failure> admission_failure(const arrival& request,
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -97,6 +97,11 @@
     friend bool operator==(const placement&, const placement&) = default;
 };
 
+// Routers that each router tells of its load, and of what it holds at an endpoint that many fill
+// together: there each stops by what it hears of all the others' requests.
+inline constexpr std::size_t told_usually = 16;
+inline constexpr std::size_t told_when_filling = 128;
+
 struct endpoint_table_settings {
     std::string zone;
     std::uint64_t router_seed = 0; // differs by router: spreads the routers' subsets
@@ -108,6 +113,9 @@
     // that comes to the endpoint later waits for it as well.
     double cold_price = 3.0;
 
+    // Requests for each slot of the endpoint that packed ones go to, up to which it gets more.
+    double packed_per_slot = 1.25;
+
     // Whether all open endpoints are weighed against each other, for routers that tell each other
     // what they hold. By its own work alone a router does better to draw two and take the better
     // one: it would send to the one that all others choose as well.
@@ -224,10 +232,15 @@
     // of `routers` that do not all tell this one, the others' is taken to be like theirs that do.
     [[nodiscard]] double work_at(const std::string& address, std::size_t routers) const;
 
-    // Answers that are being written at the endpoint, per slot. Others' work counts as in
-    // `work_at`.
+    // Answers that are being written at the endpoint that is being filled, per slot. In a fleet of
+    // `routers` of which not all tell this one, the others' count like theirs that do.
     [[nodiscard]] double writing_per_slot(const std::string& address, std::size_t routers) const;
 
+    // Whether the endpoint that packed requests go to bears one more. Others' requests count as in
+    // `writing_per_slot`.
+    [[nodiscard]] bool has_packed_room(const placement& wanted, std::size_t routers,
+                                       instant now) const;
+
     // Requests of all routers at the endpoint that packed ones go to; zero where there is none.
     [[nodiscard]] double packed_requests(const std::string& version, instant now) const;
 
--- a/decision/include/pearhaven/decision/rollout_exposure.hpp
+++ b/decision/include/pearhaven/decision/rollout_exposure.hpp
@@ -111,9 +111,9 @@
     void take_up(tracked& known, const rollout& plan, std::uint64_t before);
     [[nodiscard]] bool is_tripped(const tracked& known) const;
     [[nodiscard]] bool may_move(const tracked& known, const rollout_note& note,
-                                std::uint64_t session_key) const;
+                                const version_question& question) const;
     [[nodiscard]] const tracked* find_move(const std::string& from, const rollout_note& note,
-                                           std::uint64_t session_key) const;
+                                           const version_question& question) const;
     void test(tracked& known, bool good) const;
 
     std::map<std::string, tracked> rollouts;
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "pearhaven/decision/mix.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace pearhaven::decision {
@@ -194,10 +195,32 @@
     return !state.address.empty() && this->table.incarnation_of(state.address) == state.incarnation;
 }
 
+std::vector<endpoint_load> dispatcher::filling_loads() const
+{
+    std::set<std::string> filled;
+    for (const auto& [ticket, state] : this->requests) {
+        if (state.packed && !state.address.empty()) {
+            filled.insert(state.address);
+        }
+    }
+    std::vector<endpoint_load> held;
+    if (filled.empty()) {
+        return held;
+    }
+    for (auto& load : this->table.own_loads()) {
+        if (filled.count(load.address) > 0) {
+            load.parts.clear();
+            held.push_back(std::move(load));
+        }
+    }
+    return held;
+}
+
 // Whether the request is one of those that fill one endpoint of the version.
 bool dispatcher::helps_to_fill(const request_state& state, const std::string& version) const
 {
-    return state.rollouts.fills_endpoint && this->exposure.is_filled(version);
+    return state.rollouts.fills_endpoint && !state.was_crowded_out &&
+           this->exposure.is_filled(version);
 }
 
 // Two suspects on one endpoint: if it crashes again, nobody can tell which of them did it, and the
@@ -236,11 +259,14 @@
         target = std::move(chosen.answer.version);
         exposed_by = std::move(chosen.exposed_by);
     }
-    auto address = this->table.choose(this->place(state, target, now), now, this->next_random());
+    auto wanted = this->place(state, target, now);
+    wanted.packed = wanted.packed && this->table.has_packed_room(wanted, this->fleet_size, now);
+    auto address = this->table.choose(wanted, now, this->next_random());
     if (!address) {
         return std::nullopt;
     }
-    return chosen_start{std::move(*address), std::move(target), std::move(exposed_by)};
+    return chosen_start{std::move(*address), std::move(target), std::move(exposed_by),
+                        wanted.packed};
 }
 
 // The operator may remove a team while its requests run, and each of them may come back to the
@@ -313,12 +339,13 @@
     state.version = where.version;
     state.rollouts.ran_on = where.version;
     state.sent_at = now;
-    state.packed = this->helps_to_fill(state, where.version);
+    state.packed = where.packed;
     if (state.packed) {
         const double load = this->table.writing_per_slot(where.address, this->fleet_size);
         state.load_level = load_level(load);
     }
     state.writing = false;
+    state.own_size = state.size;
     if (state.packed && request.sizes > 0) {
         // The largest model's answer takes longest, and adds up with the others'.
         state.size = request.sizes - 1;
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -102,6 +102,10 @@
     state.avoid_until = std::max(state.avoid_until, now + refusal_avoidance);
     state.address.clear();
     ++state.refusals;
+    if (state.packed) {
+        state.was_crowded_out = true;
+        state.size = state.own_size;
+    }
     this->note_version_refused(state);
     // Another try at an endpoint that refused is load that the budget bounds. One that leaves or
     // cannot be reached takes no load, and its callers should not pay for its end. But a send that
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -99,9 +99,6 @@
     return subset;
 }
 
-// Of the endpoints that may be taken the one that is being filled already, else the one that every
-// router ranks first, whatever its zone and its subset; null where none may. By rank alone an
-// endpoint that was lost and comes back empty would take the place of its successor.
 const endpoint* endpoint_choice::packed_on(const route& from) const
 {
     const endpoint* first = nullptr;
--- a/decision/src/endpoint_choice.hpp
+++ b/decision/src/endpoint_choice.hpp
@@ -43,13 +43,17 @@
     // Null when none has room.
     [[nodiscard]] const endpoint* choose(const route& from, std::uint64_t random);
 
+    // Of the endpoints that may be taken the one that is being filled already, else the one that
+    // every router ranks first, whatever its zone and its subset; null where none may. By rank
+    // alone an endpoint that was lost and comes back empty would take the place of its successor.
+    [[nodiscard]] const endpoint* packed_on(const route& from) const;
+
 private:
     struct candidate {
         const endpoint* where = nullptr;
         double score = 0.0;
     };
 
-    [[nodiscard]] const endpoint* packed_on(const route& from) const;
     [[nodiscard]] std::pair<bool, std::uint64_t> rank_of_packed(const endpoint& where) const;
     [[nodiscard]] bool has_room(const endpoint& where) const;
     [[nodiscard]] bool readings_have_room(const endpoint& where, double limit) const;
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -52,6 +52,7 @@
                duration first_token, instant now);
     [[nodiscard]] std::optional<std::string> choose(const placement& wanted, instant now,
                                                     std::uint64_t random);
+    [[nodiscard]] const endpoint* packed_on(const placement& wanted, instant now);
     void add_used(std::set<std::string>& used, const std::string& name, bool is_service,
                   instant now);
 
@@ -63,9 +64,18 @@
     // What others hold at the endpoints is read there.
     void note_told(const std::vector<endpoint_load>& loads, instant now);
 
+    // This router's requests there, and those of the others that it hears of.
+    [[nodiscard]] double requests_at(const endpoint& where) const
+    {
+        return static_cast<double>(where.outstanding + this->others.of(where.host).requests);
+    }
+
     // By which what this router knows of is multiplied, to stand for all `routers`.
     [[nodiscard]] double unheard_factor(std::size_t routers) const;
 
+    // The same for what is held at an endpoint that is being filled, of which more routers tell.
+    [[nodiscard]] double unheard_factor_when_filling(std::size_t routers) const;
+
 private:
     void count_out(endpoint& where, work_class kind, double work, instant now);
     void judge(endpoint& where, endpoint_health::verdict verdict, instant now);
@@ -105,6 +115,15 @@
     return std::max(1.0, static_cast<double>(routers) / heard);
 }
 
+double endpoint_table::state::unheard_factor_when_filling(std::size_t routers) const
+{
+    const auto others = std::max<std::size_t>(routers, 1) - 1;
+    const auto usual = static_cast<double>(std::clamp<std::size_t>(others, 1, told_usually));
+    const auto filling = static_cast<double>(std::min(others, told_when_filling));
+    const double reach = std::min(1.0, static_cast<double>(this->others.routers()) / usual);
+    return static_cast<double>(others + 1) / (1.0 + reach * filling);
+}
+
 void endpoint_table::state::started(endpoint& where, work_class kind, double work, instant now)
 {
     const std::uint32_t reading = kind == work_class::reading ? 1 : 0;
@@ -226,6 +245,13 @@
     return chosen == nullptr ? std::nullopt : std::make_optional(chosen->host.address);
 }
 
+const endpoint* endpoint_table::state::packed_on(const placement& wanted, instant now)
+{
+    const route& from = this->directory.route_for(wanted.version_or_service, wanted.is_service);
+    return endpoint_choice(this->settings, wanted, this->own, this->others, this->prompts, now)
+        .packed_on(from);
+}
+
 void endpoint_table::state::add_used(std::set<std::string>& used, const std::string& name,
                                      bool is_service, instant now)
 {
@@ -373,7 +399,18 @@
     }
     const auto told = this->inner->others.of(where->host).writing;
     const auto known = static_cast<double>(where->writing + told);
-    return known * this->inner->unheard_factor(routers) / where->capacity();
+    return known * this->inner->unheard_factor_when_filling(routers) / where->capacity();
+}
+
+bool endpoint_table::has_packed_room(const placement& wanted, std::size_t routers,
+                                     instant now) const
+{
+    const endpoint* where = this->inner->packed_on(wanted, now);
+    if (where == nullptr) {
+        return false;
+    }
+    return this->inner->requests_at(*where) * this->inner->unheard_factor_when_filling(routers) <
+           this->inner->settings.packed_per_slot * where->capacity();
 }
 
 double endpoint_table::packed_requests(const std::string& version, instant now) const
@@ -381,11 +418,8 @@
     placement wanted;
     wanted.version_or_service = version;
     wanted.packed = true;
-    const auto address = this->choose(wanted, now, 0);
-    const auto* where = address ? this->inner->directory.find(*address) : nullptr;
-    return where == nullptr ? 0.0
-                            : static_cast<double>(where->outstanding +
-                                                  this->inner->others.of(where->host).requests);
+    const endpoint* where = this->inner->packed_on(wanted, now);
+    return where == nullptr ? 0.0 : this->inner->requests_at(*where);
 }
 
 std::vector<endpoint_load> endpoint_table::own_loads() const
--- a/decision/src/rollout_exposure.cpp
+++ b/decision/src/rollout_exposure.cpp
@@ -19,6 +19,12 @@
                        [&name](const auto& named) { return named.second.model == name; });
 }
 
+bool is_sampled(std::uint64_t key, std::uint32_t ppm)
+{
+    constexpr std::uint64_t million = 1'000'000;
+    return key % million < ppm;
+}
+
 bool may_use(const version_question& question, const std::string& name)
 {
     const auto* candidate = question.current->find_version(name);
@@ -101,8 +107,9 @@
 }
 
 bool rollout_exposure::may_move(const tracked& known, const rollout_note& note,
-                                std::uint64_t session_key) const
+                                const version_question& question) const
 {
+    const auto session_key = question.session_key;
     const auto& plan = known.plan;
     if (this->is_tripped(known)) {
         return false;
@@ -120,26 +127,26 @@
     if (!note.ran_on.empty() && note.ran_on != plan.to) {
         return false;
     }
-    if (plan.fills_endpoint && note.fills_endpoint) {
-        return plan.state == rollout_state::running && plan.run != 0;
+    const bool is_running = plan.state == rollout_state::running && plan.run != 0;
+    if (plan.fills_endpoint && note.fills_endpoint &&
+        is_sampled(session_key != 0 ? session_key : question.random, plan.fill_ppm)) {
+        return is_running;
     }
     // Routers keep no table of sessions, so none knows on which version this one ran a moment ago
     // elsewhere. By its name alone all routers choose alike, so that it changes its version once.
     if (session_key != 0) {
-        constexpr std::uint64_t million = 1'000'000;
-        return plan.state == rollout_state::running && plan.run != 0 &&
-               session_key % million < plan.session_ppm;
+        return is_running && is_sampled(session_key, plan.session_ppm);
     }
     const bool has_grant = note.exposed_by == plan.name || known.spent < known.granted;
-    return plan.state == rollout_state::running && !plan.paused && plan.run != 0 && has_grant;
+    return is_running && !plan.paused && has_grant;
 }
 
 const rollout_exposure::tracked* rollout_exposure::find_move(const std::string& from,
                                                              const rollout_note& note,
-                                                             std::uint64_t session_key) const
+                                                             const version_question& question) const
 {
     for (const auto& [name, known] : this->rollouts) {
-        if (known.plan.from == from && this->may_move(known, note, session_key)) {
+        if (known.plan.from == from && this->may_move(known, note, question)) {
             return &known;
         }
     }
@@ -166,7 +173,7 @@
     }
     rollout_choice chosen{std::move(answer), {}};
     for (std::size_t left = this->rollouts.size(); left > 0; --left) {
-        const auto* move = this->find_move(chosen.answer.version, note, question.session_key);
+        const auto* move = this->find_move(chosen.answer.version, note, question);
         if (move == nullptr || !may_use(question, move->plan.to)) {
             break;
         }
--- a/decision/test/rollout_dispatch_test.cpp
+++ b/decision/test/rollout_dispatch_test.cpp
@@ -18,6 +18,7 @@
     bool fills_endpoint = false;
     bool has_old = true;
     std::uint32_t session_ppm = 0;
+    std::uint32_t fill_ppm = 1'000'000;
 };
 
 configuration_ptr make_configuration(const fleet_plan& wanted)
@@ -37,6 +38,7 @@
     plan.run = 3;
     plan.fills_endpoint = wanted.fills_endpoint;
     plan.session_ppm = wanted.session_ppm;
+    plan.fill_ppm = wanted.fill_ppm;
     configuration_builder builder;
     builder.add(deposits).add(engines);
     if (wanted.begun) {
@@ -209,6 +211,50 @@
     CHECK_TRUE(router.long_arrival_rate("adjudicator") > 0.0);
 }
 
+// Guards against a request that is refused by one full endpoint after the other for a trial's sake.
+TEST(rollout_dispatch_test, a_request_that_the_filled_endpoint_refused_goes_to_any_other)
+{
+    begin();
+    router.on_configuration(make_configuration({true, "adjudicator", true}), now);
+    const auto first = arrive_long();
+    const auto second = end(first, attempt_result::refused, false);
+    CHECK_TRUE(first.address != second.address);
+    CHECK_EQUAL(std::string("adjudicator-2"), second.version);
+    CHECK_EQUAL(0U, second.size); // as any other request, and not as one that fills
+}
+
+// Guards against callers who wait behind all others for the sake of a trial.
+TEST(rollout_dispatch_test, a_filled_endpoint_that_is_full_gets_no_more)
+{
+    begin();
+    router.on_configuration(make_configuration({true, "adjudicator", true}), now);
+    const auto first = arrive_long();
+    const auto slots = static_cast<std::uint32_t>(pool().slots_per_host);
+    router.on_loads_told("other", {{first.address, 2 * slots, 0.0, 1}}, now);
+    const auto next = arrive_long();
+    CHECK_TRUE(first.address != next.address);
+    CHECK_EQUAL(std::string("adjudicator-2"), next.version);
+    CHECK_EQUAL(0U, next.size);
+    LONGS_EQUAL(0, counts_from(router.rollouts().at(0).under_load, 1).total());
+}
+
+// Guards against all callers of a large fleet at one endpoint, before anyone has heard of the rest.
+TEST(rollout_dispatch_test, a_part_of_the_long_answers_fills_the_endpoint)
+{
+    begin();
+    fleet_plan wanted{true, "adjudicator", true};
+    wanted.fill_ppm = 250'000;
+    router.on_configuration(make_configuration(wanted), now);
+    int moved = 0;
+    for (int i = 0; i < 400; ++i) {
+        const auto begun = arrive_long();
+        moved += begun.version == "adjudicator-2" ? 1 : 0;
+        end(begun, attempt_result::finished, false);
+    }
+    CHECK_COMPARE(moved, >, 70);
+    CHECK_COMPARE(moved, <, 130);
+}
+
 // The filled endpoint says nothing for long, where one of a good version goes on answering: it is
 // several times too slow. The request goes on elsewhere.
 TEST(rollout_dispatch_test, the_silence_of_a_filled_endpoint_is_evidence)
--- a/router/include/pearhaven/router/peer_desk.hpp
+++ b/router/include/pearhaven/router/peer_desk.hpp
@@ -25,6 +25,9 @@
 struct peer_desk_settings {
     std::string self; // name, under which the others know this router
     coordination::peer_router listens_at;
+
+    // Within which a change of the store has to be heard of.
+    decision::duration news_bound = std::chrono::seconds(2);
 };
 
 // Talks with the other routers over the peer link, for an embedder that runs on an event loop: what
--- a/router/src/peer_desk.cpp
+++ b/router/src/peer_desk.cpp
@@ -25,6 +25,8 @@
     coordination::watch_share_settings made;
     made.self = settings.self;
     made.zone = settings.listens_at.zone;
+    made.word_lifetime = settings.news_bound * 3 / 5;
+    made.spread = settings.news_bound / 10;
     return made;
 }
 
@@ -113,9 +115,10 @@
     }
     this->set_watch_mode();
     const auto& mirror = this->used.mirror;
-    const auto sends = this->exchange.on_tick(
-        this->used.dispatcher.endpoints().own_loads(),
-        {mirror.is_in_touch(), mirror.revision(), mirror.has_to_ask()}, this->used.loop.now());
+    const auto sends =
+        this->exchange.on_tick(this->used.dispatcher.endpoints().own_loads(),
+                               {mirror.is_in_touch(), mirror.revision(), mirror.has_to_ask()},
+                               this->used.loop.now(), this->used.dispatcher.filling_loads());
     for (const auto& send : sends) {
         this->link->send({send.to.host, send.to.port}, send.message);
     }
