--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -30,6 +30,13 @@
     // other; without it each write costs every router a call. It adds to the time in which a change
     // is heard of, of which the strictest bound is two seconds.
     decision::duration gather_time = std::chrono::milliseconds{150};
+
+    // The same where others go by what this router hears.
+    decision::duration shared_gather_time = std::chrono::milliseconds{150};
+
+    // Whether the first list may be some seconds old, which costs the store less. The watch that
+    // follows brings what it lacks.
+    bool first_list_may_be_old = false;
     decision::duration first_retry = std::chrono::milliseconds{50}; // doubles with each failure
     decision::duration longest_retry = std::chrono::milliseconds{500};
 
@@ -155,6 +162,7 @@
     std::map<std::string, store_revision> removed; // of watched removals, until the next list
     bool has_list = false;
     bool needs_list = true;
+    bool has_asked = false; // for any list
     store_revision watched = 0;
     decision::instant served_others_since; // without a longer gap than a key may be missing for
     decision::instant served_others_at;
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -64,7 +64,9 @@
         return;
     }
     if (this->needs_list) {
-        this->call(kv_range{this->settings.prefix});
+        const bool may_be_old = this->settings.first_list_may_be_old && !this->has_asked;
+        this->has_asked = true;
+        this->call(kv_range{this->settings.prefix, may_be_old});
     } else if (this->mode != watch_mode::follows || this->has_to_ask() || this->failures > 0) {
         const bool shares = this->mode != watch_mode::alone;
         const auto wait = shares ? this->settings.shared_watch_wait : this->settings.watch_wait;
@@ -93,7 +95,9 @@
         const bool brought = !this->needs_list && !reply.entries.empty();
         this->needs_list ? this->on_list(reply, now) : this->on_watch(reply, now);
         this->drop_false_word();
-        this->due = brought ? now + this->settings.gather_time : now;
+        const auto gather = this->mode == watch_mode::for_others ? this->settings.shared_gather_time
+                                                                 : this->settings.gather_time;
+        this->due = brought ? now + gather : now;
     } else if (reply.outcome == kv_outcome::not_found && !this->needs_list) {
         // The history has been dropped: only a list tells what has changed.
         this->needs_list = true;
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -107,6 +107,50 @@
     CHECK_EQUAL(before + 1, this->calls.size());
 }
 
+// Guards against three hundred routers that start together and each pay for a fresh list.
+TEST(prefix_mirror, only_the_first_list_may_be_old)
+{
+    prefix_mirror_settings chosen;
+    chosen.first_list_may_be_old = true;
+    this->mirror = prefix_mirror(chosen);
+    this->tick(start);
+    CHECK_TRUE(std::get<kv_range>(this->calls.back().request).may_be_old);
+    this->answer(reply_of(kv_outcome::ok, 10, {{"things/a", "1", 7}}), start);
+    CHECK_EQUAL(10U, this->last_watch()->after);
+    this->answer(reply_of(kv_outcome::not_found), start + seconds(1));
+    CHECK_FALSE(std::get<kv_range>(this->calls.back().request).may_be_old);
+}
+
+// Guards against a list from a store that cannot be read and is asked for its old state for ever.
+TEST(prefix_mirror, a_list_that_failed_is_asked_for_afresh)
+{
+    prefix_mirror_settings chosen;
+    chosen.first_list_may_be_old = true;
+    this->mirror = prefix_mirror(chosen);
+    this->tick(start);
+    this->answer(reply_of(kv_outcome::unavailable), start);
+    this->tick(start + seconds(1));
+    CHECK_FALSE(std::get<kv_range>(this->calls.back().request).may_be_old);
+}
+
+// Guards against late news for a whole zone where single routers may hear of them later.
+TEST(prefix_mirror, a_router_that_watches_for_others_gathers_for_a_shorter_time)
+{
+    prefix_mirror_settings chosen;
+    chosen.gather_time = milliseconds(300);
+    this->mirror = prefix_mirror(chosen);
+    this->list_one();
+    this->answer(reply_of(kv_outcome::ok, 12, {{"things/b", "2", 11}}), start);
+    this->tick(start + milliseconds(299));
+    CHECK_EQUAL(2U, this->calls.size());
+    this->tick(start + milliseconds(300));
+    CHECK_EQUAL(3U, this->calls.size());
+    this->mirror.set_mode(watch_mode::for_others);
+    this->answer(reply_of(kv_outcome::ok, 13, {{"things/b", "3", 13}}), start + seconds(1));
+    this->tick(start + seconds(1) + milliseconds(150));
+    CHECK_EQUAL(4U, this->calls.size());
+}
+
 TEST(prefix_mirror, an_older_value_never_replaces_a_newer_one)
 {
     this->list_one();
