--- a/coordination/include/pearhaven/coordination/rollout_course.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_course.hpp
@@ -313,8 +313,8 @@
     decision::instant next_report;
     bool writing = false;
     decision::instant retry_at;
-    std::optional<course_record> wanted; // the step that is due next
-    decision::instant wanted_since;
+    std::optional<course_record> due_step; // that it would write
+    decision::instant due_since;
 };
 
 } // namespace pearhaven::coordination
--- a/coordination/src/rollout_course.cpp
+++ b/coordination/src/rollout_course.cpp
@@ -491,14 +491,14 @@
 bool rollout_course::has_late_turn(const std::optional<course_record>& next, std::size_t rank,
                                    decision::instant now)
 {
-    const bool is_same = next && this->wanted && next->state == this->wanted->state &&
-                         next->step == this->wanted->step;
+    const bool is_same = next && this->due_step && next->state == this->due_step->state &&
+                         next->step == this->due_step->step;
     if (!is_same) {
-        this->wanted = next;
-        this->wanted_since = now;
+        this->due_step = next;
+        this->due_since = now;
     }
     const auto late = static_cast<std::int64_t>(rank - std::min(rank, this->settings.turns));
-    return now - this->wanted_since >=
+    return now - this->due_since >=
            std::min(this->settings.late_turn * late, this->settings.longest_late_wait);
 }
 
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -117,11 +117,11 @@
 
 double endpoint_table::state::unheard_factor_when_filling(std::size_t routers) const
 {
-    const auto others = std::max<std::size_t>(routers, 1) - 1;
-    const auto usual = static_cast<double>(std::clamp<std::size_t>(others, 1, told_usually));
-    const auto filling = static_cast<double>(std::min(others, told_when_filling));
+    const auto peers = std::max<std::size_t>(routers, 1) - 1;
+    const auto usual = static_cast<double>(std::clamp<std::size_t>(peers, 1, told_usually));
+    const auto filling = static_cast<double>(std::min(peers, told_when_filling));
     const double reach = std::min(1.0, static_cast<double>(this->others.routers()) / usual);
-    return static_cast<double>(others + 1) / (1.0 + reach * filling);
+    return static_cast<double>(peers + 1) / (1.0 + reach * filling);
 }
 
 void endpoint_table::state::started(endpoint& where, work_class kind, double work, instant now)
