Log the request limits that endpoints state

The logs did not tell what an endpoint stated, which router heard it when, and what each sent there since, so that the three hypotheses could not be told apart. No decision changes. A limit ends only with an answer to a later request, as answers on different connections may overtake each other.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -278,6 +278,11 @@
     [[nodiscard]] bool accepts_answer(ticket_number ticket, attempt_number attempt,
                                       double confidence, instant now);
 
+    // An answer to the attempt began with this notice. Call it before the answer's other events.
+    // Returns whether it changes the endpoint's request limit.
+    bool on_endpoint_notice(ticket_number ticket, attempt_number attempt,
+                            const endpoint_notice& notice, instant now);
+
     // Reports the typical time between two pieces of the attempt's answer, once there are enough
     // samples or at the end. This detects a version that generates slowly: a single piece may be
     // delayed by other callers' prompts, but the median of several is not.
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -66,6 +66,15 @@
     friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
 };
 
+// What an endpoint states about itself in an answer.
+struct endpoint_notice {
+    // Requests per second that it accepts from all routers together. Stated for as long as it
+    // applies: without a value, there is no limit.
+    std::optional<double> request_limit;
+
+    friend bool operator==(const endpoint_notice&, const endpoint_notice&) = default;
+};
+
 // How an attempt at an endpoint ended.
 enum class attempt_result : std::uint8_t {
     finished,
@@ -220,6 +229,16 @@
                std::optional<std::uint64_t> incarnation = std::nullopt,
                const std::vector<prompt_part>& parts = {}, bool answered = false);
 
+    // An endpoint's answer to a request that was sent at `sent` contained this notice. Returns
+    // whether that changes its request limit. A notice of another incarnation is ignored. Answers
+    // on different connections may overtake each other, so a limit ends only with an answer to a
+    // request that was sent after the limit was known.
+    bool noticed(const std::string& address, std::uint64_t incarnation,
+                 const endpoint_notice& notice, instant sent, instant now);
+
+    // The request limit that the endpoint last stated.
+    [[nodiscard]] std::optional<double> request_limit_of(const std::string& address) const;
+
     // Part of the work of an attempt in flight is done. `ended` is then called with the rest.
     void work_completed(const std::string& address, double work,
                         std::optional<std::uint64_t> incarnation = std::nullopt);
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -93,6 +93,18 @@
     this->table.mark_leaving(address, incarnation, now);
 }
 
+bool dispatcher::on_endpoint_notice(ticket_number ticket, attempt_number attempt,
+                                    const endpoint_notice& notice, instant now)
+{
+    const auto found = this->requests.find(ticket);
+    if (found == this->requests.end() || found->second.attempt != attempt ||
+        found->second.address.empty()) {
+        return false;
+    }
+    const auto& state = found->second;
+    return this->table.noticed(state.address, state.incarnation, notice, state.sent_at, now);
+}
+
 void dispatcher::on_peer_suspect_status(std::uint64_t fingerprint,
                                         suspect_table::suspect_status suspect_status, instant now)
 {
--- a/decision/src/endpoint_state.hpp
+++ b/decision/src/endpoint_state.hpp
@@ -6,6 +6,7 @@
 #include "endpoint_health.hpp"
 #include "load_estimate.hpp"
 #include "prompt_map.hpp"
+#include "request_limit.hpp"
 
 #include "pearhaven/decision/endpoint_table.hpp"
 #include "pearhaven/decision/mix.hpp"
@@ -71,6 +72,7 @@
     duration cold_time{};             // as its pool declares
     double cold_requests_per_s = 0.0; // likewise
     cold_start cold;
+    request_limit stated_limit;
     concurrency_limit limit{1.0};
     load_estimate load;
     endpoint_health health;
@@ -89,6 +91,7 @@
         this->work = 0.0;
         this->parts.clear();
         this->cold = {};
+        this->stated_limit = {};
         this->limit = concurrency_limit(this->limit.ceiling());
         this->load = {};
         this->health = {};
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -344,6 +344,20 @@
     }
 }
 
+bool endpoint_table::noticed(const std::string& address, std::uint64_t incarnation,
+                             const endpoint_notice& notice, instant sent, instant now)
+{
+    endpoint* where = this->inner->directory.find(address);
+    return has_incarnation(where, incarnation) &&
+           where->stated_limit.on_answer(notice.request_limit, sent, now);
+}
+
+std::optional<double> endpoint_table::request_limit_of(const std::string& address) const
+{
+    const endpoint* where = this->inner->directory.find(address);
+    return where == nullptr ? std::nullopt : where->stated_limit.rate();
+}
+
 void endpoint_table::work_completed(const std::string& address, double work,
                                     std::optional<std::uint64_t> incarnation)
 {
--- a/router/include/pearhaven/router/caller_dialect.hpp
+++ b/router/include/pearhaven/router/caller_dialect.hpp
@@ -7,6 +7,7 @@
 #include "pearhaven/decision/traffic_route.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -58,6 +59,9 @@
     answer_meaning meaning = answer_meaning::endpoint_error;
     double confidence = 100.0; // the model's confidence in its answer, 0 to 100
 
+    // What the endpoint states about itself; nothing if the answer is not known to be its own.
+    std::optional<decision::endpoint_notice> notice;
+
     friend bool operator==(const answer_facts&, const answer_facts&) = default;
 };
 
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -144,6 +144,8 @@
     void carry_out(const decision::announce_suspect_status& /*action*/) {}
 
     void set_timeouts(const relayed_request& relayed, adapters::outbound_request& sent) const;
+    void apply_notice(ticket_number ticket, const relayed_request& relayed);
+    void log_send_to_limited(const relayed_request& relayed) const;
     void end_attempt(relayed_request& relayed, decision::attempt_end end);
     void cut_off(ticket_number ticket, relayed_request& relayed);
     void pass_events(ticket_number ticket, relayed_request& relayed, std::string_view piece);
@@ -254,6 +256,7 @@
         terms.model = relayed.request.models[action.size];
         relayed.attempt.target_label += "/" + std::to_string(action.size);
     }
+    this->log_send_to_limited(relayed);
     auto sent = this->dialect.write(*relayed.caller, relayed.request, terms);
     this->set_timeouts(relayed, sent);
     relayed.attempt.exchange = this->endpoints.start(
@@ -367,6 +370,7 @@
     if (current.facts.meaning == answer_meaning::of_other_request) {
         return head_verdict::skip;
     }
+    this->apply_notice(ticket, *relayed);
     current.head = head;
     current.first_token = this->loop.now() - current.started;
     if (is_refusal(current.facts.meaning)) {
@@ -390,6 +394,38 @@
     return head_verdict::take;
 }
 
+void event_relay::state::apply_notice(ticket_number ticket, const relayed_request& relayed)
+{
+    const auto& current = relayed.attempt;
+    const auto& notice = current.facts.notice;
+    const bool changes_limit = notice && this->dispatcher.on_endpoint_notice(
+                                             ticket, current.number, *notice, this->loop.now());
+    if (!changes_limit) {
+        return;
+    }
+    const auto& limit = notice->request_limit;
+    this->counts.add("pearhaven_endpoint_limits_stated", {});
+    adapters::log_change("endpoint_limit",
+                         {{"endpoint", current.endpoint.address},
+                          {"incarnation", std::to_string(current.endpoint.incarnation)},
+                          {"requests_per_s", limit ? fmt::format("{}", *limit) : "none"},
+                          {"id", relayed.request.id}});
+}
+
+void event_relay::state::log_send_to_limited(const relayed_request& relayed) const
+{
+    const auto& endpoint = relayed.attempt.endpoint;
+    if (const auto limit = this->dispatcher.endpoints().request_limit_of(endpoint.address)) {
+        this->counts.add("pearhaven_requests_to_limited_endpoints", {});
+        adapters::log_change("limited_endpoint_used",
+                             {{"id", relayed.request.id},
+                              {"endpoint", endpoint.address},
+                              {"incarnation", std::to_string(endpoint.incarnation)},
+                              {"requests_per_s", fmt::format("{}", *limit)},
+                              {"attempt", std::to_string(relayed.attempt.number)}});
+    }
+}
+
 void event_relay::state::on_body(ticket_number ticket, decision::attempt_number attempt,
                                  std::string_view piece)
 {
