--- a/coordination/test/zone_fleet.hpp
+++ b/coordination/test/zone_fleet.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -96,6 +97,32 @@
         }
     }
 
+    // From now on, each of the first `count` endpoints of the zone states in its answers that it
+    // accepts this rate from all routers together; without a rate, it states no limit.
+    void state_limit(const std::string& zone, std::size_t count, std::optional<double> rate)
+    {
+        for (std::size_t i = 0; i < zones * count; ++i) {
+            if (zone_of(i) == zone) {
+                this->notices[host_of(i).address].request_limit = rate;
+            }
+        }
+    }
+
+    // The most requests that any endpoint got within `window` since `from` from routers that had
+    // passed on one of its notices at least half a second before.
+    [[nodiscard]] std::size_t most_from_told_routers(instant from, duration window) const
+    {
+        std::size_t most = 0;
+        for (const auto& [address, sends] : this->sends_by_told_routers) {
+            auto first = std::lower_bound(sends.begin(), sends.end(), from);
+            for (; first != sends.end(); ++first) {
+                const auto last = std::lower_bound(first, sends.end(), *first + window);
+                most = std::max(most, static_cast<std::size_t>(last - first));
+            }
+        }
+        return most;
+    }
+
     void simulate(duration time)
     {
         for (const auto until = this->now + time; this->now < until; this->now += tick) {
@@ -291,6 +318,7 @@
         for (const auto& action : this->routers[router]->take_actions()) {
             if (const auto* started = std::get_if<decision::start_attempt>(&action)) {
                 this->starts[started->address].push_back(this->now);
+                this->record_send(router, started->address);
                 if (started->address == this->dropping) {
                     this->end(router, *started, decision::attempt_result::failed);
                     continue;
@@ -303,12 +331,35 @@
         }
     }
 
+    void record_send(std::size_t router, const std::string& address)
+    {
+        constexpr auto learning_time = std::chrono::milliseconds(500);
+        const auto told = this->told_at.find({address, router});
+        if (told != this->told_at.end() && told->second + learning_time <= this->now) {
+            this->sends_by_told_routers[address].push_back(this->now);
+        }
+    }
+
+    void deliver_notice(std::size_t router, const decision::start_attempt& attempt)
+    {
+        const auto found = this->notices.find(attempt.address);
+        if (found == this->notices.end()) {
+            return;
+        }
+        this->routers[router]->on_endpoint_notice(attempt.ticket, attempt.attempt, found->second,
+                                                  this->now);
+        if (found->second.request_limit) {
+            this->told_at.try_emplace({attempt.address, router}, this->now);
+        }
+    }
+
     void end_runs()
     {
         for (; !this->runs.empty() && this->runs.front().ends <= this->now;
              this->runs.pop_front()) {
             const auto& finished = this->runs.front();
             --this->held[finished.attempt.address];
+            this->deliver_notice(finished.router, finished.attempt);
             this->end(finished.router, finished.attempt, decision::attempt_result::finished);
         }
     }
@@ -354,10 +405,13 @@
     std::vector<std::unique_ptr<peer_exchange>> exchanges;
     std::map<std::string, std::string> zone_by_address;
     std::string dropping; // address of the endpoint that drops its requests; empty: none
-    std::map<std::string, instant> returned_at;         // by address
-    std::map<std::string, std::vector<instant>> starts; // by address, in order
-    std::map<std::string, std::size_t> held;            // by address
-    std::deque<run> runs;                               // in the order in which they end
+    std::map<std::string, instant> returned_at;                        // by address
+    std::map<std::string, std::vector<instant>> starts;                // by address, in order
+    std::map<std::string, std::size_t> held;                           // by address
+    std::map<std::string, decision::endpoint_notice> notices;          // by address
+    std::map<std::pair<std::string, std::size_t>, instant> told_at;    // by address and router
+    std::map<std::string, std::vector<instant>> sends_by_told_routers; // by address, in order
+    std::deque<run> runs; // in the order in which they end
     std::deque<report_in_flight> reports;
     std::vector<event> events;
 };
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -77,6 +77,10 @@
                         : head.status == 503 ? answer_meaning::refused
                                              : answer_meaning::endpoint_error;
         facts.confidence = adapters::find_field(head.fields, "Poor") != nullptr ? 0.0 : 100.0;
+        facts.notice.emplace();
+        if (const auto* limit = adapters::find_field(head.fields, "Limit")) {
+            facts.notice->request_limit = std::stod(*limit);
+        }
         return facts;
     }
 
@@ -357,6 +361,33 @@
         return count;
     }
 
+    // The address of the endpoint that got the run.
+    std::string address_of_run(std::size_t index)
+    {
+        const auto* run = this->run_at(index);
+        for (const auto& one : this->endpoints) {
+            for (const auto& connection : one->connections()) {
+                if (connection.get() == run) {
+                    return "127.0.0.1:" + std::to_string(one->port());
+                }
+            }
+        }
+        return "";
+    }
+
+    // Whether a new request may be sent to the endpoint now, if no other is left.
+    bool accepts_requests(const std::string& address)
+    {
+        decision::placement wanted;
+        wanted.version_or_service = "model@v1";
+        for (const auto& host : this->hosts()) {
+            if (host.address != address) {
+                wanted.avoid.push_back(host.address);
+            }
+        }
+        return this->dispatcher->endpoints().choose(wanted, this->loop.now(), 1).has_value();
+    }
+
     // The connection that brought the next caller's request.
     script_socket* next_caller_run()
     {
@@ -803,3 +834,60 @@
     this->relay->run_actions();
     CHECK_EQUAL(0, this->relay->in_flight());
 }
+
+// Guards against a limit that counts only once the stream that stated it has ended.
+TEST(event_relay, a_limit_stated_at_the_beginning_of_a_stream_is_kept)
+{
+    this->begin()
+        .when(this->has_run(0),
+              [this] {
+                  CHECK_TRUE(this->accepts_requests(this->address_of_run(0)));
+                  this->run_at(0)->send("HTTP/1.1 200 OK\r\nLimit: 0.02\r\n"
+                                        "Transfer-Encoding: chunked\r\n\r\n" +
+                                        event(1));
+              })
+        .when(this->caller_has("id: 1"),
+              [this] {
+                  CHECK_FALSE(this->accepts_requests(this->address_of_run(0)));
+                  this->run_at(0)->send(stream_end());
+              })
+        .until([this] { return this->caller->ends_with(stream_end()); });
+    this->script->when([] { return true; }, [this] { this->caller->close(); });
+    this->finish(false);
+}
+
+// Guards against a limit that is lost with an answer that the caller does not get.
+TEST(event_relay, a_limit_stated_by_a_dropped_answer_is_kept)
+{
+    this->dialect.prototype.kind = work_kind::idempotent;
+    this->dialect.prototype.models = {"small", "large"};
+    this->begin()
+        .when(this->has_run(0),
+              [this] {
+                  this->run_at(0)->send(complete_answer("doubted", "Poor: yes\r\nLimit: 0.02\r\n"));
+              })
+        .when(this->has_run(1),
+              [this] {
+                  CHECK_FALSE(this->accepts_requests(this->address_of_run(0)));
+                  CHECK_FALSE(this->address_of_run(0) == this->address_of_run(1));
+                  this->run_at(1)->send(complete_answer("larger"));
+              })
+        .when(this->caller_has("larger"), [this] { this->caller->close(); });
+    this->finish(false);
+}
+
+// Guards against a limit that is lost with a refusal.
+TEST(event_relay, a_limit_stated_by_a_refusal_is_kept)
+{
+    this->begin()
+        .when(this->has_run(0),
+              [this] {
+                  this->run_at(0)->send("HTTP/1.1 503 No\r\nLimit: 0.02\r\n"
+                                        "Content-Length: 0\r\n\r\n");
+              })
+        .when(this->caller_has("refused, not run"), [this] {
+            CHECK_FALSE(this->accepts_requests(this->address_of_run(0)));
+            this->caller->close();
+        });
+    this->finish(false);
+}
