Keep to the request limits that endpoints state

Cause: a statement of an endpoint about itself had no place in the core. Limits came from the configuration or from what a router saw by itself. The class: what an endpoint states about itself is not an input of the choice.

Now the newest statement applies, whichever router received it, for one incarnation, also while its entry is not listed. The routers take turns at the stated rate, as at a cold endpoint, so that they keep to it together without telling each other what they send; turns go on from where they are when the fleet's size changes. Load reports carry the statement and its age, so that a router learns of a limit, and of its end, from its peers. Where all endpoints of a target state limits, a request that cannot get a turn before its deadline, with those that wait before it, is refused at once with the time until then.

--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -168,8 +168,19 @@
 
     static bool decode(const wire::EndpointLoad& table, decision::endpoint_load& item)
     {
-        item = {decode(table.address()), table.requests(), table.work(), table.incarnation(), {},
-                table.writing(),         table.in_doubt()};
+        item = {decode(table.address()),
+                table.requests(),
+                table.work(),
+                table.incarnation(),
+                {},
+                table.writing(),
+                table.in_doubt(),
+                {}};
+        if (table.limit_age_us() >= 0) {
+            const auto rate = table.limit_per_s();
+            item.limit = {rate >= 0.0 ? std::make_optional(rate) : std::nullopt,
+                          decision::duration(table.limit_age_us())};
+        }
         if (table.parts() != nullptr) {
             item.parts.assign(table.parts()->begin(), table.parts()->end());
         }
--- a/adapters/src/peer_encoder.cpp
+++ b/adapters/src/peer_encoder.cpp
@@ -145,7 +145,9 @@
         const text_offset address = this->put(item.address);
         const auto parts = this->out.CreateVector(item.parts);
         return wire::CreateEndpointLoad(this->out, address, item.requests, item.work,
-                                        item.incarnation, parts, item.writing, item.in_doubt);
+                                        item.incarnation, parts, item.writing, item.in_doubt,
+                                        item.limit ? item.limit->age.count() : -1,
+                                        item.limit ? item.limit->rate.value_or(-1.0) : -1.0);
     }
 
     offset<wire::LoadPush> put(const load_push& message)
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -1512,7 +1512,9 @@
     VT_INCARNATION = 10,
     VT_PARTS = 12,
     VT_WRITING = 14,
-    VT_IN_DOUBT = 16
+    VT_IN_DOUBT = 16,
+    VT_LIMIT_AGE_US = 18,
+    VT_LIMIT_PER_S = 20
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -1535,6 +1537,12 @@
   bool in_doubt() const {
     return GetField<uint8_t>(VT_IN_DOUBT, 0) != 0;
   }
+  int64_t limit_age_us() const {
+    return GetField<int64_t>(VT_LIMIT_AGE_US, -1LL);
+  }
+  double limit_per_s() const {
+    return GetField<double>(VT_LIMIT_PER_S, -1.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ADDRESS) &&
@@ -1546,6 +1554,8 @@
            verifier.VerifyVector(parts()) &&
            VerifyField<uint32_t>(verifier, VT_WRITING, 4) &&
            VerifyField<uint8_t>(verifier, VT_IN_DOUBT, 1) &&
+           VerifyField<int64_t>(verifier, VT_LIMIT_AGE_US, 8) &&
+           VerifyField<double>(verifier, VT_LIMIT_PER_S, 8) &&
            verifier.EndTable();
   }
 };
@@ -1575,6 +1585,12 @@
   void add_in_doubt(bool in_doubt) {
     fbb_.AddElement<uint8_t>(EndpointLoad::VT_IN_DOUBT, static_cast<uint8_t>(in_doubt), 0);
   }
+  void add_limit_age_us(int64_t limit_age_us) {
+    fbb_.AddElement<int64_t>(EndpointLoad::VT_LIMIT_AGE_US, limit_age_us, -1LL);
+  }
+  void add_limit_per_s(double limit_per_s) {
+    fbb_.AddElement<double>(EndpointLoad::VT_LIMIT_PER_S, limit_per_s, -1.0);
+  }
   explicit EndpointLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1595,8 +1611,12 @@
     uint64_t incarnation = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
     uint32_t writing = 0,
-    bool in_doubt = false) {
+    bool in_doubt = false,
+    int64_t limit_age_us = -1LL,
+    double limit_per_s = -1.0) {
   EndpointLoadBuilder builder_(_fbb);
+  builder_.add_limit_per_s(limit_per_s);
+  builder_.add_limit_age_us(limit_age_us);
   builder_.add_incarnation(incarnation);
   builder_.add_work(work);
   builder_.add_writing(writing);
@@ -1620,7 +1640,9 @@
     uint64_t incarnation = 0,
     const std::vector<uint64_t> *parts = nullptr,
     uint32_t writing = 0,
-    bool in_doubt = false) {
+    bool in_doubt = false,
+    int64_t limit_age_us = -1LL,
+    double limit_per_s = -1.0) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return pearhaven::adapters::wire::CreateEndpointLoad(
@@ -1631,7 +1653,9 @@
       incarnation,
       parts__,
       writing,
-      in_doubt);
+      in_doubt,
+      limit_age_us,
+      limit_per_s);
 }
 
 struct LoadPush FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/adapters/test/peer_message_generators.hpp
+++ b/adapters/test/peer_message_generators.hpp
@@ -101,7 +101,18 @@
                 real(),
                 number(),
                 *rc::gen::arbitrary<std::vector<std::uint64_t>>(),
-                *rc::gen::arbitrary<std::uint32_t>()};
+                *rc::gen::arbitrary<std::uint32_t>(),
+                number() % 2 == 0,
+                one_limit()};
+    }
+
+    static std::optional<decision::limit_report> one_limit()
+    {
+        const auto kind = *rc::gen::inRange(0, 3);
+        const decision::duration age(*rc::gen::inRange<std::int64_t>(0, std::int64_t{1} << 40U));
+        return kind == 0   ? std::nullopt
+               : kind == 1 ? std::make_optional(decision::limit_report{std::nullopt, age})
+                           : std::make_optional(decision::limit_report{0.5, age});
     }
 
     static coordination::kv_entry one_entry() { return {text(), text(), number()}; }
--- a/coordination/src/peer_exchange.cpp
+++ b/coordination/src/peer_exchange.cpp
@@ -8,6 +8,25 @@
 
 namespace pearhaven::coordination {
 
+namespace {
+
+// The age of a statement grows all the time and is no reason for another report.
+bool is_same_load(const decision::endpoint_load& left, decision::endpoint_load right)
+{
+    if (left.limit && right.limit) {
+        right.limit->age = left.limit->age;
+    }
+    return left == right;
+}
+
+bool are_same_loads(const std::vector<decision::endpoint_load>& left,
+                    const std::vector<decision::endpoint_load>& right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), is_same_load);
+}
+
+} // namespace
+
 void peer_exchange::set_peer(const std::string& name, const peer_router& peer)
 {
     if (name != this->settings.self) {
@@ -40,7 +59,8 @@
                            const load_report& last, decision::instant now) const
 {
     const auto since = now - last.at;
-    const bool has_changed = loads != last.loads && since >= this->settings.load_period;
+    const bool has_changed =
+        !are_same_loads(loads, last.loads) && since >= this->settings.load_period;
     return has_changed || (!loads.empty() && since >= this->settings.repeat_period);
 }
 
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -397,6 +397,8 @@
     [[nodiscard]] std::optional<failure> caller_failure(const arrival& request) const;
     [[nodiscard]] std::optional<failure> target_failure(const request_state& state,
                                                         instant now) const;
+    [[nodiscard]] std::optional<failure> limit_failure(const request_state& state,
+                                                       const placement& wanted, instant now) const;
     [[nodiscard]] std::optional<start_choice> find_start(const request_state& state, instant now);
     [[nodiscard]] rollout_choice choose_version(const request_state& state, instant now) const;
     [[nodiscard]] placement placement_for(const request_state& state, const std::string& target,
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -53,6 +53,14 @@
     friend bool operator==(const load_report&, const load_report&) = default;
 };
 
+// The newest statement of an endpoint about its request limit that a router knows of.
+struct limit_report {
+    std::optional<double> rate; // requests per second; nothing: the endpoint states no limit
+    duration age{};             // time since the statement
+
+    friend bool operator==(const limit_report&, const limit_report&) = default;
+};
+
 // The load that one router has in flight at an endpoint, as reported to its peers.
 struct endpoint_load {
     std::string address;
@@ -62,6 +70,7 @@
     std::vector<std::uint64_t> parts = {}; // keys of the shared parts of their prompts
     std::uint32_t writing = 0;             // requests whose answers have begun
     bool in_doubt = false; // the reporter's last connection to it broke or could not be opened
+    std::optional<limit_report> limit = {}; // nothing: no limit was stated lately
 
     friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
 };
@@ -85,6 +94,14 @@
     cancelled,
 };
 
+// What this router may send to a target all of whose endpoints state request limits.
+struct limited_access {
+    instant opens;               // when it may send the next request
+    double requests_per_s = 0.0; // its share of the limits of all endpoints
+
+    friend bool operator==(const limited_access&, const limited_access&) = default;
+};
+
 // A prompt part that several requests share. After processing it, an endpoint keeps it cached for a
 // while and need not process it again for the same model and the same preceding parts.
 struct prompt_part {
@@ -264,6 +281,9 @@
     [[nodiscard]] std::optional<std::string> choose(const placement& wanted, instant now,
                                                     std::uint64_t random) const;
 
+    // Nothing if an endpoint of the target has no request limit, or if there is no endpoint.
+    [[nodiscard]] std::optional<limited_access> access(const placement& wanted, instant now) const;
+
     // Work of processing those parts that are not cached at the endpoint.
     [[nodiscard]] double cold_work_at(const std::string& address,
                                       const std::vector<prompt_part>& parts, instant now) const;
--- a/decision/src/cold_start.cpp
+++ b/decision/src/cold_start.cpp
@@ -1,7 +1,5 @@
 #include "cold_start.hpp"
 
-#include "pearhaven/decision/mix.hpp"
-
 #include <algorithm>
 #include <cmath>
 
@@ -13,26 +11,11 @@
 constexpr duration warm_up_time = std::chrono::seconds(2);
 constexpr double warm_up_factor = 4.0;
 
-// Part of the permitted rate that is used. The remainder covers routers that do not know of each
-// other and learn at different times that the endpoint is cold.
-constexpr double usable_part_of_rate = 0.8;
-
-// How long a turn can be used at the declared rate. Few routers have a request just when their turn
-// begins.
-constexpr double turn_seconds = 0.5;
-
 double seconds_in(duration time)
 {
     return std::max(0.0, std::chrono::duration<double>(time).count());
 }
 
-// From 0 (exclusive) to 1: the part of the first turn after which the router may send.
-double phase_of(const cold_share& share)
-{
-    const auto place = (share.rank + mix(share.identity)) % share.size;
-    return (static_cast<double>(place) + 0.5) / static_cast<double>(share.size);
-}
-
 } // namespace
 
 void cold_start::begin(instant from, duration time)
@@ -60,9 +43,9 @@
         return true;
     }
     const double turn = this->turns(share, now);
-    const double in_turn = (turn - std::floor(turn)) * static_cast<double>(share.size);
+    const double in_turn = (turn - std::floor(turn)) * static_cast<double>(share.place.size);
     return std::floor(turn) > this->last_turn &&
-           in_turn <= usable_part_of_rate * share.rate * turn_seconds;
+           in_turn <= usable_part_of_rate * share.rate * seconds_in(turn_lifetime);
 }
 
 // Number of this router's turns that have begun, with the part of the present one that is over.
@@ -71,7 +54,7 @@
     const double cold = seconds_in(std::min(now, this->until) - this->since);
     const double warm = seconds_in(now - this->until);
     const double by_all = usable_part_of_rate * share.rate * (cold + warm_up_factor * warm);
-    return by_all / static_cast<double>(share.size) + 1.0 - phase_of(share);
+    return by_all / static_cast<double>(share.place.size) + 1.0 - turn_phase(share.place);
 }
 
 bool cold_start::is_limited(instant now) const
--- a/decision/src/cold_start.hpp
+++ b/decision/src/cold_start.hpp
@@ -1,19 +1,16 @@
 #ifndef PEARHAVEN_DECISION_SRC_COLD_START_HPP
 #define PEARHAVEN_DECISION_SRC_COLD_START_HPP
 
-#include "pearhaven/decision/time.hpp"
+#include "fleet_turns.hpp"
 
-#include <cstddef>
-#include <cstdint>
+#include "pearhaven/decision/time.hpp"
 
 namespace pearhaven::decision {
 
-// A router's place among those that may send to a cold endpoint together.
+// What a router may send to a cold endpoint.
 struct cold_share {
     double rate = 0.0; // requests per second that all routers together may send; 0: no limit
-    std::uint64_t identity = 0; // of the endpoint: its routers take turns in an order of its own
-    std::size_t rank = 0;       // of this router
-    std::size_t size = 1;       // number of routers
+    turn_place place;
 
     friend bool operator==(const cold_share&, const cold_share&) = default;
 };
@@ -22,11 +19,8 @@
 // under more than a few requests per second. To each router it looks like the emptiest endpoint, so
 // without a limit all of them would choose it at the same moment.
 //
-// Routers take turns: each may send one request at a delay by its rank, and the next one a whole
-// turn later. A turn that is not used expires, since the turns of many routers would otherwise add
-// up until a moment at which all of them want the endpoint. No router has to know what the others
-// send. After the cold period the rate rises before the limit ends, so that the routers do not all
-// return at once.
+// Routers take turns. A turn that is not used expires. After the cold period the rate rises before
+// the limit ends, so that the routers do not all return at once.
 class cold_start {
 public:
     // The endpoint is cold from `from` on, for that time. A period in progress is extended.
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -225,6 +225,7 @@
     for (auto& load : this->table.own_loads()) {
         if (filled.count(load.address) > 0) {
             load.parts.clear();
+            load.limit.reset();
             held.push_back(std::move(load));
         }
     }
--- a/decision/src/dispatcher_admission.cpp
+++ b/decision/src/dispatcher_admission.cpp
@@ -187,11 +187,40 @@
         }
         target = answer.version;
     }
-    if (!this->table.serves(this->placement_for(state, target, now), now)) {
+    const auto wanted = this->placement_for(state, target, now);
+    if (!this->table.serves(wanted, now)) {
         return retryable_failure(failure_code::no_endpoint, long_retry_delay,
                                  "no endpoint serves " + target);
     }
-    return std::nullopt;
+    return this->limit_failure(state, wanted, now);
+}
+
+// The wait for the endpoints' limits is known: a request that it would keep past its deadline is
+// refused now.
+std::optional<failure> dispatcher::limit_failure(const request_state& state,
+                                                 const placement& wanted, instant now) const
+{
+    const auto access = this->table.access(wanted, now);
+    if (!access) {
+        return std::nullopt;
+    }
+    auto start = access->opens;
+    const bool is_new = this->requests.count(state.request.ticket) == 0;
+    if (is_new) {
+        const auto ahead = std::count_if(
+            this->requests.begin(), this->requests.end(), [&state](const auto& known) {
+                return known.second.address.empty() &&
+                       known.second.request.asked == state.request.asked;
+            });
+        start += std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(static_cast<double>(ahead) / access->requests_per_s));
+    }
+    if (start <= state.request.deadline) {
+        return std::nullopt;
+    }
+    return retryable_failure(failure_code::overloaded, start - now,
+                             "every endpoint of " + wanted.version_or_service +
+                                 " is at its request limit");
 }
 
 } // namespace pearhaven::decision
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -80,7 +80,12 @@
 
 cold_share cold_share_of(const endpoint& where, const fleet_place& place)
 {
-    return {where.cold_requests_per_s, where.identity, place.rank, place.size};
+    return {where.cold_requests_per_s, turn_place_of(where, place)};
+}
+
+turn_place turn_place_of(const endpoint& where, const fleet_place& place)
+{
+    return {where.identity, place.rank, place.size};
 }
 
 std::vector<endpoint*> subset_of(const route& from, const std::vector<std::string>& avoid,
@@ -224,6 +229,9 @@
     if (!where.cold.may_send(cold_share_of(where, this->place), this->now)) {
         return false;
     }
+    if (!where.stated_limit.may_send(this->now)) {
+        return false;
+    }
     const double limit = std::floor(where.limit.value());
     if (where.outstanding >= limit) {
         return false;
--- a/decision/src/endpoint_choice.hpp
+++ b/decision/src/endpoint_choice.hpp
@@ -27,6 +27,8 @@
     friend bool operator==(const fleet_place&, const fleet_place&) = default;
 };
 
+[[nodiscard]] turn_place turn_place_of(const endpoint& where, const fleet_place& place);
+
 [[nodiscard]] cold_share cold_share_of(const endpoint& where, const fleet_place& place);
 
 // This router's subset of a target's endpoints: the first healthy ones that need not be avoided,
--- a/decision/src/endpoint_directory.hpp
+++ b/decision/src/endpoint_directory.hpp
@@ -56,6 +56,15 @@
     [[nodiscard]] const std::vector<endpoint*>& peers_of(const endpoint& where) const;
 
     [[nodiscard]] const std::map<std::string, endpoint>& all() const { return this->endpoints; }
+
+    template <typename Function>
+    void for_each(Function apply)
+    {
+        for (auto& [address, known] : this->endpoints) {
+            apply(known);
+        }
+    }
+
     [[nodiscard]] const std::map<std::string, version>& served_versions() const
     {
         return this->config->versions();
@@ -66,11 +75,18 @@
     }
 
 private:
+    // The request limit that an incarnation stated.
+    struct incarnation_limit {
+        std::uint64_t incarnation = 0;
+        request_limit stated;
+    };
+
     // What is remembered of an address while it is not listed.
     struct address_history {
         std::optional<std::uint64_t> leaving;    // the incarnation marked as leaving
         std::vector<std::uint64_t> incarnations; // in order of arrival, newest last
         instant retained_since{};                // when the address became unlisted
+        std::optional<incarnation_limit> limit;  // of the endpoint that was dropped
     };
 
     // An address without an endpoint whose history is retained. Ordered by the start of the
@@ -95,6 +111,7 @@
     void apply_host(const endpoint_host& host, instant now, host_list_changes& changes);
     void update_host(const endpoint_host& host, instant now, host_list_changes& changes);
     void add_endpoint(const endpoint_host& host, instant now);
+    void restore_limit(endpoint& added);
     void update_endpoint(endpoint& known, const endpoint_host& newer, bool was_listed, instant now,
                          host_list_changes& changes);
     [[nodiscard]] bool is_newer(const endpoint& known, const endpoint_host& host) const;
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -59,6 +59,7 @@
     [[nodiscard]] std::optional<std::string> choose(const placement& wanted, instant now,
                                                     std::uint64_t random);
     [[nodiscard]] const endpoint* concentration_endpoint(const placement& wanted, instant now);
+    [[nodiscard]] std::optional<limited_access> access(const placement& wanted, instant now);
     void add_used(std::set<std::string>& used, const std::string& name, bool is_service,
                   instant now);
 
@@ -71,6 +72,9 @@
     // Prompt parts of peers' requests are cached at their endpoints.
     void record_peer_parts(const std::vector<endpoint_load>& loads, instant now);
 
+    // What peers know of the endpoints' request limits.
+    void record_peer_limits(const std::vector<endpoint_load>& loads, instant now);
+
     // Requests in flight there, of this router and of the peers that report to it.
     [[nodiscard]] double requests_at(const endpoint& where) const
     {
@@ -91,8 +95,10 @@
     [[nodiscard]] std::optional<double> usual_first_token(const endpoint& where,
                                                           work_class kind) const;
     [[nodiscard]] bool can_spare(const endpoint& where, instant now) const;
+    void apply_fleet_size(instant now);
 
     own_load own;
+    std::size_t shared_by = 1; // number of routers by which request limits are divided
 };
 
 // Requests at replaced processes are no longer in flight.
@@ -142,6 +148,7 @@
     where.load.on_started(now);
     where.health.on_started(now);
     where.cold.on_started(cold_share_of(where, this->place), now);
+    where.stated_limit.on_started(now);
 }
 
 void endpoint_table::state::ended(endpoint& where, work_class kind, double work,
@@ -257,6 +264,7 @@
                                                          std::uint64_t random)
 {
     const route& from = this->directory.route_for(wanted.version_or_service, wanted.is_service);
+    this->apply_fleet_size(now);
     this->others.expire(now, this->settings.peer_load_lifetime);
     this->prompts.expire(now);
     endpoint_choice choice(this->settings, wanted, this->own, this->others, this->prompts,
@@ -265,6 +273,45 @@
     return chosen == nullptr ? std::nullopt : std::make_optional(chosen->host.address);
 }
 
+// Endpoints with a request limit are few, and the fleet's size changes rarely.
+void endpoint_table::state::apply_fleet_size(instant now)
+{
+    if (this->shared_by == this->place.size) {
+        return;
+    }
+    this->shared_by = this->place.size;
+    this->directory.for_each(
+        [&](endpoint& where) { where.stated_limit.set_fleet_size(this->shared_by, now); });
+}
+
+std::optional<limited_access> endpoint_table::state::access(const placement& wanted, instant now)
+{
+    const route& from = this->directory.route_for(wanted.version_or_service, wanted.is_service);
+    limited_access found{instant::max(), 0.0};
+    for (const auto* side : {&from.local, &from.remote}) {
+        for (const endpoint* where : *side) {
+            const auto& limit = where->stated_limit;
+            if (!limit.rate()) {
+                return std::nullopt;
+            }
+            found.opens = std::min(found.opens, limit.opens_at(now));
+            found.requests_per_s += limit.own_rate();
+        }
+    }
+    return found.opens == instant::max() ? std::nullopt : std::make_optional(found);
+}
+
+void endpoint_table::state::record_peer_limits(const std::vector<endpoint_load>& loads, instant now)
+{
+    for (const auto& load : loads) {
+        endpoint* where = load.limit ? this->directory.find(load.address) : nullptr;
+        if (has_incarnation(where, load.incarnation)) {
+            where->stated_limit.on_peer(load.limit->rate, now - load.limit->age, now,
+                                        turn_place_of(*where, this->place));
+        }
+    }
+}
+
 const endpoint* endpoint_table::state::concentration_endpoint(const placement& wanted, instant now)
 {
     const route& from = this->directory.route_for(wanted.version_or_service, wanted.is_service);
@@ -349,7 +396,8 @@
 {
     endpoint* where = this->inner->directory.find(address);
     return has_incarnation(where, incarnation) &&
-           where->stated_limit.on_answer(notice.request_limit, sent, now);
+           where->stated_limit.on_answer(notice.request_limit, sent, now,
+                                         turn_place_of(*where, this->inner->place));
 }
 
 std::optional<double> endpoint_table::request_limit_of(const std::string& address) const
@@ -412,9 +460,15 @@
                                    instant now)
 {
     this->inner->record_peer_parts(loads, now);
+    this->inner->record_peer_limits(loads, now);
     this->inner->others.on_report(router, std::move(loads), now);
 }
 
+std::optional<limited_access> endpoint_table::access(const placement& wanted, instant now) const
+{
+    return this->inner->access(wanted, now);
+}
+
 double endpoint_table::cold_work_at(const std::string& address,
                                     const std::vector<prompt_part>& parts, instant now) const
 {
@@ -469,9 +523,10 @@
     std::vector<endpoint_load> held;
     for (const auto& [address, known] : this->inner->directory.all()) {
         const bool in_doubt = known.health.is_in_doubt(now);
-        if (known.outstanding > 0 || in_doubt) {
+        const auto limit = known.stated_limit.report(now);
+        if (known.outstanding > 0 || in_doubt || limit) {
             held.push_back({address, known.outstanding, known.work, known.host.incarnation,
-                            known.distinct_parts(), known.writing, in_doubt});
+                            known.distinct_parts(), known.writing, in_doubt, limit});
         }
     }
     return held;
--- a/decision/test/endpoint_changes_test.cpp
+++ b/decision/test/endpoint_changes_test.cpp
@@ -126,6 +126,36 @@
     CHECK_EQUAL(std::string("e1"), fixture.choose("a"));
 }
 
+// Guards against a limit that is forgotten while the endpoint's entry has expired, as during an
+// outage of the host list.
+TEST(endpoint_changes, a_request_limit_is_kept_while_its_endpoint_is_not_listed)
+{
+    changing_hosts_fixture fixture;
+    fixture.table.noticed("e0", 1, {0.02}, fixture.now, fixture.now + std::chrono::milliseconds(1));
+    fixture.table.drop_host("e0", fixture.now);
+    fixture.table.set_host(host_at("e0", 1, "a"), fixture.now);
+    CHECK_TRUE(fixture.table.request_limit_of("e0") == 0.02);
+}
+
+// Guards against a limit that outlives the process that stated it, whichever order the list and the
+// endpoint's answers come in.
+TEST(endpoint_changes, a_request_limit_belongs_to_one_incarnation)
+{
+    changing_hosts_fixture fixture;
+    const auto answered = fixture.now + std::chrono::milliseconds(1);
+    fixture.table.noticed("e0", 1, {0.02}, fixture.now, answered);
+    fixture.table.set_host(host_at("e0", 2, "a"), answered);
+    CHECK_FALSE(fixture.table.request_limit_of("e0").has_value());
+    fixture.table.noticed("e0", 1, {0.02}, fixture.now, answered);
+    CHECK_FALSE(fixture.table.request_limit_of("e0").has_value());
+    fixture.table.drop_host("e0", answered);
+    fixture.table.set_host(host_at("e0", 3, "a"), answered);
+    CHECK_FALSE(fixture.table.request_limit_of("e0").has_value());
+    fixture.table.peer_reported("peer", {{"e0", 0, 0.0, 2, {}, 0, false, limit_report{0.02, {}}}},
+                                answered + std::chrono::seconds(1));
+    CHECK_FALSE(fixture.table.request_limit_of("e0").has_value());
+}
+
 TEST(endpoint_changes, a_complete_list_reports_all_ended_incarnations)
 {
     changing_hosts_fixture fixture;
--- a/decision/test/routed_dispatch_test.cpp
+++ b/decision/test/routed_dispatch_test.cpp
@@ -136,6 +136,55 @@
     CHECK_TRUE(this->router->accepts_answer(1, only.attempt, 10.0, now));
 }
 
+// Guards against callers that wait for their deadline, or are told to come back too early, when all
+// endpoints have stated request limits.
+TEST(routed_dispatch, a_request_beyond_all_request_limits_is_refused_with_the_time_to_return)
+{
+    for (ticket_number ticket = 1; ticket <= 3; ++ticket) {
+        auto request = make_request();
+        request.ticket = ticket;
+        this->router->on_arrival(request, now);
+        const auto run = this->last_start();
+        this->router->on_endpoint_notice(ticket, run.attempt, {0.05}, now + milliseconds(1));
+    }
+    auto request = make_request();
+    request.ticket = 4;
+    request.deadline = now + seconds(1);
+    this->router->on_arrival(request, now + milliseconds(2));
+    CHECK_EQUAL(0U, this->last_start().attempt);
+    const auto* refused = this->last_action<give_up_request>();
+    CHECK_TRUE(refused != nullptr && refused->why.code == failure_code::overloaded);
+    CHECK_TRUE(refused->why.run == run_state::not_run && refused->why.resend);
+    CHECK_COMPARE(refused->why.retry_after.count(), >=, duration(seconds(1)).count());
+    const auto opens = now + milliseconds(2) + refused->why.retry_after;
+    request.ticket = 5;
+    request.deadline = opens + seconds(1);
+    this->router->on_arrival(request, opens + milliseconds(1));
+    CHECK_EQUAL(1U, this->last_start().attempt);
+}
+
+// Guards against a queue of requests that are all promised the same turn.
+TEST(routed_dispatch, requests_waiting_for_a_limited_endpoint_count_for_those_behind_them)
+{
+    for (ticket_number ticket = 1; ticket <= 3; ++ticket) {
+        auto request = make_request();
+        request.ticket = ticket;
+        this->router->on_arrival(request, now);
+        const auto run = this->last_start();
+        this->router->on_endpoint_notice(ticket, run.attempt, {1.0}, now + milliseconds(1));
+    }
+    std::size_t waiting = 0;
+    for (ticket_number ticket = 4; ticket < 104; ++ticket) {
+        auto request = make_request();
+        request.ticket = ticket;
+        this->router->on_arrival(request, now + milliseconds(2));
+        waiting = this->router->queued();
+    }
+    // What three endpoints accept in the ten seconds until the deadline.
+    CHECK_COMPARE(waiting, <=, std::size_t{30});
+    CHECK_COMPARE(waiting, >=, std::size_t{10});
+}
+
 // The endpoint crashes after some events have reached the caller. The caller must get a pause and
 // then the rest of its answer: another endpoint continues after the last delivered event.
 TEST(routed_dispatch, a_broken_stream_continues_at_another_endpoint)
