Log for how long endpoints want no requests

Callers lost answers: over a tenth of the streams was refused while eight of twelve endpoints had room (docs/incidents/budget.md). The logs did not tell whether a refusal asked for rest, for how long, and whether a request was sent within that time. No decision changes.

--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -81,6 +81,9 @@
     // applies: without a value, there is no limit.
     std::optional<double> request_limit;
 
+    // With a refusal: for how long it wants no request from this router.
+    std::optional<duration> rest = {};
+
     friend bool operator==(const endpoint_notice&, const endpoint_notice&) = default;
 };
 
@@ -253,6 +256,9 @@
     bool noticed(const std::string& address, std::uint64_t incarnation,
                  const endpoint_notice& notice, instant sent, instant now);
 
+    // Until when the endpoint wants no request from this router; in the past if it did not say.
+    [[nodiscard]] instant rests_until(const std::string& address) const;
+
     // The request limit that the endpoint last stated.
     [[nodiscard]] std::optional<double> request_limit_of(const std::string& address) const;
 
--- a/decision/src/endpoint_state.hpp
+++ b/decision/src/endpoint_state.hpp
@@ -73,6 +73,7 @@
     double cold_requests_per_s = 0.0; // likewise
     cold_start cold;
     request_limit stated_limit;
+    instant rests_until{}; // until then it wants no request from this router
     concurrency_limit limit{1.0};
     load_estimate load;
     endpoint_health health;
@@ -92,6 +93,7 @@
         this->parts.clear();
         this->cold = {};
         this->stated_limit = {};
+        this->rests_until = {};
         this->limit = concurrency_limit(this->limit.ceiling());
         this->load = {};
         this->health = {};
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -395,11 +395,20 @@
                              const endpoint_notice& notice, instant sent, instant now)
 {
     endpoint* where = this->inner->directory.find(address);
-    return has_incarnation(where, incarnation) &&
-           where->stated_limit.on_answer(notice.request_limit, sent, now,
+    if (!has_incarnation(where, incarnation)) {
+        return false;
+    }
+    where->rests_until = std::max(where->rests_until, now + notice.rest.value_or(duration::zero()));
+    return where->stated_limit.on_answer(notice.request_limit, sent, now,
                                          turn_place_of(*where, this->inner->place));
 }
 
+instant endpoint_table::rests_until(const std::string& address) const
+{
+    const endpoint* where = this->inner->directory.find(address);
+    return where == nullptr ? instant{} : where->rests_until;
+}
+
 std::optional<double> endpoint_table::request_limit_of(const std::string& address) const
 {
     const endpoint* where = this->inner->directory.find(address);
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -145,7 +145,7 @@
 
     void set_timeouts(const relayed_request& relayed, adapters::outbound_request& sent) const;
     void apply_notice(ticket_number ticket, const relayed_request& relayed);
-    void log_send_to_limited(const relayed_request& relayed) const;
+    void log_unwanted_send(const relayed_request& relayed) const;
     void end_attempt(relayed_request& relayed, decision::attempt_end end);
     void cut_off(ticket_number ticket, relayed_request& relayed);
     void pass_events(ticket_number ticket, relayed_request& relayed, std::string_view piece);
@@ -256,7 +256,7 @@
         terms.model = relayed.request.models[action.size];
         relayed.attempt.target_label += "/" + std::to_string(action.size);
     }
-    this->log_send_to_limited(relayed);
+    this->log_unwanted_send(relayed);
     auto sent = this->dialect.write(*relayed.caller, relayed.request, terms);
     this->set_timeouts(relayed, sent);
     relayed.attempt.exchange = this->endpoints.start(
@@ -398,6 +398,14 @@
 {
     const auto& current = relayed.attempt;
     const auto& notice = current.facts.notice;
+    if (notice && notice->rest) {
+        this->counts.add("pearhaven_endpoint_rests_stated", {});
+        adapters::log_change("endpoint_rest",
+                             {{"endpoint", current.endpoint.address},
+                              {"incarnation", std::to_string(current.endpoint.incarnation)},
+                              {"rest_ms", adapters::milliseconds(*notice->rest)},
+                              {"id", relayed.request.id}});
+    }
     const bool changes_limit = notice && this->dispatcher.on_endpoint_notice(
                                              ticket, current.number, *notice, this->loop.now());
     if (!changes_limit) {
@@ -412,7 +420,7 @@
                           {"id", relayed.request.id}});
 }
 
-void event_relay::state::log_send_to_limited(const relayed_request& relayed) const
+void event_relay::state::log_unwanted_send(const relayed_request& relayed) const
 {
     const auto& endpoint = relayed.attempt.endpoint;
     if (const auto limit = this->dispatcher.endpoints().request_limit_of(endpoint.address)) {
@@ -424,6 +432,16 @@
                               {"requests_per_s", fmt::format("{}", *limit)},
                               {"attempt", std::to_string(relayed.attempt.number)}});
     }
+    const auto rest = this->dispatcher.endpoints().rests_until(endpoint.address) - this->loop.now();
+    if (rest > duration::zero()) {
+        this->counts.add("pearhaven_requests_to_resting_endpoints", {});
+        adapters::log_change("resting_endpoint_used",
+                             {{"id", relayed.request.id},
+                              {"endpoint", endpoint.address},
+                              {"incarnation", std::to_string(endpoint.incarnation)},
+                              {"rest_left_ms", adapters::milliseconds(rest)},
+                              {"attempt", std::to_string(relayed.attempt.number)}});
+    }
 }
 
 void event_relay::state::on_body(ticket_number ticket, decision::attempt_number attempt,
