Add tests of endpoints that ask for rest, which fail

An endpoint that refuses requests and asks a router to stay away for three seconds gets up to 30 requests from it in that time (2 tolerated), in a fleet of nine routers and twelve endpoints, four of which refuse. The tests of a rest that ends, of one that concerns one router, and of a restarted endpoint pass without the fix and guard it.

--- a/coordination/test/zone_fleet.hpp
+++ b/coordination/test/zone_fleet.hpp
@@ -108,6 +108,21 @@
         }
     }
 
+    // From now on, each of the first `count` endpoints of the zone refuses all requests and asks
+    // for that much rest; without one, it runs them again.
+    void set_refusing(const std::string& zone, std::size_t count, std::optional<duration> rest)
+    {
+        for (std::size_t i = 0; i < zones * count; ++i) {
+            if (zone_of(i) == zone) {
+                this->rests[host_of(i).address] = rest;
+            }
+        }
+    }
+
+    // The most requests that an endpoint got from a router between half a second after it had asked
+    // that router for rest and the end of that time.
+    [[nodiscard]] std::size_t most_in_a_rest() const { return this->max_in_a_rest; }
+
     // The most requests that any endpoint got within `window` since `from` from routers that had
     // passed on one of its notices at least half a second before.
     [[nodiscard]] std::size_t most_from_told_routers(instant from, duration window) const
@@ -190,6 +205,13 @@
         instant arrives;
     };
 
+    // A time for which an endpoint wants no requests from a router, and those that it got.
+    struct asked_rest {
+        instant from;
+        instant until;
+        std::size_t requests = 0;
+    };
+
     struct event {
         instant due;
         std::function<void()> apply;
@@ -319,6 +341,9 @@
             if (const auto* started = std::get_if<decision::start_attempt>(&action)) {
                 this->starts[started->address].push_back(this->now);
                 this->record_send(router, started->address);
+                if (this->is_refused(router, *started)) {
+                    continue;
+                }
                 if (started->address == this->dropping) {
                     this->end(router, *started, decision::attempt_result::failed);
                     continue;
@@ -340,6 +365,28 @@
         }
     }
 
+    bool is_refused(std::size_t router, const decision::start_attempt& attempt)
+    {
+        auto& asked = this->asked_rests[{attempt.address, router}];
+        for (auto& one : asked) {
+            constexpr auto learning_time = std::chrono::milliseconds(500);
+            if (this->now >= one.from + learning_time && this->now < one.until) {
+                this->max_in_a_rest = std::max(this->max_in_a_rest, ++one.requests);
+            }
+        }
+        const auto found = this->rests.find(attempt.address);
+        if (found == this->rests.end() || !found->second) {
+            return false;
+        }
+        asked.push_back({this->now, this->now + *found->second});
+        decision::endpoint_notice notice;
+        notice.rest = found->second;
+        this->routers[router]->on_endpoint_notice(attempt.ticket, attempt.attempt, notice,
+                                                  this->now);
+        this->end(router, attempt, decision::attempt_result::refused);
+        return true;
+    }
+
     void deliver_notice(std::size_t router, const decision::start_attempt& attempt)
     {
         const auto found = this->notices.find(attempt.address);
@@ -405,9 +452,12 @@
     std::vector<std::unique_ptr<peer_exchange>> exchanges;
     std::map<std::string, std::string> zone_by_address;
     std::string dropping; // address of the endpoint that drops its requests; empty: none
-    std::map<std::string, instant> returned_at;                        // by address
-    std::map<std::string, std::vector<instant>> starts;                // by address, in order
-    std::map<std::string, std::size_t> held;                           // by address
+    std::map<std::string, instant> returned_at;           // by address
+    std::map<std::string, std::vector<instant>> starts;   // by address, in order
+    std::map<std::string, std::size_t> held;              // by address
+    std::map<std::string, std::optional<duration>> rests; // by address
+    std::map<std::pair<std::string, std::size_t>, std::vector<asked_rest>> asked_rests;
+    std::size_t max_in_a_rest = 0;
     std::map<std::string, decision::endpoint_notice> notices;          // by address
     std::map<std::pair<std::string, std::size_t>, instant> told_at;    // by address and router
     std::map<std::string, std::vector<instant>> sends_by_told_routers; // by address, in order
--- a/decision/test/endpoint_changes_test.cpp
+++ b/decision/test/endpoint_changes_test.cpp
@@ -156,6 +156,34 @@
     CHECK_FALSE(fixture.table.request_limit_of("e0").has_value());
 }
 
+// Guards against a rest that is forgotten while the endpoint's entry has expired.
+TEST(endpoint_changes, a_rest_is_kept_while_its_endpoint_is_not_listed)
+{
+    changing_hosts_fixture fixture;
+    const auto until = fixture.now + std::chrono::seconds(3);
+    fixture.table.noticed("e0", 1, {std::nullopt, std::chrono::seconds(3)}, fixture.now,
+                          fixture.now);
+    fixture.table.drop_host("e0", fixture.now);
+    fixture.table.drop_host("e1", fixture.now);
+    fixture.table.set_host(host_at("e0", 1, "a"), fixture.now);
+    CHECK_TRUE(fixture.table.rests_until("e0") == until);
+    CHECK_EQUAL(std::string("none"), fixture.choose("a"));
+    fixture.now = until;
+    CHECK_EQUAL(std::string("e0"), fixture.choose("a"));
+}
+
+// Guards against a rest that outlives the process that asked for it.
+TEST(endpoint_changes, a_rest_belongs_to_one_incarnation)
+{
+    changing_hosts_fixture fixture;
+    const endpoint_notice tired{std::nullopt, std::chrono::seconds(3)};
+    fixture.table.drop_host("e1", fixture.now);
+    fixture.table.noticed("e0", 1, tired, fixture.now, fixture.now);
+    fixture.table.set_host(host_at("e0", 2, "a"), fixture.now);
+    fixture.table.noticed("e0", 1, tired, fixture.now, fixture.now);
+    CHECK_EQUAL(std::string("e0"), fixture.choose("a"));
+}
+
 TEST(endpoint_changes, a_complete_list_reports_all_ended_incarnations)
 {
     changing_hosts_fixture fixture;
--- a/decision/test/routed_dispatch_test.cpp
+++ b/decision/test/routed_dispatch_test.cpp
@@ -105,6 +105,24 @@
         return this->actions.empty() ? nullptr : std::get_if<Action>(&this->actions.back());
     }
 
+    // Each endpoint refuses the request with ticket 1 and asks for rest.
+    void refuse_with_rest(duration rest)
+    {
+        auto request = make_request();
+        request.deadline = now + rest;
+        this->router->on_arrival(request, now);
+        for (auto run = this->last_start(); run.attempt != 0; run = this->last_start()) {
+            this->router->on_endpoint_notice(1, run.attempt, {std::nullopt, rest}, now);
+            attempt_end end;
+            end.ticket = 1;
+            end.attempt = run.attempt;
+            end.result = attempt_result::refused;
+            this->router->on_attempt_end(end, now);
+        }
+        this->router->on_caller_gone(1, now);
+        this->last_start();
+    }
+
     static attempt_end broken(const start_attempt& of, std::uint64_t events)
     {
         attempt_end end;
@@ -185,6 +203,51 @@
     CHECK_COMPARE(waiting, >=, std::size_t{10});
 }
 
+// Guards against callers that wait for their deadline, or are told to come back too early, when all
+// endpoints have asked for rest.
+TEST(routed_dispatch, a_request_is_refused_at_once_if_all_endpoints_rest_past_its_deadline)
+{
+    this->refuse_with_rest(seconds(3));
+    auto request = make_request();
+    request.ticket = 2;
+    request.deadline = now + seconds(2);
+    this->router->on_arrival(request, now + seconds(1));
+    CHECK_EQUAL(0U, this->last_start().attempt);
+    const auto* refused = this->last_action<give_up_request>();
+    CHECK_TRUE(refused != nullptr && refused->why.code == failure_code::overloaded);
+    CHECK_TRUE(refused->why.run == run_state::not_run && refused->why.resend);
+    CHECK_EQUAL(duration(seconds(2)).count(), refused->why.retry_after.count());
+}
+
+// Guards against requests that are lost although a rest ends before their deadline.
+TEST(routed_dispatch, a_request_waits_for_the_end_of_a_rest_before_its_deadline)
+{
+    this->refuse_with_rest(seconds(3));
+    auto request = make_request();
+    request.ticket = 2;
+    this->router->on_arrival(request, now + seconds(1));
+    this->router->on_tick(now + milliseconds(2'900));
+    CHECK_EQUAL(0U, this->last_start().attempt);
+    this->router->on_tick(now + milliseconds(3'050));
+    CHECK_EQUAL(2U, this->last_start().ticket);
+}
+
+// Guards against a rest that is cut short by a later answer, or by a refusal that asks for less.
+TEST(routed_dispatch, the_longest_rest_that_an_endpoint_asked_for_applies)
+{
+    this->router->on_arrival(make_request(), now);
+    const auto run = this->last_start();
+    this->router->on_endpoint_notice(1, run.attempt, {std::nullopt, seconds(3)}, now);
+    this->router->on_endpoint_notice(1, run.attempt, {std::nullopt, seconds(1)}, now);
+    this->router->on_endpoint_notice(1, run.attempt, {}, now + milliseconds(10));
+    for (ticket_number ticket = 2; ticket < 22; ++ticket) {
+        auto request = make_request();
+        request.ticket = ticket;
+        this->router->on_arrival(request, now + milliseconds(2'900));
+        CHECK_FALSE(this->last_start().address == run.address);
+    }
+}
+
 // The endpoint crashes after some events have reached the caller. The caller must get a pause and
 // then the rest of its answer: another endpoint continues after the last delivered event.
 TEST(routed_dispatch, a_broken_stream_continues_at_another_endpoint)
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -81,6 +81,9 @@
         if (const auto* limit = adapters::find_field(head.fields, "Limit")) {
             facts.notice->request_limit = std::stod(*limit);
         }
+        if (adapters::find_field(head.fields, "Rest") != nullptr) {
+            facts.notice->rest = seconds(30);
+        }
         return facts;
     }
 
@@ -891,3 +894,43 @@
         });
     this->finish(false);
 }
+
+// Guards against a refused request, or the next one, that goes to an endpoint that wants rest.
+TEST(event_relay, an_endpoint_that_refuses_a_stream_and_asks_for_rest_gets_no_more_requests)
+{
+    this->begin()
+        .when(this->has_run(0),
+              [this] {
+                  this->run_at(0)->send("HTTP/1.1 503 No\r\nRest: yes\r\n"
+                                        "Content-Length: 0\r\n\r\n");
+              })
+        .when(this->caller_has("refused, not run"), [this] {
+            CHECK_FALSE(this->accepts_requests(this->address_of_run(0)));
+            this->caller->close();
+        });
+    this->finish(false);
+}
+
+// Guards against a larger model that is asked at the endpoint that has just asked for rest.
+TEST(event_relay, a_larger_model_is_asked_at_an_endpoint_that_did_not_ask_for_rest)
+{
+    this->dialect.prototype.kind = work_kind::idempotent;
+    this->dialect.prototype.models = {"small", "large"};
+    std::string resting;
+    this->begin()
+        .when(this->has_run(0),
+              [this, &resting] {
+                  resting = this->address_of_run(0);
+                  this->dispatcher->on_endpoint_notice(1, 1, {std::nullopt, seconds(30)},
+                                                       this->loop.now());
+                  this->run_at(0)->send(complete_answer("doubted", "Poor: yes\r\n"));
+              })
+        .when(this->has_run(1),
+              [this, &resting] {
+                  CHECK_FALSE(this->accepts_requests(resting));
+                  CHECK_FALSE(this->address_of_run(1) == resting);
+                  this->run_at(1)->send(complete_answer("larger"));
+              })
+        .when(this->caller_has("larger"), [this] { this->caller->close(); });
+    this->finish(false);
+}
