Leave an endpoint alone for as long as it asks for rest

Callers lost answers: while four of twelve endpoints refused everything and asked each router for three seconds of rest, 438 of 703 requests in nine seconds went to these four, 75 were given up, and over a tenth of the streams was refused although the others had room. An endpoint got 8 to 10 requests from a router within its rest, where two are allowed.

Cause: the time that a refusal asks for was not read. The refused request avoided the endpoint for 0.2 s, the others did not, and an endpoint that refuses everything is empty, so that it was the cheapest choice for each next one.

Now a router sends nothing to an endpoint before its rest has ended: the longest one that it asked this router for, kept for its incarnation, also while its entry is not listed. Others are not told, since a rest concerns one router. Where all endpoints of a target rest or state limits past a request's deadline, it is refused at once with the time until the first of them opens; otherwise it waits.

--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -97,10 +97,10 @@
     cancelled,
 };
 
-// What this router may send to a target all of whose endpoints state request limits.
+// What this router may send to a target all of whose endpoints state request limits or want rest.
 struct limited_access {
     instant opens;               // when it may send the next request
-    double requests_per_s = 0.0; // its share of the limits of all endpoints
+    double requests_per_s = 0.0; // from then on; infinite if an endpoint has no request limit
 
     friend bool operator==(const limited_access&, const limited_access&) = default;
 };
@@ -287,7 +287,8 @@
     [[nodiscard]] std::optional<std::string> choose(const placement& wanted, instant now,
                                                     std::uint64_t random) const;
 
-    // Nothing if an endpoint of the target has no request limit, or if there is no endpoint.
+    // Nothing if an endpoint of the target has no request limit and wants no rest, or if there is
+    // no endpoint.
     [[nodiscard]] std::optional<limited_access> access(const placement& wanted, instant now) const;
 
     // Work of processing those parts that are not cached at the endpoint.
--- a/decision/src/dispatcher_admission.cpp
+++ b/decision/src/dispatcher_admission.cpp
@@ -195,8 +195,8 @@
     return this->limit_failure(state, wanted, now);
 }
 
-// The wait for the endpoints' limits is known: a request that it would keep past its deadline is
-// refused now.
+// The wait for the endpoints' limits and rests is known: a request that it would keep past its
+// deadline is refused now.
 std::optional<failure> dispatcher::limit_failure(const request_state& state,
                                                  const placement& wanted, instant now) const
 {
@@ -220,7 +220,7 @@
     }
     return retryable_failure(failure_code::overloaded, start - now,
                              "every endpoint of " + wanted.version_or_service +
-                                 " is at its request limit");
+                                 " is at its request limit or wants rest");
 }
 
 } // namespace pearhaven::decision
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -229,7 +229,7 @@
     if (!where.cold.may_send(cold_share_of(where, this->place), this->now)) {
         return false;
     }
-    if (!where.stated_limit.may_send(this->now)) {
+    if (where.opens_at(this->now) > this->now) {
         return false;
     }
     const double limit = std::floor(where.limit.value());
--- a/decision/src/endpoint_directory.cpp
+++ b/decision/src/endpoint_directory.cpp
@@ -251,23 +251,25 @@
         this->retained.erase({history->second.retained_since, host.address});
     }
     endpoint& added = this->endpoints.try_emplace(host.address, host).first->second;
-    this->restore_limit(added);
+    this->restore_statements(added);
     this->remember_incarnation(host.address, host.incarnation);
     this->index_endpoint(added);
     added.cold.begin(now, host.cold_for);
 }
 
 // An entry may expire while its endpoint runs, for example during an outage of the host list.
-void endpoint_directory::restore_limit(endpoint& added)
+void endpoint_directory::restore_statements(endpoint& added)
 {
     const auto history = this->histories.find(added.host.address);
-    if (history == this->histories.end() || !history->second.limit) {
+    if (history == this->histories.end() || !history->second.statements) {
         return;
     }
-    if (history->second.limit->incarnation == added.host.incarnation) {
-        added.stated_limit = history->second.limit->stated;
+    const auto& known = *history->second.statements;
+    if (known.incarnation == added.host.incarnation) {
+        added.stated_limit = known.limit;
+        added.rests_until = known.rests_until;
     }
-    history->second.limit.reset();
+    history->second.statements.reset();
 }
 
 void endpoint_directory::update_endpoint(endpoint& known, const endpoint_host& newer,
@@ -354,8 +356,9 @@
         return;
     }
     changes.readings_lost += known.readings;
-    if (known.stated_limit.rate()) {
-        this->histories[address].limit = {known.host.incarnation, known.stated_limit};
+    if (known.stated_limit.rate() || known.rests_until > now) {
+        this->histories[address].statements = {known.host.incarnation, known.stated_limit,
+                                               known.rests_until};
     }
     this->endpoints.erase(at);
     this->unlisted.erase(address);
--- a/decision/src/endpoint_directory.hpp
+++ b/decision/src/endpoint_directory.hpp
@@ -75,18 +75,19 @@
     }
 
 private:
-    // The request limit that an incarnation stated.
-    struct incarnation_limit {
+    // What an incarnation stated about itself.
+    struct incarnation_statements {
         std::uint64_t incarnation = 0;
-        request_limit stated;
+        request_limit limit;
+        instant rests_until{};
     };
 
     // What is remembered of an address while it is not listed.
     struct address_history {
-        std::optional<std::uint64_t> leaving;    // the incarnation marked as leaving
-        std::vector<std::uint64_t> incarnations; // in order of arrival, newest last
-        instant retained_since{};                // when the address became unlisted
-        std::optional<incarnation_limit> limit;  // of the endpoint that was dropped
+        std::optional<std::uint64_t> leaving;             // the incarnation marked as leaving
+        std::vector<std::uint64_t> incarnations;          // in order of arrival, newest last
+        instant retained_since{};                         // when the address became unlisted
+        std::optional<incarnation_statements> statements; // of the endpoint that was dropped
     };
 
     // An address without an endpoint whose history is retained. Ordered by the start of the
@@ -111,7 +112,7 @@
     void apply_host(const endpoint_host& host, instant now, host_list_changes& changes);
     void update_host(const endpoint_host& host, instant now, host_list_changes& changes);
     void add_endpoint(const endpoint_host& host, instant now);
-    void restore_limit(endpoint& added);
+    void restore_statements(endpoint& added);
     void update_endpoint(endpoint& known, const endpoint_host& newer, bool was_listed, instant now,
                          host_list_changes& changes);
     [[nodiscard]] bool is_newer(const endpoint& known, const endpoint_host& host) const;
--- a/decision/src/endpoint_state.hpp
+++ b/decision/src/endpoint_state.hpp
@@ -126,6 +126,13 @@
         return keys;
     }
 
+    // When the endpoint accepts the next request from this router, by its own statements: now or
+    // later.
+    [[nodiscard]] instant opens_at(instant now) const
+    {
+        return this->stated_limit.opens_at(std::max(now, this->rests_until));
+    }
+
     [[nodiscard]] endpoint_incarnation current_incarnation() const
     {
         return {this->identity, this->host.incarnation};
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -290,12 +291,14 @@
     limited_access found{instant::max(), 0.0};
     for (const auto* side : {&from.local, &from.remote}) {
         for (const endpoint* where : *side) {
-            const auto& limit = where->stated_limit;
-            if (!limit.rate()) {
+            const bool has_rate = where->stated_limit.rate().has_value();
+            const auto opens = where->opens_at(now);
+            if (!has_rate && opens <= now) {
                 return std::nullopt;
             }
-            found.opens = std::min(found.opens, limit.opens_at(now));
-            found.requests_per_s += limit.own_rate();
+            found.opens = std::min(found.opens, opens);
+            found.requests_per_s +=
+                has_rate ? where->stated_limit.own_rate() : std::numeric_limits<double>::infinity();
         }
     }
     return found.opens == instant::max() ? std::nullopt : std::make_optional(found);
