--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -84,6 +84,9 @@
     // With a refusal: for how long it wants no request from this router.
     std::optional<duration> rest = {};
 
+    // It is about to end.
+    bool leaving = false;
+
     friend bool operator==(const endpoint_notice&, const endpoint_notice&) = default;
 };
 
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -406,6 +406,13 @@
                               {"rest_ms", adapters::milliseconds(*notice->rest)},
                               {"id", relayed.request.id}});
     }
+    if (notice && notice->leaving) {
+        this->counts.add("pearhaven_leaving_answers", {});
+        adapters::log_change("endpoint_leaving",
+                             {{"endpoint", current.endpoint.address},
+                              {"incarnation", std::to_string(current.endpoint.incarnation)},
+                              {"id", relayed.request.id}});
+    }
     const bool changes_limit = notice && this->dispatcher.on_endpoint_notice(
                                              ticket, current.number, *notice, this->loop.now());
     if (!changes_limit) {
