Add tests of endpoints that state their leaving, which fail

An endpoint that says in its answers that it is about to end gets requests until the store tells of it: 49 within eight seconds in a fleet of nine routers, from routers that had passed such an answer on.

--- a/coordination/test/zone_fleet.hpp
+++ b/coordination/test/zone_fleet.hpp
@@ -108,6 +108,17 @@
         }
     }
 
+    // From now on, each of the first `count` endpoints of the zone states in its answers that it is
+    // leaving.
+    void state_leaving(const std::string& zone, std::size_t count)
+    {
+        for (std::size_t i = 0; i < zones * count; ++i) {
+            if (zone_of(i) == zone) {
+                this->notices[host_of(i).address].leaving = true;
+            }
+        }
+    }
+
     // From now on, each of the first `count` endpoints of the zone refuses all requests and asks
     // for that much rest; without one, it runs them again.
     void set_refusing(const std::string& zone, std::size_t count, std::optional<duration> rest)
@@ -395,7 +406,7 @@
         }
         this->routers[router]->on_endpoint_notice(attempt.ticket, attempt.attempt, found->second,
                                                   this->now);
-        if (found->second.request_limit) {
+        if (found->second.request_limit || found->second.leaving) {
             this->told_at.try_emplace({attempt.address, router}, this->now);
         }
     }
--- a/decision/test/endpoint_changes_test.cpp
+++ b/decision/test/endpoint_changes_test.cpp
@@ -184,6 +184,31 @@
     CHECK_EQUAL(std::string("e0"), fixture.choose("a"));
 }
 
+// Guards against a leaving endpoint that gets requests again because its entry, which says nothing
+// of its leaving, has expired and come back.
+TEST(endpoint_changes, a_stated_leaving_is_kept_while_its_endpoint_is_not_listed)
+{
+    changing_hosts_fixture fixture;
+    const endpoint_notice leaving{std::nullopt, std::nullopt, true};
+    fixture.table.drop_host("e1", fixture.now);
+    fixture.table.noticed("e0", 1, leaving, fixture.now, fixture.now);
+    fixture.table.drop_host("e0", fixture.now);
+    fixture.table.set_host(host_at("e0", 1, "a"), fixture.now);
+    CHECK_EQUAL(std::string("none"), fixture.choose("a"));
+}
+
+// Guards against an endpoint that gets nothing after its restart because its earlier process left.
+TEST(endpoint_changes, a_stated_leaving_belongs_to_one_incarnation)
+{
+    changing_hosts_fixture fixture;
+    const endpoint_notice leaving{std::nullopt, std::nullopt, true};
+    fixture.table.drop_host("e1", fixture.now);
+    fixture.table.noticed("e0", 1, leaving, fixture.now, fixture.now);
+    fixture.table.set_host(host_at("e0", 2, "a"), fixture.now);
+    fixture.table.noticed("e0", 1, leaving, fixture.now, fixture.now);
+    CHECK_EQUAL(std::string("e0"), fixture.choose("a"));
+}
+
 TEST(endpoint_changes, a_complete_list_reports_all_ended_incarnations)
 {
     changing_hosts_fixture fixture;
--- a/decision/test/routed_dispatch_test.cpp
+++ b/decision/test/routed_dispatch_test.cpp
@@ -248,6 +248,47 @@
     }
 }
 
+// Guards against requests for an endpoint that has said in an answer that it is about to end.
+TEST(routed_dispatch, an_endpoint_that_states_that_it_is_leaving_gets_no_more_requests)
+{
+    this->router->on_arrival(make_request(), now);
+    const auto run = this->last_start();
+    this->router->on_endpoint_notice(1, run.attempt, {std::nullopt, std::nullopt, true}, now);
+    for (ticket_number ticket = 2; ticket < 22; ++ticket) {
+        auto request = make_request();
+        request.ticket = ticket;
+        this->router->on_arrival(request, now + milliseconds(10));
+        CHECK_FALSE(this->last_start().address == run.address);
+    }
+    LONGS_EQUAL(1, this->actions.size());
+    const auto* announced = this->last_action<announce_leaving>();
+    CHECK_TRUE(announced != nullptr && announced->address == run.address);
+    this->router->on_endpoint_notice(1, run.attempt, {std::nullopt, std::nullopt, true}, now);
+    this->last_start();
+    LONGS_EQUAL(1, this->actions.size());
+}
+
+// Guards against callers that wait for their deadline while every endpoint is about to end.
+TEST(routed_dispatch, a_request_is_refused_at_once_if_all_endpoints_are_leaving)
+{
+    for (ticket_number ticket = 1; ticket <= 3; ++ticket) {
+        auto request = make_request();
+        request.ticket = ticket;
+        this->router->on_arrival(request, now);
+        const auto run = this->last_start();
+        this->router->on_endpoint_notice(ticket, run.attempt, {std::nullopt, std::nullopt, true},
+                                         now);
+    }
+    auto request = make_request();
+    request.ticket = 4;
+    this->router->on_arrival(request, now);
+    CHECK_EQUAL(0U, this->last_start().attempt);
+    const auto* refused = this->last_action<give_up_request>();
+    CHECK_TRUE(refused != nullptr && refused->why.code == failure_code::no_endpoint);
+    CHECK_TRUE(refused->why.run == run_state::not_run && refused->why.resend);
+    CHECK_COMPARE(refused->why.retry_after.count(), >, 0);
+}
+
 // The endpoint crashes after some events have reached the caller. The caller must get a pause and
 // then the rest of its answer: another endpoint continues after the last delivered event.
 TEST(routed_dispatch, a_broken_stream_continues_at_another_endpoint)
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -81,6 +81,7 @@
         if (const auto* limit = adapters::find_field(head.fields, "Limit")) {
             facts.notice->request_limit = std::stod(*limit);
         }
+        facts.notice->leaving = adapters::find_field(head.fields, "Leaving") != nullptr;
         if (adapters::find_field(head.fields, "Rest") != nullptr) {
             facts.notice->rest = seconds(30);
         }
@@ -934,3 +935,46 @@
         .when(this->caller_has("larger"), [this] { this->caller->close(); });
     this->finish(false);
 }
+
+// Guards against a leaving that counts only once the stream that stated it has ended.
+TEST(event_relay, an_endpoint_that_states_its_leaving_with_a_stream_gets_no_more_requests)
+{
+    this->begin()
+        .when(this->has_run(0),
+              [this] {
+                  CHECK_TRUE(this->accepts_requests(this->address_of_run(0)));
+                  this->run_at(0)->send("HTTP/1.1 200 OK\r\nLeaving: 1\r\n"
+                                        "Transfer-Encoding: chunked\r\n\r\n" +
+                                        event(1));
+              })
+        .when(this->caller_has("id: 1"),
+              [this] {
+                  CHECK_FALSE(this->accepts_requests(this->address_of_run(0)));
+                  this->run_at(0)->send(stream_end());
+              })
+        .when([this] { return this->caller->ends_with(stream_end()); },
+              [this] { this->caller->close(); });
+    this->finish(false);
+}
+
+// Guards against a larger model that is asked at an endpoint that is about to end.
+TEST(event_relay, a_larger_model_is_not_asked_at_a_leaving_endpoint)
+{
+    this->dialect.prototype.kind = work_kind::idempotent;
+    this->dialect.prototype.models = {"small", "large"};
+    std::string leaving;
+    this->begin()
+        .when(this->has_run(0),
+              [this, &leaving] {
+                  leaving = this->address_of_run(0);
+                  this->run_at(0)->send(complete_answer("doubted", "Poor: yes\r\nLeaving: 1\r\n"));
+              })
+        .when(this->has_run(1),
+              [this, &leaving] {
+                  CHECK_FALSE(this->accepts_requests(leaving));
+                  CHECK_FALSE(this->address_of_run(1) == leaving);
+                  this->run_at(1)->send(complete_answer("larger"));
+              })
+        .when(this->caller_has("larger"), [this] { this->caller->close(); });
+    this->finish(false);
+}
