Send nothing to an endpoint that states in an answer that it is leaving

Now the statement sets the mark of a leaving endpoint that the host list sets, which is absorbing for one incarnation, survives that the entry is not listed, and is announced to the other routers once.

--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -259,6 +259,9 @@
     bool noticed(const std::string& address, std::uint64_t incarnation,
                  const endpoint_notice& notice, instant sent, instant now);
 
+    // Whether the known incarnation is leaving, by the host list, a peer or its own statement.
+    [[nodiscard]] bool is_leaving(const std::string& address) const;
+
     // Until when the endpoint wants no request from this router; in the past if it did not say.
     [[nodiscard]] instant rests_until(const std::string& address) const;
 
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -102,7 +102,13 @@
         return false;
     }
     const auto& state = found->second;
-    return this->table.noticed(state.address, state.incarnation, notice, state.sent_at, now);
+    const auto was_leaving = this->table.is_leaving(state.address);
+    const bool changes_limit =
+        this->table.noticed(state.address, state.incarnation, notice, state.sent_at, now);
+    if (!was_leaving && this->table.is_leaving(state.address)) {
+        this->actions.emplace_back(announce_leaving{state.address, state.incarnation});
+    }
+    return changes_limit;
 }
 
 void dispatcher::on_peer_suspect_status(std::uint64_t fingerprint,
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -401,11 +401,20 @@
     if (!has_incarnation(where, incarnation)) {
         return false;
     }
+    if (notice.leaving) {
+        this->inner->directory.mark_leaving(address, incarnation, now);
+    }
     where->rests_until = std::max(where->rests_until, now + notice.rest.value_or(duration::zero()));
     return where->stated_limit.on_answer(notice.request_limit, sent, now,
                                          turn_place_of(*where, this->inner->place));
 }
 
+bool endpoint_table::is_leaving(const std::string& address) const
+{
+    const endpoint* where = this->inner->directory.find(address);
+    return where != nullptr && this->inner->directory.is_leaving(*where);
+}
+
 instant endpoint_table::rests_until(const std::string& address) const
 {
     const endpoint* where = this->inner->directory.find(address);
