--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -1,6 +1,9 @@
 #include "peer_codec.hpp"
 #include "peer_wire.hpp"
 
+#include <cmath>
+#include <optional>
+
 namespace pearhaven::adapters {
 
 namespace {
@@ -166,6 +169,16 @@
         return decode_all(table.facts(), message.facts);
     }
 
+    static std::optional<decision::limit_report> decode_limit(const wire::EndpointLoad& table)
+    {
+        if (table.limit_age_us() < 0) {
+            return std::nullopt;
+        }
+        const auto rate = table.limit_per_s();
+        return decision::limit_report{rate >= 0.0 ? std::make_optional(rate) : std::nullopt,
+                                      decision::duration(table.limit_age_us())};
+    }
+
     static bool decode(const wire::EndpointLoad& table, decision::endpoint_load& item)
     {
         item = {decode(table.address()),
@@ -176,15 +189,11 @@
                 table.writing(),
                 table.in_doubt(),
                 {}};
-        if (table.limit_age_us() >= 0) {
-            const auto rate = table.limit_per_s();
-            item.limit = {rate >= 0.0 ? std::make_optional(rate) : std::nullopt,
-                          decision::duration(table.limit_age_us())};
-        }
+        item.limit = decode_limit(table);
         if (table.parts() != nullptr) {
             item.parts.assign(table.parts()->begin(), table.parts()->end());
         }
-        return item.parts.size() <= max_reported_parts;
+        return item.parts.size() <= max_reported_parts && std::isfinite(table.limit_per_s());
     }
 
     static bool decode(const wire::LoadPush& table, load_push& message)
--- a/decision/src/request_limit.cpp
+++ b/decision/src/request_limit.cpp
@@ -10,6 +10,9 @@
 // A limit of zero must not keep away the request whose answer would end it.
 constexpr double min_rate = 0.05; // requests per second
 
+// Above this a limit makes no difference, and the number of turns stays exact.
+constexpr double max_rate = 1e6; // requests per second
+
 // How long peers are told that a limit has ended. It takes a few reports to reach all routers.
 constexpr duration end_report_time = std::chrono::seconds(10);
 
@@ -68,9 +71,9 @@
     this->since = now;
     this->fleet_size = place.size;
     this->current = stated;
-    this->turns_per_s =
-        stated ? usable_part_of_rate * std::max(*stated, min_rate) / static_cast<double>(place.size)
-               : 0.0;
+    this->turns_per_s = stated ? usable_part_of_rate * std::clamp(*stated, min_rate, max_rate) /
+                                     static_cast<double>(place.size)
+                               : 0.0;
     return true;
 }
 
--- a/decision/src/request_limit.hpp
+++ b/decision/src/request_limit.hpp
@@ -29,8 +29,6 @@
     // This router sent a request.
     void on_started(instant now);
 
-    [[nodiscard]] bool may_send(instant now) const { return this->opens_at(now) <= now; }
-
     // When this router may send its next request: now or later.
     [[nodiscard]] instant opens_at(instant now) const;
 
--- a/decision/test/request_limit_test.cpp
+++ b/decision/test/request_limit_test.cpp
@@ -21,6 +21,11 @@
 constexpr double rate = 4.0;
 constexpr std::size_t tolerated = 29;
 
+bool may_send(const request_limit& limit, instant now)
+{
+    return limit.opens_at(now) <= now;
+}
+
 // Routers that all know of an endpoint's limit and always have a request for it.
 class willing_routers {
 public:
@@ -35,7 +40,7 @@
     {
         for (auto now = from; now < until; now += milliseconds(10)) {
             for (auto& limit : this->limits) {
-                if (limit.may_send(now)) {
+                if (may_send(limit, now)) {
                     limit.on_started(now);
                     this->sent.push_back(now);
                 }
@@ -92,7 +97,7 @@
     CHECK_TRUE(limit.rate() == 2.0);
     CHECK_TRUE(limit.on_answer(std::nullopt, start + seconds(2), start + seconds(3), only_router));
     CHECK_FALSE(limit.rate().has_value());
-    CHECK_TRUE(limit.may_send(start + seconds(3)));
+    CHECK_TRUE(may_send(limit, start + seconds(3)));
 }
 
 TEST(request_limit, routers_that_all_want_an_endpoint_stay_below_its_rate_and_use_it)
@@ -122,9 +127,9 @@
 {
     request_limit limit;
     limit.on_answer(0.0, start, start + milliseconds(1), only_router);
-    CHECK_FALSE(limit.may_send(start + seconds(1)));
+    CHECK_FALSE(may_send(limit, start + seconds(1)));
     const auto opens = limit.opens_at(start + seconds(1));
-    CHECK_TRUE(limit.may_send(opens + milliseconds(1)));
+    CHECK_TRUE(may_send(limit, opens + milliseconds(1)));
     CHECK_TRUE(opens < start + seconds(60));
 }
 
@@ -155,3 +160,11 @@
     }
     CHECK_TRUE(limit.report(start + seconds(4))->age == seconds(4));
 }
+
+// Guards against arithmetic with rates that no endpoint means.
+TEST(request_limit, a_very_high_rate_is_no_limit)
+{
+    request_limit limit;
+    limit.on_answer(1e308, start, start, only_router);
+    CHECK_TRUE(may_send(limit, start + std::chrono::hours(1'000)));
+}
