Make the random statements dense enough to show a lost one

At the first density the property passed with three faults put in by hand (a rest forgotten with its entry, a limit that is not kept, a rest that outlives its process). With shorter steps each of them fails it within 80 cases; the code passes.

--- a/decision/test/endpoint_statements_test.cpp
+++ b/decision/test/endpoint_statements_test.cpp
@@ -60,10 +60,10 @@
 
     void step()
     {
-        this->now += milliseconds(*rc::gen::inRange(1, 700));
+        this->now += milliseconds(*rc::gen::inRange(1, 100));
         const auto number = static_cast<std::size_t>(*rc::gen::inRange(0, endpoint_count));
         auto& known = this->endpoints[number];
-        switch (*rc::gen::inRange(0, 8)) {
+        switch (*rc::gen::inRange(0, 20)) {
         case 0:
             this->state_something(number, known);
             break;
@@ -197,7 +197,7 @@
 TEST(endpoint_statements, hold_for_their_process_in_any_order_of_events)
 {
     CHECK_TRUE(rc::check("statements", [] {
-        constexpr int steps = 150;
+        constexpr int steps = 400;
         stating_endpoints all;
         for (int i = 0; i < steps; ++i) {
             all.step();
