--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -103,7 +103,7 @@
 // What this router may send to a target all of whose endpoints state request limits or want rest.
 struct limited_access {
     instant opens;               // when it may send the next request
-    double requests_per_s = 0.0; // from then on; infinite if an endpoint has no request limit
+    double requests_per_s = 0.0; // from then on; very high if an endpoint has no request limit
 
     friend bool operator==(const limited_access&, const limited_access&) = default;
 };
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <set>
 #include <utility>
 
@@ -16,6 +15,9 @@
 
 constexpr duration slowness_check_interval = std::chrono::seconds(1);
 
+// Requests per second of an endpoint that states no limit. Enough for any queue to end at once.
+constexpr double unlimited_rate = 1e12;
+
 // The listed host, with its current leaving state.
 endpoint_host current_host(const endpoint_directory& directory, const endpoint& where)
 {
@@ -297,8 +299,7 @@
                 return std::nullopt;
             }
             found.opens = std::min(found.opens, opens);
-            found.requests_per_s +=
-                has_rate ? where->stated_limit.own_rate() : std::numeric_limits<double>::infinity();
+            found.requests_per_s += has_rate ? where->stated_limit.own_rate() : unlimited_rate;
         }
     }
     return found.opens == instant::max() ? std::nullopt : std::make_optional(found);
