--- a/decision/test/cold_start_test.cpp
+++ b/decision/test/cold_start_test.cpp
@@ -35,7 +35,7 @@
     {
         for (auto now = from; now < until; now += milliseconds(10)) {
             for (std::size_t rank = 0; rank < routers; ++rank) {
-                const cold_share share{declared_rate, 7, rank, routers};
+                const cold_share share{declared_rate, {7, rank, routers}};
                 if (this->limits[rank].may_send(share, now)) {
                     this->limits[rank].on_started(share, now);
                     this->sent.push_back(now);
@@ -87,8 +87,8 @@
 TEST(cold_start, an_endpoint_without_a_rate_or_a_cold_period_is_not_limited)
 {
     cold_start limit;
-    CHECK_TRUE(limit.may_send({declared_rate, 7, 3, routers}, start));
+    CHECK_TRUE(limit.may_send({declared_rate, {7, 3, routers}}, start));
     limit.begin(start, seconds(3));
-    CHECK_TRUE(limit.may_send({0.0, 7, 3, routers}, start));
-    CHECK_TRUE(limit.may_send({declared_rate, 7, 3, routers}, start + seconds(6)));
+    CHECK_TRUE(limit.may_send({0.0, {7, 3, routers}}, start));
+    CHECK_TRUE(limit.may_send({declared_rate, {7, 3, routers}}, start + seconds(6)));
 }
