--- a/router/include/pearhaven/router/peer_messenger.hpp
+++ b/router/include/pearhaven/router/peer_messenger.hpp
@@ -41,7 +41,7 @@
         coordination::prefix_mirror& mirror;
         decision::dispatcher& dispatcher;
         adapters::metrics& counts;
-        std::function<void()> on_updates; // called after the mirror was updated
+        std::function<void(const std::string& peer)> on_updates; // the peer updated the mirror
     };
 
     // References must outlive the messenger, and the loop must not run after its destruction.
--- a/router/src/peer_messenger.cpp
+++ b/router/src/peer_messenger.cpp
@@ -189,7 +189,7 @@
     const auto known = this->deps.mirror.revision();
     if (updates.as_of > known) {
         this->deps.mirror.on_peer_update(updates);
-        this->deps.on_updates();
+        this->deps.on_updates(from);
     }
     if (!updates.complete && updates.after > known && !this->deps.mirror.must_read_store()) {
         this->link->send(reply_to, coordination::mirror_pull{0, known});
@@ -219,7 +219,7 @@
                                              {"changes", std::to_string(updates.entries.size())},
                                              {"whole", updates.complete ? "true" : "false"}});
     this->deps.mirror.on_peer_update(updates);
-    this->deps.on_updates();
+    this->deps.on_updates(from);
 }
 
 void peer_messenger::answer(const adapters::peer_address& to, const coordination::mirror_pull& pull)
