--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -199,6 +199,31 @@
     CHECK_TRUE(this->has_action(mirror_removed{"things/a", 15}));
 }
 
+// Guards against a router that has heard nothing from its watchers for most of the time that a
+// change may take, and then waits on a connection that has gone silent.
+TEST(prefix_mirror, a_router_that_no_longer_follows_asks_without_waiting)
+{
+    this->load_initial_list();
+    this->mirror.set_mode(watch_mode::follower);
+    this->answer(reply_of(kv_outcome::ok, 12), start + seconds(1));
+    this->mirror.set_mode(watch_mode::independent);
+    this->tick(start + seconds(3));
+    CHECK_TRUE(duration::zero() == this->last_watch()->wait);
+    this->answer(reply_of(kv_outcome::ok, 12), start + seconds(3));
+    CHECK_TRUE(duration::zero() < this->last_watch()->wait);
+}
+
+// Guards against a router that is late once more because its first call after an outage waits.
+TEST(prefix_mirror, a_watch_after_a_failure_asks_without_waiting)
+{
+    this->load_initial_list();
+    this->answer(reply_of(kv_outcome::unavailable), start + seconds(1));
+    this->tick(start + seconds(2));
+    CHECK_TRUE(duration::zero() == this->last_watch()->wait);
+    this->answer(reply_of(kv_outcome::ok, 12), start + seconds(2));
+    CHECK_TRUE(duration::zero() < this->last_watch()->wait);
+}
+
 TEST(prefix_mirror, failures_are_retried_with_growing_pauses)
 {
     this->tick(start);
