Repeat a read of the store whose connection has gone silent, within the bound

Cause: the longest way of a change through the waits of a router was longer than its bound. A watch waited for two seconds, as long as the bound itself, and a call without an answer counted as open for 1.5 s more: 3.5 s on a connection that had gone silent without being closed, during which the router took itself for up to date and asked neither the store again nor a peer.

Fix: all waits on a change's way are parts of the one bound (update_delays), and a test adds them up. A read that stays silent for 0.15 of the bound beyond its wait is repeated on a new connection, and idle connections are closed; the first answer to either counts, so a store that is slow on all connections is still heard, and the loser is cancelled. Writes are sent once as before. A router that may have missed changes asks without waiting.

--- a/adapters/src/http_outbound.cpp
+++ b/adapters/src/http_outbound.cpp
@@ -190,8 +190,9 @@
 
 class answer_collector final : public outbound_listener {
 public:
-    answer_collector(std::size_t limit, std::function<void(const collected_answer&)> callback)
-        : max_body(limit), done(std::move(callback))
+    answer_collector(std::size_t limit, std::function<void(const collected_answer&)> callback,
+                     std::function<bool()> silence_callback)
+        : max_body(limit), done(std::move(callback)), silence(std::move(silence_callback))
     {}
 
     head_verdict on_head(const http_response_head& head) override
@@ -218,6 +219,12 @@
         this->done(this->collected);
     }
 
+    [[nodiscard]] bool on_silence() override
+    {
+        const bool has_head = this->collected.status != 0;
+        return has_head || !this->silence || this->silence();
+    }
+
     void on_failure(const outbound_failure& how) override
     {
         collected_answer none;
@@ -228,6 +235,7 @@
 private:
     std::size_t max_body;
     std::function<void(const collected_answer&)> done;
+    std::function<bool()> silence; // may be empty
     collected_answer collected;
     bool too_long = false;
 };
@@ -241,9 +249,10 @@
 }
 
 outbound_listener_ptr collect_answer(std::size_t max_body,
-                                     std::function<void(const collected_answer&)> done)
+                                     std::function<void(const collected_answer&)> done,
+                                     std::function<bool()> on_silence)
 {
-    return new answer_collector(max_body, std::move(done));
+    return new answer_collector(max_body, std::move(done), std::move(on_silence));
 }
 
 } // namespace pearhaven::adapters
--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -21,7 +21,7 @@
     // A watch can miss changes: after the store drops its history, a watch that began meanwhile was
     // seen to wait until its timeout although changes were made. Its end delivers them, so this is
     // the delay that such a watch adds; a shorter wait costs more calls.
-    decision::duration watch_wait = std::chrono::seconds{2};
+    decision::duration watch_wait = std::chrono::seconds{1};
 
     // The same when other routers rely on this mirror: limits the age of what they receive.
     decision::duration shared_watch_wait = std::chrono::milliseconds{500};
@@ -116,7 +116,7 @@
     // Sets whether this mirror watches the store. A follower makes no calls once it has its list,
     // and when it has to watch again, it continues from the revision that peer updates have
     // reached.
-    void set_mode(watch_mode wanted) { this->mode = wanted; }
+    void set_mode(watch_mode wanted);
 
     // When the store last answered this mirror.
     [[nodiscard]] decision::instant confirmed_at() const { return this->confirmed; }
@@ -149,6 +149,7 @@
     void drop_unknown_reports();
     [[nodiscard]] store_revision reported_until() const;
     [[nodiscard]] bool store_served_peers(decision::instant now) const;
+    [[nodiscard]] decision::duration next_watch_wait() const;
 
     struct change {
         store_revision revision = 0; // of the key, or of the mirror when it learned of the change
@@ -179,6 +180,7 @@
     call_tag next_tag = 1;
     std::uint32_t failures = 0;
     watch_mode mode = watch_mode::independent;
+    bool has_stopped_following = false; // since the store's last answer
     decision::instant confirmed;
     decision::instant due;
     std::optional<decision::instant> regained_at; // after a loss
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -72,12 +72,30 @@
         this->call(kv_range{this->settings.prefix, allow_stale});
     } else if (this->mode != watch_mode::follower || this->must_read_store() ||
                this->failures > 0) {
-        const bool is_shared = this->mode != watch_mode::independent;
-        const auto wait = is_shared ? this->settings.shared_watch_wait : this->settings.watch_wait;
-        this->call(kv_watch{this->settings.prefix, this->received_revision, wait});
+        this->call(
+            kv_watch{this->settings.prefix, this->received_revision, this->next_watch_wait()});
     }
 }
 
+// A watch that may have missed changes already must not wait for the next one: if its connection
+// is silent, the wait would be added to the time that has passed.
+decision::duration prefix_mirror::next_watch_wait() const
+{
+    if (this->failures > 0 || this->has_stopped_following || this->must_read_store()) {
+        return decision::duration::zero();
+    }
+    return this->mode == watch_mode::independent ? this->settings.watch_wait
+                                                 : this->settings.shared_watch_wait;
+}
+
+void prefix_mirror::set_mode(watch_mode wanted)
+{
+    if (this->mode == watch_mode::follower && wanted != watch_mode::follower) {
+        this->has_stopped_following = true;
+    }
+    this->mode = wanted;
+}
+
 void prefix_mirror::restart(decision::instant now)
 {
     if (this->open_call) {
@@ -95,6 +113,7 @@
     this->open_call.reset();
     if (reply.outcome == kv_outcome::ok) {
         this->confirmed = now;
+        this->has_stopped_following = false;
         this->succeed(now);
         const bool brought = !this->needs_list && !reply.entries.empty();
         this->needs_list ? this->on_list(reply, now) : this->on_watch(reply, now);
--- a/router/include/pearhaven/router/peer_messenger.hpp
+++ b/router/include/pearhaven/router/peer_messenger.hpp
@@ -6,6 +6,7 @@
 #include "pearhaven/adapters/peer_link.hpp"
 #include "pearhaven/coordination/peer_exchange.hpp"
 #include "pearhaven/coordination/prefix_mirror.hpp"
+#include "pearhaven/coordination/update_delays.hpp"
 #include "pearhaven/coordination/watch_share.hpp"
 #include "pearhaven/decision/dispatcher.hpp"
 
@@ -25,9 +26,7 @@
 struct peer_messenger_settings {
     std::string self; // name by which other routers know this router
     coordination::peer_router listen_address;
-
-    // Maximum delay until a change in the store reaches this router.
-    decision::duration max_update_delay = std::chrono::seconds(2);
+    coordination::update_delays delays;
 };
 
 // Exchanges messages with the other routers over the peer link, for a program that runs on an event
--- a/router/src/peer_messenger.cpp
+++ b/router/src/peer_messenger.cpp
@@ -25,8 +25,8 @@
     coordination::watch_share_settings made;
     made.self = settings.self;
     made.zone = settings.listen_address.zone;
-    made.update_lifetime = settings.max_update_delay * 3 / 5;
-    made.fallback_spread = settings.max_update_delay / 10;
+    made.update_lifetime = settings.delays.update_lifetime;
+    made.fallback_spread = settings.delays.fallback_spread;
     return made;
 }
 
