Count the time that a failed call to the store took as a part of the pause after it

Cause: the pause is there to limit the rate of calls, and was counted from a call's failure although the call itself had taken three times as long.

Fix: it is counted from the beginning of the call, with the first pause, spread over the routers, at the least. Calls that are refused at once are retried as before. The new test failed before: no call after the first pause.

--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -37,7 +37,9 @@
     // Whether the first list may be some seconds old, which costs the store less. The watch that
     // follows delivers the missing changes.
     bool allow_stale_first_list = false;
-    decision::duration first_retry = std::chrono::milliseconds{50}; // doubles with each failure
+    // Shortest pause after a failed call. The time between the beginnings of two calls doubles with
+    // each failure.
+    decision::duration first_retry = std::chrono::milliseconds{50};
     decision::duration longest_retry = std::chrono::milliseconds{500};
 
     // How long a key that is missing right after the store was unavailable is still treated as
@@ -132,10 +134,11 @@
     [[nodiscard]] store_revision revision() const { return this->received_revision; }
 
 private:
-    void call(kv_request request);
+    void call(kv_request request, decision::instant now);
     void on_list(const kv_reply& reply, decision::instant now);
     void on_watch(const kv_reply& reply, decision::instant now);
     void fail(decision::instant now);
+    [[nodiscard]] decision::duration with_jitter(decision::duration pause) const;
     void succeed(decision::instant now);
     void adopt(const kv_entry& entry);
     void on_missing(const std::string& key, store_revision revision, decision::instant now);
@@ -177,6 +180,7 @@
     std::deque<change> changes;       // the latest ones, for peers; not sorted by revision
     store_revision changes_since = 0; // `changes` holds all changes after this revision
     std::optional<call_tag> open_call;
+    decision::instant called_at;
     call_tag next_tag = 1;
     std::uint32_t failures = 0;
     watch_mode mode = watch_mode::independent;
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -53,9 +53,10 @@
 
 prefix_mirror::prefix_mirror(prefix_mirror_settings chosen) : settings(std::move(chosen)) {}
 
-void prefix_mirror::call(kv_request request)
+void prefix_mirror::call(kv_request request, decision::instant now)
 {
     this->open_call = this->next_tag++;
+    this->called_at = now;
     this->reported_revision_at_call = this->reported_revision;
     this->actions.emplace_back(store_call(*this->open_call, std::move(request)));
 }
@@ -69,11 +70,11 @@
     if (this->needs_list) {
         const bool allow_stale = this->settings.allow_stale_first_list && !this->has_requested_list;
         this->has_requested_list = true;
-        this->call(kv_range{this->settings.prefix, allow_stale});
+        this->call(kv_range{this->settings.prefix, allow_stale}, now);
     } else if (this->mode != watch_mode::follower || this->must_read_store() ||
                this->failures > 0) {
         this->call(
-            kv_watch{this->settings.prefix, this->received_revision, this->next_watch_wait()});
+            kv_watch{this->settings.prefix, this->received_revision, this->next_watch_wait()}, now);
     }
 }
 
@@ -150,10 +151,17 @@
     const auto doublings = std::min<std::uint32_t>(this->failures, 8);
     const auto pause =
         std::min(this->settings.first_retry * (1U << doublings), this->settings.longest_retry);
+    // The pause limits the rate of calls, so the time that the call took is a part of it.
+    this->due = std::max(now + this->with_jitter(this->settings.first_retry),
+                         this->called_at + this->with_jitter(pause));
+    ++this->failures;
+}
+
+decision::duration prefix_mirror::with_jitter(decision::duration pause) const
+{
     const auto steps = static_cast<std::int64_t>(
         decision::mix(this->settings.seed + this->failures) % jitter_steps);
-    this->due = now + pause - pause * steps / (2 * static_cast<std::int64_t>(jitter_steps));
-    ++this->failures;
+    return pause - pause * steps / (2 * static_cast<std::int64_t>(jitter_steps));
 }
 
 void prefix_mirror::succeed(decision::instant now)
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -224,6 +224,22 @@
     CHECK_TRUE(duration::zero() < this->last_watch()->wait);
 }
 
+// Guards against a router that pauses once more after each call that a silent store has not
+// answered, and so hears of the end of an outage later than it has to.
+TEST(prefix_mirror, a_call_that_failed_late_is_retried_after_the_first_pause)
+{
+    this->load_initial_list();
+    auto now = start;
+    for (int failure = 0; failure < 6; ++failure) {
+        now += milliseconds(1500);
+        const auto before = this->calls.size();
+        this->answer(reply_of(kv_outcome::unavailable), now);
+        now += prefix_mirror_settings{}.first_retry;
+        this->tick(now);
+        CHECK_EQUAL(before + 1, this->calls.size());
+    }
+}
+
 TEST(prefix_mirror, failures_are_retried_with_growing_pauses)
 {
     this->tick(start);
