Log which request a lost attempt carried, and on what connection

attempt_lost named the caller's send, which is another one each time a request comes again. It now names the fingerprint, the endpoint's incarnation, whether the connection was a reused one and whether the answer had begun: enough to tell a request that loses each run from connections that an endpoint had closed.

--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -146,7 +146,7 @@
     void set_timeouts(const relayed_request& relayed, adapters::outbound_request& sent) const;
     void apply_notice(ticket_number ticket, const relayed_request& relayed);
     void log_unwanted_send(const relayed_request& relayed) const;
-    void end_attempt(relayed_request& relayed, decision::attempt_end end);
+    void end_attempt(relayed_request& relayed, decision::attempt_end end, bool was_reused = false);
     void cut_off(ticket_number ticket, relayed_request& relayed);
     void pass_events(ticket_number ticket, relayed_request& relayed, std::string_view piece);
     void begin_answer(relayed_request& relayed);
@@ -609,7 +609,7 @@
     end.attempt = attempt;
     end.result = result_of(how);
     end.answer_began = how.answer_began;
-    this->end_attempt(*relayed, end);
+    this->end_attempt(*relayed, end, how.was_reused);
 }
 
 // A plain answer that was too long to buffer broke off. The part that the caller has received
@@ -624,7 +624,8 @@
     this->run_actions();
 }
 
-void event_relay::state::end_attempt(relayed_request& relayed, decision::attempt_end end)
+void event_relay::state::end_attempt(relayed_request& relayed, decision::attempt_end end,
+                                     bool was_reused)
 {
     auto& current = relayed.attempt;
     end.tokens = current.tokens;
@@ -636,8 +637,12 @@
         this->counts.add("pearhaven_attempts_lost", {{"result", name_of(end.result)}});
         adapters::log_change("attempt_lost",
                              {{"id", relayed.request.id},
+                              {"request", fmt::format("{:016x}", relayed.request.work.fingerprint)},
                               {"endpoint", current.endpoint.address},
+                              {"incarnation", std::to_string(current.endpoint.incarnation)},
                               {"result", name_of(end.result)},
+                              {"reused", was_reused ? "true" : "false"},
+                              {"answer_began", end.answer_began ? "true" : "false"},
                               {"status", std::to_string(current.head.status)},
                               {"events", std::to_string(current.tokens)},
                               {"after_ms", milliseconds(this->loop.now() - current.started)}});
