Log when a router can connect to no endpoint of a target

A line of one attempt, unreachable, looks the same where one endpoint is down and where the router is cut off from all of them. The dispatcher now counts endpoints that cannot be connected to in a row, with no new connection in between, by target; three of them, or all of fewer, are logged as endpoints_unreachable, and the next connection as endpoints_reachable.

--- a/adapters/include/pearhaven/adapters/http_outbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_outbound.hpp
@@ -67,6 +67,9 @@
     : public boost::intrusive_ref_counter<outbound_listener, boost::thread_unsafe_counter> {
 public:
     virtual ~outbound_listener() = default;
+
+    // The exchange has opened a new connection.
+    virtual void on_connected() {}
     [[nodiscard]] virtual head_verdict on_head(const http_response_head& head) = 0;
     virtual void on_body(std::string_view piece) = 0;
     virtual void on_end() = 0;
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -148,6 +148,10 @@
     this->owner.on_connected(true);
     this->current_phase = phase::busy;
     this->arm(this->answer_time);
+    this->listener->on_connected();
+    if (this->current_phase != phase::busy) {
+        return;
+    }
     const auto bytes = std::exchange(this->unsent_request, {});
     if (!this->socket.write(bytes)) {
         this->fail(outbound_fault::connection_lost);
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "pearhaven/decision/endpoint_table.hpp"
 #include "pearhaven/decision/fair_queue.hpp"
 #include "pearhaven/decision/lost_runs.hpp"
+#include "pearhaven/decision/reachability.hpp"
 #include "pearhaven/decision/response_times.hpp"
 #include "pearhaven/decision/retry_budget.hpp"
 #include "pearhaven/decision/rollout_exposure.hpp"
@@ -195,10 +196,17 @@
     friend bool operator==(const announce_finished_run&, const announce_finished_run&) = default;
 };
 
+// Whether this router can open connections to endpoints of the target; it changed.
+struct report_reachability {
+    std::string target; // model or service, as requested
+    bool reachable = false;
+    friend bool operator==(const report_reachability&, const report_reachability&) = default;
+};
+
 using dispatch_action =
     std::variant<start_attempt, resume_attempt, cancel_attempt, complete_request, give_up_request,
                  announce_leaving, announce_suspect_status, announce_lost_run,
-                 announce_finished_run>;
+                 announce_finished_run, report_reachability>;
 
 struct dispatcher_settings {
     endpoint_table_settings endpoints;
@@ -220,6 +228,7 @@
     std::uint32_t max_losses = 2;
 
     lost_run_settings lost_runs;
+    reachability_settings reached;
 
     // Multiple of the time in which answers of the kind usually begin.
     double first_response_timeout_factor = 2.0;
@@ -314,6 +323,9 @@
     bool on_endpoint_notice(ticket_number ticket, attempt_number attempt,
                             const endpoint_notice& notice, instant now);
 
+    // A new connection for the attempt was established.
+    void on_connected(ticket_number ticket, attempt_number attempt);
+
     // Reports the typical time between two pieces of the attempt's answer, once there are enough
     // samples or at the end. This detects a version that generates slowly: a single piece may be
     // delayed by other callers' prompts, but the median of several is not.
@@ -439,6 +451,8 @@
                                                         instant now) const;
     [[nodiscard]] std::optional<failure> limit_failure(const request_state& state,
                                                        const placement& wanted, instant now) const;
+    [[nodiscard]] bool is_cut_off_from(const arrival& request, const std::string& target) const;
+    void record_reachability(const request_state& state, const attempt_end& end);
     [[nodiscard]] std::optional<start_choice> find_start(const request_state& state, instant now);
     [[nodiscard]] rollout_choice choose_version(const request_state& state, instant now) const;
     [[nodiscard]] placement placement_for(const request_state& state, const std::string& target,
@@ -502,6 +516,7 @@
     std::map<std::string, retry_budget> budgets; // by requested model or service
     suspect_table suspects;
     lost_run_table lost_runs;
+    reachability reached;
     std::unordered_set<std::uint64_t> shared_quarantines; // fingerprints
     std::map<ticket_number, request_state> requests;
     std::map<std::string, target_arrivals> arrivals_by_target;
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -326,6 +326,9 @@
     [[nodiscard]] std::uint64_t incarnation_of(const std::string& address) const;
     [[nodiscard]] std::vector<std::string> addresses() const;
 
+    // Endpoints of the version or service, whatever their state.
+    [[nodiscard]] std::size_t endpoint_count(const std::string& name, bool is_service) const;
+
     // Addresses in this router's subsets of all targets, whose endpoints it polls for load.
     [[nodiscard]] std::vector<std::string> used_addresses(instant now) const;
 
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -38,7 +38,8 @@
 
 dispatcher::dispatcher(dispatcher_settings chosen)
     : settings(std::move(chosen)), table(this->settings.endpoints), queue(this->settings.queue),
-      lost_runs(this->settings.lost_runs), random_state(this->settings.seed)
+      lost_runs(this->settings.lost_runs), reached(this->settings.reached),
+      random_state(this->settings.seed)
 {}
 
 void dispatcher::on_configuration(configuration_ptr current, instant now)
@@ -138,6 +139,37 @@
     }
 }
 
+void dispatcher::on_connected(ticket_number ticket, attempt_number attempt)
+{
+    const auto found = this->requests.find(ticket);
+    if (found == this->requests.end() || found->second.attempt != attempt) {
+        return;
+    }
+    const auto& state = found->second;
+    if (this->is_cut_off_from(state.request, state.version)) {
+        this->actions.emplace_back(report_reachability{state.request.asked, true});
+    }
+    this->reached.on_connected(state.request.asked);
+}
+
+bool dispatcher::is_cut_off_from(const arrival& request, const std::string& target) const
+{
+    return this->reached.is_cut_off(request.asked,
+                                    this->table.endpoint_count(target, request.is_service));
+}
+
+void dispatcher::record_reachability(const request_state& state, const attempt_end& end)
+{
+    if (end.result != attempt_result::unreachable) {
+        return;
+    }
+    const bool was_cut_off = this->is_cut_off_from(state.request, state.version);
+    this->reached.on_unreachable(state.request.asked, state.address);
+    if (!was_cut_off && this->is_cut_off_from(state.request, state.version)) {
+        this->actions.emplace_back(report_reachability{state.request.asked, false});
+    }
+}
+
 void dispatcher::on_peer_trip(const std::string& version, std::uint64_t run, instant now)
 {
     this->exposure.on_peer_trip(version, run);
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -43,6 +43,7 @@
         return;
     }
     state.delivered = state.delivered || (state.request.streamed && end.tokens > 0);
+    this->record_reachability(state, end);
     switch (end.result) {
     case attempt_result::finished:
         this->after_finish(state, end, now);
@@ -431,6 +432,7 @@
 {
     for (const auto& one : ended) {
         this->lost_runs.on_incarnation_end(one.address, one.incarnation, now);
+        this->reached.on_endpoint_ended(one.address);
     }
 }
 
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -478,6 +478,12 @@
            std::any_of(known.remote.begin(), known.remote.end(), stays);
 }
 
+std::size_t endpoint_table::endpoint_count(const std::string& name, bool is_service) const
+{
+    const route& known = this->inner->directory.route_for(name, is_service);
+    return known.local.size() + known.remote.size();
+}
+
 void endpoint_table::peer_reported(const std::string& router, std::vector<endpoint_load> loads,
                                    instant now)
 {
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -112,6 +112,7 @@
     void room(adapters::inbound_exchange& caller);
 
     // Events of one attempt's answer. `attempt` identifies late events of an earlier attempt.
+    void on_connected(ticket_number ticket, decision::attempt_number attempt);
     head_verdict on_head(ticket_number ticket, decision::attempt_number attempt,
                          const adapters::http_response_head& head);
     void on_body(ticket_number ticket, decision::attempt_number attempt, std::string_view piece);
@@ -145,6 +146,7 @@
     void carry_out(const decision::announce_suspect_status& /*action*/) {}
     void carry_out(const decision::announce_lost_run& action);
     void carry_out(const decision::announce_finished_run& action);
+    void carry_out(const decision::report_reachability& action);
 
     void set_timeouts(const relayed_request& relayed, adapters::outbound_request& sent) const;
     void apply_notice(ticket_number ticket, const relayed_request& relayed);
@@ -174,6 +176,7 @@
 public:
     attempt_listener(boost::intrusive_ptr<event_relay::state> relay_state, ticket_number ticket,
                      decision::attempt_number attempt);
+    void on_connected() override;
     head_verdict on_head(const adapters::http_response_head& head) override;
     void on_body(std::string_view piece) override;
     void on_end() override;
@@ -375,6 +378,17 @@
     }
 }
 
+void event_relay::state::carry_out(const decision::report_reachability& action)
+{
+    adapters::log_change(action.reachable ? "endpoints_reachable" : "endpoints_unreachable",
+                         {{"target", action.target}});
+}
+
+void event_relay::state::on_connected(ticket_number ticket, decision::attempt_number attempt)
+{
+    this->dispatcher.on_connected(ticket, attempt);
+}
+
 head_verdict event_relay::state::on_head(ticket_number ticket, decision::attempt_number attempt,
                                          const adapters::http_response_head& head)
 {
@@ -776,6 +790,11 @@
     : relay(std::move(relay_state)), ticket(of), attempt(number)
 {}
 
+void attempt_listener::on_connected()
+{
+    this->relay->on_connected(this->ticket, this->attempt);
+}
+
 head_verdict attempt_listener::on_head(const adapters::http_response_head& head)
 {
     return this->relay->on_head(this->ticket, this->attempt, head);
--- a/router/src/routing_worker.cpp
+++ b/router/src/routing_worker.cpp
@@ -7,6 +7,7 @@
 #include "service_attempt.hpp"
 
 #include "pearhaven/adapters/authenticator.hpp"
+#include "pearhaven/adapters/log.hpp"
 #include "pearhaven/adapters/platform.hpp"
 
 #include <nlohmann/json.hpp>
@@ -359,6 +360,12 @@
     this->fleet.submit(fact_observed{std::move(fact)});
 }
 
+void routing_worker::carry_out(const decision::report_reachability& action)
+{
+    adapters::log_change(action.reachable ? "endpoints_reachable" : "endpoints_unreachable",
+                         {{"target", action.target}});
+}
+
 void routing_worker::poll_when_due()
 {
     const auto moment = now();
--- a/router/src/routing_worker.hpp
+++ b/router/src/routing_worker.hpp
@@ -91,6 +91,7 @@
     // connection are not reported here.
     void carry_out(const decision::announce_lost_run& /*action*/) {}
     void carry_out(const decision::announce_finished_run& /*action*/) {}
+    void carry_out(const decision::report_reachability& action);
     void start_engine(request_record& record, const decision::start_attempt& action);
     void start_service(request_record& record, const decision::start_attempt& action);
     [[nodiscard]] coordination::bill make_bill(const request_record& record,
