Hand requests to another router where this one can connect to no endpoint

Cause: a router that cannot connect to an endpoint ejects it, one after the other; then its queue is longer than any deadline. A failure of the path was taken for a failure of the endpoints, and no other path was looked for.

A target of which three endpoints in a row cannot be connected to counts as cut off. Its requests go to another router, on its port for callers, which it tells in its registration; a mark keeps them from being forwarded again. One repeatable request a second tries the endpoints.

This works because callers, the store and the other routers are still reached: the other router serves what the store lets it serve, within its own limits, and counts the attempts.

--- a/coordination/include/pearhaven/coordination/peer_exchange.hpp
+++ b/coordination/include/pearhaven/coordination/peer_exchange.hpp
@@ -20,6 +20,9 @@
     std::uint16_t port = 0;
     std::string zone; // availability zone
 
+    // Port for callers' requests; 0 for a router of an earlier release, which does not tell it.
+    std::uint16_t callers_port = 0;
+
     friend bool operator==(const peer_router&, const peer_router&) = default;
 };
 
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "pearhaven/decision/endpoint_table.hpp"
 #include "pearhaven/decision/fair_queue.hpp"
 #include "pearhaven/decision/lost_runs.hpp"
+#include "pearhaven/decision/peer_forwarding.hpp"
 #include "pearhaven/decision/reachability.hpp"
 #include "pearhaven/decision/response_times.hpp"
 #include "pearhaven/decision/retry_budget.hpp"
@@ -102,6 +103,9 @@
 
     // Max endpoints that may run it; 0 to use the dispatcher's settings.
     std::uint32_t max_attempts = 0;
+
+    // Another router forwarded it, so it may not be forwarded again.
+    bool forwarded = false;
     std::uint32_t sizes = 0;  // number of model sizes that may answer; 0 or 1 for no choice
     bool long_prompt = false; // prefill takes an engine longer than generating the answer
     duration objective{}; // target time from arrival to the first piece of the answer; zero if none
@@ -134,8 +138,11 @@
     ticket_number ticket = 0;
     attempt_number attempt = 0;
     std::string address;
-    std::string version;    // version or service name
+    std::string version;    // version or service name; empty if forwarded
     std::uint32_t size = 0; // index among the request's model sizes, 0 for the smallest
+
+    // `address` is that of another router, which takes over the request.
+    bool forwarded = false;
     friend bool operator==(const start_attempt&, const start_attempt&) = default;
 };
 
@@ -229,6 +236,10 @@
 
     lost_run_settings lost_runs;
     reachability_settings reached;
+    peer_forwarding_settings forwarding;
+
+    // Peers that may refuse a forwarded request before this router tries the endpoints itself.
+    std::uint32_t max_forwardings = 3;
 
     // Multiple of the time in which answers of the kind usually begin.
     double first_response_timeout_factor = 2.0;
@@ -296,6 +307,14 @@
         return this->shared_quarantines.count(fingerprint) > 0;
     }
 
+    // The routers that may take over requests whose endpoints this router cannot connect to, by the
+    // address at which they accept callers' requests.
+    void set_peer(const std::string& name, const std::string& address)
+    {
+        this->forwarding.set_peer(name, address);
+    }
+    void drop_peer(const std::string& name) { this->forwarding.drop_peer(name); }
+
     // Another router's evidence ended this attempt at rolling out the version.
     void on_peer_trip(const std::string& version, std::uint64_t run, instant now);
 
@@ -398,6 +417,8 @@
         instant avoid_until;
         std::uint32_t resumes = 0;
         std::uint32_t refusals = 0;
+        bool forwarded = false;                   // the current attempt is at another router
+        std::uint32_t forwardings = 0;            // attempts at other routers
         std::uint32_t losses = 0;                 // runs that were lost
         instant lost_at;                          // time of the last loss
         attempt_number crash_counted_attempt = 0; // last attempt that was counted in a crash
@@ -438,6 +459,7 @@
         std::string version;
         std::string exposed_by;
         bool concentrated = false;
+        bool forwarded = false;
     };
 
     [[nodiscard]] std::optional<failure> admission_failure(const arrival& request,
@@ -452,7 +474,8 @@
     [[nodiscard]] std::optional<failure> limit_failure(const request_state& state,
                                                        const placement& wanted, instant now) const;
     [[nodiscard]] bool is_cut_off_from(const arrival& request, const std::string& target) const;
-    void record_reachability(const request_state& state, const attempt_end& end);
+    [[nodiscard]] std::optional<start_choice> find_peer(const request_state& state, instant now);
+    void record_reachability(const request_state& state, const attempt_end& end, instant now);
     [[nodiscard]] std::optional<start_choice> find_start(const request_state& state, instant now);
     [[nodiscard]] rollout_choice choose_version(const request_state& state, instant now) const;
     [[nodiscard]] placement placement_for(const request_state& state, const std::string& target,
@@ -517,6 +540,7 @@
     suspect_table suspects;
     lost_run_table lost_runs;
     reachability reached;
+    peer_forwarding forwarding;
     std::unordered_set<std::uint64_t> shared_quarantines; // fingerprints
     std::map<ticket_number, request_state> requests;
     std::map<std::string, target_arrivals> arrivals_by_target;
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -39,7 +39,7 @@
 dispatcher::dispatcher(dispatcher_settings chosen)
     : settings(std::move(chosen)), table(this->settings.endpoints), queue(this->settings.queue),
       lost_runs(this->settings.lost_runs), reached(this->settings.reached),
-      random_state(this->settings.seed)
+      forwarding(this->settings.forwarding), random_state(this->settings.seed)
 {}
 
 void dispatcher::on_configuration(configuration_ptr current, instant now)
@@ -142,7 +142,8 @@
 void dispatcher::on_connected(ticket_number ticket, attempt_number attempt)
 {
     const auto found = this->requests.find(ticket);
-    if (found == this->requests.end() || found->second.attempt != attempt) {
+    if (found == this->requests.end() || found->second.attempt != attempt ||
+        found->second.forwarded) {
         return;
     }
     const auto& state = found->second;
@@ -158,9 +159,14 @@
                                     this->table.endpoint_count(target, request.is_service));
 }
 
-void dispatcher::record_reachability(const request_state& state, const attempt_end& end)
+void dispatcher::record_reachability(const request_state& state, const attempt_end& end,
+                                     instant now)
 {
-    if (end.result != attempt_result::unreachable) {
+    const bool is_unreachable = end.result == attempt_result::unreachable;
+    if (state.forwarded && (is_unreachable || end.result == attempt_result::refused)) {
+        this->forwarding.on_refused(state.address, now);
+    }
+    if (state.forwarded || !is_unreachable) {
         return;
     }
     const bool was_cut_off = this->is_cut_off_from(state.request, state.version);
@@ -334,17 +340,45 @@
         target = std::move(chosen.answer.version);
         exposed_by = std::move(chosen.exposed_by);
     }
+    auto peer =
+        this->is_cut_off_from(state.request, target) ? this->find_peer(state, now) : std::nullopt;
+    const bool may_try =
+        state.request.idempotent && this->reached.may_try(state.request.asked, now);
+    if (peer && !may_try) {
+        return peer;
+    }
     auto wanted = this->placement_for(state, target, now);
     wanted.concentrated =
         wanted.concentrated && this->table.has_concentrated_room(wanted, this->fleet_size, now);
     auto address = this->table.choose(wanted, now, this->next_random());
     if (!address) {
-        return std::nullopt;
+        return peer;
     }
     return start_choice{std::move(*address), std::move(target), std::move(exposed_by),
                         wanted.concentrated};
 }
 
+// The other router counts the request as its own, with its own attempts.
+std::optional<dispatcher::start_choice> dispatcher::find_peer(const request_state& state,
+                                                              instant now)
+{
+    if (state.request.forwarded || state.forwardings >= this->settings.max_forwardings) {
+        return std::nullopt;
+    }
+    std::vector<std::string> avoid;
+    for (const auto& [address, incarnation] : state.avoid) {
+        avoid.push_back(address);
+    }
+    auto address = this->forwarding.choose(avoid, this->next_random(), now);
+    if (!address) {
+        return std::nullopt;
+    }
+    start_choice choice;
+    choice.address = std::move(*address);
+    choice.forwarded = true;
+    return choice;
+}
+
 // The operator may remove a team while its requests run, and each of them may be queued again. An
 // unchecked lookup of the team threw here, which ended the router and all its callers' connections.
 // The queue needs a weight, but any will do: nothing of the team starts any more, and the entry is
@@ -412,7 +446,13 @@
     state.resumes = 0;
     state.address = where.address;
     state.version = where.version;
-    state.rollouts.ran_on = where.version;
+    state.forwarded = where.forwarded;
+    if (where.forwarded) {
+        ++state.forwardings;
+    } else {
+        state.rollouts.ran_on = where.version;
+        this->reached.on_try(request.asked, now);
+    }
     state.sent_at = now;
     state.concentrated = where.concentrated;
     if (state.concentrated) {
@@ -437,8 +477,8 @@
     state.prefill_work = request.work.prefill * this->size_factor(state) + cold;
     state.outstanding_work = this->work_of(state) + cold;
     this->table.started(where.address, request.work.kind, state.outstanding_work, state.parts, now);
-    this->actions.emplace_back(
-        start_attempt{request.ticket, state.attempt, where.address, where.version, state.size});
+    this->actions.emplace_back(start_attempt{request.ticket, state.attempt, where.address,
+                                             where.version, state.size, where.forwarded});
 }
 
 // A bad version can answer correctly but several times too slowly. Its response times are compared
@@ -446,7 +486,7 @@
 // piece of a stream is not compared: it may wait up to seconds for other callers' prompts.
 void dispatcher::record_first_token(const request_state& state, duration first_token)
 {
-    if (!state.request.streamed && first_token > duration::zero()) {
+    if (!state.request.streamed && first_token > duration::zero() && !state.forwarded) {
         this->evaluate_speed(state, this->first_tokens, first_token);
     }
 }
@@ -457,7 +497,7 @@
 {
     const auto found = this->requests.find(ticket);
     if (found != this->requests.end() && found->second.attempt == attempt &&
-        !found->second.address.empty() && !found->second.concentrated) {
+        !found->second.address.empty() && !found->second.concentrated && !found->second.forwarded) {
         this->evaluate_speed(found->second, this->paces, between_pieces);
     }
 }
--- a/decision/src/dispatcher_admission.cpp
+++ b/decision/src/dispatcher_admission.cpp
@@ -205,6 +205,11 @@
         return retryable_failure(failure_code::no_endpoint, long_retry_delay,
                                  "no endpoint serves " + target);
     }
+    // The router that forwarded it has other peers to ask.
+    if (request.forwarded && this->is_cut_off_from(request, target)) {
+        return retryable_failure(failure_code::no_endpoint, short_retry_delay,
+                                 "this router can connect to no endpoint of " + target);
+    }
     return this->limit_failure(state, wanted, now);
 }
 
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -43,7 +43,7 @@
         return;
     }
     state.delivered = state.delivered || (state.request.streamed && end.tokens > 0);
-    this->record_reachability(state, end);
+    this->record_reachability(state, end, now);
     switch (end.result) {
     case attempt_result::finished:
         this->after_finish(state, end, now);
@@ -116,7 +116,8 @@
     // unreachable takes no load, so retries after that are free and its callers are not failed for
     // its end. But a request that a leaving endpoint refused did reach it, and is charged like any
     // other.
-    const bool is_free = end.endpoint_leaving || end.result == attempt_result::unreachable;
+    const bool is_free =
+        end.endpoint_leaving || end.result == attempt_result::unreachable || state.forwarded;
     if (end.endpoint_leaving) {
         this->budget_of(request).debit(now);
     }
@@ -238,7 +239,9 @@
                        "the endpoint was lost in the middle of the answer"});
         return;
     }
-    const bool may_retry = this->has_runs_left(state) && this->budget_of(request).try_spend(now);
+    // The other router has used the request's attempts.
+    const bool may_retry =
+        !state.forwarded && this->has_runs_left(state) && this->budget_of(request).try_spend(now);
     if (!may_retry) {
         this->give_up(ticket,
                       {failure_code::endpoint_failed, run_state::unknown, true, short_retry_delay,
@@ -309,9 +312,10 @@
     auto next = state;
     ++next.runs;
     ++next.losses;
-    return state.request.idempotent && this->has_time_for_run(state.request, now) &&
-           this->has_runs_left(next) && budget != this->budgets.end() &&
-           budget->second.can_spend(now) && !this->target_failure(state, now);
+    return state.request.idempotent && !state.forwarded &&
+           this->has_time_for_run(state.request, now) && this->has_runs_left(next) &&
+           budget != this->budgets.end() && budget->second.can_spend(now) &&
+           !this->target_failure(state, now);
 }
 
 // The prompt has been read once the answer begins. If its work were still counted, a prompt of half
@@ -412,7 +416,8 @@
     }
     const bool has_crashed_late =
         state.answer_begun && now - state.answer_begun_at > max_time_to_crash;
-    if (!end.connection_lost || has_crashed_late || this->table.is_leaving(state.address)) {
+    if (!end.connection_lost || state.forwarded || has_crashed_late ||
+        this->table.is_leaving(state.address)) {
         return;
     }
     const lost_run lost{request.fingerprint, state.address, state.incarnation, now - state.sent_at};
--- a/router/include/pearhaven/router/caller_dialect.hpp
+++ b/router/include/pearhaven/router/caller_dialect.hpp
@@ -43,6 +43,10 @@
     decision::duration time_left{}; // until the request's deadline
     std::uint64_t last_event = 0;   // resume the stream after this event; 0: from its start
 
+    // The request goes to another router, at the endpoint's address, which handles it as if the
+    // caller had sent it there.
+    bool forwarded = false;
+
     friend bool operator==(const attempt_terms&, const attempt_terms&) = default;
 };
 
@@ -87,6 +91,11 @@
     [[nodiscard]] virtual answer_facts judge(const routed_request& request,
                                              const adapters::http_response_head& head) const = 0;
 
+    // Like `judge`, for an answer of the router that a request was forwarded to.
+    [[nodiscard]] virtual answer_facts
+    judge_forwarded(const routed_request& request,
+                    const adapters::http_response_head& head) const = 0;
+
     // The header fields of an endpoint's answer that are forwarded to the caller.
     [[nodiscard]] virtual adapters::http_fields
     forwarded_fields(const adapters::http_response_head& head) const = 0;
--- a/router/include/pearhaven/router/event_relay.hpp
+++ b/router/include/pearhaven/router/event_relay.hpp
@@ -32,6 +32,11 @@
     // allowed pause. The rest is left for the first piece of the new run.
     double pause_timeout_ratio = 1.4;
 
+    // If no endpoint has sent anything for this long while several are asked, requests use new
+    // connections: those in use may hang, and only a new one shows quickly whether an endpoint can
+    // be reached.
+    decision::duration common_silence = std::chrono::milliseconds(700);
+
     // How long a piece received on any connection of an endpoint counts as proof that the endpoint
     // is alive.
     decision::duration liveness_window = std::chrono::milliseconds(1500);
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -7,6 +7,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <optional>
+#include <set>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 
@@ -148,6 +151,9 @@
     void carry_out(const decision::announce_finished_run& action);
     void carry_out(const decision::report_reachability& action);
 
+    [[nodiscard]] std::optional<decision::endpoint_host>
+    find_endpoint(const decision::start_attempt& action) const;
+    [[nodiscard]] bool is_nothing_heard() const;
     void set_timeouts(const relayed_request& relayed, adapters::outbound_request& sent) const;
     void apply_notice(ticket_number ticket, const relayed_request& relayed);
     void log_unwanted_send(const relayed_request& relayed) const;
@@ -165,6 +171,7 @@
 
     ticket_number last_ticket = 0;
     std::unordered_map<std::string, endpoint_activity> last_activity; // by endpoint address
+    decision::instant last_heard; // when any endpoint or peer last sent something
     bool running = false;
 };
 
@@ -246,19 +253,21 @@
     relayed.attempt = {};
     relayed.attempt.number = action.attempt;
     relayed.attempt.started = this->loop.now();
-    const auto endpoint = this->dispatcher.endpoints().find(action.address);
+    relayed.attempt.forwarded = action.forwarded;
+    const auto endpoint = this->find_endpoint(action);
     if (!endpoint) {
         this->dispatcher.on_attempt_end(
             {action.ticket, action.attempt, attempt_result::unreachable}, this->loop.now());
         return;
     }
     relayed.attempt.endpoint = *endpoint;
-    relayed.attempt.target_label = action.version;
+    relayed.attempt.target_label = action.forwarded ? "forwarded" : action.version;
     attempt_terms terms;
     terms.endpoint = *endpoint;
     terms.time_left = relayed.request.work.deadline - this->loop.now();
     terms.last_event = relayed.last_event;
-    if (action.size < relayed.request.models.size()) {
+    terms.forwarded = action.forwarded;
+    if (!action.forwarded && action.size < relayed.request.models.size()) {
         terms.model = relayed.request.models[action.size];
         relayed.attempt.target_label += "/" + std::to_string(action.size);
     }
@@ -270,6 +279,39 @@
         new attempt_listener(boost::intrusive_ptr<state>(this), action.ticket, action.attempt));
 }
 
+// The endpoint of the attempt, or the router that takes it over; nothing if it is not known any
+// more.
+std::optional<decision::endpoint_host>
+event_relay::state::find_endpoint(const decision::start_attempt& action) const
+{
+    if (!action.forwarded) {
+        return this->dispatcher.endpoints().find(action.address);
+    }
+    decision::endpoint_host peer;
+    peer.address = action.address;
+    return peer;
+}
+
+// Whether all endpoints that are asked have been silent for so long that the router itself may be
+// cut off from them.
+bool event_relay::state::is_nothing_heard() const
+{
+    const auto now = this->loop.polled_until();
+    if (now - this->last_heard <= this->settings.common_silence) {
+        return false;
+    }
+    std::set<std::string_view> silent;
+    for (const auto& [ticket, relayed] : this->requests) {
+        const auto& attempt = relayed.attempt;
+        const bool waits = attempt.number != 0 && !attempt.forwarded &&
+                           now - attempt.started > this->settings.common_silence;
+        if (waits) {
+            silent.insert(attempt.endpoint.address);
+        }
+    }
+    return silent.size() > 1;
+}
+
 // The timeouts for a silent endpoint apply only if another endpoint may be asked. Otherwise waiting
 // may still yield the answer, and giving up cannot.
 void event_relay::state::set_timeouts(const relayed_request& relayed,
@@ -277,7 +319,7 @@
 {
     const auto& request = relayed.request;
     const auto left = request.work.deadline - this->loop.now();
-    const bool has_other = decision::may_run_again(request.kind) &&
+    const bool has_other = decision::may_run_again(request.kind) && !relayed.attempt.forwarded &&
                            relayed.attempt.number < std::max(request.work.max_attempts, 1U);
     sent.connect_time = std::min(this->settings.connect_time, left);
     // The dispatcher ends requests at their deadline. These later timeouts are a fallback.
@@ -285,7 +327,7 @@
     sent.progress_time = left + this->settings.min_answer_timeout;
     // The endpoint may just have closed a reused connection. A request that must not run twice
     // could then not be sent again, although it never arrived.
-    sent.fresh_connection = !decision::may_run_again(request.kind);
+    sent.fresh_connection = !decision::may_run_again(request.kind) || this->is_nothing_heard();
     if (!has_other) {
         return;
     }
@@ -397,7 +439,9 @@
         return head_verdict::drop;
     }
     auto& current = relayed->attempt;
-    current.facts = this->dialect.judge(relayed->request, head);
+    this->last_heard = this->loop.now();
+    current.facts = current.forwarded ? this->dialect.judge_forwarded(relayed->request, head)
+                                      : this->dialect.judge(relayed->request, head);
     if (current.facts.meaning == answer_meaning::of_other_request) {
         return head_verdict::skip;
     }
@@ -409,7 +453,7 @@
         return head_verdict::take;
     }
     const bool success = current.facts.meaning == answer_meaning::success;
-    if (success && !relayed->began) {
+    if (success && !relayed->began && !current.forwarded) {
         const bool accepted = this->dispatcher.accepts_answer(
             ticket, attempt, current.facts.confidence, this->loop.now());
         if (!accepted) {
@@ -697,6 +741,7 @@
     if (this->last_activity.size() >= max_tracked_endpoints) {
         this->last_activity.clear();
     }
+    this->last_heard = this->loop.now();
     this->last_activity[attempt.endpoint.address] = {attempt.endpoint.incarnation,
                                                      this->loop.now()};
     attempt.silences = 0;
--- a/router/src/peer_messenger.cpp
+++ b/router/src/peer_messenger.cpp
@@ -47,9 +47,24 @@
 
 std::string write_peer(const coordination::peer_router& where)
 {
-    return where.host + ":" + std::to_string(where.port) + " " + where.zone;
+    const auto text = where.host + ":" + std::to_string(where.port) + " " + where.zone;
+    return where.callers_port == 0 ? text : text + " " + std::to_string(where.callers_port);
 }
 
+namespace {
+
+// A number that is a whole port; nothing for any other text.
+std::optional<std::uint16_t> read_port(std::string_view text)
+{
+    std::uint16_t port = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, port);
+    const bool valid = parsed.ec == std::errc() && parsed.ptr == end && port != 0;
+    return valid ? std::make_optional(port) : std::nullopt;
+}
+
+} // namespace
+
 std::optional<coordination::peer_router> read_peer(std::string_view text)
 {
     const auto space = text.find(' ');
@@ -60,11 +75,15 @@
     }
     coordination::peer_router read;
     read.host = address.substr(0, colon);
-    read.zone = space == std::string_view::npos ? std::string_view() : text.substr(space + 1);
-    const auto* end = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, end, read.port);
-    const bool valid = parsed.ec == std::errc() && parsed.ptr == end && read.port != 0;
-    return valid ? std::make_optional(read) : std::nullopt;
+    const auto rest = space == std::string_view::npos ? std::string_view() : text.substr(space + 1);
+    const auto end_of_zone = rest.find(' ');
+    read.zone = rest.substr(0, end_of_zone);
+    if (end_of_zone != std::string_view::npos) {
+        read.callers_port = read_port(rest.substr(end_of_zone + 1)).value_or(0);
+    }
+    const auto port = read_port(address.substr(colon + 1));
+    read.port = port.value_or(0);
+    return port ? std::make_optional(read) : std::nullopt;
 }
 
 peer_messenger::peer_messenger(dependencies all_dependencies, const peer_messenger_settings& chosen)
--- a/router/src/relayed_request.hpp
+++ b/router/src/relayed_request.hpp
@@ -24,6 +24,7 @@
     decision::attempt_number number = 0; // 0: no attempt in flight
     adapters::outbound_number exchange = 0;
     decision::endpoint_host endpoint;
+    bool forwarded = false;   // to another router, at the endpoint's address
     std::string target_label; // version and model size index, for the log
     decision::instant started;
     decision::duration first_token{};
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -88,6 +88,12 @@
         return facts;
     }
 
+    answer_facts judge_forwarded(const routed_request& request,
+                                 const adapters::http_response_head& head) const override
+    {
+        return this->judge(request, head);
+    }
+
     adapters::http_fields
     forwarded_fields(const adapters::http_response_head& /*head*/) const override
     {
--- a/router/test/peer_messenger_test.cpp
+++ b/router/test/peer_messenger_test.cpp
@@ -13,6 +13,14 @@
     CHECK_TRUE(where == *read_peer(write_peer(where)));
 }
 
+TEST(peer_messenger, a_peer_tells_its_port_for_callers)
+{
+    const pearhaven::coordination::peer_router where{"10.1.0.40", 7340, "osu", 8227};
+    STRCMP_EQUAL("10.1.0.40:7340 osu 8227", write_peer(where).c_str());
+    CHECK_TRUE(where == *read_peer(write_peer(where)));
+    CHECK_EQUAL(0U, read_peer("10.1.0.40:7340 osu x")->callers_port);
+}
+
 TEST(peer_messenger, malformed_addresses_are_rejected)
 {
     for (const auto* const text : {"", "osu", ":7340 osu", "10.1.0.40: osu", "10.1.0.40:0 osu",
