--- a/decision/test/lost_run_dispatch_test.cpp
+++ b/decision/test/lost_run_dispatch_test.cpp
@@ -177,6 +177,32 @@
     CHECK_TRUE(this->send(crashing + 1).has_value());
 }
 
+// Guards against a quarantine that ends too soon because the host list told of the crash before the
+// connection did.
+TEST(lost_run_dispatch, a_run_lost_at_an_endpoint_that_has_left_the_host_list_is_confirmed)
+{
+    for (const auto* const id : {"x", "y", "z"}) {
+        this->fleet.now += seconds(1);
+        this->fleet.router->on_peer_lost_run({crashing, id, 0}, this->fleet.now);
+    }
+    this->fleet.now += seconds(60);
+    CHECK_FALSE(this->send().has_value());
+}
+
+TEST(lost_run_dispatch, an_own_run_lost_after_its_endpoint_left_the_host_list_is_confirmed)
+{
+    for (int i = 0; i < 3; ++i) {
+        const auto run = this->send();
+        CHECK_TRUE(run.has_value());
+        this->fleet.router->on_host_changes({{}, {run->address}}, this->fleet.now);
+        this->fleet.now += milliseconds(300);
+        this->fleet.end(*run, attempt_result::failed, true);
+        this->fleet.take_start();
+    }
+    this->fleet.now += seconds(60);
+    CHECK_FALSE(this->send().has_value());
+}
+
 TEST(lost_run_dispatch, the_shared_record_quarantines_and_releases)
 {
     this->fleet.router->on_shared_quarantine(crashing, true);
