--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -78,7 +78,10 @@
         this->completion_times.record(kind_of(request), now - state.arrived);
     }
     this->suspects.on_finished(request.fingerprint, now);
-    this->record_finished_run(request);
+    // Another router's failure does not tell whether an endpoint answered.
+    if (!state.forwarded || !end.answer_reports_failure) {
+        this->record_finished_run(request);
+    }
     if (!request.is_service) {
         this->exposure.on_end(state.version, !end.answer_reports_failure);
         if (end.answer_reports_failure) {
@@ -410,14 +413,16 @@
 void dispatcher::record_lost_run(const request_state& state, const attempt_end& end, instant now)
 {
     const auto& request = state.request;
+    if (state.forwarded) {
+        return;
+    }
     if (end.answered_error) {
         this->record_finished_run(request);
         return;
     }
     const bool has_crashed_late =
         state.answer_begun && now - state.answer_begun_at > max_time_to_crash;
-    if (!end.connection_lost || state.forwarded || has_crashed_late ||
-        this->table.is_leaving(state.address)) {
+    if (!end.connection_lost || has_crashed_late || this->table.is_leaving(state.address)) {
         return;
     }
     const lost_run lost{request.fingerprint, state.address, state.incarnation, now - state.sent_at};
--- a/decision/test/forwarded_dispatch_test.cpp
+++ b/decision/test/forwarded_dispatch_test.cpp
@@ -98,6 +98,29 @@
                this->fleet.find_action<give_up_request>()->why.run == run_state::not_run);
 }
 
+// Guards against a request that crashes endpoints and is cleared by the failure that another router
+// answers.
+TEST(forwarded_dispatch, a_failure_answered_by_another_router_takes_no_lost_run_back)
+{
+    this->cut_off();
+    for (const auto* const id : {"a", "b", "c"}) {
+        this->fleet.now += milliseconds(100);
+        auto request = this->fleet.make_request(true);
+        request.fingerprint = 7;
+        const auto run = this->fleet.send(request);
+        CHECK_TRUE(run.has_value() && run->forwarded);
+        attempt_end answered;
+        answered.ticket = run->ticket;
+        answered.attempt = run->attempt;
+        answered.answered_error = true;
+        this->fleet.router->on_peer_lost_run({7, id, 1}, this->fleet.now);
+        this->fleet.router->on_attempt_end(answered, this->fleet.now);
+        this->fleet.take_start();
+        CHECK_TRUE(this->fleet.find_action<announce_finished_run>() == nullptr);
+    }
+    CHECK_EQUAL(1U, this->fleet.router->quarantined_requests(this->fleet.now).size());
+}
+
 TEST(forwarded_dispatch, without_other_routers_the_endpoints_are_tried)
 {
     this->fleet.router->drop_peer("edge-2");
