--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -322,9 +322,6 @@
 
     [[nodiscard]] std::optional<endpoint_host> find(const std::string& address) const;
 
-    // Whether the host list has that incarnation.
-    [[nodiscard]] bool is_listed(const std::string& address, std::uint64_t incarnation) const;
-
     // Returns 0 for an unknown address.
     [[nodiscard]] std::uint64_t incarnation_of(const std::string& address) const;
     [[nodiscard]] std::vector<std::string> addresses() const;
--- a/decision/include/pearhaven/decision/lost_runs.hpp
+++ b/decision/include/pearhaven/decision/lost_runs.hpp
@@ -5,9 +5,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace pearhaven::decision {
@@ -39,7 +41,8 @@
     // How long a lost run counts whose endpoint has ended.
     duration confirmed_lifetime = std::chrono::minutes(10);
 
-    std::size_t max_requests = 4096; // above this, records that expire first are removed
+    std::size_t max_requests = 4096;    // above this, records that expire first are removed
+    std::size_t max_recent_ends = 4096; // above this, they are forgotten
 };
 
 // Finds requests that crash the endpoints that run them, where an endpoint cannot be asked about a
@@ -51,8 +54,10 @@
 public:
     explicit lost_run_table(lost_run_settings chosen = {}) : settings(chosen) {}
 
-    // `ended`: the endpoint's incarnation is known to have ended.
-    void on_lost_run(const lost_run& lost, bool ended, instant now);
+    void on_lost_run(const lost_run& lost, instant now);
+
+    // The endpoint's incarnation has left the host list. The runs that it lost may be reported
+    // before or after that.
     void on_incarnation_end(const std::string& address, std::uint64_t incarnation, instant now);
 
     // Returns whether lost runs of the request were known.
@@ -74,11 +79,14 @@
     };
 
     using record = std::vector<counted_run>; // in the order of their losses
+    using incarnation_key = std::pair<std::string, std::uint64_t>;
 
+    [[nodiscard]] bool has_ended(const lost_run& lost) const;
     void make_room(instant now);
 
     lost_run_settings settings;
     std::unordered_map<std::uint64_t, record> records; // by fingerprint
+    std::map<incarnation_key, instant> recent_ends;
 };
 
 } // namespace pearhaven::decision
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -121,7 +121,7 @@
 
 void dispatcher::on_peer_lost_run(const lost_run& lost, instant now)
 {
-    this->lost_runs.on_lost_run(lost, !this->table.is_listed(lost.address, lost.incarnation), now);
+    this->lost_runs.on_lost_run(lost, now);
 }
 
 void dispatcher::on_peer_finished_run(std::uint64_t fingerprint)
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -426,7 +426,7 @@
         return;
     }
     const lost_run lost{request.fingerprint, state.address, state.incarnation, now - state.sent_at};
-    this->lost_runs.on_lost_run(lost, !this->table.is_listed(lost.address, lost.incarnation), now);
+    this->lost_runs.on_lost_run(lost, now);
     this->actions.emplace_back(announce_lost_run{lost});
 }
 
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -569,12 +569,6 @@
     return current_host(this->inner->directory, *where);
 }
 
-bool endpoint_table::is_listed(const std::string& address, std::uint64_t incarnation) const
-{
-    const endpoint* where = this->inner->directory.find(address);
-    return where != nullptr && where->listed && where->host.incarnation == incarnation;
-}
-
 std::uint64_t endpoint_table::incarnation_of(const std::string& address) const
 {
     const endpoint* where = this->inner->directory.find(address);
--- a/decision/test/lost_run_dispatch_test.cpp
+++ b/decision/test/lost_run_dispatch_test.cpp
@@ -180,13 +180,27 @@
 // Guards against a quarantine that ends too soon because the host list told of the crash before the
 // connection did.
 TEST(lost_run_dispatch, a_run_lost_at_an_endpoint_that_has_left_the_host_list_is_confirmed)
+{
+    this->fleet.router->on_host_changes({{}, {"a", "b", "c"}}, this->fleet.now);
+    this->lose_runs_elsewhere();
+    this->fleet.now += seconds(60);
+    CHECK_FALSE(this->send().has_value());
+}
+
+// Guards against a request that is refused for ten minutes because a router that was paused hears
+// of lost runs before it hears of the endpoints that lost them.
+TEST(lost_run_dispatch, a_run_lost_at_an_endpoint_that_is_not_known_yet_is_not_confirmed)
 {
     for (const auto* const id : {"x", "y", "z"}) {
         this->fleet.now += seconds(1);
-        this->fleet.router->on_peer_lost_run({crashing, id, 0}, this->fleet.now);
+        this->fleet.router->on_peer_lost_run({crashing, id, 1}, this->fleet.now);
     }
-    this->fleet.now += seconds(60);
     CHECK_FALSE(this->send().has_value());
+    this->fleet.router->on_host_changes(
+        {{one_router::host("x"), one_router::host("y"), one_router::host("z")}, {}},
+        this->fleet.now);
+    this->fleet.now += seconds(16);
+    CHECK_TRUE(this->send().has_value());
 }
 
 TEST(lost_run_dispatch, an_own_run_lost_after_its_endpoint_left_the_host_list_is_confirmed)
--- a/decision/test/lost_runs_test.cpp
+++ b/decision/test/lost_runs_test.cpp
@@ -24,8 +24,11 @@
     instant lose(int count, bool ended, instant first = start)
     {
         for (int i = 0; i < count; ++i) {
-            this->table.on_lost_run({request, "e" + std::to_string(i), 1}, ended,
-                                    first + seconds(i));
+            const auto address = "e" + std::to_string(i);
+            if (ended) {
+                this->table.on_incarnation_end(address, 1, first + seconds(i));
+            }
+            this->table.on_lost_run({request, address, 1}, first + seconds(i));
         }
         return first + seconds(count - 1);
     }
@@ -35,7 +38,8 @@
 {
     const auto second = this->lose(2, true);
     CHECK_FALSE(this->table.quarantined_until(request, second).has_value());
-    this->table.on_lost_run({request, "e9", 1}, true, second + seconds(1));
+    this->table.on_lost_run({request, "e9", 1}, second + seconds(1));
+    this->table.on_incarnation_end("e9", 1, second + seconds(1));
     CHECK_TRUE(this->table.quarantined_until(request, second + seconds(1)) == start + minutes(10));
     CHECK_TRUE(this->table.quarantined(second + seconds(1)) == std::vector<std::uint64_t>{request});
     CHECK_FALSE(this->table.quarantined_until(request + 1, second + seconds(1)).has_value());
@@ -44,11 +48,11 @@
 TEST(lost_runs, a_crash_of_one_incarnation_counts_once)
 {
     for (int i = 0; i < 5; ++i) {
-        this->table.on_lost_run({request, "e1", 1}, true, start + seconds(i));
+        this->table.on_lost_run({request, "e1", 1}, start + seconds(i));
     }
     CHECK_FALSE(this->table.quarantined_until(request, start + seconds(5)).has_value());
-    this->table.on_lost_run({request, "e1", 2}, true, start + seconds(5));
-    this->table.on_lost_run({request, "e1", 3}, true, start + seconds(6));
+    this->table.on_lost_run({request, "e1", 2}, start + seconds(5));
+    this->table.on_lost_run({request, "e1", 3}, start + seconds(6));
     CHECK_TRUE(this->table.quarantined_until(request, start + seconds(6)).has_value());
 }
 
@@ -56,7 +60,7 @@
 TEST(lost_runs, runs_lost_at_the_same_moment_count_once)
 {
     for (int i = 0; i < 20; ++i) {
-        this->table.on_lost_run({request, "e" + std::to_string(i), 1, milliseconds(i)}, true,
+        this->table.on_lost_run({request, "e" + std::to_string(i), 1, milliseconds(i)},
                                 start + milliseconds(i));
     }
     CHECK_FALSE(this->table.quarantined_until(request, start + seconds(1)).has_value());
@@ -64,11 +68,11 @@
 
 TEST(lost_runs, overlapping_runs_count_once_and_later_ones_each)
 {
-    this->table.on_lost_run({request, "e0", 1, milliseconds(400)}, true, start);
-    this->table.on_lost_run({request, "e1", 1, milliseconds(400)}, true, start + milliseconds(100));
-    this->table.on_lost_run({request, "e2", 1, milliseconds(50)}, true, start + milliseconds(150));
+    this->table.on_lost_run({request, "e0", 1, milliseconds(400)}, start);
+    this->table.on_lost_run({request, "e1", 1, milliseconds(400)}, start + milliseconds(100));
+    this->table.on_lost_run({request, "e2", 1, milliseconds(50)}, start + milliseconds(150));
     CHECK_FALSE(this->table.quarantined_until(request, start + milliseconds(150)).has_value());
-    this->table.on_lost_run({request, "e3", 1, milliseconds(50)}, true, start + milliseconds(200));
+    this->table.on_lost_run({request, "e3", 1, milliseconds(50)}, start + milliseconds(200));
     CHECK_TRUE(this->table.quarantined_until(request, start + milliseconds(200)).has_value());
 }
 
@@ -114,7 +118,8 @@
 {
     for (int i = 0; i < 5; ++i) {
         const auto now = start + i * minutes(6);
-        this->table.on_lost_run({request, "e" + std::to_string(i), 1}, true, now);
+        this->table.on_incarnation_end("e" + std::to_string(i), 1, now);
+        this->table.on_lost_run({request, "e" + std::to_string(i), 1}, now);
         CHECK_FALSE(this->table.quarantined_until(request, now).has_value());
     }
 }
@@ -126,7 +131,7 @@
     this->table = lost_run_table(settings);
     const auto third = this->lose(3, true);
     for (std::uint64_t other = 100; other < 150; ++other) {
-        this->table.on_lost_run({other, "e1", 1}, false, third);
+        this->table.on_lost_run({other, "e1", 1}, third);
     }
     LONGS_EQUAL(10, this->table.size());
     CHECK_TRUE(this->table.quarantined_until(request, third).has_value());
