Look for a cut only where an endpoint could not be connected to

The choice of an endpoint counted a target's endpoints for each request; it does so only while one of them is in doubt. One name and one function read more plainly; no behaviour changes.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -302,7 +302,7 @@
     // Whether the routers' shared record holds the request as quarantined.
     void on_shared_quarantine(std::uint64_t fingerprint, bool quarantined);
 
-    [[nodiscard]] bool is_quarantined_by_all(std::uint64_t fingerprint) const
+    [[nodiscard]] bool has_shared_quarantine(std::uint64_t fingerprint) const
     {
         return this->shared_quarantines.count(fingerprint) > 0;
     }
--- a/decision/include/pearhaven/decision/reachability.hpp
+++ b/decision/include/pearhaven/decision/reachability.hpp
@@ -32,6 +32,12 @@
     void on_connected(const std::string& target);
     void on_endpoint_ended(const std::string& endpoint);
 
+    // Whether an endpoint could not be connected to since the last new connection.
+    [[nodiscard]] bool is_in_doubt(const std::string& target) const
+    {
+        return this->targets.count(target) > 0;
+    }
+
     // `endpoints`: the number of the target's endpoints.
     [[nodiscard]] bool is_cut_off(const std::string& target, std::size_t endpoints) const;
 
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -154,7 +154,8 @@
 
 bool dispatcher::is_cut_off_from(const arrival& request, const std::string& target) const
 {
-    return this->reached.is_cut_off(request.asked,
+    return this->reached.is_in_doubt(request.asked) &&
+           this->reached.is_cut_off(request.asked,
                                     this->table.endpoint_count(target, request.is_service));
 }
 
--- a/decision/src/dispatcher_admission.cpp
+++ b/decision/src/dispatcher_admission.cpp
@@ -165,7 +165,7 @@
         return permanent_failure(failure_code::request_quarantined, detail);
     }
     const auto until = this->lost_runs.quarantined_until(request.fingerprint, now);
-    if (!until && !this->is_quarantined_by_all(request.fingerprint)) {
+    if (!until && !this->has_shared_quarantine(request.fingerprint)) {
         return std::nullopt;
     }
     const auto wait = until ? *until - now : this->settings.lost_runs.confirmed_lifetime;
--- a/decision/test/reachability_test.cpp
+++ b/decision/test/reachability_test.cpp
@@ -48,7 +48,9 @@
 TEST(reachability, a_new_connection_ends_the_cut)
 {
     this->lose("api", 3);
+    CHECK_TRUE(this->reached.is_in_doubt("api"));
     this->reached.on_connected("api");
+    CHECK_FALSE(this->reached.is_in_doubt("api"));
     CHECK_FALSE(this->reached.is_cut_off("api", many_endpoints));
 }
 
