--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -98,6 +98,9 @@
 
     // Cost added to `work` where they are not cached; independent of the model.
     std::vector<prompt_part> parts;
+
+    // Fingerprints of the names of the prompt's shared parts, regardless of their positions.
+    std::vector<std::uint64_t> part_names;
     std::uint64_t fingerprint = 0;
     continuation on_loss = continuation::same_run;
 
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -5,6 +5,7 @@
 #include "pearhaven/adapters/log.hpp"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <optional>
@@ -58,6 +59,12 @@
     return attempt_result::failed;
 }
 
+// Fingerprints in hexadecimal, separated by commas.
+std::string text_of(const std::vector<std::uint64_t>& fingerprints)
+{
+    return fmt::format("{:016x}", fmt::join(fingerprints, ","));
+}
+
 const char* name_of(attempt_result result)
 {
     switch (result) {
@@ -459,6 +466,11 @@
         if (!accepted) {
             record_attempt(*relayed,
                            "poor" + std::to_string(static_cast<int>(current.facts.confidence)));
+            adapters::log_change("answer_dropped",
+                                 {{"id", relayed->request.id},
+                                  {"endpoint", current.endpoint.address},
+                                  {"incarnation", std::to_string(current.endpoint.incarnation)},
+                                  {"parts", text_of(relayed->request.work.part_names)}});
             current.number = 0;
             this->run_actions();
             return head_verdict::drop;
@@ -718,9 +730,11 @@
                               {"incarnation", std::to_string(current.endpoint.incarnation)},
                               {"result", name_of(end.result)},
                               {"reused", was_reused ? "true" : "false"},
+                              {"connection_lost", end.connection_lost ? "true" : "false"},
                               {"answer_began", end.answer_began ? "true" : "false"},
                               {"status", std::to_string(current.head.status)},
                               {"events", std::to_string(current.tokens)},
+                              {"parts", text_of(relayed.request.work.part_names)},
                               {"after_ms", milliseconds(this->loop.now() - current.started)}});
     }
     if (end.result == attempt_result::went_silent) {
