Take an answer that ends with its connection for whole

Callers of an endpoint that sends neither a length nor chunks got a broken answer, or one run more: the end of the connection, which is the end of such an answer, was taken for the loss of the connection. The socket reports an orderly close as closed, so the code that ends the message at that point was never reached. Each such run counted as lost with its endpoint, so whole answers were evidence of crashes.

A close without an error now ends the message, and a reset still fails it. A stream that so ends inside an event has been broken off with its connection and counts as a lost run; before, only its retry was started.

Found by the test of the latter, which passed for the wrong reason. Before the change an_answer_without_a_length_ends_with_its_connection and a_stream_without_a_length_ends_with_its_connection failed; with only the socket changed, a_stream_that_ends_with_its_connection_inside_an_event_is_reported_as_lost failed.

--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -194,7 +194,7 @@
         this->close();
         return;
     }
-    if (transfer.outcome == tcp_outcome::closed) {
+    if (transfer.outcome == tcp_outcome::closed && transfer.error != 0) {
         this->fail(outbound_fault::connection_lost);
         return;
     }
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 #include <vector>
@@ -54,6 +55,7 @@
 
     std::vector<std::string> answers; // one for each request, in order
     bool closes = false;              // after each answer
+    bool resets = false; // with `closes`: in a way that the other end sees as a failure
     std::size_t requests = 0;
     std::size_t accepted() const { return this->connections.size(); }
 
@@ -76,6 +78,11 @@
             }
             ++this->owner.requests;
             if (this->owner.closes) {
+                const linger at_once{1, 0};
+                if (this->owner.resets) {
+                    ::setsockopt(this->socket.get(), SOL_SOCKET, SO_LINGER, &at_once,
+                                 sizeof at_once);
+                }
                 this->owner.loop.forget(this->socket.get());
                 this->socket.close();
             }
@@ -284,6 +291,27 @@
     CHECK_TRUE(seen->failure->answer_began);
 }
 
+// Guards against a whole answer that counts as broken because the end of its connection is its end.
+TEST(http_outbound, an_answer_without_a_length_ends_with_its_connection)
+{
+    this->endpoint->answers = {"HTTP/1.1 200 OK\r\n\r\nwhole"};
+    this->endpoint->closes = true;
+    const auto seen = this->ask();
+    CHECK_TRUE(seen->ended);
+    CHECK_FALSE(seen->failure.has_value());
+    STRCMP_EQUAL("whole", seen->body.c_str());
+}
+
+TEST(http_outbound, an_answer_without_a_length_fails_if_its_connection_is_reset)
+{
+    this->endpoint->answers = {"HTTP/1.1 200 OK\r\n\r\nwhole"};
+    this->endpoint->closes = true;
+    this->endpoint->resets = true;
+    const auto seen = this->ask();
+    CHECK_FALSE(seen->ended);
+    CHECK_TRUE(seen->failure->why == outbound_fault::connection_lost);
+}
+
 TEST(http_outbound, malformed_bytes_fail)
 {
     this->endpoint->answers = {"garbage\r\n\r\n"};
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -653,6 +653,7 @@
         end.answer_reports_failure = true;
     } else if (current.events.has_part()) {
         end.result = attempt_result::failed;
+        end.connection_lost = current.head.ends_with_connection;
     } else {
         end.result = attempt_result::finished;
     }
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -1013,6 +1013,70 @@
     CHECK_EQUAL(1U, reports.finished.size());
 }
 
+// Guards against a whole stream that is run again because it ended with its connection.
+TEST(event_relay, a_stream_without_a_length_ends_with_its_connection)
+{
+    recording_reports reports;
+    bool runs_again = false;
+    this->begin();
+    this->relay->report_runs_to(reports);
+    this->script
+        ->when(this->has_run(0),
+               [this] {
+                   this->run_at(0)->send("HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: word\n\n");
+                   this->run_at(0)->end();
+               })
+        .when([this] { return this->caller->ends_with(stream_end()); },
+              [this, &runs_again] {
+                  runs_again = this->has_run(1)();
+                  this->caller->close();
+              });
+    this->finish(false);
+    CHECK_TRUE(reports.lost.empty());
+    CHECK_FALSE(runs_again);
+}
+
+// Guards against crashes that are not counted because the answer ended with its connection, inside
+// an event.
+TEST(event_relay, a_stream_that_ends_with_its_connection_inside_an_event_is_reported_as_lost)
+{
+    recording_reports reports;
+    this->begin();
+    this->relay->report_runs_to(reports);
+    this->script
+        ->when(this->has_run(0),
+               [this] {
+                   this->run_at(0)->send("HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: word\n\nid: 2\nda");
+                   this->run_at(0)->end();
+               })
+        .when(this->has_run(1),
+              [this] { this->run_at(1)->send(stream_head + event(2) + stream_end()); })
+        .when([this] { return this->caller->ends_with(stream_end()); },
+              [this] { this->caller->close(); });
+    this->finish(false);
+    CHECK_EQUAL(1U, reports.lost.size());
+}
+
+// A whole stream whose last event is cut was sent by an endpoint that lives on.
+TEST(event_relay, a_stream_with_an_end_of_its_own_inside_an_event_is_not_reported_as_lost)
+{
+    recording_reports reports;
+    this->begin();
+    this->relay->report_runs_to(reports);
+    this->script
+        ->when(this->has_run(0),
+               [this] {
+                   this->run_at(0)->send(stream_head + event(1) +
+                                         adapters::write_chunk("id: 2\nda") + stream_end());
+               })
+        .when(this->has_run(1),
+              [this] { this->run_at(1)->send(stream_head + event(2) + stream_end()); })
+        .when([this] { return this->caller->ends_with(stream_end()); },
+              [this] { this->caller->close(); });
+    this->finish(false);
+    CHECK_TRUE(reports.lost.empty());
+}
+
 TEST(event_relay, a_malformed_answer_is_not_reported_as_a_lost_run)
 {
     recording_reports reports;
--- a/tests/support/loop_script.hpp
+++ b/tests/support/loop_script.hpp
@@ -99,6 +99,9 @@
         return this->ended;
     }
 
+    // Ends this end's bytes; the other end can still send.
+    void end() { ::shutdown(this->socket, SHUT_WR); }
+
     // Makes the other end's next use of the connection fail.
     void reset()
     {
