--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -227,10 +227,33 @@
         return true;
     }
 
+    // A negative age would put the loss in the future.
+    static bool decode(const wire::LostPrompt& table, decision::lost_prompt& item)
+    {
+        item.target = table.target();
+        item.parts.assign(table.parts()->begin(), table.parts()->end());
+        item.address = decode(table.address());
+        item.incarnation = table.incarnation();
+        item.age = decision::duration(table.age_us());
+        item.has_just_begun = table.just_begun();
+        return table.age_us() >= 0;
+    }
+
+    static bool decode(const wire::AnsweredPrompt& table, decision::answered_prompt& item)
+    {
+        item.target = table.target();
+        item.parts.assign(table.parts()->begin(), table.parts()->end());
+        return true;
+    }
+
     static bool decode(const wire::RunReport& table, run_report& message)
     {
         message.finished.assign(table.finished()->begin(), table.finished()->end());
-        return decode_all(table.lost(), message.lost);
+        return decode_all(table.lost(), message.lost) &&
+               (table.lost_prompts() == nullptr ||
+                decode_all(table.lost_prompts(), message.lost_prompts)) &&
+               (table.answered_prompts() == nullptr ||
+                decode_all(table.answered_prompts(), message.answered_prompts));
     }
 
     template <class Message, class Table>
--- a/adapters/src/peer_encoder.cpp
+++ b/adapters/src/peer_encoder.cpp
@@ -185,11 +185,27 @@
                                    item.ran_for.count());
     }
 
+    offset<wire::LostPrompt> put(const decision::lost_prompt& item)
+    {
+        const auto parts = this->out.CreateVector(item.parts);
+        const text_offset address = this->put(item.address);
+        return wire::CreateLostPrompt(this->out, item.target, parts, address, item.incarnation,
+                                      item.age.count(), item.has_just_begun);
+    }
+
+    offset<wire::AnsweredPrompt> put(const decision::answered_prompt& item)
+    {
+        return wire::CreateAnsweredPrompt(this->out, item.target,
+                                          this->out.CreateVector(item.parts));
+    }
+
     offset<wire::RunReport> put(const run_report& message)
     {
         const auto lost = this->put_all<wire::LostRun>(message.lost);
         const auto finished = this->out.CreateVector(message.finished);
-        return wire::CreateRunReport(this->out, lost, finished);
+        const auto lost_prompts = this->put_all<wire::LostPrompt>(message.lost_prompts);
+        const auto answered = this->put_all<wire::AnsweredPrompt>(message.answered_prompts);
+        return wire::CreateRunReport(this->out, lost, finished, lost_prompts, answered);
     }
 
     // The type of the offset determines the union member.
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -77,6 +77,12 @@
 struct LostRun;
 struct LostRunBuilder;
 
+struct LostPrompt;
+struct LostPromptBuilder;
+
+struct AnsweredPrompt;
+struct AnsweredPromptBuilder;
+
 struct RunReport;
 struct RunReportBuilder;
 
@@ -2119,12 +2125,205 @@
       ran_for_us);
 }
 
+struct LostPrompt FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LostPromptBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TARGET = 4,
+    VT_PARTS = 6,
+    VT_ADDRESS = 8,
+    VT_INCARNATION = 10,
+    VT_AGE_US = 12,
+    VT_JUST_BEGUN = 14
+  };
+  uint64_t target() const {
+    return GetField<uint64_t>(VT_TARGET, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  bool just_begun() const {
+    return GetField<uint8_t>(VT_JUST_BEGUN, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TARGET, 8) &&
+           VerifyOffsetRequired(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           VerifyOffsetRequired(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_JUST_BEGUN, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct LostPromptBuilder {
+  typedef LostPrompt Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_target(uint64_t target) {
+    fbb_.AddElement<uint64_t>(LostPrompt::VT_TARGET, target, 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(LostPrompt::VT_PARTS, parts);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(LostPrompt::VT_ADDRESS, address);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(LostPrompt::VT_INCARNATION, incarnation, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(LostPrompt::VT_AGE_US, age_us, 0);
+  }
+  void add_just_begun(bool just_begun) {
+    fbb_.AddElement<uint8_t>(LostPrompt::VT_JUST_BEGUN, static_cast<uint8_t>(just_begun), 0);
+  }
+  explicit LostPromptBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LostPrompt> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LostPrompt>(end);
+    fbb_.Required(o, LostPrompt::VT_PARTS);
+    fbb_.Required(o, LostPrompt::VT_ADDRESS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LostPrompt> CreateLostPrompt(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t target = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint64_t incarnation = 0,
+    int64_t age_us = 0,
+    bool just_begun = false) {
+  LostPromptBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_incarnation(incarnation);
+  builder_.add_target(target);
+  builder_.add_address(address);
+  builder_.add_parts(parts);
+  builder_.add_just_begun(just_begun);
+  return builder_.Finish();
+}
+
+struct LostPrompt::Traits {
+  using type = LostPrompt;
+  static auto constexpr Create = CreateLostPrompt;
+};
+
+inline flatbuffers::Offset<LostPrompt> CreateLostPromptDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t target = 0,
+    const std::vector<uint64_t> *parts = nullptr,
+    const char *address = nullptr,
+    uint64_t incarnation = 0,
+    int64_t age_us = 0,
+    bool just_begun = false) {
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return pearhaven::adapters::wire::CreateLostPrompt(
+      _fbb,
+      target,
+      parts__,
+      address__,
+      incarnation,
+      age_us,
+      just_begun);
+}
+
+struct AnsweredPrompt FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AnsweredPromptBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TARGET = 4,
+    VT_PARTS = 6
+  };
+  uint64_t target() const {
+    return GetField<uint64_t>(VT_TARGET, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TARGET, 8) &&
+           VerifyOffsetRequired(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct AnsweredPromptBuilder {
+  typedef AnsweredPrompt Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_target(uint64_t target) {
+    fbb_.AddElement<uint64_t>(AnsweredPrompt::VT_TARGET, target, 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(AnsweredPrompt::VT_PARTS, parts);
+  }
+  explicit AnsweredPromptBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AnsweredPrompt> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AnsweredPrompt>(end);
+    fbb_.Required(o, AnsweredPrompt::VT_PARTS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AnsweredPrompt> CreateAnsweredPrompt(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t target = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
+  AnsweredPromptBuilder builder_(_fbb);
+  builder_.add_target(target);
+  builder_.add_parts(parts);
+  return builder_.Finish();
+}
+
+struct AnsweredPrompt::Traits {
+  using type = AnsweredPrompt;
+  static auto constexpr Create = CreateAnsweredPrompt;
+};
+
+inline flatbuffers::Offset<AnsweredPrompt> CreateAnsweredPromptDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t target = 0,
+    const std::vector<uint64_t> *parts = nullptr) {
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  return pearhaven::adapters::wire::CreateAnsweredPrompt(
+      _fbb,
+      target,
+      parts__);
+}
+
 struct RunReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RunReportBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LOST = 4,
-    VT_FINISHED = 6
+    VT_FINISHED = 6,
+    VT_LOST_PROMPTS = 8,
+    VT_ANSWERED_PROMPTS = 10
   };
   const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::LostRun>> *lost() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::LostRun>> *>(VT_LOST);
@@ -2132,6 +2331,12 @@
   const flatbuffers::Vector<uint64_t> *finished() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_FINISHED);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::LostPrompt>> *lost_prompts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::LostPrompt>> *>(VT_LOST_PROMPTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::AnsweredPrompt>> *answered_prompts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::AnsweredPrompt>> *>(VT_ANSWERED_PROMPTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_LOST) &&
@@ -2139,6 +2344,12 @@
            verifier.VerifyVectorOfTables(lost()) &&
            VerifyOffsetRequired(verifier, VT_FINISHED) &&
            verifier.VerifyVector(finished()) &&
+           VerifyOffset(verifier, VT_LOST_PROMPTS) &&
+           verifier.VerifyVector(lost_prompts()) &&
+           verifier.VerifyVectorOfTables(lost_prompts()) &&
+           VerifyOffset(verifier, VT_ANSWERED_PROMPTS) &&
+           verifier.VerifyVector(answered_prompts()) &&
+           verifier.VerifyVectorOfTables(answered_prompts()) &&
            verifier.EndTable();
   }
 };
@@ -2153,6 +2364,12 @@
   void add_finished(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> finished) {
     fbb_.AddOffset(RunReport::VT_FINISHED, finished);
   }
+  void add_lost_prompts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::LostPrompt>>> lost_prompts) {
+    fbb_.AddOffset(RunReport::VT_LOST_PROMPTS, lost_prompts);
+  }
+  void add_answered_prompts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::AnsweredPrompt>>> answered_prompts) {
+    fbb_.AddOffset(RunReport::VT_ANSWERED_PROMPTS, answered_prompts);
+  }
   explicit RunReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2169,8 +2386,12 @@
 inline flatbuffers::Offset<RunReport> CreateRunReport(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::LostRun>>> lost = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> finished = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> finished = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::LostPrompt>>> lost_prompts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::AnsweredPrompt>>> answered_prompts = 0) {
   RunReportBuilder builder_(_fbb);
+  builder_.add_answered_prompts(answered_prompts);
+  builder_.add_lost_prompts(lost_prompts);
   builder_.add_finished(finished);
   builder_.add_lost(lost);
   return builder_.Finish();
@@ -2184,13 +2405,19 @@
 inline flatbuffers::Offset<RunReport> CreateRunReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<pearhaven::adapters::wire::LostRun>> *lost = nullptr,
-    const std::vector<uint64_t> *finished = nullptr) {
+    const std::vector<uint64_t> *finished = nullptr,
+    const std::vector<flatbuffers::Offset<pearhaven::adapters::wire::LostPrompt>> *lost_prompts = nullptr,
+    const std::vector<flatbuffers::Offset<pearhaven::adapters::wire::AnsweredPrompt>> *answered_prompts = nullptr) {
   auto lost__ = lost ? _fbb.CreateVector<flatbuffers::Offset<pearhaven::adapters::wire::LostRun>>(*lost) : 0;
   auto finished__ = finished ? _fbb.CreateVector<uint64_t>(*finished) : 0;
+  auto lost_prompts__ = lost_prompts ? _fbb.CreateVector<flatbuffers::Offset<pearhaven::adapters::wire::LostPrompt>>(*lost_prompts) : 0;
+  auto answered_prompts__ = answered_prompts ? _fbb.CreateVector<flatbuffers::Offset<pearhaven::adapters::wire::AnsweredPrompt>>(*answered_prompts) : 0;
   return pearhaven::adapters::wire::CreateRunReport(
       _fbb,
       lost__,
-      finished__);
+      finished__,
+      lost_prompts__,
+      answered_prompts__);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/adapters/test/peer_message_generators.hpp
+++ b/adapters/test/peer_message_generators.hpp
@@ -44,8 +44,9 @@
                 number(), number(), number() % 2 == 0, few(&message_source::one_entry),
                 number(), time(),   number()};
         case 10:
-            return run_report{few(&message_source::one_lost_run),
-                              *rc::gen::arbitrary<std::vector<std::uint64_t>>()};
+            return run_report{few(&message_source::one_lost_run), numbers(),
+                              few(&message_source::one_lost_prompt),
+                              few(&message_source::one_answered_prompt)};
         default:
             return fact_push{few(&message_source::one_fact)};
         }
@@ -120,6 +121,19 @@
 
     static decision::lost_run one_lost_run() { return {number(), text(), number(), time()}; }
 
+    static std::vector<std::uint64_t> numbers()
+    {
+        return *rc::gen::arbitrary<std::vector<std::uint64_t>>();
+    }
+
+    static decision::lost_prompt one_lost_prompt()
+    {
+        const decision::duration age(*rc::gen::inRange<std::int64_t>(0, std::int64_t{1} << 40U));
+        return {number(), numbers(), text(), number(), age, number() % 2 == 0};
+    }
+
+    static decision::answered_prompt one_answered_prompt() { return {number(), numbers()}; }
+
     static coordination::kv_entry one_entry() { return {text(), text(), number()}; }
 
     static coordination::fact one_fact()
--- a/coordination/include/pearhaven/coordination/peer_exchange.hpp
+++ b/coordination/include/pearhaven/coordination/peer_exchange.hpp
@@ -95,8 +95,12 @@
     on_tick(const std::vector<decision::endpoint_load>& own, const mirror_status& mirror,
             decision::instant now, const std::vector<decision::endpoint_load>& filling = {});
 
-    // The peers that add up the lost runs of the request.
-    [[nodiscard]] std::vector<peer_router> run_report_recipients(std::uint64_t fingerprint) const;
+    // The peers that add up the lost runs of the subject, which is the fingerprint of a request, or
+    // of the target of many.
+    [[nodiscard]] std::vector<peer_router> run_report_recipients(std::uint64_t subject) const;
+
+    // Whether all other routers report the lost runs of the subject to this one.
+    [[nodiscard]] bool is_run_report_recipient(std::uint64_t subject) const;
 
     // The peers in this router's zone.
     [[nodiscard]] std::vector<peer_router> zone_peers() const;
@@ -113,6 +117,7 @@
         decision::instant at;
     };
 
+    [[nodiscard]] static std::uint64_t report_rank(std::uint64_t subject, const std::string& name);
     [[nodiscard]] bool is_due(const std::vector<decision::endpoint_load>& loads,
                               const load_report& last, decision::instant now) const;
     [[nodiscard]] std::vector<const peer_router*> recipients(std::size_t max_count) const;
--- a/coordination/include/pearhaven/coordination/peer_message.hpp
+++ b/coordination/include/pearhaven/coordination/peer_message.hpp
@@ -2,6 +2,7 @@
 #define PEARHAVEN_COORDINATION_PEER_MESSAGE_HPP
 
 #include "pearhaven/coordination/key_value.hpp"
+#include "pearhaven/decision/crashing_parts.hpp"
 #include "pearhaven/decision/endpoint_table.hpp"
 #include "pearhaven/decision/lost_runs.hpp"
 #include "pearhaven/decision/time.hpp"
@@ -162,10 +163,13 @@
     friend bool operator==(const load_push&, const load_push&) = default;
 };
 
-// Runs that the sender lost, and requests of which it has completed a run since it lost one.
+// Runs that the sender lost, and requests of which it has completed a run since it lost one; the
+// same for prompts.
 struct run_report {
     std::vector<decision::lost_run> lost;
     std::vector<std::uint64_t> finished; // fingerprints
+    std::vector<decision::lost_prompt> lost_prompts;
+    std::vector<decision::answered_prompt> answered_prompts;
     friend bool operator==(const run_report&, const run_report&) = default;
 };
 
--- a/coordination/src/peer_exchange.cpp
+++ b/coordination/src/peer_exchange.cpp
@@ -140,11 +140,26 @@
     return {asked->second, mirror_pull{this->pull_count, after, large}};
 }
 
-std::vector<peer_router> peer_exchange::run_report_recipients(std::uint64_t fingerprint) const
+std::uint64_t peer_exchange::report_rank(std::uint64_t subject, const std::string& name)
+{
+    return decision::mix(subject ^ decision::fingerprint("", "", name));
+}
+
+bool peer_exchange::is_run_report_recipient(std::uint64_t subject) const
+{
+    const auto own_rank = report_rank(subject, this->settings.self);
+    const auto before =
+        std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& named) {
+            return report_rank(subject, named.first) < own_rank;
+        });
+    return static_cast<std::size_t>(before) < this->settings.run_report_fanout;
+}
+
+std::vector<peer_router> peer_exchange::run_report_recipients(std::uint64_t subject) const
 {
     std::map<std::uint64_t, const peer_router*> by_rank;
     for (const auto& [name, peer] : this->peers) {
-        by_rank.emplace(decision::mix(fingerprint ^ decision::fingerprint("", "", name)), &peer);
+        by_rank.emplace(report_rank(subject, name), &peer);
     }
     std::vector<peer_router> found;
     for (const auto& [rank, peer] : by_rank) {
--- a/coordination/test/peer_exchange_test.cpp
+++ b/coordination/test/peer_exchange_test.cpp
@@ -213,6 +213,34 @@
 }
 
 // Guards against crashes of one request that are reported to different routers and never add up.
+// Guards against a router that judges by a part of the reports.
+TEST(peer_exchange, a_router_to_which_all_others_report_knows_it)
+{
+    constexpr std::size_t routers = 20;
+    for (std::uint64_t subject = 1; subject <= 50; ++subject) {
+        std::map<std::string, std::size_t> reports;
+        std::set<std::string> recipients;
+        for (std::size_t self = 0; self < routers; ++self) {
+            peer_exchange_settings settings;
+            settings.self = std::to_string(self);
+            peer_exchange exchange(settings);
+            for (std::size_t peer = 0; peer < routers; ++peer) {
+                exchange.set_peer(std::to_string(peer), {std::to_string(peer), 1, "osu"});
+            }
+            for (const auto& recipient : exchange.run_report_recipients(subject)) {
+                ++reports[recipient.host];
+            }
+            if (exchange.is_run_report_recipient(subject)) {
+                recipients.insert(settings.self);
+            }
+        }
+        CHECK_EQUAL(3U, recipients.size());
+        for (const auto& name : recipients) {
+            CHECK_EQUAL(routers - 1, reports[name]);
+        }
+    }
+}
+
 TEST(peer_exchange, lost_runs_of_a_request_are_reported_to_the_same_peers_by_all_routers)
 {
     constexpr int routers = 90;
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -2,6 +2,7 @@
 #define PEARHAVEN_DECISION_DISPATCHER_HPP
 
 #include "pearhaven/decision/configuration.hpp"
+#include "pearhaven/decision/crashing_parts.hpp"
 #include "pearhaven/decision/endpoint_table.hpp"
 #include "pearhaven/decision/fair_queue.hpp"
 #include "pearhaven/decision/lost_runs.hpp"
@@ -19,9 +20,11 @@
 #include "pearhaven/decision/work.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <variant>
 #include <vector>
@@ -206,6 +209,27 @@
     friend bool operator==(const announce_finished_run&, const announce_finished_run&) = default;
 };
 
+// Tells the other routers that a part of the prompt may have crashed the endpoint.
+struct announce_lost_prompt {
+    lost_prompt prompt;
+    friend bool operator==(const announce_lost_prompt&, const announce_lost_prompt&) = default;
+};
+
+// Tells the other routers that an answer was given on the parts of the prompt.
+struct announce_answered_prompt {
+    answered_prompt prompt;
+    friend bool operator==(const announce_answered_prompt&,
+                           const announce_answered_prompt&) = default;
+};
+
+// The request is sent although a part of its prompt is quarantined, to find out whether it still
+// crashes endpoints.
+struct report_quarantine_test {
+    ticket_number ticket = 0;
+    std::uint64_t part = 0;
+    friend bool operator==(const report_quarantine_test&, const report_quarantine_test&) = default;
+};
+
 // Whether this router can open connections to endpoints of the target; it changed.
 struct report_reachability {
     std::string target; // model or service, as requested
@@ -216,7 +240,8 @@
 using dispatch_action =
     std::variant<start_attempt, resume_attempt, cancel_attempt, complete_request, give_up_request,
                  announce_leaving, announce_suspect_status, announce_lost_run,
-                 announce_finished_run, report_reachability>;
+                 announce_finished_run, announce_lost_prompt, announce_answered_prompt,
+                 report_quarantine_test, report_reachability>;
 
 struct dispatcher_settings {
     endpoint_table_settings endpoints;
@@ -238,6 +263,13 @@
     std::uint32_t max_losses = 2;
 
     lost_run_settings lost_runs;
+    crashing_part_settings crashing_parts;
+
+    // Time from the quarantine of a part to its first test, and from each test to the next one,
+    // relative to the time before it.
+    duration first_quarantine_test = std::chrono::seconds(2);
+    int quarantine_test_factor = 4;
+
     reachability_settings reached;
     peer_forwarding_settings forwarding;
 
@@ -302,14 +334,26 @@
     void on_peer_lost_run(const lost_run& lost, instant now);
     void on_peer_finished_run(std::uint64_t fingerprint);
 
-    // Whether the routers' shared record holds the request as quarantined.
-    void on_shared_quarantine(std::uint64_t fingerprint, bool quarantined);
+    // Another router lost the run of a prompt, or an answer was given to it on one.
+    void on_peer_lost_prompt(const lost_prompt& lost, instant now);
+    void on_peer_answered_prompt(const answered_prompt& answered, instant now);
+
+    // Whether the routers' shared record holds the request, or the part of a prompt, as
+    // quarantined.
+    void on_shared_quarantine(std::uint64_t fingerprint, bool quarantined, instant now);
 
     [[nodiscard]] bool has_shared_quarantine(std::uint64_t fingerprint) const
     {
         return this->shared_quarantines.count(fingerprint) > 0;
     }
 
+    // Whether this router is the one that tests the quarantined part: it sends a request with it
+    // from time to time.
+    void set_quarantine_tester(std::uint64_t part, bool is_tester, instant now);
+
+    // The parts that this router refuses whatever the shared record holds.
+    void set_quarantined_parts(const std::vector<std::uint64_t>& parts);
+
     // The routers that may take over requests whose endpoints this router cannot connect to, by the
     // address at which they accept callers' requests.
     void set_peer(const std::string& name, const std::string& address)
@@ -348,6 +392,9 @@
     // A new connection for the attempt was established.
     void on_connected(ticket_number ticket, attempt_number attempt);
 
+    // A piece of the attempt's answer arrived.
+    void on_piece(ticket_number ticket, attempt_number attempt, instant now);
+
     // Reports the typical time between two pieces of the attempt's answer, once there are enough
     // samples or at the end. This detects a version that generates slowly: a single piece may be
     // delayed by other callers' prompts, but the median of several is not.
@@ -391,6 +438,13 @@
     {
         return this->lost_runs.quarantined(now);
     }
+
+    // Parts of prompts that crash endpoints, by the crashes known to this router. A router knows
+    // all crashes of a target only if the others report them to it.
+    [[nodiscard]] std::vector<crashing_part> crashing_parts(instant now)
+    {
+        return this->crashes.crashing_parts(now);
+    }
     [[nodiscard]] const endpoint_table& endpoints() const { return this->table; }
     [[nodiscard]] const configuration_ptr& current() const { return this->config; }
 
@@ -439,6 +493,8 @@
         std::size_t load_level = 0; // with `concentrated`: load level of the endpoint at the start
         bool answer_begun = false;  // the current attempt's answer has begun
         instant answer_begun_at;
+        bool is_prompt_answered = false; // the current attempt would have crashed its endpoint
+        bool is_quarantine_test = false; // sent although a part of its prompt is quarantined
 
         // Work that the endpoint still has to do for the current attempt.
         double outstanding_work = 0.0;
@@ -447,6 +503,18 @@
         rollout_context rollouts;
     };
 
+    // A run that this router ended, or gave up as silent, before its prompt was answered. Its
+    // endpoint may crash because of it afterwards.
+    struct left_run {
+        lost_prompt prompt;
+        instant at;
+    };
+
+    struct quarantine_test {
+        instant next;
+        duration wait{}; // from the next test to the one after it
+    };
+
     struct arrival_counter {
         std::uint32_t in_period = 0;
         double per_second = 0.0;
@@ -465,13 +533,17 @@
         bool forwarded = false;
     };
 
-    [[nodiscard]] std::optional<failure> admission_failure(const arrival& request,
+    [[nodiscard]] std::optional<failure> admission_failure(const request_state& probe,
                                                            instant now) const;
     [[nodiscard]] std::optional<failure> stop_failure(const arrival& request, instant now) const;
     [[nodiscard]] std::optional<failure> load_failure(const arrival& request, instant now) const;
     [[nodiscard]] std::optional<failure> caller_failure(const arrival& request) const;
-    [[nodiscard]] std::optional<failure> quarantine_failure(const arrival& request,
+    [[nodiscard]] std::optional<failure> quarantine_failure(const request_state& state,
+                                                            instant now) const;
+    [[nodiscard]] bool is_quarantined_part(std::uint64_t part) const;
+    [[nodiscard]] std::optional<std::uint64_t> part_to_test(const arrival& request,
                                                             instant now) const;
+    void begin_quarantine_test(request_state& state, std::uint64_t part, instant now);
     [[nodiscard]] std::optional<failure> target_failure(const request_state& state,
                                                         instant now) const;
     [[nodiscard]] std::optional<failure> limit_failure(const request_state& state,
@@ -522,6 +594,13 @@
     [[nodiscard]] bool is_blocked_by_others(const request_state& state, instant now) const;
     void record_lost_run(const request_state& state, const attempt_end& end, instant now);
     void record_finished_run(const arrival& request);
+    [[nodiscard]] lost_prompt prompt_of(const request_state& state, instant now) const;
+    [[nodiscard]] bool may_have_crashed(const request_state& state) const;
+    void record_lost_prompt(const lost_prompt& lost, instant now);
+    void record_left_run(const request_state& state, instant now, bool has_just_begun = false);
+    void record_left_runs_as_lost(const std::string& address, std::uint64_t incarnation,
+                                  duration within, instant now);
+    void record_answered_prompt(request_state& state, instant now);
     void record_ended_incarnations(const std::vector<ended_incarnation>& ended, instant now);
     void mark_crash_suspects(const std::string& address, std::uint64_t incarnation, instant now);
     void record_attempt_end(const request_state& state, attempt_result result, duration first_token,
@@ -542,9 +621,13 @@
     std::map<std::string, retry_budget> budgets; // by requested model or service
     suspect_table suspects;
     lost_run_table lost_runs;
+    crashing_part_table crashes;
+    std::deque<left_run> left_runs;
+    std::unordered_set<std::uint64_t> quarantined_parts;
+    std::unordered_map<std::uint64_t, quarantine_test> quarantine_tests; // by part
     reachability reached;
     peer_forwarding forwarding;
-    std::unordered_set<std::uint64_t> shared_quarantines; // fingerprints
+    std::unordered_set<std::uint64_t> shared_quarantines; // of requests and of parts
     std::map<ticket_number, request_state> requests;
     std::map<std::string, target_arrivals> arrivals_by_target;
     std::map<std::string, std::uint32_t> team_in_flight;
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -38,8 +38,9 @@
 
 dispatcher::dispatcher(dispatcher_settings chosen)
     : settings(std::move(chosen)), table(this->settings.endpoints), queue(this->settings.queue),
-      lost_runs(this->settings.lost_runs), reached(this->settings.reached),
-      forwarding(this->settings.forwarding), random_state(this->settings.seed)
+      lost_runs(this->settings.lost_runs), crashes(this->settings.crashing_parts),
+      reached(this->settings.reached), forwarding(this->settings.forwarding),
+      random_state(this->settings.seed)
 {}
 
 void dispatcher::on_configuration(configuration_ptr current, instant now)
@@ -129,15 +130,46 @@
     this->lost_runs.on_finished(fingerprint);
 }
 
-void dispatcher::on_shared_quarantine(std::uint64_t fingerprint, bool quarantined)
+void dispatcher::on_peer_lost_prompt(const lost_prompt& lost, instant now)
 {
-    if (quarantined) {
-        this->shared_quarantines.insert(fingerprint);
-    } else {
+    this->crashes.on_lost_prompt(lost, now);
+}
+
+void dispatcher::on_peer_answered_prompt(const answered_prompt& answered, instant now)
+{
+    this->crashes.on_answered_prompt(answered, now);
+}
+
+// The routers that quarantined a part may not have heard of the last answers on it.
+void dispatcher::on_shared_quarantine(std::uint64_t fingerprint, bool quarantined, instant now)
+{
+    if (!quarantined) {
         this->shared_quarantines.erase(fingerprint);
+        this->quarantine_tests.erase(fingerprint);
+        return;
+    }
+    this->shared_quarantines.insert(fingerprint);
+    if (const auto target = this->crashes.answered_lately(fingerprint, now)) {
+        this->actions.emplace_back(announce_answered_prompt{{*target, {fingerprint}}});
+    }
+}
+
+void dispatcher::set_quarantine_tester(std::uint64_t part, bool is_tester, instant now)
+{
+    const auto wait = this->settings.first_quarantine_test;
+    if (is_tester) {
+        this->quarantine_tests.try_emplace(
+            part, quarantine_test{now + wait, wait * this->settings.quarantine_test_factor});
+    } else {
+        this->quarantine_tests.erase(part);
     }
 }
 
+void dispatcher::set_quarantined_parts(const std::vector<std::uint64_t>& parts)
+{
+    this->quarantined_parts = {parts.begin(), parts.end()};
+}
+
 void dispatcher::on_connected(ticket_number ticket, attempt_number attempt)
 {
     const auto found = this->requests.find(ticket);
@@ -206,17 +238,22 @@
 
 void dispatcher::on_arrival(arrival request, instant now)
 {
-    if (auto refused = this->admission_failure(request, now)) {
-        this->actions.emplace_back(give_up_request{request.ticket, std::move(*refused)});
-        return;
-    }
-    ++this->team_in_flight[request.team];
     const auto ticket = request.ticket;
     request_state state;
     state.request = std::move(request);
+    const auto tested_part = this->part_to_test(state.request, now);
+    state.is_quarantine_test = tested_part.has_value();
+    if (auto refused = this->admission_failure(state, now)) {
+        this->actions.emplace_back(give_up_request{ticket, std::move(*refused)});
+        return;
+    }
+    ++this->team_in_flight[state.request.team];
     state.lost_at = now; // by another router, if it is already a suspect
     state.arrived = now;
     state.size = first_size(state.request.sizes, this->settings.sizes);
+    if (tested_part) {
+        this->begin_quarantine_test(state, *tested_part, now);
+    }
     state.rollouts.fills_endpoint = fills_endpoint(state.request);
     auto& arrivals = this->arrivals_by_target[state.request.asked];
     ++arrivals.all.in_period;
@@ -461,6 +498,7 @@
     }
     state.answer_begun = false;
     state.answer_begun_at = {};
+    state.is_prompt_answered = false;
     state.size_before_concentration = state.size;
     if (state.concentrated && request.sizes > 0) {
         // The largest model's answers take longest, so their load adds up.
@@ -572,6 +610,7 @@
 void dispatcher::cancel_run(const request_state& state, instant now)
 {
     const auto& request = state.request;
+    this->record_left_run(state, now);
     this->actions.emplace_back(cancel_attempt{request.ticket, state.attempt, state.address});
     this->record_attempt_end(state, attempt_result::cancelled, duration::zero(), now);
     this->queue.settle(request.team, request.work.tokens, request.work.tokens);
--- a/decision/src/dispatcher_admission.cpp
+++ b/decision/src/dispatcher_admission.cpp
@@ -40,8 +40,9 @@
 
 } // namespace
 
-std::optional<failure> dispatcher::admission_failure(const arrival& request, instant now) const
+std::optional<failure> dispatcher::admission_failure(const request_state& probe, instant now) const
 {
+    const auto& request = probe.request;
     if (auto refused = this->stop_failure(request, now)) {
         return refused;
     }
@@ -53,8 +54,6 @@
         return retryable_failure(failure_code::config_unconfirmed, short_retry_delay,
                                  "the configuration in force cannot be confirmed");
     }
-    request_state probe;
-    probe.request = request;
     if (auto refused = this->target_failure(probe, now)) {
         return refused;
     }
@@ -157,8 +156,54 @@
     return std::nullopt;
 }
 
-std::optional<failure> dispatcher::quarantine_failure(const arrival& request, instant now) const
+bool dispatcher::is_quarantined_part(std::uint64_t part) const
 {
+    return this->has_shared_quarantine(part) || this->quarantined_parts.count(part) > 0;
+}
+
+// The part that the request would test; nothing if there is none, or if the request would also be
+// refused for another part.
+std::optional<std::uint64_t> dispatcher::part_to_test(const arrival& request, instant now) const
+{
+    std::optional<std::uint64_t> quarantined;
+    for (const auto part : request.part_names) {
+        if (!this->is_quarantined_part(part) || part == quarantined) {
+            continue;
+        }
+        if (quarantined) {
+            return std::nullopt;
+        }
+        quarantined = part;
+    }
+    if (!quarantined) {
+        return std::nullopt;
+    }
+    const auto test = this->quarantine_tests.find(*quarantined);
+    const bool is_due = test != this->quarantine_tests.end() && now >= test->second.next;
+    return is_due ? quarantined : std::nullopt;
+}
+
+// The largest model's answers are never dropped, so its run shows what becomes of the endpoint.
+void dispatcher::begin_quarantine_test(request_state& state, std::uint64_t part, instant now)
+{
+    auto& test = this->quarantine_tests.at(part);
+    test.next = now + test.wait;
+    test.wait *= this->settings.quarantine_test_factor;
+    state.size = state.request.sizes > 0 ? state.request.sizes - 1 : 0;
+    this->actions.emplace_back(report_quarantine_test{state.request.ticket, part});
+}
+
+std::optional<failure> dispatcher::quarantine_failure(const request_state& state, instant now) const
+{
+    const auto& request = state.request;
+    const bool has_quarantined_part =
+        std::any_of(request.part_names.begin(), request.part_names.end(),
+                    [this](auto part) { return this->is_quarantined_part(part); });
+    if (has_quarantined_part && !state.is_quarantine_test) {
+        return retryable_failure(failure_code::request_quarantined,
+                                 this->settings.crashing_parts.confirmed_lifetime,
+                                 "endpoints have crashed on a part of the prompt");
+    }
     const std::string detail = "endpoints that ran this request have crashed";
     if (this->suspects.status_of(request.fingerprint, now) ==
         suspect_table::suspect_status::quarantined) {
@@ -179,7 +224,7 @@
         return refused;
     }
     const auto& owner = this->config->teams().at(request.team);
-    if (auto refused = this->quarantine_failure(request, now)) {
+    if (auto refused = this->quarantine_failure(state, now)) {
         return refused;
     }
     std::string target = request.asked;
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -22,8 +22,11 @@
 // count as its cause. The known amount of that work is some hundred milliseconds old.
 constexpr double min_explained_silence = 0.5;
 
-// A run that has been answering for longer than this did not crash its endpoint by starting there.
-constexpr duration max_time_to_crash = std::chrono::seconds(1);
+// How long an endpoint that has crashed may stay on the host list.
+constexpr duration max_time_on_list = std::chrono::seconds(5);
+
+// Above this, the oldest are forgotten.
+constexpr std::size_t max_left_runs = 512;
 
 // Refusals after which a request that a rollout step sent to the new version is not sent there any
 // more. No endpoint may have loaded that version yet, which must not cost the caller its answer.
@@ -52,6 +55,8 @@
         this->after_refusal(state, end, now);
         break;
     case attempt_result::unreachable:
+        this->record_left_runs_as_lost(state.address, state.incarnation,
+                                       this->settings.crashing_parts.max_time_to_crash, now);
         state.resumes > 0 ? this->after_loss(state, end, now)
                           : this->after_refusal(state, end, now);
         break;
@@ -78,6 +83,9 @@
         this->completion_times.record(kind_of(request), now - state.arrived);
     }
     this->suspects.on_finished(request.fingerprint, now);
+    if (!end.answer_reports_failure) {
+        this->record_answered_prompt(state, now);
+    }
     // Another router's failure does not tell whether an endpoint answered.
     if (!state.forwarded || !end.answer_reports_failure) {
         this->record_finished_run(request);
@@ -218,6 +226,14 @@
         this->mark_crash_suspects(address, state.incarnation, now);
     }
     this->record_lost_run(state, end, now);
+    if (end.connection_lost && this->may_have_crashed(state)) {
+        this->record_lost_prompt(this->prompt_of(state, now), now);
+        this->record_left_runs_as_lost(address, state.incarnation,
+                                       this->settings.crashing_parts.max_time_to_crash, now);
+    } else if (end.result == attempt_result::went_silent) {
+        this->record_left_run(state, now);
+    }
+    state.is_quarantine_test = false;
     this->record_attempt_end(state, end.result, end.first_token, now, end.answered_error);
     this->queue.settle(request.team, request.work.tokens, request.work.tokens);
     this->record_version_loss(state, end, now);
@@ -376,6 +392,7 @@
         this->record_answer_begin(state, now);
         return true;
     }
+    this->record_left_run(state, now, true);
     this->record_attempt_end(state, attempt_result::cancelled, duration::zero(), now);
     this->queue.settle(request.team, request.work.tokens, this->work_of(state));
     state.address.clear();
@@ -421,7 +438,8 @@
         return;
     }
     const bool has_crashed_late =
-        state.answer_begun && now - state.answer_begun_at > max_time_to_crash;
+        state.answer_begun &&
+        now - state.answer_begun_at > this->settings.crashing_parts.max_time_to_crash;
     if (!end.connection_lost || has_crashed_late || this->table.is_leaving(state.address)) {
         return;
     }
@@ -438,10 +456,107 @@
     }
 }
 
+lost_prompt dispatcher::prompt_of(const request_state& state, instant now) const
+{
+    const auto& request = state.request;
+    const bool has_just_begun =
+        state.answer_begun &&
+        now - state.answer_begun_at <= this->settings.crashing_parts.usual_time_to_crash;
+    return {fingerprint("", request.asked, ""),
+            request.part_names,
+            state.address,
+            state.incarnation,
+            duration::zero(),
+            has_just_begun};
+}
+
+bool dispatcher::may_have_crashed(const request_state& state) const
+{
+    return !state.forwarded && !state.is_prompt_answered && !state.request.part_names.empty() &&
+           !this->table.is_leaving(state.address);
+}
+
+void dispatcher::record_lost_prompt(const lost_prompt& lost, instant now)
+{
+    this->crashes.on_lost_prompt(lost, now);
+    this->actions.emplace_back(announce_lost_prompt{lost});
+}
+
+void dispatcher::record_left_run(const request_state& state, instant now, bool has_just_begun)
+{
+    if (!this->may_have_crashed(state)) {
+        return;
+    }
+    while (!this->left_runs.empty() && (now - this->left_runs.front().at > max_time_on_list ||
+                                        this->left_runs.size() >= max_left_runs)) {
+        this->left_runs.pop_front();
+    }
+    auto prompt = this->prompt_of(state, now);
+    prompt.has_just_begun = prompt.has_just_begun || has_just_begun;
+    this->left_runs.push_back({std::move(prompt), now});
+}
+
+// The endpoint shows that it has crashed, at most that long ago.
+void dispatcher::record_left_runs_as_lost(const std::string& address, std::uint64_t incarnation,
+                                          duration within, instant now)
+{
+    std::erase_if(this->left_runs, [&](left_run& left) {
+        const bool ran_there =
+            left.prompt.address == address && left.prompt.incarnation == incarnation;
+        if (ran_there && now - left.at <= within) {
+            left.prompt.age = now - left.at;
+            left.prompt.has_just_begun =
+                left.prompt.has_just_begun &&
+                left.prompt.age <= this->settings.crashing_parts.usual_time_to_crash;
+            this->record_lost_prompt(left.prompt, now);
+        }
+        return ran_there;
+    });
+}
+
+void dispatcher::on_piece(ticket_number ticket, attempt_number attempt, instant now)
+{
+    const auto found = this->requests.find(ticket);
+    if (found == this->requests.end() || found->second.attempt != attempt) {
+        return;
+    }
+    auto& state = found->second;
+    if (state.answer_begun && !state.is_prompt_answered &&
+        now - state.answer_begun_at > this->settings.crashing_parts.max_time_to_crash) {
+        this->record_answered_prompt(state, now);
+    }
+}
+
+void dispatcher::record_answered_prompt(request_state& state, instant now)
+{
+    const auto& parts = state.request.part_names;
+    if (state.is_prompt_answered || state.forwarded || parts.empty()) {
+        return;
+    }
+    state.is_prompt_answered = true;
+    const answered_prompt answered{fingerprint("", state.request.asked, ""), parts};
+    const bool is_news = this->crashes.on_answered_prompt(answered, now);
+    const bool is_quarantined = std::any_of(
+        parts.begin(), parts.end(), [this](auto part) { return this->is_quarantined_part(part); });
+    if (is_news || is_quarantined) {
+        this->actions.emplace_back(announce_answered_prompt{answered});
+    }
+}
+
+// A run that is still open may answer yet, and then its prompt is cleared again.
 void dispatcher::record_ended_incarnations(const std::vector<ended_incarnation>& ended, instant now)
 {
     for (const auto& one : ended) {
         this->lost_runs.on_incarnation_end(one.address, one.incarnation, now);
+        this->crashes.on_incarnation_end(one.address, one.incarnation, now);
+        this->record_left_runs_as_lost(one.address, one.incarnation, max_time_on_list, now);
+        for (const auto& [ticket, state] : this->requests) {
+            const bool runs_there =
+                state.address == one.address && state.incarnation == one.incarnation;
+            if (runs_there && this->may_have_crashed(state)) {
+                this->record_lost_prompt(this->prompt_of(state, now), now);
+            }
+        }
         this->reached.on_endpoint_ended(one.address);
     }
 }
--- a/decision/test/lost_run_dispatch_test.cpp
+++ b/decision/test/lost_run_dispatch_test.cpp
@@ -219,8 +219,8 @@
 
 TEST(lost_run_dispatch, the_shared_record_quarantines_and_releases)
 {
-    this->fleet.router->on_shared_quarantine(crashing, true);
+    this->fleet.router->on_shared_quarantine(crashing, true, this->fleet.now);
     CHECK_FALSE(this->send().has_value());
-    this->fleet.router->on_shared_quarantine(crashing, false);
+    this->fleet.router->on_shared_quarantine(crashing, false, this->fleet.now);
     CHECK_TRUE(this->send().has_value());
 }
--- a/decision/test/one_router.hpp
+++ b/decision/test/one_router.hpp
@@ -76,6 +76,19 @@
         return nullptr;
     }
 
+    // All of them, in order.
+    template <typename Action>
+    [[nodiscard]] std::vector<Action> find_actions() const
+    {
+        std::vector<Action> found;
+        for (const auto& action : this->actions) {
+            if (const auto* one = std::get_if<Action>(&action)) {
+                found.push_back(*one);
+            }
+        }
+        return found;
+    }
+
     void end(const start_attempt& run, attempt_result result, bool connection_lost = false)
     {
         attempt_end end;
--- a/router/include/pearhaven/router/peer_messenger.hpp
+++ b/router/include/pearhaven/router/peer_messenger.hpp
@@ -65,9 +65,17 @@
     // Sent at once, to the peers that add up the lost runs of the request.
     void on_lost_run(const decision::lost_run& lost) override;
     void on_finished_run(std::uint64_t fingerprint) override;
+    void on_lost_prompt(const decision::lost_prompt& lost) override;
+    void on_answered_prompt(const decision::answered_prompt& answered) override;
+
+    // Whether the other routers report the lost prompts of the target to this one.
+    [[nodiscard]] bool adds_up_crashes_of(std::uint64_t target) const
+    {
+        return this->exchange.is_run_report_recipient(target);
+    }
 
 private:
-    void send_run_report(std::uint64_t fingerprint, const coordination::run_report& report);
+    void send_run_report(std::uint64_t subject, const coordination::run_report& report);
     void handle(const coordination::run_report& report);
     void handle(const std::string& from, const adapters::peer_address& reply_to,
                 const coordination::peer_message& message);
--- a/router/include/pearhaven/router/run_report_listener.hpp
+++ b/router/include/pearhaven/router/run_report_listener.hpp
@@ -1,6 +1,7 @@
 #ifndef PEARHAVEN_ROUTER_RUN_REPORT_LISTENER_HPP
 #define PEARHAVEN_ROUTER_RUN_REPORT_LISTENER_HPP
 
+#include "pearhaven/decision/crashing_parts.hpp"
 #include "pearhaven/decision/lost_runs.hpp"
 
 #include <cstdint>
@@ -15,6 +16,12 @@
 
     // A request of which this router had lost a run has run to its end.
     virtual void on_finished_run(std::uint64_t fingerprint) = 0;
+
+    // A prompt may have crashed the endpoint that ran it.
+    virtual void on_lost_prompt(const decision::lost_prompt& lost) = 0;
+
+    // A prompt was answered of which other routers may know as one that crashes endpoints.
+    virtual void on_answered_prompt(const decision::answered_prompt& answered) = 0;
 };
 
 } // namespace pearhaven::router
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -155,6 +155,9 @@
     void carry_out(const decision::announce_leaving& /*action*/) {}
     void carry_out(const decision::announce_suspect_status& /*action*/) {}
     void carry_out(const decision::announce_lost_run& action);
+    void carry_out(const decision::announce_lost_prompt& action);
+    void carry_out(const decision::announce_answered_prompt& action);
+    void carry_out(const decision::report_quarantine_test& action);
     void carry_out(const decision::announce_finished_run& action);
     void carry_out(const decision::report_reachability& action);
 
@@ -427,6 +430,28 @@
     }
 }
 
+void event_relay::state::carry_out(const decision::announce_lost_prompt& action)
+{
+    if (this->run_reports != nullptr) {
+        this->run_reports->on_lost_prompt(action.prompt);
+    }
+}
+
+void event_relay::state::carry_out(const decision::announce_answered_prompt& action)
+{
+    if (this->run_reports != nullptr) {
+        this->run_reports->on_answered_prompt(action.prompt);
+    }
+}
+
+void event_relay::state::carry_out(const decision::report_quarantine_test& action)
+{
+    const auto found = this->requests.find(action.ticket);
+    const auto id = found == this->requests.end() ? "" : found->second.request.id;
+    adapters::log_change("quarantine_tested",
+                         {{"part", fmt::format("{:016x}", action.part)}, {"id", id}});
+}
+
 void event_relay::state::carry_out(const decision::report_reachability& action)
 {
     adapters::log_change(action.reachable ? "endpoints_reachable" : "endpoints_unreachable",
@@ -546,6 +571,7 @@
         return;
     }
     this->record_activity(relayed->attempt);
+    this->dispatcher.on_piece(ticket, attempt, this->loop.now());
     if (relayed->attempt.use == answer_use::forwarded) {
         if (decision::is_streamed(relayed->request.kind)) {
             this->pass_events(ticket, *relayed, piece);
--- a/router/src/peer_messenger.cpp
+++ b/router/src/peer_messenger.cpp
@@ -165,25 +165,48 @@
     for (const auto fingerprint : report.finished) {
         this->deps.dispatcher.on_peer_finished_run(fingerprint);
     }
+    for (const auto& lost : report.lost_prompts) {
+        this->deps.dispatcher.on_peer_lost_prompt(lost, this->deps.loop.now());
+    }
+    for (const auto& answered : report.answered_prompts) {
+        this->deps.dispatcher.on_peer_answered_prompt(answered, this->deps.loop.now());
+    }
 }
 
 void peer_messenger::on_lost_run(const decision::lost_run& lost)
 {
-    this->send_run_report(lost.fingerprint, {{lost}, {}});
+    coordination::run_report report;
+    report.lost.push_back(lost);
+    this->send_run_report(lost.fingerprint, report);
 }
 
 void peer_messenger::on_finished_run(std::uint64_t fingerprint)
 {
-    this->send_run_report(fingerprint, {{}, {fingerprint}});
+    coordination::run_report report;
+    report.finished.push_back(fingerprint);
+    this->send_run_report(fingerprint, report);
+}
+
+void peer_messenger::on_lost_prompt(const decision::lost_prompt& lost)
+{
+    coordination::run_report report;
+    report.lost_prompts.push_back(lost);
+    this->send_run_report(lost.target, report);
+}
+
+void peer_messenger::on_answered_prompt(const decision::answered_prompt& answered)
+{
+    coordination::run_report report;
+    report.answered_prompts.push_back(answered);
+    this->send_run_report(answered.target, report);
 }
 
-void peer_messenger::send_run_report(std::uint64_t fingerprint,
-                                     const coordination::run_report& report)
+void peer_messenger::send_run_report(std::uint64_t subject, const coordination::run_report& report)
 {
     if (!this->link) {
         return;
     }
-    for (const auto& peer : this->exchange.run_report_recipients(fingerprint)) {
+    for (const auto& peer : this->exchange.run_report_recipients(subject)) {
         this->link->send({peer.host, peer.port}, report);
     }
 }
--- a/router/src/routing_worker.hpp
+++ b/router/src/routing_worker.hpp
@@ -90,6 +90,9 @@
     // Endpoints of this interface tell whether they still know a run, so runs that end with their
     // connection are not reported here.
     void carry_out(const decision::announce_lost_run& /*action*/) {}
+    void carry_out(const decision::announce_lost_prompt& /*action*/) {}
+    void carry_out(const decision::announce_answered_prompt& /*action*/) {}
+    void carry_out(const decision::report_quarantine_test& /*action*/) {}
     void carry_out(const decision::announce_finished_run& /*action*/) {}
     void carry_out(const decision::report_reachability& action);
     void start_engine(request_record& record, const decision::start_attempt& action);
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -134,7 +134,18 @@
         this->finished.push_back(fingerprint);
     }
 
+    void on_lost_prompt(const decision::lost_prompt& prompt) override
+    {
+        this->lost_prompts.push_back(prompt);
+    }
+    void on_answered_prompt(const decision::answered_prompt& prompt) override
+    {
+        this->answered_prompts.push_back(prompt);
+    }
+
     std::vector<decision::lost_run> lost;
+    std::vector<decision::lost_prompt> lost_prompts;
+    std::vector<decision::answered_prompt> answered_prompts;
     std::vector<std::uint64_t> finished;
 };
 
@@ -1013,6 +1024,23 @@
     CHECK_EQUAL(1U, reports.finished.size());
 }
 
+// Guards against crashing parts that no other router hears of.
+TEST(event_relay, lost_and_answered_prompts_are_reported)
+{
+    recording_reports reports;
+    this->dialect.prototype.kind = work_kind::idempotent;
+    this->dialect.prototype.work.part_names = {7};
+    this->begin();
+    this->relay->report_runs_to(reports);
+    this->script->when(this->has_run(0), [this] { this->run_at(0)->reset(); })
+        .when(this->has_run(1), [this] { this->run_at(1)->send(complete_answer("whole")); })
+        .when(this->caller_has("whole"), [this] { this->caller->close(); });
+    this->finish(false);
+    CHECK_EQUAL(1U, reports.lost_prompts.size());
+    CHECK_EQUAL(1U, reports.answered_prompts.size());
+    CHECK_TRUE(reports.lost_prompts[0].parts == reports.answered_prompts[0].parts);
+}
+
 // Guards against a whole stream that is run again because it ended with its connection.
 TEST(event_relay, a_stream_without_a_length_ends_with_its_connection)
 {
