Take no broken connection for a crash if its endpoint answers later

Popular parts were quarantined, as the fake breaks the first run of each stream, and stayed so: a request that tests such a part loses its first run as well.

Cause: a lost run counted as a crash for 15 s even where its endpoint went on answering. A crash is now taken back, here and at the routers that add it up, when its endpoint's incarnation begins to answer a request that was sent after it.

--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -243,6 +243,8 @@
     {
         item.target = table.target();
         item.parts.assign(table.parts()->begin(), table.parts()->end());
+        item.address = decode(table.address());
+        item.incarnation = table.incarnation();
         return true;
     }
 
--- a/adapters/src/peer_encoder.cpp
+++ b/adapters/src/peer_encoder.cpp
@@ -195,8 +195,9 @@
 
     offset<wire::AnsweredPrompt> put(const decision::answered_prompt& item)
     {
-        return wire::CreateAnsweredPrompt(this->out, item.target,
-                                          this->out.CreateVector(item.parts));
+        const auto parts = this->out.CreateVector(item.parts);
+        const text_offset address = this->put(item.address);
+        return wire::CreateAnsweredPrompt(this->out, item.target, parts, address, item.incarnation);
     }
 
     offset<wire::RunReport> put(const run_report& message)
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -2251,7 +2251,9 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TARGET = 4,
-    VT_PARTS = 6
+    VT_PARTS = 6,
+    VT_ADDRESS = 8,
+    VT_INCARNATION = 10
   };
   uint64_t target() const {
     return GetField<uint64_t>(VT_TARGET, 0);
@@ -2259,11 +2261,20 @@
   const flatbuffers::Vector<uint64_t> *parts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
   }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TARGET, 8) &&
            VerifyOffsetRequired(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
+           VerifyOffsetRequired(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            verifier.EndTable();
   }
 };
@@ -2278,6 +2289,12 @@
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
     fbb_.AddOffset(AnsweredPrompt::VT_PARTS, parts);
   }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(AnsweredPrompt::VT_ADDRESS, address);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(AnsweredPrompt::VT_INCARNATION, incarnation, 0);
+  }
   explicit AnsweredPromptBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2286,6 +2303,7 @@
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<AnsweredPrompt>(end);
     fbb_.Required(o, AnsweredPrompt::VT_PARTS);
+    fbb_.Required(o, AnsweredPrompt::VT_ADDRESS);
     return o;
   }
 };
@@ -2293,9 +2311,13 @@
 inline flatbuffers::Offset<AnsweredPrompt> CreateAnsweredPrompt(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t target = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint64_t incarnation = 0) {
   AnsweredPromptBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
   builder_.add_target(target);
+  builder_.add_address(address);
   builder_.add_parts(parts);
   return builder_.Finish();
 }
@@ -2308,12 +2330,17 @@
 inline flatbuffers::Offset<AnsweredPrompt> CreateAnsweredPromptDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t target = 0,
-    const std::vector<uint64_t> *parts = nullptr) {
+    const std::vector<uint64_t> *parts = nullptr,
+    const char *address = nullptr,
+    uint64_t incarnation = 0) {
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
   return pearhaven::adapters::wire::CreateAnsweredPrompt(
       _fbb,
       target,
-      parts__);
+      parts__,
+      address__,
+      incarnation);
 }
 
 struct RunReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/adapters/test/peer_message_generators.hpp
+++ b/adapters/test/peer_message_generators.hpp
@@ -132,7 +132,10 @@
         return {number(), numbers(), text(), number(), age, number() % 2 == 0};
     }
 
-    static decision::answered_prompt one_answered_prompt() { return {number(), numbers()}; }
+    static decision::answered_prompt one_answered_prompt()
+    {
+        return {number(), numbers(), text(), number()};
+    }
 
     static coordination::kv_entry one_entry() { return {text(), text(), number()}; }
 
--- a/coordination/test/crash_fleet.hpp
+++ b/coordination/test/crash_fleet.hpp
@@ -32,6 +32,7 @@
 struct fleet_request {
     std::uint64_t fingerprint = 0;
     std::vector<std::uint64_t> parts; // of its prompt
+    bool breaks_first_runs = false;   // two connections break, and their endpoints live on
     std::uint64_t crash_cause = 0;    // if set, it crashes its endpoint, soon after it is begun
     std::chrono::milliseconds time_to_begin{10};
     std::chrono::milliseconds time_to_end{40};
@@ -358,20 +359,30 @@
                 this->crash(address, cause);
             });
         }
+        if (this->request_of(begun.attempt.ticket).breaks_first_runs &&
+            begun.attempt.attempt <= 2) {
+            this->forget(begun);
+            this->end(begun.router, begun.attempt, decision::attempt_result::failed);
+            return;
+        }
         const bool is_small = begun.attempt.size + 1 < this->options.model_sizes;
         const bool is_poor = is_small && this->next_random() % 100 < 45;
         const bool is_accepted = this->routers[begun.router]->accepts_answer(
             begun.attempt.ticket, begun.attempt.attempt, is_poor ? 0.0 : 100.0, this->now);
         if (!is_accepted) {
-            std::erase_if(this->runs, [&begun](const run& other) {
-                return other.router == begun.router &&
-                       other.attempt.ticket == begun.attempt.ticket &&
-                       other.attempt.attempt == begun.attempt.attempt;
-            });
+            this->forget(begun);
             this->apply_actions(begun.router);
         }
     }
 
+    void forget(const run& ended)
+    {
+        std::erase_if(this->runs, [&ended](const run& one) {
+            return one.router == ended.router && one.attempt.ticket == ended.attempt.ticket &&
+                   one.attempt.attempt == ended.attempt.attempt;
+        });
+    }
+
     [[nodiscard]] bool is_running(const std::string& address) const
     {
         return std::find(this->running.begin(), this->running.end(), address) !=
--- a/coordination/test/crashing_prompts_test.cpp
+++ b/coordination/test/crashing_prompts_test.cpp
@@ -26,6 +26,7 @@
     std::vector<std::uint64_t> crashing_parts = {crashing};
     milliseconds crash_period{200};   // between two prompts with a crashing part
     bool has_same_first_part = false; // all prompts with a crashing part have
+    bool breaks_first_runs = false;   // of the prompts with one of the popular parts
 };
 
 // Prompts of three kinds at any router, some of them with a crashing part: before the other parts,
@@ -108,6 +109,8 @@
         prompt.time_to_begin = milliseconds(50 + this->fleet.next_random() % 300);
         prompt.time_to_end = prompt.time_to_begin + chosen.answer_time;
         prompt.deadline = seconds(10);
+        prompt.breaks_first_runs =
+            this->options.breaks_first_runs && prompt.parts[0] < first_part(0, 500);
         return prompt;
     }
 
@@ -268,6 +271,23 @@
     }
 }
 
+// Guards against prompts that are refused because endpoints break connections without a crash.
+TEST(crashing_prompts, no_part_is_refused_for_long_because_connections_break)
+{
+    for (std::size_t seed = 1; seed <= seeds; ++seed) {
+        crash_fleet fleet(fleet_of(9, seed));
+        prompt_options prompts;
+        prompts.crash_period = seconds(1000);
+        prompts.breaks_first_runs = true;
+        prompt_traffic traffic(fleet, prompts);
+        const auto begin = fleet.now;
+        traffic.simulate(seconds(40));
+        const auto [sent, refused] = traffic.sound_prompts_after(begin);
+        const auto counts = std::to_string(refused) + " of " + std::to_string(sent) + " refused";
+        CHECK_TEXT(100 * refused <= sent, counts.c_str());
+    }
+}
+
 // Guards against prompts that are refused for long after their part has stopped to crash endpoints.
 TEST(crashing_prompts, a_part_that_is_sound_again_is_released)
 {
--- a/decision/include/pearhaven/decision/crashing_parts.hpp
+++ b/decision/include/pearhaven/decision/crashing_parts.hpp
@@ -33,6 +33,10 @@
     std::uint64_t target = 0; // fingerprint of the requested model or service
     std::vector<std::uint64_t> parts;
 
+    // The endpoint, if it was taken for crashed before; else empty.
+    std::string address;
+    std::uint64_t incarnation = 0;
+
     friend bool operator==(const answered_prompt&, const answered_prompt&) = default;
 };
 
@@ -103,6 +107,10 @@
     // lately and no answer on the part has been told since.
     bool on_answered_prompt(const answered_prompt& answered, instant now);
 
+    // The endpoint's incarnation has begun to answer a request that was sent at that time. Returns
+    // whether it was taken for crashed before.
+    bool on_endpoint_answer(const std::string& address, std::uint64_t incarnation, instant sent_at);
+
     // The target for which an answer on the part was given lately; nothing if there is none.
     [[nodiscard]] std::optional<std::uint64_t> answered_lately(std::uint64_t part,
                                                                instant now) const;
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -601,6 +601,7 @@
     void record_left_runs_as_lost(const std::string& address, std::uint64_t incarnation,
                                   duration within, instant now);
     void record_answered_prompt(request_state& state, instant now);
+    void record_endpoint_answer(const request_state& state);
     void record_ended_incarnations(const std::vector<ended_incarnation>& ended, instant now);
     void mark_crash_suspects(const std::string& address, std::uint64_t incarnation, instant now);
     void record_attempt_end(const request_state& state, attempt_result result, duration first_token,
--- a/decision/src/crashing_parts.cpp
+++ b/decision/src/crashing_parts.cpp
@@ -75,9 +75,22 @@
     }
 }
 
+bool crashing_part_table::on_endpoint_answer(const std::string& address, std::uint64_t incarnation,
+                                             instant sent_at)
+{
+    const auto dropped = std::erase_if(this->crashes, [&](const crash& one) {
+        return one.address == address && one.incarnation == incarnation && one.at < sent_at;
+    });
+    this->has_changed = this->has_changed || dropped > 0;
+    return dropped > 0;
+}
+
 bool crashing_part_table::on_answered_prompt(const answered_prompt& given, instant now)
 {
     bool is_news = false;
+    if (!given.address.empty()) {
+        this->on_endpoint_answer(given.address, given.incarnation, now);
+    }
     if (this->answered.size() + given.parts.size() > this->settings.max_answered_parts) {
         this->answered.clear();
     }
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -150,7 +150,7 @@
     }
     this->shared_quarantines.insert(fingerprint);
     if (const auto target = this->crashes.answered_lately(fingerprint, now)) {
-        this->actions.emplace_back(announce_answered_prompt{{*target, {fingerprint}}});
+        this->actions.emplace_back(announce_answered_prompt{{*target, {fingerprint}, "", 0}});
     }
 }
 
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -374,6 +374,7 @@
     }
     auto& state = found->second;
     const auto& request = state.request;
+    this->record_endpoint_answer(state);
     this->record_first_token(state, now - state.sent_at);
     this->first_response_times.record(kind_of(request), now - state.sent_at);
     size_question question;
@@ -534,7 +535,7 @@
         return;
     }
     state.is_prompt_answered = true;
-    const answered_prompt answered{fingerprint("", state.request.asked, ""), parts};
+    const answered_prompt answered{fingerprint("", state.request.asked, ""), parts, "", 0};
     const bool is_news = this->crashes.on_answered_prompt(answered, now);
     const bool is_quarantined = std::any_of(
         parts.begin(), parts.end(), [this](auto part) { return this->is_quarantined_part(part); });
@@ -543,6 +544,16 @@
     }
 }
 
+// A connection that broke is no crash if its endpoint answers later requests.
+void dispatcher::record_endpoint_answer(const request_state& state)
+{
+    if (!state.forwarded &&
+        this->crashes.on_endpoint_answer(state.address, state.incarnation, state.sent_at)) {
+        this->actions.emplace_back(announce_answered_prompt{
+            {fingerprint("", state.request.asked, ""), {}, state.address, state.incarnation}});
+    }
+}
+
 // A run that is still open may answer yet, and then its prompt is cleared again.
 void dispatcher::record_ended_incarnations(const std::vector<ended_incarnation>& ended, instant now)
 {
--- a/decision/test/crashing_part_dispatch_test.cpp
+++ b/decision/test/crashing_part_dispatch_test.cpp
@@ -164,11 +164,29 @@
     this->fleet.take_start();
     const auto* announced = this->fleet.find_action<announce_answered_prompt>();
     CHECK_TRUE(announced != nullptr);
-    CHECK_TRUE(announced->prompt == (answered_prompt{fingerprint("", "api", ""), {innocent}}));
+    CHECK_TRUE(announced->prompt ==
+               (answered_prompt{fingerprint("", "api", ""), {innocent}, "", 0}));
     this->lose(*run);
     LONGS_EQUAL(0, this->announced_part());
 }
 
+// Guards against prompts that are refused because of endpoints that only broke connections.
+TEST(crashing_part_dispatch, an_endpoint_that_answers_after_a_lost_run_is_announced)
+{
+    const auto lost = this->send({innocent});
+    this->lose(*lost);
+    this->fleet.now += seconds(3);
+    std::optional<start_attempt> run;
+    while (!run || run->address != lost->address) {
+        run = this->send({innocent});
+    }
+    CHECK_TRUE(this->begin(*run));
+    this->fleet.take_start();
+    const auto* announced = this->fleet.find_action<announce_answered_prompt>();
+    CHECK_TRUE(announced != nullptr);
+    STRCMP_EQUAL(lost->address.c_str(), announced->prompt.address.c_str());
+}
+
 // Guards against a crashing part that is cleared by an error, or by another router's answer.
 TEST(crashing_part_dispatch, an_error_of_the_endpoint_clears_no_prompt)
 {
--- a/decision/test/crashing_parts_test.cpp
+++ b/decision/test/crashing_parts_test.cpp
@@ -41,7 +41,7 @@
     void answer(const std::vector<std::uint64_t>& parts)
     {
         this->now += milliseconds(10);
-        this->table.on_answered_prompt({target, parts}, this->now);
+        this->table.on_answered_prompt({target, parts, "", 0}, this->now);
     }
 
     std::vector<std::uint64_t> found()
@@ -220,14 +220,33 @@
     CHECK_TRUE(this->found().empty());
 }
 
+// Guards against parts that are refused because of endpoints that only broke connections.
+TEST(crashing_parts, an_endpoint_that_answers_later_has_not_crashed)
+{
+    this->crash_with(crashing, 3);
+    const auto address = "e" + std::to_string(this->crashes);
+    CHECK_FALSE(this->table.on_endpoint_answer(address, 1, this->now));
+    CHECK_FALSE(this->table.on_endpoint_answer(address, 2, this->now + milliseconds(1)));
+    CHECK_FALSE(this->found().empty());
+    CHECK_TRUE(this->table.on_endpoint_answer(address, 1, this->now + milliseconds(1)));
+    CHECK_TRUE(this->found().empty());
+    this->crash_with(crashing, 1);
+    CHECK_FALSE(this->found().empty());
+    const answered_prompt other{target, {}, "e1", 1};
+    this->table.on_answered_prompt(other, this->now);
+    CHECK_TRUE(this->found().empty());
+}
+
 TEST(crashing_parts, an_answer_is_news_to_others_only_after_a_crash)
 {
-    CHECK_FALSE(this->table.on_answered_prompt({target, {innocent}}, this->now));
+    CHECK_FALSE(this->table.on_answered_prompt({target, {innocent}, "", 0}, this->now));
     this->crash({{crashing}});
-    CHECK_TRUE(this->table.on_answered_prompt({target, {innocent}}, this->now + seconds(2)));
-    CHECK_FALSE(this->table.on_answered_prompt({target, {innocent}}, this->now + seconds(2)));
-    CHECK_FALSE(this->table.on_answered_prompt({target, {innocent}}, this->now + seconds(9)));
-    CHECK_TRUE(this->table.on_answered_prompt({target, {crashing}}, this->now + seconds(9)));
+    CHECK_TRUE(this->table.on_answered_prompt({target, {innocent}, "", 0}, this->now + seconds(2)));
+    CHECK_FALSE(
+        this->table.on_answered_prompt({target, {innocent}, "", 0}, this->now + seconds(2)));
+    CHECK_FALSE(
+        this->table.on_answered_prompt({target, {innocent}, "", 0}, this->now + seconds(9)));
+    CHECK_TRUE(this->table.on_answered_prompt({target, {crashing}, "", 0}, this->now + seconds(9)));
 }
 
 TEST(crashing_parts, an_answer_is_remembered_for_a_second)
