Ignore reports of losses older than their evidence lasts, and describe the quarantine of parts

A peer's report with an absurd age would have overflowed the time of the loss. Found by reading. The test a_report_that_is_older_than_its_evidence_lasts_is_ignored comes with the change and was not run on the code before.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -351,7 +351,7 @@
     // from time to time.
     void set_quarantine_tester(std::uint64_t part, bool is_tester, instant now);
 
-    // The parts that this router refuses whatever the shared record holds.
+    // The parts that this router refuses by its own evidence, also while the store is away.
     void set_quarantined_parts(const std::vector<std::uint64_t>& parts);
 
     // The routers that may take over requests whose endpoints this router cannot connect to, by the
@@ -493,7 +493,10 @@
         std::size_t load_level = 0; // with `concentrated`: load level of the endpoint at the start
         bool answer_begun = false;  // the current attempt's answer has begun
         instant answer_begun_at;
-        bool is_prompt_answered = false; // the current attempt would have crashed its endpoint
+
+        // The current attempt has answered to its end, or for longer than an endpoint takes to
+        // crash on a part of its prompt.
+        bool is_prompt_answered = false;
         bool is_quarantine_test = false; // sent although a part of its prompt is quarantined
 
         // Work that the endpoint still has to do for the current attempt.
--- a/decision/src/crashing_parts.cpp
+++ b/decision/src/crashing_parts.cpp
@@ -8,6 +8,9 @@
 void crashing_part_table::on_lost_prompt(const lost_prompt& lost, instant now)
 {
     this->drop_expired(now);
+    if (lost.age >= this->settings.unconfirmed_lifetime) {
+        return;
+    }
     const auto lost_at = now - lost.age;
     auto& found = this->find_or_add(lost, lost_at);
     if (lost_at + this->settings.max_time_to_crash < found.at) {
--- a/decision/test/crashing_parts_test.cpp
+++ b/decision/test/crashing_parts_test.cpp
@@ -191,6 +191,12 @@
     CHECK_TRUE(this->found().empty());
 }
 
+TEST(crashing_parts, a_report_that_is_older_than_its_evidence_lasts_is_ignored)
+{
+    this->table.on_lost_prompt({target, {crashing}, "e1", 1, duration::max(), true}, this->now);
+    LONGS_EQUAL(0, this->table.crash_count());
+}
+
 TEST(crashing_parts, crashes_of_different_targets_do_not_add_up)
 {
     for (std::uint64_t i = 0; i < 4; ++i) {
