--- a/decision/include/pearhaven/decision/crashing_parts.hpp
+++ b/decision/include/pearhaven/decision/crashing_parts.hpp
@@ -1,12 +1,12 @@
 #ifndef PEARHAVEN_DECISION_CRASHING_PARTS_HPP
 #define PEARHAVEN_DECISION_CRASHING_PARTS_HPP
 
+#include "pearhaven/decision/recent_ends.hpp"
 #include "pearhaven/decision/time.hpp"
 
 #include <compare>
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -94,7 +94,9 @@
 // against other parts. Not thread-safe.
 class crashing_part_table {
 public:
-    explicit crashing_part_table(crashing_part_settings chosen = {}) : settings(chosen) {}
+    explicit crashing_part_table(crashing_part_settings chosen = {})
+        : settings(chosen), ends(chosen.unconfirmed_lifetime, chosen.max_recent_ends)
+    {}
 
     void on_lost_prompt(const lost_prompt& lost, instant now);
 
@@ -120,8 +122,6 @@
 
     [[nodiscard]] std::size_t crash_count() const { return this->crashes.size(); }
 
-    [[nodiscard]] const crashing_part_settings& limits() const { return this->settings; }
-
 private:
     struct crash {
         std::uint64_t target = 0;
@@ -132,7 +132,6 @@
         std::unordered_map<std::uint64_t, std::size_t> parts; // with the evidence against them
     };
 
-    using incarnation_key = std::pair<std::string, std::uint64_t>;
     using crash_list = std::vector<const crash*>;                    // in the order of time
     using evidence = std::unordered_map<std::uint64_t, std::size_t>; // by part
 
@@ -149,7 +148,7 @@
 
     crashing_part_settings settings;
     std::vector<crash> crashes; // in the order in which they became known
-    std::map<incarnation_key, instant> recent_ends;
+    recent_ends ends;
     std::unordered_map<std::uint64_t, answer> answered; // by part
     instant last_crash;
     bool has_changed = false;          // since `causes` was computed
--- a/decision/include/pearhaven/decision/lost_runs.hpp
+++ b/decision/include/pearhaven/decision/lost_runs.hpp
@@ -1,15 +1,14 @@
 #ifndef PEARHAVEN_DECISION_LOST_RUNS_HPP
 #define PEARHAVEN_DECISION_LOST_RUNS_HPP
 
+#include "pearhaven/decision/recent_ends.hpp"
 #include "pearhaven/decision/time.hpp"
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace pearhaven::decision {
@@ -52,7 +51,9 @@
 // thread-safe.
 class lost_run_table {
 public:
-    explicit lost_run_table(lost_run_settings chosen = {}) : settings(chosen) {}
+    explicit lost_run_table(lost_run_settings chosen = {})
+        : settings(chosen), ends(chosen.unconfirmed_lifetime, chosen.max_recent_ends)
+    {}
 
     void on_lost_run(const lost_run& lost, instant now);
 
@@ -79,14 +80,12 @@
     };
 
     using record = std::vector<counted_run>; // in the order of their losses
-    using incarnation_key = std::pair<std::string, std::uint64_t>;
 
-    [[nodiscard]] bool has_ended(const lost_run& lost) const;
     void make_room(instant now);
 
     lost_run_settings settings;
     std::unordered_map<std::uint64_t, record> records; // by fingerprint
-    std::map<incarnation_key, instant> recent_ends;
+    recent_ends ends;
 };
 
 } // namespace pearhaven::decision
--- a/decision/src/crashing_parts.cpp
+++ b/decision/src/crashing_parts.cpp
@@ -1,6 +1,7 @@
 #include "pearhaven/decision/crashing_parts.hpp"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace pearhaven::decision {
@@ -54,7 +55,7 @@
     added.address = lost.address;
     added.incarnation = lost.incarnation;
     added.at = lost_at;
-    const bool has_ended = this->recent_ends.count({lost.address, lost.incarnation}) > 0;
+    const bool has_ended = this->ends.contains(lost.address, lost.incarnation);
     added.expires = lost_at + (has_ended ? this->settings.confirmed_lifetime
                                          : this->settings.unconfirmed_lifetime);
     return this->crashes.emplace_back(std::move(added));
@@ -63,13 +64,7 @@
 void crashing_part_table::on_incarnation_end(const std::string& address, std::uint64_t incarnation,
                                              instant now)
 {
-    std::erase_if(this->recent_ends, [this, now](const auto& end) {
-        return now - end.second > this->settings.unconfirmed_lifetime;
-    });
-    if (this->recent_ends.size() >= this->settings.max_recent_ends) {
-        this->recent_ends.clear();
-    }
-    this->recent_ends.insert_or_assign({address, incarnation}, now);
+    this->ends.add(address, incarnation, now);
     this->drop_expired(now);
     for (auto& one : this->crashes) {
         if (one.address == address && one.incarnation == incarnation) {
--- a/decision/src/lost_runs.cpp
+++ b/decision/src/lost_runs.cpp
@@ -21,21 +21,16 @@
     if (runs.size() >= this->settings.max_lost_runs) {
         runs.erase(runs.begin());
     }
-    const auto lifetime = this->has_ended(lost) ? this->settings.confirmed_lifetime
-                                                : this->settings.unconfirmed_lifetime;
+    const auto lifetime = this->ends.contains(lost.address, lost.incarnation)
+                              ? this->settings.confirmed_lifetime
+                              : this->settings.unconfirmed_lifetime;
     runs.push_back({lost.address, lost.incarnation, now, now + lifetime});
 }
 
 void lost_run_table::on_incarnation_end(const std::string& address, std::uint64_t incarnation,
                                         instant now)
 {
-    std::erase_if(this->recent_ends, [this, now](const auto& end) {
-        return now - end.second > this->settings.unconfirmed_lifetime;
-    });
-    if (this->recent_ends.size() >= this->settings.max_recent_ends) {
-        this->recent_ends.clear();
-    }
-    this->recent_ends.insert_or_assign({address, incarnation}, now);
+    this->ends.add(address, incarnation, now);
     for (auto& [fingerprint, runs] : this->records) {
         for (auto& run : runs) {
             if (run.address == address && run.incarnation == incarnation && run.expires > now) {
@@ -45,11 +40,6 @@
     }
 }
 
-bool lost_run_table::has_ended(const lost_run& lost) const
-{
-    return this->recent_ends.count({lost.address, lost.incarnation}) > 0;
-}
-
 bool lost_run_table::on_finished(std::uint64_t fingerprint)
 {
     return this->records.erase(fingerprint) > 0;
