Compare crashing parts by equality only

clang-tidy takes a defaulted three-way comparison for a null pointer. The table sorts its causes by an order of its own.

--- a/decision/include/pearhaven/decision/crashing_parts.hpp
+++ b/decision/include/pearhaven/decision/crashing_parts.hpp
@@ -4,7 +4,6 @@
 #include "pearhaven/decision/recent_ends.hpp"
 #include "pearhaven/decision/time.hpp"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -44,7 +43,7 @@
     std::uint64_t target = 0; // fingerprint of the model or service whose endpoints crashed
     std::uint64_t part = 0;
 
-    friend auto operator<=>(const crashing_part&, const crashing_part&) = default;
+    friend bool operator==(const crashing_part&, const crashing_part&) = default;
 };
 
 struct crashing_part_settings {
--- a/decision/src/crashing_parts.cpp
+++ b/decision/src/crashing_parts.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace pearhaven::decision {
@@ -167,7 +168,9 @@
             std::for_each(found.begin(), found.end(), explain);
         }
     }
-    std::sort(this->causes.begin(), this->causes.end());
+    std::sort(this->causes.begin(), this->causes.end(), [](const auto& left, const auto& right) {
+        return std::tie(left.target, left.part) < std::tie(right.target, right.part);
+    });
 }
 
 // Crashes at the same moment count once.
