Ask for a part's last answer in one place

on_lost_prompt repeated the check of answered_lately. The fleet of the crash tests had an alias and a counter that nothing used. No change of behaviour; decision_tests, crashing_prompts and crashing_requests pass.

--- a/coordination/test/crash_fleet.hpp
+++ b/coordination/test/crash_fleet.hpp
@@ -43,8 +43,6 @@
 // place of an endpoint that has crashed.
 class crash_fleet {
 public:
-    using clock_time = decision::instant;
-
     explicit crash_fleet(const crash_fleet_options& chosen)
         : options(chosen), random_state(chosen.first_seed)
     {
@@ -116,17 +114,17 @@
     }
 
     // Times of the crashes with this cause, and of the sends that had it.
-    [[nodiscard]] const std::vector<clock_time>& crashes(std::uint64_t cause)
+    [[nodiscard]] const std::vector<decision::instant>& crashes(std::uint64_t cause)
     {
         return this->crash_times[cause];
     }
-    [[nodiscard]] const std::vector<clock_time>& crashing_sends(std::uint64_t cause)
+    [[nodiscard]] const std::vector<decision::instant>& crashing_sends(std::uint64_t cause)
     {
         return this->send_times[cause];
     }
 
     // How many of the times are later than that long after the crash of this number.
-    [[nodiscard]] std::size_t count_later_than(const std::vector<clock_time>& times,
+    [[nodiscard]] std::size_t count_later_than(const std::vector<decision::instant>& times,
                                                std::uint64_t cause, std::size_t crash,
                                                decision::duration after)
     {
@@ -136,14 +134,13 @@
         }
         const auto from = known[crash - 1] + after;
         return static_cast<std::size_t>(std::count_if(
-            times.begin(), times.end(), [from](clock_time one) { return one > from; }));
+            times.begin(), times.end(), [from](decision::instant one) { return one > from; }));
     }
 
     std::uint64_t next_random() { return decision::mix(this->random_state++); }
 
-    clock_time now{std::chrono::seconds(100)};
+    decision::instant now{std::chrono::seconds(100)};
     std::size_t refused_innocents = 0; // as requests that crash endpoints
-    std::size_t answered = 0;
 
 private:
     static constexpr auto step = std::chrono::milliseconds(10);
@@ -157,13 +154,13 @@
     struct run {
         std::size_t router = 0;
         decision::start_attempt attempt;
-        clock_time begins;
-        clock_time ends;
+        decision::instant begins;
+        decision::instant ends;
         bool has_begun = false;
     };
 
     struct event {
-        clock_time due;
+        decision::instant due;
         std::function<void()> apply;
     };
 
@@ -277,11 +274,6 @@
         });
     }
 
-    void apply(std::size_t /*router*/, const decision::complete_request& /*action*/)
-    {
-        ++this->answered;
-    }
-
     void apply(std::size_t router, const decision::announce_lost_run& action)
     {
         this->report(router, action.run.fingerprint, [this, run = action.run](auto& peer) {
@@ -501,9 +493,9 @@
     std::vector<std::string> running;         // endpoints
     std::vector<fleet_request> sent_requests; // by ticket, less one
     std::set<decision::ticket_number> quarantined;
-    std::set<std::uint64_t> published;                            // subjects of quarantines
-    std::map<std::uint64_t, std::vector<clock_time>> crash_times; // by cause
-    std::map<std::uint64_t, std::vector<clock_time>> send_times;
+    std::set<std::uint64_t> published;                                   // subjects of quarantines
+    std::map<std::uint64_t, std::vector<decision::instant>> crash_times; // by cause
+    std::map<std::uint64_t, std::vector<decision::instant>> send_times;
     std::vector<run> runs;
     std::vector<event> events;
 };
--- a/coordination/test/crashing_prompts_test.cpp
+++ b/coordination/test/crashing_prompts_test.cpp
@@ -1,6 +1,5 @@
 #include "crash_fleet.hpp"
 
-#include <map>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
--- a/decision/src/crashing_parts.cpp
+++ b/decision/src/crashing_parts.cpp
@@ -22,10 +22,7 @@
     const auto weight =
         lost.has_just_begun ? this->settings.strong_evidence : this->settings.weak_evidence;
     for (const auto part : lost.parts) {
-        const auto sound = this->answered.find(part);
-        const bool is_sound = sound != this->answered.end() &&
-                              sound->second.target == lost.target &&
-                              now - sound->second.at < this->settings.answer_lifetime;
+        const bool is_sound = this->answered_lately(part, now) == lost.target;
         if (!is_sound && (found.parts.count(part) > 0 ||
                           found.parts.size() < this->settings.max_parts_per_crash)) {
             auto& known = found.parts[part];
