Keep the newest statement about a limit in a class of its own

Which of two statements of an endpoint is newer, and what peers are told of it, is the same for every limit that endpoints state. No change of behaviour: the tests of request limits pass as they are.

--- a/decision/src/request_limit.hpp
+++ b/decision/src/request_limit.hpp
@@ -2,6 +2,7 @@
 #define PEARHAVEN_DECISION_SRC_REQUEST_LIMIT_HPP
 
 #include "fleet_turns.hpp"
+#include "newest_statement.hpp"
 
 #include "pearhaven/decision/endpoint_table.hpp"
 #include "pearhaven/decision/time.hpp"
@@ -32,20 +33,22 @@
     // When this router may send its next request: now or later.
     [[nodiscard]] instant opens_at(instant now) const;
 
-    [[nodiscard]] std::optional<double> rate() const { return this->current; }
+    [[nodiscard]] std::optional<double> rate() const { return this->statement.value(); }
 
     // Requests per second that this router may send; zero without a limit.
     [[nodiscard]] double own_rate() const { return this->turns_per_s; }
 
     // For the peers. Nothing if no limit was stated lately.
-    [[nodiscard]] std::optional<limit_report> report(instant now) const;
+    [[nodiscard]] std::optional<limit_report> report(instant now) const
+    {
+        return this->statement.report(now);
+    }
 
 private:
-    bool apply(std::optional<double> stated, instant now, const turn_place& place);
+    bool apply(std::optional<double> before, instant now, const turn_place& place);
     [[nodiscard]] double turns(instant now) const;
 
-    std::optional<double> current;
-    instant stated_at; // time of the newest statement
+    newest_statement statement;
     std::size_t fleet_size = 1;
 
     // Number of this router's turns that had begun at `since`, with the part of the present one
