Log how many refusals a brittle endpoint survives, and each refusal by one

Server-Brittle was passed on unread, and nothing told refusals by brittle endpoints from others. It is no input of any decision yet.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -384,10 +384,10 @@
                                       double confidence, instant now);
 
     // An answer to the attempt began with this notice. Call it before the answer's other events.
-    // Returns whether it changes the endpoint's request limit. The endpoint's leaving is announced
-    // to the other routers when it is first stated.
-    bool on_endpoint_notice(ticket_number ticket, attempt_number attempt,
-                            const endpoint_notice& notice, instant now);
+    // Returns which of the endpoint's limits it changes. The endpoint's leaving is announced to the
+    // other routers when it is first stated.
+    limit_changes on_endpoint_notice(ticket_number ticket, attempt_number attempt,
+                                     const endpoint_notice& notice, instant now);
 
     // A new connection for the attempt was established.
     void on_connected(ticket_number ticket, attempt_number attempt);
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -53,9 +53,9 @@
     friend bool operator==(const load_report&, const load_report&) = default;
 };
 
-// The newest statement of an endpoint about its request limit that a router knows of.
+// The newest statement of an endpoint about one of its limits that a router knows of.
 struct limit_report {
-    std::optional<double> rate; // requests per second; nothing: the endpoint states no limit
+    std::optional<double> rate; // per second; nothing: the endpoint states no limit
     duration age{};             // time since the statement
 
     friend bool operator==(const limit_report&, const limit_report&) = default;
@@ -87,9 +87,21 @@
     // It is about to end.
     bool leaving = false;
 
+    // Requests per second, of all routers together, that it can refuse for want of room. It crashes
+    // if it has to refuse more. Stated for as long as it applies, like the request limit.
+    std::optional<double> refusal_limit = {};
+
     friend bool operator==(const endpoint_notice&, const endpoint_notice&) = default;
 };
 
+// Which of an endpoint's limits a notice has changed.
+struct limit_changes {
+    bool requests = false;
+    bool refusals = false;
+
+    friend bool operator==(const limit_changes&, const limit_changes&) = default;
+};
+
 // How an attempt at an endpoint ended.
 enum class attempt_result : std::uint8_t {
     finished,
@@ -253,11 +265,11 @@
                const std::vector<prompt_part>& parts = {}, bool answered = false);
 
     // An endpoint's answer to a request that was sent at `sent` contained this notice. Returns
-    // whether that changes its request limit. A notice of another incarnation is ignored. Answers
-    // on different connections may overtake each other, so a limit ends only with an answer to a
+    // which of its limits that changes. A notice of another incarnation is ignored. Answers on
+    // different connections may overtake each other, so a limit ends only with an answer to a
     // request that was sent after the limit was known.
-    bool noticed(const std::string& address, std::uint64_t incarnation,
-                 const endpoint_notice& notice, instant sent, instant now);
+    limit_changes noticed(const std::string& address, std::uint64_t incarnation,
+                          const endpoint_notice& notice, instant sent, instant now);
 
     // Whether the known incarnation is leaving, by the host list, a peer or its own statement.
     [[nodiscard]] bool is_leaving(const std::string& address) const;
@@ -268,6 +280,12 @@
     // The request limit that the endpoint last stated.
     [[nodiscard]] std::optional<double> request_limit_of(const std::string& address) const;
 
+    // The refusal limit that the endpoint last stated.
+    [[nodiscard]] std::optional<double> refusal_limit_of(const std::string& address) const;
+
+    // Requests in flight there, of this router and of the peers that report to it.
+    [[nodiscard]] double requests_at(const std::string& address) const;
+
     // Part of the work of an attempt in flight is done. `ended` is then called with the rest.
     void work_completed(const std::string& address, double work,
                         std::optional<std::uint64_t> incarnation = std::nullopt);
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -96,22 +96,22 @@
     this->table.mark_leaving(address, incarnation, now);
 }
 
-bool dispatcher::on_endpoint_notice(ticket_number ticket, attempt_number attempt,
-                                    const endpoint_notice& notice, instant now)
+limit_changes dispatcher::on_endpoint_notice(ticket_number ticket, attempt_number attempt,
+                                             const endpoint_notice& notice, instant now)
 {
     const auto found = this->requests.find(ticket);
     if (found == this->requests.end() || found->second.attempt != attempt ||
         found->second.address.empty()) {
-        return false;
+        return {};
     }
     const auto& state = found->second;
     const auto was_leaving = this->table.is_leaving(state.address);
-    const bool changes_limit =
+    const auto changes =
         this->table.noticed(state.address, state.incarnation, notice, state.sent_at, now);
     if (!was_leaving && this->table.is_leaving(state.address)) {
         this->actions.emplace_back(announce_leaving{state.address, state.incarnation});
     }
-    return changes_limit;
+    return changes;
 }
 
 void dispatcher::on_peer_suspect_status(std::uint64_t fingerprint,
--- a/decision/src/endpoint_state.hpp
+++ b/decision/src/endpoint_state.hpp
@@ -5,6 +5,7 @@
 #include "concurrency_limit.hpp"
 #include "endpoint_health.hpp"
 #include "load_estimate.hpp"
+#include "newest_statement.hpp"
 #include "prompt_map.hpp"
 #include "request_limit.hpp"
 
@@ -73,6 +74,7 @@
     double cold_requests_per_s = 0.0; // likewise
     cold_start cold;
     request_limit stated_limit;
+    newest_statement refusal_limit;
     instant rests_until{}; // until then it wants no request from this router
     concurrency_limit limit{1.0};
     load_estimate load;
@@ -93,6 +95,7 @@
         this->parts.clear();
         this->cold = {};
         this->stated_limit = {};
+        this->refusal_limit = {};
         this->rests_until = {};
         this->limit = concurrency_limit(this->limit.ceiling());
         this->load = {};
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -395,19 +395,24 @@
     }
 }
 
-bool endpoint_table::noticed(const std::string& address, std::uint64_t incarnation,
-                             const endpoint_notice& notice, instant sent, instant now)
+limit_changes endpoint_table::noticed(const std::string& address, std::uint64_t incarnation,
+                                      const endpoint_notice& notice, instant sent, instant now)
 {
     endpoint* where = this->inner->directory.find(address);
     if (!has_incarnation(where, incarnation)) {
-        return false;
+        return {};
     }
     if (notice.leaving) {
         this->inner->directory.mark_leaving(address, incarnation, now);
     }
     where->rests_until = std::max(where->rests_until, now + notice.rest.value_or(duration::zero()));
-    return where->stated_limit.on_answer(notice.request_limit, sent, now,
-                                         turn_place_of(*where, this->inner->place));
+    limit_changes changes;
+    changes.requests = where->stated_limit.on_answer(notice.request_limit, sent, now,
+                                                     turn_place_of(*where, this->inner->place));
+    const auto before = where->refusal_limit.value();
+    changes.refusals = where->refusal_limit.on_answer(notice.refusal_limit, sent, now) &&
+                       where->refusal_limit.value() != before;
+    return changes;
 }
 
 bool endpoint_table::is_leaving(const std::string& address) const
@@ -428,6 +433,18 @@
     return where == nullptr ? std::nullopt : where->stated_limit.rate();
 }
 
+std::optional<double> endpoint_table::refusal_limit_of(const std::string& address) const
+{
+    const endpoint* where = this->inner->directory.find(address);
+    return where == nullptr ? std::nullopt : where->refusal_limit.value();
+}
+
+double endpoint_table::requests_at(const std::string& address) const
+{
+    const endpoint* where = this->inner->directory.find(address);
+    return where == nullptr ? 0.0 : this->inner->requests_at(*where);
+}
+
 void endpoint_table::work_completed(const std::string& address, double work,
                                     std::optional<std::uint64_t> incarnation)
 {
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -167,6 +167,9 @@
     void set_timeouts(const relayed_request& relayed, adapters::outbound_request& sent) const;
     void apply_notice(ticket_number ticket, const relayed_request& relayed);
     void log_unwanted_send(const relayed_request& relayed) const;
+    void log_brittle_refusal(const relayed_request& relayed) const;
+    static void log_limit(std::string_view event, std::string_view unit,
+                          std::optional<double> limit, const relayed_request& relayed);
     void end_attempt(relayed_request& relayed, decision::attempt_end end, bool was_reused = false);
     void cut_off(ticket_number ticket, relayed_request& relayed);
     void pass_events(ticket_number ticket, relayed_request& relayed, std::string_view piece);
@@ -525,18 +528,49 @@
                               {"incarnation", std::to_string(current.endpoint.incarnation)},
                               {"id", relayed.request.id}});
     }
-    const bool changes_limit = notice && this->dispatcher.on_endpoint_notice(
-                                             ticket, current.number, *notice, this->loop.now());
-    if (!changes_limit) {
+    if (!notice) {
         return;
     }
-    const auto& limit = notice->request_limit;
-    this->counts.add("pearhaven_endpoint_limits_stated", {});
-    adapters::log_change("endpoint_limit",
-                         {{"endpoint", current.endpoint.address},
-                          {"incarnation", std::to_string(current.endpoint.incarnation)},
-                          {"requests_per_s", limit ? fmt::format("{}", *limit) : "none"},
-                          {"id", relayed.request.id}});
+    const auto changes =
+        this->dispatcher.on_endpoint_notice(ticket, current.number, *notice, this->loop.now());
+    if (changes.requests) {
+        this->counts.add("pearhaven_endpoint_limits_stated", {});
+        log_limit("endpoint_limit", "requests_per_s", notice->request_limit, relayed);
+    }
+    if (changes.refusals) {
+        this->counts.add("pearhaven_endpoint_refusal_limits_stated", {});
+        log_limit("endpoint_refusal_limit", "refusals_per_s", notice->refusal_limit, relayed);
+    }
+}
+
+void event_relay::state::log_limit(std::string_view event, std::string_view unit,
+                                   std::optional<double> limit, const relayed_request& relayed)
+{
+    const auto& endpoint = relayed.attempt.endpoint;
+    adapters::log_change(event, {{"endpoint", endpoint.address},
+                                 {"incarnation", std::to_string(endpoint.incarnation)},
+                                 {unit, limit ? fmt::format("{}", *limit) : "none"},
+                                 {"id", relayed.request.id}});
+}
+
+// The routers' lines together show how much of the limit each of them used.
+void event_relay::state::log_brittle_refusal(const relayed_request& relayed) const
+{
+    const auto& endpoint = relayed.attempt.endpoint;
+    const auto& table = this->dispatcher.endpoints();
+    const auto limit = table.refusal_limit_of(endpoint.address);
+    if (!limit) {
+        return;
+    }
+    this->counts.add("pearhaven_refusals_by_brittle_endpoints", {});
+    adapters::log_change(
+        "brittle_endpoint_refused",
+        {{"id", relayed.request.id},
+         {"endpoint", endpoint.address},
+         {"incarnation", std::to_string(endpoint.incarnation)},
+         {"refusals_per_s", fmt::format("{}", *limit)},
+         {"known_requests", fmt::format("{}", table.requests_at(endpoint.address))},
+         {"attempt", std::to_string(relayed.attempt.number)}});
 }
 
 void event_relay::state::log_unwanted_send(const relayed_request& relayed) const
@@ -671,6 +705,7 @@
     if (is_refusal(current.facts.meaning)) {
         end.result = attempt_result::refused;
         end.endpoint_leaving = current.facts.meaning != answer_meaning::refused;
+        this->log_brittle_refusal(*relayed);
     } else if (current.facts.meaning == answer_meaning::endpoint_error) {
         this->keep_failed_answer(*relayed);
         const bool repeatable = decision::may_run_again(relayed->request.kind);
