--- a/coordination/test/zone_changes_test.cpp
+++ b/coordination/test/zone_changes_test.cpp
@@ -98,7 +98,7 @@
     fleet.simulate(zone_fleet::cold_time + seconds(1));
     const auto warm = fleet.now;
     fleet.simulate(seconds(4));
-    CHECK_COMPARE(fleet.max_held, <=, std::size_t{zone_fleet::slots});
+    CHECK_COMPARE(fleet.max_held, <=, std::size_t{usual_slots});
     const auto share =
         static_cast<double>(fleet.started_in("z0", warm)) / (4.0 * options.requests_per_s);
     CHECK_COMPARE(share, >=, 0.15); // of a quarter
@@ -116,7 +116,7 @@
     fleet.simulate(seconds(4));
     LONGS_EQUAL(0, fleet.started_in("z0", in_force));
     LONGS_EQUAL(0, fleet.refused);
-    CHECK_COMPARE(fleet.max_held, <=, std::size_t{zone_fleet::slots});
+    CHECK_COMPARE(fleet.max_held, <=, std::size_t{usual_slots});
     for (const auto* zone : {"z1", "z2", "z3"}) {
         const auto share = static_cast<double>(fleet.started_in(zone, in_force)) / (4.0 * 400.0);
         CHECK_COMPARE(share, >=, 0.2);
--- a/coordination/test/zone_fleet.hpp
+++ b/coordination/test/zone_fleet.hpp
@@ -19,6 +19,8 @@
 
 namespace pearhaven::coordination::test {
 
+inline constexpr std::uint32_t usual_slots = 48;
+
 struct zone_fleet_options {
     std::size_t routers = 78;
     std::size_t endpoints_per_zone = 22;
@@ -28,6 +30,12 @@
     bool peers_are_heard = true; // whether load reports arrive
     bool at_most_once = false;   // whether a request whose run is lost cannot be sent again
     std::chrono::milliseconds run_time{1200};
+    std::chrono::milliseconds tick{25};
+    std::chrono::milliseconds deadline{10000};
+    std::uint32_t slots = usual_slots;   // as each endpoint declares
+    std::optional<std::uint32_t> room{}; // requests that an endpoint takes; nothing: any number
+    double retry_share_on_arrival = 0.0;
+    std::optional<double> retry_burst{}; // of one router; nothing: the default
 };
 
 // Many routers that place requests on the endpoints of four availability zones and tell each other
@@ -38,7 +46,6 @@
     using duration = decision::duration;
 
     static constexpr std::size_t zones = 4;
-    static constexpr std::uint32_t slots = 48;
     static constexpr auto cold_time = std::chrono::seconds(3);
 
     explicit zone_fleet(const zone_fleet_options& chosen) : options(chosen)
@@ -108,6 +115,56 @@
         }
     }
 
+    // From now on, each of the first `count` endpoints of the zone is brittle: it states in its
+    // answers how many requests a second it can refuse, and crashes if it has to refuse more.
+    // Without a limit it refuses any number.
+    void state_refusal_limit(const std::string& zone, std::size_t count,
+                             std::optional<double> limit)
+    {
+        for (std::size_t i = 0; i < zones * count; ++i) {
+            if (zone_of(i) == zone) {
+                this->notices[host_of(i).address].refusal_limit = limit;
+                this->brittle_since[host_of(i).address] = this->now;
+            }
+        }
+    }
+
+    void set_request_rate(double requests_per_s) { this->options.requests_per_s = requests_per_s; }
+
+    // From now on, each endpoint has room for that many requests.
+    void set_room(std::uint32_t room) { this->options.room = room; }
+
+    // Ends all runs at the first endpoint of the zone. It is back after some seconds.
+    void crash_first_of(const std::string& zone)
+    {
+        for (const auto& [address, its_zone] : this->zone_by_address) {
+            if (its_zone == zone) {
+                this->crash(address);
+                return;
+            }
+        }
+    }
+
+    // A new process takes the place of the router. It knows nothing but the endpoints.
+    void restart_router(std::size_t rank)
+    {
+        for (auto at = this->runs.begin(); at != this->runs.end();) {
+            if (at->router == rank) {
+                --this->held[at->attempt.address];
+                at = this->runs.erase(at);
+            } else {
+                ++at;
+            }
+        }
+        this->routers[rank] = this->make_router(rank);
+        this->routers[rank]->on_configuration(this->make_configuration({}), this->now);
+        for (std::size_t i = 0; i < zones * this->options.endpoints_per_zone; ++i) {
+            auto host = host_of(i);
+            host.incarnation = this->incarnations[host.address];
+            this->routers[rank]->on_host_changes({{host}, {}}, this->now);
+        }
+    }
+
     // From now on, each of the first `count` endpoints of the zone states in its answers that it is
     // leaving.
     void state_leaving(const std::string& zone, std::size_t count)
@@ -151,7 +208,8 @@
 
     void simulate(duration time)
     {
-        for (const auto until = this->now + time; this->now < until; this->now += tick) {
+        for (const auto until = this->now + time; this->now < until;
+             this->now += this->options.tick) {
             this->deliver();
             this->issue_requests();
             this->end_runs();
@@ -197,12 +255,21 @@
 
     instant now{std::chrono::seconds(100)};
     std::size_t refused = 0;
-    std::size_t max_held = 0; // at one endpoint
+    std::size_t finished = 0;
+    std::size_t refused_by_endpoints = 0;
+    std::size_t repeated_sends = 0; // beyond the first of each request
+    std::size_t crashes = 0;        // of brittle endpoints, for what they had to refuse
+    std::size_t max_held = 0;       // at one endpoint
 
 private:
-    static constexpr auto tick = std::chrono::milliseconds(25);
     static constexpr auto report_delay = std::chrono::milliseconds(30);
 
+    // How long after its statement a brittle endpoint tolerates all refusals.
+    static constexpr auto time_to_react = std::chrono::seconds(3);
+
+    static constexpr auto time_to_return = std::chrono::seconds(3);
+    static constexpr auto answer_delay = std::chrono::milliseconds(4);
+
     struct run {
         std::size_t router = 0;
         decision::start_attempt attempt;
@@ -228,7 +295,7 @@
         std::function<void()> apply;
     };
 
-    void add_router(std::size_t rank)
+    std::unique_ptr<decision::dispatcher> make_router(std::size_t rank) const
     {
         decision::dispatcher_settings settings;
         settings.endpoints.compares_all = true;
@@ -239,13 +306,23 @@
         settings.endpoints.zone = zone_of(rank);
         settings.seed = rank + 1;
         settings.endpoints.router_seed = rank + 1;
-        auto& router =
-            *this->routers.emplace_back(std::make_unique<decision::dispatcher>(settings));
-        router.on_config_confirmed(instant::max(), this->now);
+        settings.retry_share_on_arrival = this->options.retry_share_on_arrival;
+        if (this->options.retry_burst) {
+            settings.retry_share = 0.0;
+            settings.retry_burst = *this->options.retry_burst;
+        }
+        auto router = std::make_unique<decision::dispatcher>(settings);
+        router->on_config_confirmed(instant::max(), this->now);
         const auto believed = std::max<std::size_t>(
             1, static_cast<std::size_t>(this->options.believed_size *
                                         static_cast<double>(this->options.routers)));
-        router.on_fleet(rank % believed, believed);
+        router->on_fleet(rank % believed, believed);
+        return router;
+    }
+
+    void add_router(std::size_t rank)
+    {
+        this->routers.push_back(this->make_router(rank));
         peer_exchange_settings peers;
         peers.self = std::to_string(rank);
         peers.zone = zone_of(rank);
@@ -271,7 +348,7 @@
         engines.name = "engines";
         engines.hosts = decision::selector().require("role", {"engine"});
         engines.versions = decision::selector();
-        engines.slots_per_host = slots;
+        engines.slots_per_host = this->options.slots;
         engines.cold_time = cold_time;
         engines.cold_requests_per_s = this->options.cold_requests_per_s;
         decision::configuration_builder builder;
@@ -286,6 +363,7 @@
     {
         const auto address = "10.0.1." + std::to_string(number) + ":80";
         this->zone_by_address[address] = zone_of(number);
+        this->incarnations.try_emplace(address, 1);
         return {address, address, zone_of(number), 1, false, {{"role", "engine"}}};
     }
 
@@ -328,8 +406,8 @@
 
     void issue_requests()
     {
-        this->request_credit +=
-            this->options.requests_per_s * std::chrono::duration<double>(tick).count();
+        this->request_credit += this->options.requests_per_s *
+                                std::chrono::duration<double>(this->options.tick).count();
         for (; this->request_credit >= 1.0; this->request_credit -= 1.0) {
             const auto router = this->next_random() % this->routers.size();
             decision::arrival request;
@@ -339,7 +417,7 @@
             request.idempotent = !this->options.at_most_once;
             request.on_loss = decision::continuation::none;
             request.work = {decision::work_class::lookup, 60.0, 14.0};
-            request.deadline = this->now + std::chrono::seconds(10);
+            request.deadline = this->now + this->options.deadline;
             request.fingerprint = request.ticket;
             this->routers[router]->on_arrival(request, this->now);
             this->apply_actions(router);
@@ -352,7 +430,8 @@
             if (const auto* started = std::get_if<decision::start_attempt>(&action)) {
                 this->starts[started->address].push_back(this->now);
                 this->record_send(router, started->address);
-                if (this->is_refused(router, *started)) {
+                this->repeated_sends += started->attempt > 1 ? 1 : 0;
+                if (this->is_refused(router, *started) || this->is_rejected(router, *started)) {
                     continue;
                 }
                 if (started->address == this->dropping) {
@@ -398,6 +477,81 @@
         return true;
     }
 
+    // Whether the endpoint is down, or has no room for the request.
+    bool is_rejected(std::size_t router, const decision::start_attempt& attempt)
+    {
+        const auto& address = attempt.address;
+        const auto down = this->down_until.find(address);
+        if (down != this->down_until.end() && this->now < down->second) {
+            this->end_later(router, attempt, decision::attempt_result::unreachable);
+            return true;
+        }
+        if (!this->options.room || this->held[address] < *this->options.room) {
+            return false;
+        }
+        ++this->refused_by_endpoints;
+        this->end_later(router, attempt, decision::attempt_result::refused);
+        this->record_refusal(address);
+        return true;
+    }
+
+    void record_refusal(const std::string& address)
+    {
+        const auto notice = this->notices.find(address);
+        const bool is_brittle = notice != this->notices.end() && notice->second.refusal_limit &&
+                                this->now - this->brittle_since[address] >= time_to_react;
+        if (!is_brittle) {
+            return;
+        }
+        auto& refusals = this->refusals[address];
+        refusals.push_back(this->now);
+        while (this->now - refusals.front() >= std::chrono::seconds(1)) {
+            refusals.pop_front();
+        }
+        if (static_cast<double>(refusals.size()) > *notice->second.refusal_limit) {
+            ++this->crashes;
+            this->crash(address);
+        }
+    }
+
+    void crash(const std::string& address)
+    {
+        this->refusals[address].clear();
+        this->held[address] = 0;
+        this->down_until[address] = this->now + time_to_return;
+        std::vector<run> lost;
+        std::erase_if(this->runs, [&](const run& one) {
+            if (one.attempt.address == address) {
+                lost.push_back(one);
+            }
+            return one.attempt.address == address;
+        });
+        for (const auto& one : lost) {
+            this->end_later(one.router, one.attempt, decision::attempt_result::failed);
+        }
+        this->events.push_back({this->now + time_to_return, [this, address] {
+                                    decision::endpoint_host host{address,
+                                                                 address,
+                                                                 this->zone_by_address.at(address),
+                                                                 ++this->incarnations[address],
+                                                                 false,
+                                                                 {{"role", "engine"}}};
+                                    for (auto& router : this->routers) {
+                                        router->on_host_changes({{host}, {}}, this->now);
+                                    }
+                                }});
+    }
+
+    // The router hears of it after a moment, and has sent other requests meanwhile.
+    void end_later(std::size_t router, const decision::start_attempt& attempt,
+                   decision::attempt_result result)
+    {
+        this->events.push_back({this->now + answer_delay, [this, router, attempt, result] {
+                                    this->deliver_notice(router, attempt);
+                                    this->end(router, attempt, result);
+                                }});
+    }
+
     void deliver_notice(std::size_t router, const decision::start_attempt& attempt)
     {
         const auto found = this->notices.find(attempt.address);
@@ -419,6 +573,7 @@
             --this->held[finished.attempt.address];
             this->deliver_notice(finished.router, finished.attempt);
             this->end(finished.router, finished.attempt, decision::attempt_result::finished);
+            ++this->finished;
         }
     }
 
@@ -466,6 +621,10 @@
     std::map<std::string, instant> returned_at;           // by address
     std::map<std::string, std::vector<instant>> starts;   // by address, in order
     std::map<std::string, std::size_t> held;              // by address
+    std::map<std::string, std::uint64_t> incarnations;    // by address
+    std::map<std::string, instant> brittle_since;         // by address
+    std::map<std::string, instant> down_until;            // by address
+    std::map<std::string, std::deque<instant>> refusals;  // of the last second, by address
     std::map<std::string, std::optional<duration>> rests; // by address
     std::map<std::pair<std::string, std::size_t>, std::vector<asked_rest>> asked_rests;
     std::size_t max_in_a_rest = 0;
