Keep what brittle endpoints must refuse within what they survive

Endpoints that said that they are brittle crashed, again and again, under the requests that they had to refuse.

The class is that of the request limits: what an endpoint states about itself is not an input of the choice, and a bound that holds for all routers together is kept by each for itself.

Now, while an endpoint is brittle: one half of four fifths of its room is divided among the routers by rank, the other half by draws that are spread evenly over time, so that the routers keep to the room also without hearing of each other. Where runs are longer than reports take, a router that needs more may have twice its share while there seems to be much room. A refusal shows the room: it shrinks for all endpoints of the group, peers hear of it, and it grows with finished requests and time. After its second refusal a router waits until its share of the refusals allows another. An endpoint that has not answered yet is presumed to be as brittle as its group, and gets one request of each router until it answers: one that crashed returns under another name. Where all endpoints wait, requests are refused at once with the time. Endpoints that are not brittle are used as before.

--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -169,25 +169,31 @@
         return decode_all(table.facts(), message.facts);
     }
 
-    static std::optional<decision::limit_report> decode_limit(const wire::EndpointLoad& table)
+    static std::optional<decision::limit_report> decode_limit(std::int64_t age_us, double rate)
     {
-        if (table.limit_age_us() < 0) {
+        if (age_us < 0) {
             return std::nullopt;
         }
-        const auto rate = table.limit_per_s();
         return decision::limit_report{rate >= 0.0 ? std::make_optional(rate) : std::nullopt,
-                                      decision::duration(table.limit_age_us())};
+                                      decision::duration(age_us)};
     }
 
     static bool decode(const wire::EndpointLoad& table, decision::endpoint_load& item)
     {
         item = {decode(table.address()), table.requests(), table.work(), table.incarnation(), {},
                 table.writing(),         table.in_doubt()};
-        item.limit = decode_limit(table);
+        item.limit = decode_limit(table.limit_age_us(), table.limit_per_s());
+        item.refusal_limit =
+            decode_limit(table.refusal_limit_age_us(), table.refusal_limit_per_s());
+        if (table.room_age_us() >= 0) {
+            item.room =
+                decision::room_report{table.room(), decision::duration(table.room_age_us())};
+        }
         if (table.parts() != nullptr) {
             item.parts.assign(table.parts()->begin(), table.parts()->end());
         }
-        return item.parts.size() <= max_reported_parts && std::isfinite(table.limit_per_s());
+        return item.parts.size() <= max_reported_parts && std::isfinite(table.limit_per_s()) &&
+               std::isfinite(table.refusal_limit_per_s()) && std::isfinite(table.room());
     }
 
     static bool decode(const wire::LoadPush& table, load_push& message)
--- a/adapters/src/peer_encoder.cpp
+++ b/adapters/src/peer_encoder.cpp
@@ -140,14 +140,25 @@
         return wire::CreateFactPush(this->out, this->put_all<wire::Fact>(message.facts));
     }
 
+    template <typename Report>
+    static std::int64_t age_of(const std::optional<Report>& report)
+    {
+        return report ? report->age.count() : -1;
+    }
+
+    static double rate_of(const std::optional<decision::limit_report>& report)
+    {
+        return report ? report->rate.value_or(-1.0) : -1.0;
+    }
+
     offset<wire::EndpointLoad> put(const decision::endpoint_load& item)
     {
         const text_offset address = this->put(item.address);
         const auto parts = this->out.CreateVector(item.parts);
-        return wire::CreateEndpointLoad(this->out, address, item.requests, item.work,
-                                        item.incarnation, parts, item.writing, item.in_doubt,
-                                        item.limit ? item.limit->age.count() : -1,
-                                        item.limit ? item.limit->rate.value_or(-1.0) : -1.0);
+        return wire::CreateEndpointLoad(
+            this->out, address, item.requests, item.work, item.incarnation, parts, item.writing,
+            item.in_doubt, age_of(item.limit), rate_of(item.limit), age_of(item.refusal_limit),
+            rate_of(item.refusal_limit), age_of(item.room), item.room ? item.room->requests : 0.0);
     }
 
     offset<wire::LoadPush> put(const load_push& message)
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -1533,7 +1533,11 @@
     VT_WRITING = 14,
     VT_IN_DOUBT = 16,
     VT_LIMIT_AGE_US = 18,
-    VT_LIMIT_PER_S = 20
+    VT_LIMIT_PER_S = 20,
+    VT_REFUSAL_LIMIT_AGE_US = 22,
+    VT_REFUSAL_LIMIT_PER_S = 24,
+    VT_ROOM_AGE_US = 26,
+    VT_ROOM = 28
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -1562,6 +1566,18 @@
   double limit_per_s() const {
     return GetField<double>(VT_LIMIT_PER_S, -1.0);
   }
+  int64_t refusal_limit_age_us() const {
+    return GetField<int64_t>(VT_REFUSAL_LIMIT_AGE_US, -1LL);
+  }
+  double refusal_limit_per_s() const {
+    return GetField<double>(VT_REFUSAL_LIMIT_PER_S, -1.0);
+  }
+  int64_t room_age_us() const {
+    return GetField<int64_t>(VT_ROOM_AGE_US, -1LL);
+  }
+  double room() const {
+    return GetField<double>(VT_ROOM, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ADDRESS) &&
@@ -1575,6 +1591,10 @@
            VerifyField<uint8_t>(verifier, VT_IN_DOUBT, 1) &&
            VerifyField<int64_t>(verifier, VT_LIMIT_AGE_US, 8) &&
            VerifyField<double>(verifier, VT_LIMIT_PER_S, 8) &&
+           VerifyField<int64_t>(verifier, VT_REFUSAL_LIMIT_AGE_US, 8) &&
+           VerifyField<double>(verifier, VT_REFUSAL_LIMIT_PER_S, 8) &&
+           VerifyField<int64_t>(verifier, VT_ROOM_AGE_US, 8) &&
+           VerifyField<double>(verifier, VT_ROOM, 8) &&
            verifier.EndTable();
   }
 };
@@ -1610,6 +1630,18 @@
   void add_limit_per_s(double limit_per_s) {
     fbb_.AddElement<double>(EndpointLoad::VT_LIMIT_PER_S, limit_per_s, -1.0);
   }
+  void add_refusal_limit_age_us(int64_t refusal_limit_age_us) {
+    fbb_.AddElement<int64_t>(EndpointLoad::VT_REFUSAL_LIMIT_AGE_US, refusal_limit_age_us, -1LL);
+  }
+  void add_refusal_limit_per_s(double refusal_limit_per_s) {
+    fbb_.AddElement<double>(EndpointLoad::VT_REFUSAL_LIMIT_PER_S, refusal_limit_per_s, -1.0);
+  }
+  void add_room_age_us(int64_t room_age_us) {
+    fbb_.AddElement<int64_t>(EndpointLoad::VT_ROOM_AGE_US, room_age_us, -1LL);
+  }
+  void add_room(double room) {
+    fbb_.AddElement<double>(EndpointLoad::VT_ROOM, room, 0.0);
+  }
   explicit EndpointLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1632,8 +1664,16 @@
     uint32_t writing = 0,
     bool in_doubt = false,
     int64_t limit_age_us = -1LL,
-    double limit_per_s = -1.0) {
+    double limit_per_s = -1.0,
+    int64_t refusal_limit_age_us = -1LL,
+    double refusal_limit_per_s = -1.0,
+    int64_t room_age_us = -1LL,
+    double room = 0.0) {
   EndpointLoadBuilder builder_(_fbb);
+  builder_.add_room(room);
+  builder_.add_room_age_us(room_age_us);
+  builder_.add_refusal_limit_per_s(refusal_limit_per_s);
+  builder_.add_refusal_limit_age_us(refusal_limit_age_us);
   builder_.add_limit_per_s(limit_per_s);
   builder_.add_limit_age_us(limit_age_us);
   builder_.add_incarnation(incarnation);
@@ -1661,7 +1701,11 @@
     uint32_t writing = 0,
     bool in_doubt = false,
     int64_t limit_age_us = -1LL,
-    double limit_per_s = -1.0) {
+    double limit_per_s = -1.0,
+    int64_t refusal_limit_age_us = -1LL,
+    double refusal_limit_per_s = -1.0,
+    int64_t room_age_us = -1LL,
+    double room = 0.0) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return pearhaven::adapters::wire::CreateEndpointLoad(
@@ -1674,7 +1718,11 @@
       writing,
       in_doubt,
       limit_age_us,
-      limit_per_s);
+      limit_per_s,
+      refusal_limit_age_us,
+      refusal_limit_per_s,
+      room_age_us,
+      room);
 }
 
 struct LoadPush FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/adapters/test/peer_message_generators.hpp
+++ b/adapters/test/peer_message_generators.hpp
@@ -107,7 +107,9 @@
                 *rc::gen::arbitrary<std::vector<std::uint64_t>>(),
                 *rc::gen::arbitrary<std::uint32_t>(),
                 number() % 2 == 0,
-                one_limit()};
+                one_limit(),
+                one_limit(),
+                one_room()};
     }
 
     static std::optional<decision::limit_report> one_limit()
@@ -119,6 +121,13 @@
                            : std::make_optional(decision::limit_report{0.5, age});
     }
 
+    static std::optional<decision::room_report> one_room()
+    {
+        const decision::duration age(*rc::gen::inRange<std::int64_t>(0, std::int64_t{1} << 40U));
+        return number() % 2 == 0 ? std::nullopt
+                                 : std::make_optional(decision::room_report{4.5, age});
+    }
+
     static decision::lost_run one_lost_run() { return {number(), text(), number(), time()}; }
 
     static std::vector<std::uint64_t> numbers()
--- a/coordination/src/peer_exchange.cpp
+++ b/coordination/src/peer_exchange.cpp
@@ -17,6 +17,12 @@
     if (left.limit && right.limit) {
         right.limit->age = left.limit->age;
     }
+    if (left.refusal_limit && right.refusal_limit) {
+        right.refusal_limit->age = left.refusal_limit->age;
+    }
+    if (left.room && right.room) {
+        right.room->age = left.room->age;
+    }
     return left == right;
 }
 
--- a/coordination/test/brittle_endpoints_test.cpp
+++ b/coordination/test/brittle_endpoints_test.cpp
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <cstdlib>
 
 #include <CppUTest/TestHarness.h>
 
@@ -21,6 +23,13 @@
     return always + endpoints / endpoints_per_further_crash;
 }
 
+// Another seed can be set by hand.
+std::uint64_t chosen_seed()
+{
+    const char* const text = std::getenv("PEARHAVEN_FLEET_SEED");
+    return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
+}
+
 // Nine routers before four plain endpoints with six places each, which answer in 50 ms: 480
 // requests a second.
 zone_fleet_options plain_service()
@@ -36,6 +45,7 @@
     options.room = 6;
     options.retry_share_on_arrival = 0.76;
     options.retry_burst = 5.0;
+    options.seed = chosen_seed();
     return options;
 }
 
--- a/coordination/test/zone_fleet.hpp
+++ b/coordination/test/zone_fleet.hpp
@@ -36,6 +36,7 @@
     std::optional<std::uint32_t> room{}; // requests that an endpoint takes; nothing: any number
     double retry_share_on_arrival = 0.0;
     std::optional<double> retry_burst{}; // of one router; nothing: the default
+    std::uint64_t seed = 1;
 };
 
 // Many routers that place requests on the endpoints of four availability zones and tell each other
@@ -440,12 +441,27 @@
                 }
                 this->runs.push_back({router, *started, this->now + this->options.run_time});
                 this->max_held = std::max(this->max_held, ++this->held[started->address]);
+            } else if (const auto* cancelled = std::get_if<decision::cancel_attempt>(&action)) {
+                this->drop_run(router, *cancelled);
             } else if (std::holds_alternative<decision::give_up_request>(action)) {
                 ++this->refused;
             }
         }
     }
 
+    // An endpoint drops a run whose connection is closed.
+    void drop_run(std::size_t router, const decision::cancel_attempt& cancelled)
+    {
+        const auto found = std::find_if(this->runs.begin(), this->runs.end(), [&](const run& one) {
+            return one.router == router && one.attempt.ticket == cancelled.ticket &&
+                   one.attempt.attempt == cancelled.attempt;
+        });
+        if (found != this->runs.end()) {
+            --this->held[cancelled.address];
+            this->runs.erase(found);
+        }
+    }
+
     void record_send(std::size_t router, const std::string& address)
     {
         constexpr auto learning_time = std::chrono::milliseconds(500);
@@ -567,9 +583,9 @@
 
     void end_runs()
     {
-        for (; !this->runs.empty() && this->runs.front().ends <= this->now;
-             this->runs.pop_front()) {
-            const auto& finished = this->runs.front();
+        while (!this->runs.empty() && this->runs.front().ends <= this->now) {
+            const auto finished = this->runs.front(); // what follows may change the list
+            this->runs.pop_front();
             --this->held[finished.attempt.address];
             this->deliver_notice(finished.router, finished.attempt);
             this->end(finished.router, finished.attempt, decision::attempt_result::finished);
@@ -611,7 +627,7 @@
     std::uint64_t next_random() { return decision::mix(this->random_state++); }
 
     zone_fleet_options options;
-    std::uint64_t random_state = 1;
+    std::uint64_t random_state = 1 + (this->options.seed - 1) * 1'000'003;
     double request_credit = 0.0;
     std::uint64_t arrived = 0;
     std::vector<std::unique_ptr<decision::dispatcher>> routers;
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -61,6 +61,14 @@
     friend bool operator==(const limit_report&, const limit_report&) = default;
 };
 
+// The room that an endpoint had when it last refused a request for want of it.
+struct room_report {
+    double requests = 0.0;
+    duration age{}; // time since the refusal
+
+    friend bool operator==(const room_report&, const room_report&) = default;
+};
+
 // The load that one router has in flight at an endpoint, as reported to its peers.
 struct endpoint_load {
     std::string address;
@@ -70,7 +78,9 @@
     std::vector<std::uint64_t> parts = {}; // keys of the shared parts of their prompts
     std::uint32_t writing = 0;             // requests whose answers have begun
     bool in_doubt = false; // the reporter's last connection to it broke or could not be opened
-    std::optional<limit_report> limit = {}; // nothing: no limit was stated lately
+    std::optional<limit_report> limit = {};         // on requests; nothing: none was stated lately
+    std::optional<limit_report> refusal_limit = {}; // on refusals; likewise
+    std::optional<room_report> room = {};           // of a brittle endpoint, if it is reduced
 
     friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
 };
--- a/decision/include/pearhaven/decision/mix.hpp
+++ b/decision/include/pearhaven/decision/mix.hpp
@@ -15,6 +15,14 @@
     return value ^ (value >> 31U);
 }
 
+// The random number as a fraction from 0 (inclusive) to 1 (exclusive).
+constexpr double unit_fraction(std::uint64_t random)
+{
+    constexpr unsigned kept_bits = 53;
+    return static_cast<double>(random >> (64U - kept_bits)) /
+           static_cast<double>(std::uint64_t{1} << kept_bits);
+}
+
 } // namespace pearhaven::decision
 
 #endif
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -328,6 +328,8 @@
         if (filled.count(load.address) > 0) {
             load.parts.clear();
             load.limit.reset();
+            load.refusal_limit.reset();
+            load.room.reset();
             held.push_back(std::move(load));
         }
     }
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -28,14 +28,6 @@
 // How long a router's draw for a slot stays valid; covers the lag of most load reports.
 constexpr duration draw_period = std::chrono::seconds(1);
 
-// A number from 0 (inclusive) to 1 (exclusive).
-double unit_fraction(std::uint64_t random)
-{
-    constexpr unsigned kept_bits = 53;
-    return static_cast<double>(random >> (64U - kept_bits)) /
-           static_cast<double>(std::uint64_t{1} << kept_bits);
-}
-
 bool is_excluded(const endpoint& where, const std::vector<std::string>& avoid, instant now)
 {
     return contains(avoid, where.host.address) || where.load.draining() ||
@@ -88,6 +80,29 @@
     return {where.identity, place.rank, place.size};
 }
 
+known_requests known_requests_at(const endpoint& where, const peer_loads& peers,
+                                 const fleet_place& place)
+{
+    const auto reporting = static_cast<double>(load_fanout);
+    const double factor = std::max(1.0, static_cast<double>(place.size - 1) / reporting);
+    const double own = where.outstanding;
+    return {own, own + factor * static_cast<double>(peers.of(where.host).requests)};
+}
+
+const brittle_group& group_of(const endpoint& where, const brittle_groups& groups)
+{
+    static const brittle_group sound;
+    const auto found = groups.find(where.group);
+    return found == groups.end() ? sound : found->second;
+}
+
+instant opens_at(const endpoint& where, const fleet_place& place, const brittle_groups& groups,
+                 instant now)
+{
+    return std::max(where.opens_at(now),
+                    where.refusals.opens_at(place.size, group_of(where, groups), now));
+}
+
 std::vector<endpoint*> subset_of(const route& from, const std::vector<std::string>& avoid,
                                  instant now, const endpoint_table_settings& settings)
 {
@@ -229,7 +244,8 @@
     if (!where.cold.may_send(cold_share_of(where, this->place), this->now)) {
         return false;
     }
-    if (where.opens_at(this->now) > this->now) {
+    if (opens_at(where, this->place, this->brittle, this->now) > this->now ||
+        this->may_be_refused(where)) {
         return false;
     }
     const double limit = std::floor(where.limit.value());
@@ -242,6 +258,19 @@
     return this->has_reported_room(where);
 }
 
+// Whether a brittle endpoint may have to refuse the request.
+bool endpoint_choice::may_be_refused(const endpoint& where) const
+{
+    const auto& group = group_of(where, this->brittle);
+    if (!where.refusals.is_brittle(group, this->now)) {
+        return false;
+    }
+    const refusal_place here{this->place.rank, this->place.size,
+                             this->directory.number_in_group(where)};
+    const auto there = known_requests_at(where, this->others, this->place);
+    return !where.refusals.may_send(there, where.capacity(), here, group, this->now);
+}
+
 // Reserves at least one slot for lookups if there are several. If there is only one, readings may
 // use it, since they must run eventually.
 bool endpoint_choice::has_room_for_readings(const endpoint& where, double limit) const
--- a/decision/src/endpoint_choice.hpp
+++ b/decision/src/endpoint_choice.hpp
@@ -4,8 +4,10 @@
 #include "endpoint_directory.hpp"
 #include "peer_loads.hpp"
 #include "prompt_map.hpp"
+#include "refusal_budget.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -29,6 +31,19 @@
 
 [[nodiscard]] turn_place turn_place_of(const endpoint& where, const fleet_place& place);
 
+// Reports of the others are extrapolated if only a part of them reports to this router.
+[[nodiscard]] known_requests known_requests_at(const endpoint& where, const peer_loads& peers,
+                                               const fleet_place& place);
+
+// What is known of the brittle endpoints of each group.
+using brittle_groups = std::map<std::string, brittle_group>;
+
+[[nodiscard]] const brittle_group& group_of(const endpoint& where, const brittle_groups& groups);
+
+// When the endpoint accepts the next request from this router, by its own statements: now or later.
+[[nodiscard]] instant opens_at(const endpoint& where, const fleet_place& place,
+                               const brittle_groups& groups, instant now);
+
 [[nodiscard]] cold_share cold_share_of(const endpoint& where, const fleet_place& place);
 
 // This router's subset of a target's endpoints: the first healthy ones that need not be avoided,
@@ -48,9 +63,10 @@
     // All arguments passed by reference must outlive the choice.
     endpoint_choice(const endpoint_table_settings& chosen, const placement& request,
                     const own_load& load, const peer_loads& peers, const prompt_map& read,
+                    const endpoint_directory& all, const brittle_groups& groups,
                     const fleet_place& in_fleet, instant at)
         : settings(chosen), wanted(request), own(load), others(peers), prompts(read),
-          place(in_fleet), now(at)
+          directory(all), brittle(groups), place(in_fleet), now(at)
     {}
 
     // Returns null if none has room.
@@ -70,6 +86,7 @@
 
     [[nodiscard]] std::pair<bool, std::uint64_t> concentration_rank(const endpoint& where) const;
     [[nodiscard]] bool has_room(const endpoint& where) const;
+    [[nodiscard]] bool may_be_refused(const endpoint& where) const;
     [[nodiscard]] bool has_room_for_readings(const endpoint& where, double limit) const;
     [[nodiscard]] bool has_reported_room(const endpoint& where) const;
     [[nodiscard]] bool may_add_reading(const endpoint& where, double held) const;
@@ -91,6 +108,8 @@
     const own_load& own;
     const peer_loads& others;
     const prompt_map& prompts;
+    const endpoint_directory& directory;
+    const brittle_groups& brittle;
     fleet_place place;
     instant now;
     double own_share = 1.0; // of all requests at the endpoints
--- a/decision/src/endpoint_directory.cpp
+++ b/decision/src/endpoint_directory.cpp
@@ -453,6 +453,21 @@
     return found == this->endpoints.end() ? nullptr : &found->second;
 }
 
+std::vector<endpoint*>::const_iterator
+endpoint_directory::position_in(const std::vector<endpoint*>& group, const endpoint& where)
+{
+    const auto before = [](const endpoint* left, const endpoint* right) {
+        return left->host.address < right->host.address;
+    };
+    return std::lower_bound(group.begin(), group.end(), &where, before);
+}
+
+std::size_t endpoint_directory::number_in_group(const endpoint& where) const
+{
+    const auto& group = this->peers_of(where);
+    return static_cast<std::size_t>(position_in(group, where) - group.begin());
+}
+
 // Adds the endpoint to the indexes by its tags, whether it is listed and whether it is leaving.
 void endpoint_directory::index_endpoint(endpoint& where)
 {
@@ -462,10 +477,7 @@
         return;
     }
     auto& group = this->groups[where.group];
-    const auto before = [](const endpoint* left, const endpoint* right) {
-        return left->host.address < right->host.address;
-    };
-    group.insert(std::lower_bound(group.begin(), group.end(), &where, before), &where);
+    group.insert(position_in(group, where), &where);
     if (this->is_open(where)) {
         this->add_to_routes(where);
     }
--- a/decision/src/endpoint_directory.hpp
+++ b/decision/src/endpoint_directory.hpp
@@ -55,6 +55,9 @@
     // The listed endpoints of the same pool or service, itself included.
     [[nodiscard]] const std::vector<endpoint*>& peers_of(const endpoint& where) const;
 
+    // Its number among them, from 0, in an order on which all routers agree.
+    [[nodiscard]] std::size_t number_in_group(const endpoint& where) const;
+
     [[nodiscard]] const std::map<std::string, endpoint>& all() const { return this->endpoints; }
 
     template <typename Function>
@@ -135,6 +138,8 @@
     [[nodiscard]] name_set endpoints_of(const selector& hosts) const;
     [[nodiscard]] name_set versions_of(const pool& offered) const;
     [[nodiscard]] route build_route(const route_key& key);
+    [[nodiscard]] static std::vector<endpoint*>::const_iterator
+    position_in(const std::vector<endpoint*>& group, const endpoint& where);
     [[nodiscard]] bool is_better(const endpoint& left, const endpoint& right) const;
 
     void forget_route(const route_key& key);
--- a/decision/src/endpoint_state.hpp
+++ b/decision/src/endpoint_state.hpp
@@ -5,8 +5,8 @@
 #include "concurrency_limit.hpp"
 #include "endpoint_health.hpp"
 #include "load_estimate.hpp"
-#include "newest_statement.hpp"
 #include "prompt_map.hpp"
+#include "refusal_budget.hpp"
 #include "request_limit.hpp"
 
 #include "pearhaven/decision/endpoint_table.hpp"
@@ -74,7 +74,7 @@
     double cold_requests_per_s = 0.0; // likewise
     cold_start cold;
     request_limit stated_limit;
-    newest_statement refusal_limit;
+    refusal_budget refusals;
     instant rests_until{}; // until then it wants no request from this router
     concurrency_limit limit{1.0};
     load_estimate load;
@@ -95,7 +95,7 @@
         this->parts.clear();
         this->cold = {};
         this->stated_limit = {};
-        this->refusal_limit = {};
+        this->refusals = {};
         this->rests_until = {};
         this->limit = concurrency_limit(this->limit.ceiling());
         this->load = {};
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -70,14 +70,18 @@
     endpoint_directory directory{this->settings};
     peer_loads others;
     prompt_map prompts;
+    brittle_groups brittle;
     fleet_place place;
 
     // Prompt parts of peers' requests are cached at their endpoints.
     void record_peer_parts(const std::vector<endpoint_load>& loads, instant now);
 
-    // What peers know of the endpoints' request limits.
+    // What peers know of the limits that the endpoints state.
     void record_peer_limits(const std::vector<endpoint_load>& loads, instant now);
 
+    // What the endpoint states about its refusals is presumed of others of its group.
+    void record_refusal_limit(const endpoint& where, instant now);
+
     // Requests in flight there, of this router and of the peers that report to it.
     [[nodiscard]] double requests_at(const endpoint& where) const
     {
@@ -97,6 +101,7 @@
                  instant now) const;
     [[nodiscard]] std::optional<double> usual_first_token(const endpoint& where,
                                                           work_class kind) const;
+    void record_refusal(endpoint& where, instant now);
     [[nodiscard]] bool can_spare(const endpoint& where, instant now) const;
     void apply_fleet_size(instant now);
 
@@ -152,6 +157,7 @@
     where.health.on_started(now);
     where.cold.on_started(cold_share_of(where, this->place), now);
     where.stated_limit.on_started(now);
+    where.refusals.on_started(known_requests_at(where, this->others, this->place), now);
 }
 
 void endpoint_table::state::ended(endpoint& where, work_class kind, double work,
@@ -162,6 +168,8 @@
         return;
     }
     const double in_use = where.outstanding;
+    where.refusals.on_ended(known_requests_at(where, this->others, this->place),
+                            result == attempt_result::finished, now);
     this->remove_attempt(where, kind, work, now);
     const bool on_trial = where.health.on_trial();
     auto verdict = where.health.on_result(result, where.outstanding, now, this->settings);
@@ -176,10 +184,33 @@
     }
     if (result == attempt_result::refused) {
         where.limit.on_refused(now, this->settings);
+        this->record_refusal(where, now);
     }
     this->apply_verdict(where, verdict, now);
 }
 
+void endpoint_table::state::record_refusal(endpoint& where, instant now)
+{
+    const auto there = known_requests_at(where, this->others, this->place);
+    where.refusals.on_refused(there, where.capacity(), now);
+    const auto group = this->brittle.find(where.group);
+    if (group != this->brittle.end()) {
+        group->second.on_refused(where.refusals.there_at_most(there),
+                                 where.refusals.min_part_left_by_refusal(), where.capacity(), now);
+    }
+}
+
+void endpoint_table::state::record_refusal_limit(const endpoint& where, instant now)
+{
+    const auto limit = where.refusals.limit();
+    const auto group = this->brittle.find(where.group);
+    if (limit) {
+        this->brittle[where.group].on_statement(limit, now);
+    } else if (group != this->brittle.end() && !group->second.limit(now)) {
+        this->brittle.erase(group);
+    }
+}
+
 void endpoint_table::state::remove_attempt(endpoint& where, work_class kind, double work,
                                            instant now)
 {
@@ -271,7 +302,7 @@
     this->others.expire(now, this->settings.peer_load_lifetime);
     this->prompts.expire(now);
     endpoint_choice choice(this->settings, wanted, this->own, this->others, this->prompts,
-                           this->place, now);
+                           this->directory, this->brittle, this->place, now);
     const endpoint* const chosen = choice.choose(from, random);
     return chosen == nullptr ? std::nullopt : std::make_optional(chosen->host.address);
 }
@@ -294,7 +325,7 @@
     for (const auto* side : {&from.local, &from.remote}) {
         for (const endpoint* where : *side) {
             const bool has_rate = where->stated_limit.rate().has_value();
-            const auto opens = where->opens_at(now);
+            const auto opens = opens_at(*where, this->place, this->brittle, now);
             if (!has_rate && opens <= now) {
                 return std::nullopt;
             }
@@ -308,11 +339,22 @@
 void endpoint_table::state::record_peer_limits(const std::vector<endpoint_load>& loads, instant now)
 {
     for (const auto& load : loads) {
-        endpoint* where = load.limit ? this->directory.find(load.address) : nullptr;
-        if (has_incarnation(where, load.incarnation)) {
+        const bool has_limit = load.limit || load.refusal_limit || load.room;
+        endpoint* where = has_limit ? this->directory.find(load.address) : nullptr;
+        if (!has_incarnation(where, load.incarnation)) {
+            continue;
+        }
+        if (load.limit) {
             where->stated_limit.on_peer(load.limit->rate, now - load.limit->age, now,
                                         turn_place_of(*where, this->place));
         }
+        if (load.refusal_limit) {
+            where->refusals.on_peer(load.refusal_limit->rate, now - load.refusal_limit->age);
+            this->record_refusal_limit(*where, now);
+        }
+        if (load.room) {
+            where->refusals.on_peer_room(load.room->requests, now - load.room->age);
+        }
     }
 }
 
@@ -320,7 +362,7 @@
 {
     const route& from = this->directory.route_for(wanted.version_or_service, wanted.is_service);
     return endpoint_choice(this->settings, wanted, this->own, this->others, this->prompts,
-                           this->place, now)
+                           this->directory, this->brittle, this->place, now)
         .concentration_endpoint(from);
 }
 
@@ -409,9 +451,8 @@
     limit_changes changes;
     changes.requests = where->stated_limit.on_answer(notice.request_limit, sent, now,
                                                      turn_place_of(*where, this->inner->place));
-    const auto before = where->refusal_limit.value();
-    changes.refusals = where->refusal_limit.on_answer(notice.refusal_limit, sent, now) &&
-                       where->refusal_limit.value() != before;
+    changes.refusals = where->refusals.on_answer(notice.refusal_limit, sent, now);
+    this->inner->record_refusal_limit(*where, now);
     return changes;
 }
 
@@ -436,7 +477,7 @@
 std::optional<double> endpoint_table::refusal_limit_of(const std::string& address) const
 {
     const endpoint* where = this->inner->directory.find(address);
-    return where == nullptr ? std::nullopt : where->refusal_limit.value();
+    return where == nullptr ? std::nullopt : where->refusals.limit();
 }
 
 double endpoint_table::requests_at(const std::string& address) const
@@ -569,9 +610,12 @@
     for (const auto& [address, known] : this->inner->directory.all()) {
         const bool in_doubt = known.health.is_in_doubt(now);
         const auto limit = known.stated_limit.report(now);
-        if (known.outstanding > 0 || in_doubt || limit) {
+        const auto refusal_limit = known.refusals.report(now);
+        const auto room = known.refusals.reported_room(now);
+        if (known.outstanding > 0 || in_doubt || limit || refusal_limit) {
             held.push_back({address, known.outstanding, known.work, known.host.incarnation,
-                            known.distinct_parts(), known.writing, in_doubt, limit});
+                            known.distinct_parts(), known.writing, in_doubt, limit, refusal_limit,
+                            room});
         }
     }
     return held;
