--- a/coordination/test/brittle_endpoints_test.cpp
+++ b/coordination/test/brittle_endpoints_test.cpp
@@ -74,11 +74,6 @@
     fleet.simulate(seconds(4));
 }
 
-std::size_t endpoint_count(const zone_fleet_options& options)
-{
-    return options.endpoints_per_zone * zone_fleet::zones;
-}
-
 // Crashes while ten seconds bring that many times the usual requests to brittle endpoints.
 std::size_t crashes_in_a_burst(const zone_fleet_options& options, double factor)
 {
--- a/coordination/test/zone_fleet.hpp
+++ b/coordination/test/zone_fleet.hpp
@@ -519,12 +519,12 @@
         if (!is_brittle) {
             return;
         }
-        auto& refusals = this->refusals[address];
-        refusals.push_back(this->now);
-        while (this->now - refusals.front() >= std::chrono::seconds(1)) {
-            refusals.pop_front();
+        auto& recent = this->refusals[address];
+        recent.push_back(this->now);
+        while (this->now - recent.front() >= std::chrono::seconds(1)) {
+            recent.pop_front();
         }
-        if (static_cast<double>(refusals.size()) > *notice->second.refusal_limit) {
+        if (static_cast<double>(recent.size()) > *notice->second.refusal_limit) {
             ++this->crashes;
             this->crash(address);
         }
@@ -584,11 +584,11 @@
     void end_runs()
     {
         while (!this->runs.empty() && this->runs.front().ends <= this->now) {
-            const auto finished = this->runs.front(); // what follows may change the list
+            const auto ended = this->runs.front(); // what follows may change the list
             this->runs.pop_front();
-            --this->held[finished.attempt.address];
-            this->deliver_notice(finished.router, finished.attempt);
-            this->end(finished.router, finished.attempt, decision::attempt_result::finished);
+            --this->held[ended.attempt.address];
+            this->deliver_notice(ended.router, ended.attempt);
+            this->end(ended.router, ended.attempt, decision::attempt_result::finished);
             ++this->finished;
         }
     }
