Keep the store's revisions in order when it returns from an older copy

Callers: requests were handled by a configuration eight versions old for up to four seconds after a newer one had been confirmed, a key that was taken away stayed valid for as long, and a leaving endpoint got requests two seconds and more after it had said so.

Cause: the store's revisions go back in a drill and are given out again, and everything that compares them took what was written afterwards for old, until the counter had passed what the router knew (hypothesis 1). The class: a number that another system gives out is taken for a clock that never goes back. Also watches began after revisions that had been given out again (2). The configuration was not refused (3 is ruled out: the tests show the value itself to be dropped by the mirror).

When an answer names a later era, the mirror lists the store, and keys that it lost stay for as long as after an outage. What a router wrote is written again: its own key and quarantines under a lease that is not in doubt, the fleet's key with its value, the record of a roll-out, which never goes back. An order that is found or written again with the same value is the same order.

--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -123,6 +123,10 @@
     // When the store last answered this mirror.
     [[nodiscard]] decision::instant confirmed_at() const { return this->confirmed; }
 
+    // The store has returned from an older copy. Keys that it lost are treated as present for as
+    // long as after a loss of the store: their owners write them again.
+    void on_store_restored(decision::instant now);
+
     // Abandons the open call, as when its connection has stopped responding, and starts a new one.
     void restart(decision::instant now);
     [[nodiscard]] std::vector<action> take_actions();
--- a/coordination/include/pearhaven/coordination/registration.hpp
+++ b/coordination/include/pearhaven/coordination/registration.hpp
@@ -41,6 +41,9 @@
     // False if the tag does not belong to a call of this component.
     bool on_reply(call_tag tag, const kv_reply& reply, decision::instant now);
 
+    // The store has returned from an older copy, which may hold neither the key nor the lease.
+    void on_store_restored(decision::instant now);
+
     // Revokes the lease, which deletes the value. No call may follow.
     void end();
 
@@ -66,6 +69,7 @@
     std::string value;
     phase step = phase::granting;
     lease_number lease = 0;
+    bool is_lease_in_doubt = false; // it may be another owner's
     decision::duration retry_delay;
     decision::instant due;
     std::optional<call_tag> open_call;
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -106,6 +106,19 @@
     }
 }
 
+// A follower gets what is new from the routers that it relies on.
+void prefix_mirror::on_store_restored(decision::instant now)
+{
+    this->regained_at = now;
+    if (this->mode == watch_mode::follower) {
+        return;
+    }
+    this->needs_list = true;
+    this->open_call.reset();
+    this->due = now;
+    this->on_tick(now);
+}
+
 void prefix_mirror::on_reply(call_tag tag, const kv_reply& reply, decision::instant now)
 {
     if (this->open_call != tag) {
--- a/coordination/src/registration.cpp
+++ b/coordination/src/registration.cpp
@@ -71,11 +71,23 @@
 {
     this->step = phase::ended;
     this->open_call.reset();
-    if (this->lease != 0) {
+    if (this->lease != 0 && !this->is_lease_in_doubt) {
         this->calls.emplace_back(this->next_tag++, kv_revoke_lease{this->lease});
     }
 }
 
+// If the key is gone, so is its lease, whose number may have been given to another owner since.
+void registration::on_store_restored(instant now)
+{
+    if (this->step == phase::granting || this->step == phase::ended) {
+        return;
+    }
+    this->is_lease_in_doubt = true;
+    this->step = phase::reading;
+    this->open_call.reset();
+    this->due = now;
+}
+
 std::vector<store_call> registration::take_calls()
 {
     return std::exchange(this->calls, {});
@@ -106,8 +118,13 @@
         this->retry_later(now);
         return;
     }
+    if (reply.entries.empty() && this->is_lease_in_doubt) {
+        this->start_over(now);
+        return;
+    }
     // A value found there was written by the write with unknown outcome.
     this->step = reply.entries.empty() ? phase::writing : phase::holding;
+    this->is_lease_in_doubt = false;
     this->due = now;
 }
 
@@ -151,6 +168,7 @@
 {
     this->step = phase::granting;
     this->lease = 0;
+    this->is_lease_in_doubt = false;
     this->due = now;
 }
 
--- a/coordination/src/rollout_progress.cpp
+++ b/coordination/src/rollout_progress.cpp
@@ -1,6 +1,7 @@
 #include "pearhaven/coordination/rollout_progress.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace pearhaven::coordination {
@@ -38,6 +39,15 @@
     return decision::rollout_state::rolled_back;
 }
 
+// Whether the record is one of an earlier attempt, or of an earlier part of the same one.
+bool is_older(const progress_record& record, const progress_record& known)
+{
+    const auto position = [](const progress_record& one) {
+        return std::make_tuple(one.run, one.state, one.step, one.session_ppm > 0);
+    };
+    return position(record) < position(known);
+}
+
 } // namespace
 
 rollout_progress::rollout_progress(rollout_progress_settings chosen, model_rollout_order order,
@@ -53,8 +63,13 @@
 void rollout_progress::on_record(const std::optional<progress_record>& record,
                                  store_revision revision, decision::instant now)
 {
-    const bool other_run = record && record->run != this->ordered.run;
     this->stored_revision = revision;
+    // A record never goes back, except with a store that returns from an older copy.
+    if (this->stored && (!record || is_older(*record, *this->stored))) {
+        this->unreadable_since = this->unreadable_since.value_or(now);
+        return;
+    }
+    const bool other_run = record && record->run != this->ordered.run;
     this->unreadable_since.reset();
     if (!record || other_run) {
         // The first record of this attempt overwrites that of an earlier one.
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -95,6 +95,42 @@
     CHECK_EQUAL(12U, this->last_watch()->after);
 }
 
+// Guards against a key that is dropped although its owner writes it again, and against one that is
+// kept for ever.
+TEST(prefix_mirror, keys_that_a_restored_store_lost_are_kept_for_a_while)
+{
+    constexpr store_revision era = 1'000;
+    this->load_initial_list();
+    this->answer(reply_of(kv_outcome::ok, 12, {{"things/b", "2", 11}, {"things/c", "3", 12}}),
+                 start);
+    this->mirror.on_store_restored(start + seconds(1));
+    this->collect();
+    CHECK_TRUE(std::holds_alternative<kv_range>(this->calls.back().request));
+    this->answer(reply_of(kv_outcome::ok, era + 8, {{"things/a", "1", era + 7}}),
+                 start + seconds(1));
+    CHECK_TRUE(this->has_action(mirror_changed{{"things/a", "1", era + 7}}));
+    CHECK_EQUAL(3U, this->mirror.entries().size());
+    this->answer(reply_of(kv_outcome::ok, era + 9, {{"things/b", "2", era + 9}}),
+                 start + seconds(2));
+    this->tick(start + seconds(4));
+    CHECK_EQUAL(2U, this->mirror.entries().size());
+    CHECK_TRUE(this->has_action(mirror_changed{{"things/b", "2", era + 9}}));
+    CHECK_TRUE(this->has_action(mirror_removed{"things/c", 0}));
+}
+
+// Guards against a late answer that belongs to the store as it was.
+TEST(prefix_mirror, answer_to_a_call_before_the_restoration_is_ignored)
+{
+    this->load_initial_list();
+    const auto watch = this->calls.back().tag;
+    this->mirror.on_store_restored(start + seconds(1));
+    this->collect();
+    this->mirror.on_reply(watch, reply_of(kv_outcome::ok, 12, {{"things/b", "2", 11}}),
+                          start + seconds(1));
+    this->collect();
+    CHECK_EQUAL(1U, this->mirror.entries().size());
+}
+
 // Endpoints that start together write one after the other.
 TEST(prefix_mirror, after_a_change_the_next_watch_is_delayed_to_batch_changes)
 {
--- a/coordination/test/rollout_progress_test.cpp
+++ b/coordination/test/rollout_progress_test.cpp
@@ -613,6 +613,27 @@
     CHECK_EQUAL(0U, wanted.record_revision);
 }
 
+// Guards against a rollout that goes back, or begins again, because the store has returned from a
+// copy that is older than its last record.
+TEST(rollout_progress, record_that_the_store_has_lost_is_written_again)
+{
+    const progress_record last{run_id, 3, 9, 100'000, progress_state::full_traffic};
+    const std::vector<std::optional<progress_record>> copies = {
+        std::nullopt, progress_record{run_id - 1, 3, 9, 0, progress_state::bad},
+        progress_record{run_id, 1, 9, 0, progress_state::staged},
+        progress_record{run_id, 3, 9, 100'000, progress_state::load_trial}};
+    for (const auto& copy : copies) {
+        rollout_progress progress({}, make_order(), start);
+        progress.on_record(last, 40, start);
+        const auto plan = progress.plan("model");
+        progress.on_record(copy, copy ? 50 : 0, start + seconds(1));
+        CHECK_TRUE(plan == progress.plan("model"));
+        const auto wanted = progress.on_tick(0, 9, typical_rates, start + seconds(1));
+        CHECK_TRUE(wanted.write_record == last);
+        CHECK_EQUAL(copy ? 50U : 0U, wanted.record_revision);
+    }
+}
+
 // A router that knows the last record writes it again after its delay by rank, so that waiting
 // routers can continue. This also applies to a rollout that has ended, where no further step
 // follows.
