--- a/decision/src/refusal_budget.hpp
+++ b/decision/src/refusal_budget.hpp
@@ -157,7 +157,8 @@
         return this->statement.report(now);
     }
 
-    // The room of a brittle endpoint, for the peers. Nothing if it refused nothing of this router's.
+    // The room of a brittle endpoint, for the peers. Nothing if it refused none of this router's
+    // requests.
     [[nodiscard]] std::optional<room_report> reported_room(instant now) const;
 
 private:
