--- a/coordination/test/zone_fleet.hpp
+++ b/coordination/test/zone_fleet.hpp
@@ -215,6 +215,10 @@
             this->issue_requests();
             this->end_runs();
             this->send_reports();
+            if (this->now < this->next_router_tick) {
+                continue;
+            }
+            this->next_router_tick = this->now + router_tick;
             for (auto& router : this->routers) {
                 router->on_tick(this->now);
             }
@@ -263,6 +267,7 @@
     std::size_t max_held = 0;       // at one endpoint
 
 private:
+    static constexpr auto router_tick = std::chrono::milliseconds(25);
     static constexpr auto report_delay = std::chrono::milliseconds(30);
 
     // How long after its statement a brittle endpoint tolerates all refusals.
@@ -629,6 +634,7 @@
     zone_fleet_options options;
     std::uint64_t random_state = 1 + (this->options.seed - 1) * 1'000'003;
     double request_credit = 0.0;
+    instant next_router_tick;
     std::uint64_t arrived = 0;
     std::vector<std::unique_ptr<decision::dispatcher>> routers;
     std::vector<std::unique_ptr<peer_exchange>> exchanges;
