--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -322,8 +322,10 @@
     // Returns false if the report does not apply to the endpoint's current incarnation.
     bool on_load_report(const std::string& address, const load_report& report, instant now);
 
-    // Another router reported its load on the endpoints.
-    void on_peer_loads(const std::string& router, std::vector<endpoint_load> loads, instant now);
+    // Another router reported its load on the endpoints. Returns the limits of endpoints that the
+    // report changes.
+    std::vector<peer_limit_change> on_peer_loads(const std::string& router,
+                                                 std::vector<endpoint_load> loads, instant now);
 
     // Another router, or the endpoint itself, reported that the endpoint is leaving.
     void on_endpoint_leaving(const std::string& address, std::uint64_t incarnation, instant now);
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -112,6 +112,16 @@
     friend bool operator==(const limit_changes&, const limit_changes&) = default;
 };
 
+// A limit of an endpoint that a peer's report has changed.
+struct peer_limit_change {
+    std::string address;
+    std::uint64_t incarnation = 0;
+    bool is_refusal_limit = false; // otherwise the request limit
+    limit_report statement;
+
+    friend bool operator==(const peer_limit_change&, const peer_limit_change&) = default;
+};
+
 // How an attempt at an endpoint ended.
 enum class attempt_result : std::uint8_t {
     finished,
@@ -310,8 +320,10 @@
     bool reported(const std::string& address, const load_report& report, instant now);
 
     // Applies a peer's load report, which replaces its previous one. Load at an incarnation other
-    // than the known one counts once the host list contains that incarnation.
-    void peer_reported(const std::string& router, std::vector<endpoint_load> loads, instant now);
+    // than the known one counts once the host list contains that incarnation. Returns the limits
+    // that the report changes.
+    std::vector<peer_limit_change> peer_reported(const std::string& router,
+                                                 std::vector<endpoint_load> loads, instant now);
 
     // This router's load and its doubts at that time, to report to its peers.
     [[nodiscard]] std::vector<endpoint_load> own_loads(instant now = instant::max()) const;
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -84,10 +84,10 @@
     return true;
 }
 
-void dispatcher::on_peer_loads(const std::string& router, std::vector<endpoint_load> loads,
-                               instant now)
+std::vector<peer_limit_change>
+dispatcher::on_peer_loads(const std::string& router, std::vector<endpoint_load> loads, instant now)
 {
-    this->table.peer_reported(router, std::move(loads), now);
+    return this->table.peer_reported(router, std::move(loads), now);
 }
 
 void dispatcher::on_endpoint_leaving(const std::string& address, std::uint64_t incarnation,
--- a/decision/src/endpoint_choice.hpp
+++ b/decision/src/endpoint_choice.hpp
@@ -6,6 +6,8 @@
 #include "prompt_map.hpp"
 #include "refusal_budget.hpp"
 
+#include "pearhaven/decision/fleet_place.hpp"
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -21,14 +23,6 @@
     std::uint32_t readings = 0;
 };
 
-// This router's place among the live routers.
-struct fleet_place {
-    std::size_t rank = 0;
-    std::size_t size = 1;
-
-    friend bool operator==(const fleet_place&, const fleet_place&) = default;
-};
-
 [[nodiscard]] turn_place turn_place_of(const endpoint& where, const fleet_place& place);
 
 // Reports of the others are extrapolated if only a part of them reports to this router.
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -77,7 +77,8 @@
     void record_peer_parts(const std::vector<endpoint_load>& loads, instant now);
 
     // What peers know of the limits that the endpoints state.
-    void record_peer_limits(const std::vector<endpoint_load>& loads, instant now);
+    std::vector<peer_limit_change> record_peer_limits(const std::vector<endpoint_load>& loads,
+                                                      instant now);
 
     // What the endpoint states about its refusals is presumed of others of its group.
     void record_refusal_limit(const endpoint& where, instant now);
@@ -336,26 +337,31 @@
     return found.opens == instant::max() ? std::nullopt : std::make_optional(found);
 }
 
-void endpoint_table::state::record_peer_limits(const std::vector<endpoint_load>& loads, instant now)
+std::vector<peer_limit_change>
+endpoint_table::state::record_peer_limits(const std::vector<endpoint_load>& loads, instant now)
 {
+    std::vector<peer_limit_change> changes;
     for (const auto& load : loads) {
         const bool has_limit = load.limit || load.refusal_limit || load.room;
         endpoint* where = has_limit ? this->directory.find(load.address) : nullptr;
         if (!has_incarnation(where, load.incarnation)) {
             continue;
         }
-        if (load.limit) {
-            where->stated_limit.on_peer(load.limit->rate, now - load.limit->age, now,
-                                        turn_place_of(*where, this->place));
+        if (load.limit && where->stated_limit.on_peer(load.limit->rate, now - load.limit->age, now,
+                                                      turn_place_of(*where, this->place))) {
+            changes.push_back({load.address, load.incarnation, false, *load.limit});
         }
         if (load.refusal_limit) {
-            where->refusals.on_peer(load.refusal_limit->rate, now - load.refusal_limit->age);
+            if (where->refusals.on_peer(load.refusal_limit->rate, now - load.refusal_limit->age)) {
+                changes.push_back({load.address, load.incarnation, true, *load.refusal_limit});
+            }
             this->record_refusal_limit(*where, now);
         }
         if (load.room) {
             where->refusals.on_peer_room(load.room->requests, now - load.room->age);
         }
     }
+    return changes;
 }
 
 const endpoint* endpoint_table::state::concentration_endpoint(const placement& wanted, instant now)
@@ -542,12 +548,14 @@
     return known.local.size() + known.remote.size();
 }
 
-void endpoint_table::peer_reported(const std::string& router, std::vector<endpoint_load> loads,
-                                   instant now)
+std::vector<peer_limit_change> endpoint_table::peer_reported(const std::string& router,
+                                                             std::vector<endpoint_load> loads,
+                                                             instant now)
 {
     this->inner->record_peer_parts(loads, now);
-    this->inner->record_peer_limits(loads, now);
+    auto changes = this->inner->record_peer_limits(loads, now);
     this->inner->others.on_report(router, std::move(loads), now);
+    return changes;
 }
 
 std::optional<limited_access> endpoint_table::access(const placement& wanted, instant now) const
--- a/decision/src/refusal_budget.cpp
+++ b/decision/src/refusal_budget.cpp
@@ -194,10 +194,11 @@
     return this->statement.on_answer(stated, sent, now) && this->limit() != before;
 }
 
-void refusal_budget::on_peer(std::optional<double> stated, instant made_at)
+bool refusal_budget::on_peer(std::optional<double> stated, instant made_at)
 {
+    const auto before = this->limit();
     this->has_answered = true;
-    this->statement.on_peer(stated, made_at);
+    return this->statement.on_peer(stated, made_at) && this->limit() != before;
 }
 
 void refusal_budget::on_started(const known_requests& there, instant now)
--- a/decision/src/refusal_budget.hpp
+++ b/decision/src/refusal_budget.hpp
@@ -110,8 +110,9 @@
     // Returns whether the known limit changed.
     bool on_answer(std::optional<double> stated, instant sent, instant now);
 
-    // A peer knows of this statement, made at `made_at` by this router's clock.
-    void on_peer(std::optional<double> stated, instant made_at);
+    // A peer knows of this statement, made at `made_at` by this router's clock. Returns whether
+    // the known limit changed.
+    bool on_peer(std::optional<double> stated, instant made_at);
 
     // This router sent a request; `there` includes it.
     void on_started(const known_requests& there, instant now);
--- a/decision/src/request_limit.cpp
+++ b/decision/src/request_limit.cpp
@@ -32,13 +32,11 @@
     return this->statement.on_answer(stated, sent, now) && this->apply(before, now, place);
 }
 
-void request_limit::on_peer(std::optional<double> stated, instant made_at, instant now,
+bool request_limit::on_peer(std::optional<double> stated, instant made_at, instant now,
                             const turn_place& place)
 {
     const auto before = this->rate();
-    if (this->statement.on_peer(stated, made_at)) {
-        this->apply(before, now, place);
-    }
+    return this->statement.on_peer(stated, made_at) && this->apply(before, now, place);
 }
 
 bool request_limit::apply(std::optional<double> before, instant now, const turn_place& place)
--- a/decision/src/request_limit.hpp
+++ b/decision/src/request_limit.hpp
@@ -21,8 +21,9 @@
     bool on_answer(std::optional<double> stated, instant sent, instant now,
                    const turn_place& place);
 
-    // A peer knows of this statement, made at `stated_at` by this router's clock.
-    void on_peer(std::optional<double> stated, instant stated_at, instant now,
+    // A peer knows of this statement, made at `stated_at` by this router's clock. Returns whether
+    // the known rate changed.
+    bool on_peer(std::optional<double> stated, instant stated_at, instant now,
                  const turn_place& place);
 
     void set_fleet_size(std::size_t size, instant now);
--- a/router/src/peer_messenger.cpp
+++ b/router/src/peer_messenger.cpp
@@ -3,6 +3,8 @@
 #include "pearhaven/adapters/log.hpp"
 #include "pearhaven/decision/work.hpp"
 
+#include <fmt/format.h>
+
 #include <charconv>
 #include <system_error>
 #include <utility>
@@ -30,6 +32,20 @@
     return made;
 }
 
+void log_limits(const std::string& peer, const std::vector<decision::peer_limit_change>& changes)
+{
+    for (const auto& change : changes) {
+        const auto& rate = change.statement.rate;
+        adapters::log_change(change.is_refusal_limit ? "endpoint_refusal_limit" : "endpoint_limit",
+                             {{"endpoint", change.address},
+                              {"incarnation", std::to_string(change.incarnation)},
+                              {change.is_refusal_limit ? "refusals_per_s" : "requests_per_s",
+                               rate ? fmt::format("{}", *rate) : "none"},
+                              {"peer", peer},
+                              {"age_ms", adapters::milliseconds(change.statement.age)}});
+    }
+}
+
 const char* name_of(coordination::watch_mode mode)
 {
     switch (mode) {
@@ -147,7 +163,8 @@
                             const coordination::peer_message& message)
 {
     if (const auto* push = std::get_if<coordination::load_push>(&message)) {
-        this->deps.dispatcher.on_peer_loads(from, push->loads, this->deps.loop.now());
+        log_limits(from,
+                   this->deps.dispatcher.on_peer_loads(from, push->loads, this->deps.loop.now()));
     } else if (const auto* pull = std::get_if<coordination::mirror_pull>(&message)) {
         this->answer(reply_to, *pull);
     } else if (const auto* updates = std::get_if<coordination::mirror_update>(&message)) {
