--- a/coordination/test/registration_test.cpp
+++ b/coordination/test/registration_test.cpp
@@ -80,3 +80,27 @@
     this->key.end();
     CHECK_TRUE(this->key.take_calls().empty());
 }
+
+TEST_GROUP(registration_after_restart){};
+
+// Guards against a process whose key ends with the lease of the process before it, while it runs.
+TEST(registration_after_restart, key_of_an_earlier_process_is_attached_to_the_own_lease)
+{
+    registration key{registration_settings{}, "routers/a", "here", start};
+    key.on_tick(start);
+    auto calls = key.take_calls();
+    key.on_reply(calls.back().tag, reply_of(kv_outcome::ok, 7), start);
+    calls = key.take_calls();
+    key.on_reply(calls.back().tag, reply_of(kv_outcome::conflict), start);
+    key.on_tick(start + seconds(1));
+    calls = key.take_calls();
+    CHECK_TRUE(std::holds_alternative<kv_get>(calls.back().request));
+    key.on_reply(calls.back().tag, reply_of(kv_outcome::ok, 0, {{"routers/a", "here", 5}}),
+                 start + seconds(1));
+    CHECK_FALSE(key.is_registered());
+    calls = key.take_calls();
+    CHECK_TRUE(
+        (kv_request(kv_compare_and_swap{"routers/a", "here", 5, 7}) == calls.back().request));
+    key.on_reply(calls.back().tag, reply_of(kv_outcome::ok), start + seconds(1));
+    CHECK_TRUE(key.is_registered());
+}
