Attach a restarted router's key in the store to its own lease

What callers saw: an endpoint that states how much it accepts gets up to 2.5 times the share that it should get, after routers were restarted.

Cause: a process that finds a key of its name took it for its own write whose answer was lost. It was the key of the process before it, and ended with that one's lease. The new process went on renewing a lease that no key hung on, so it never noticed. To all others it did not exist: they divided every common rate by too few, reported no loads to it, and asked it for nothing.

Fix: a value that is found is written again under the own lease, at the revision that was read. That is right for both cases, and costs one write for each restart within a lease.

--- a/coordination/include/pearhaven/coordination/registration.hpp
+++ b/coordination/include/pearhaven/coordination/registration.hpp
@@ -29,8 +29,8 @@
 
 // Keeps one value in the store for as long as this process runs: under a lease that is renewed at a
 // third of its time to live, and under a new lease if that one has expired. Only this process
-// writes the key. If the reply to a write was lost, the key is read: a value found there is
-// attached to the current lease, since an expired lease takes its keys with it.
+// writes the key, and others before it that had its name. A value found there may be attached to
+// the lease of such a process and would end with it, so it is written again.
 class registration {
 public:
     registration(registration_settings settings, std::string key, std::string value,
@@ -69,6 +69,7 @@
     std::string value;
     phase step = phase::granting;
     lease_number lease = 0;
+    store_revision found_at = 0;    // of the value that is to be replaced; 0: there is none
     bool is_lease_in_doubt = false; // it may be another owner's
     decision::duration retry_delay;
     decision::instant due;
--- a/coordination/src/registration.cpp
+++ b/coordination/src/registration.cpp
@@ -25,7 +25,7 @@
         this->call(kv_grant_lease{this->settings.time_to_live}, now);
         break;
     case phase::writing:
-        this->call(kv_compare_and_swap{this->key, this->value, 0, this->lease}, now);
+        this->call(kv_compare_and_swap{this->key, this->value, this->found_at, this->lease}, now);
         break;
     case phase::reading:
         this->call(kv_get{this->key}, now);
@@ -122,9 +122,10 @@
         this->start_over(now);
         return;
     }
-    // A value found there was written by the write with unknown outcome.
-    this->step = reply.entries.empty() ? phase::writing : phase::holding;
+    // A lease in doubt that still has its key is the own one; if it has ended, a renewal tells.
+    this->step = this->is_lease_in_doubt ? phase::holding : phase::writing;
     this->is_lease_in_doubt = false;
+    this->found_at = reply.entries.empty() ? 0 : reply.entries.front().revision;
     this->due = now;
 }
 
@@ -168,6 +169,7 @@
 {
     this->step = phase::granting;
     this->lease = 0;
+    this->found_at = 0;
     this->is_lease_in_doubt = false;
     this->due = now;
 }
