Draw for the places of brittle endpoints by the time of day

Cause: the draws are spread evenly over the routers of one period, and the period was counted by the steady clock, whose origin is the host's start. So on real hosts the draws of a moment were independent of each other, and many routers could draw high together.

Fix: the period is counted by the time of day, which hosts share but for milliseconds. The decision library still reads no clock: the embedder tells the difference. A jump of the time of day makes one router's draws independent again.

--- a/coordination/test/zone_fleet.hpp
+++ b/coordination/test/zone_fleet.hpp
@@ -37,6 +37,11 @@
     double retry_share_on_arrival = 0.0;
     std::optional<double> retry_burst{}; // of one router; nothing: the default
     std::uint64_t seed = 1;
+
+    // Between the clocks of two routers with consecutive ranks, and by how much their time of day
+    // may differ.
+    std::chrono::milliseconds clock_distance{7919001};
+    std::chrono::milliseconds time_of_day_error{10};
 };
 
 // Many routers that place requests on the endpoints of four availability zones and tell each other
@@ -57,7 +62,7 @@
         this->configure({});
         for (std::size_t i = 0; i < zones * this->options.endpoints_per_zone; ++i) {
             for (auto& router : this->routers) {
-                router->on_host_changes({{host_of(i)}, {}}, this->now);
+                router->on_host_changes({{host_of(i)}, {}}, this->clock_of(router));
             }
         }
         this->simulate(std::chrono::seconds(2));
@@ -70,8 +75,9 @@
     {
         const auto current = this->make_configuration(evacuated);
         for (auto& router : this->routers) {
-            this->later(delay,
-                        [this, &router, current] { router->on_configuration(current, this->now); });
+            this->later(delay, [this, &router, current] {
+                router->on_configuration(current, this->clock_of(router));
+            });
         }
     }
 
@@ -158,11 +164,11 @@
             }
         }
         this->routers[rank] = this->make_router(rank);
-        this->routers[rank]->on_configuration(this->make_configuration({}), this->now);
+        this->routers[rank]->on_configuration(this->make_configuration({}), this->clock(rank));
         for (std::size_t i = 0; i < zones * this->options.endpoints_per_zone; ++i) {
             auto host = host_of(i);
             host.incarnation = this->incarnations[host.address];
-            this->routers[rank]->on_host_changes({{host}, {}}, this->now);
+            this->routers[rank]->on_host_changes({{host}, {}}, this->clock(rank));
         }
     }
 
@@ -220,7 +226,7 @@
             }
             this->next_router_tick = this->now + router_tick;
             for (auto& router : this->routers) {
-                router->on_tick(this->now);
+                router->on_tick(this->clock_of(router));
             }
         }
     }
@@ -318,11 +324,14 @@
             settings.retry_burst = *this->options.retry_burst;
         }
         auto router = std::make_unique<decision::dispatcher>(settings);
-        router->on_config_confirmed(instant::max(), this->now);
+        router->on_config_confirmed(instant::max(), this->clock(rank));
         const auto believed = std::max<std::size_t>(
             1, static_cast<std::size_t>(this->options.believed_size *
                                         static_cast<double>(this->options.routers)));
         router->on_fleet(rank % believed, believed);
+        const auto error = static_cast<std::int64_t>(decision::mix(rank) % 3) - 1;
+        router->set_clock_offset(this->now - this->clock(rank) +
+                                 error * this->options.time_of_day_error);
         return router;
     }
 
@@ -384,7 +393,7 @@
             const auto changes = make_change(host_of(i));
             for (auto& router : this->routers) {
                 this->later(delay, [this, &router, changes] {
-                    router->on_host_changes(changes, this->now);
+                    router->on_host_changes(changes, this->clock_of(router));
                 });
             }
         }
@@ -423,9 +432,9 @@
             request.idempotent = !this->options.at_most_once;
             request.on_loss = decision::continuation::none;
             request.work = {decision::work_class::lookup, 60.0, 14.0};
-            request.deadline = this->now + this->options.deadline;
+            request.deadline = this->clock(router) + this->options.deadline;
             request.fingerprint = request.ticket;
-            this->routers[router]->on_arrival(request, this->now);
+            this->routers[router]->on_arrival(request, this->clock(router));
             this->apply_actions(router);
         }
     }
@@ -493,7 +502,7 @@
         decision::endpoint_notice notice;
         notice.rest = found->second;
         this->routers[router]->on_endpoint_notice(attempt.ticket, attempt.attempt, notice,
-                                                  this->now);
+                                                  this->clock(router));
         this->end(router, attempt, decision::attempt_result::refused);
         return true;
     }
@@ -550,17 +559,18 @@
         for (const auto& one : lost) {
             this->end_later(one.router, one.attempt, decision::attempt_result::failed);
         }
-        this->events.push_back({this->now + time_to_return, [this, address] {
-                                    decision::endpoint_host host{address,
-                                                                 address,
-                                                                 this->zone_by_address.at(address),
-                                                                 ++this->incarnations[address],
-                                                                 false,
-                                                                 {{"role", "engine"}}};
-                                    for (auto& router : this->routers) {
-                                        router->on_host_changes({{host}, {}}, this->now);
-                                    }
-                                }});
+        this->events.push_back(
+            {this->now + time_to_return, [this, address] {
+                 decision::endpoint_host host{address,
+                                              address,
+                                              this->zone_by_address.at(address),
+                                              ++this->incarnations[address],
+                                              false,
+                                              {{"role", "engine"}}};
+                 for (auto& router : this->routers) {
+                     router->on_host_changes({{host}, {}}, this->clock_of(router));
+                 }
+             }});
     }
 
     // The router hears of it after a moment, and has sent other requests meanwhile.
@@ -580,7 +590,7 @@
             return;
         }
         this->routers[router]->on_endpoint_notice(attempt.ticket, attempt.attempt, found->second,
-                                                  this->now);
+                                                  this->clock(router));
         if (found->second.request_limit || found->second.leaving) {
             this->told_at.try_emplace({attempt.address, router}, this->now);
         }
@@ -605,7 +615,7 @@
         ended.ticket = attempt.ticket;
         ended.attempt = attempt.attempt;
         ended.result = result;
-        this->routers[router]->on_attempt_end(ended, this->now);
+        this->routers[router]->on_attempt_end(ended, this->clock(router));
         this->apply_actions(router);
     }
 
@@ -613,7 +623,8 @@
     {
         for (std::size_t from = 0; from < this->routers.size(); ++from) {
             const auto sends = this->exchanges[from]->on_tick(
-                this->routers[from]->endpoints().own_loads(this->now), {true, 1}, this->now, {});
+                this->routers[from]->endpoints().own_loads(this->clock(from)), {true, 1}, this->now,
+                {});
             for (const auto& send : sends) {
                 this->reports.push_back({send.to.port, std::to_string(from),
                                          std::get<load_push>(send.message).loads,
@@ -624,11 +635,23 @@
              this->reports.pop_front()) {
             const auto& report = this->reports.front();
             if (this->options.peers_are_heard) {
-                this->routers[report.to]->on_peer_loads(report.from, report.loads, this->now);
+                this->routers[report.to]->on_peer_loads(report.from, report.loads,
+                                                        this->clock(report.to));
             }
         }
     }
 
+    // The router's own clock, whose origin differs from that of the others.
+    [[nodiscard]] instant clock(std::size_t rank) const
+    {
+        return this->now + this->options.clock_distance * static_cast<std::int64_t>(rank);
+    }
+
+    [[nodiscard]] instant clock_of(const std::unique_ptr<decision::dispatcher>& router) const
+    {
+        return this->clock(static_cast<std::size_t>(&router - this->routers.data()));
+    }
+
     std::uint64_t next_random() { return decision::mix(this->random_state++); }
 
     zone_fleet_options options;
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -375,6 +375,9 @@
     // Sets this router's rank among all live routers, which all count equally.
     void on_fleet(std::size_t rank, std::size_t size);
 
+    // The difference of the routers' common time from this router's clock.
+    void set_clock_offset(duration offset) { this->table.set_clock_offset(offset); }
+
     void on_arrival(arrival request, instant now);
     void on_attempt_end(const attempt_end& end, instant now);
 
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -254,6 +254,11 @@
     // This router's rank among the live routers, which share what a cold endpoint may get.
     void on_fleet(std::size_t rank, std::size_t size);
 
+    // The difference of the routers' common time, such as the time of day, from this router's
+    // clock. Routers draw for the places of brittle endpoints by that time. Without it the draws of
+    // several routers are independent of each other.
+    void set_clock_offset(duration offset);
+
     // Applies a complete host list and returns the incarnations that it ended. A host marked
     // leaving returns only with a newer incarnation. A newer incarnation discards all state of the
     // earlier one, including its requests in flight. Newer means a higher number or, with
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -266,7 +266,7 @@
         return false;
     }
     const refusal_place here{this->place.rank, this->place.size,
-                             this->directory.number_in_group(where)};
+                             this->directory.number_in_group(where), this->place.clock_offset};
     const auto there = known_requests_at(where, this->others, this->place);
     return !where.refusals.may_send(there, where.capacity(), here, group, this->now);
 }
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -394,7 +394,13 @@
 
 void endpoint_table::on_fleet(std::size_t rank, std::size_t size)
 {
-    this->inner->place = {rank, std::max<std::size_t>(size, 1)};
+    this->inner->place.rank = rank;
+    this->inner->place.size = std::max<std::size_t>(size, 1);
+}
+
+void endpoint_table::set_clock_offset(duration offset)
+{
+    this->inner->place.clock_offset = offset;
 }
 
 std::vector<ended_incarnation> endpoint_table::set_hosts(const std::vector<endpoint_host>& hosts,
--- a/decision/src/refusal_budget.cpp
+++ b/decision/src/refusal_budget.cpp
@@ -77,11 +77,13 @@
 
 // From 0 (inclusive) to 1 (exclusive), spread evenly over any few periods in a row, over the
 // routers of an endpoint and over the endpoints of a router, so that nobody waits long for a high
-// draw.
+// draw. The periods are those of the routers' common time: by clocks of their own, many routers
+// could draw high at the same moment.
 double draw(const refusal_place& place, instant now)
 {
     constexpr std::uint64_t golden_ratio = 0x9E3779B97F4A7C15U; // as a fraction of 2^64
-    const auto period = static_cast<std::uint64_t>(now.time_since_epoch() / draw_period);
+    const auto common_time = now.time_since_epoch() + place.clock_offset;
+    const auto period = static_cast<std::uint64_t>(common_time / draw_period);
     return unit_fraction((period + place.rank + place.number_in_group) * golden_ratio);
 }
 
--- a/decision/src/refusal_budget.hpp
+++ b/decision/src/refusal_budget.hpp
@@ -23,6 +23,7 @@
     std::size_t rank = 0;            // of this router
     std::size_t routers = 1;         // number of them
     std::size_t number_in_group = 0; // of the endpoint, from 0
+    duration clock_offset{};         // of the routers' common time from this router's clock
 
     friend bool operator==(const refusal_place&, const refusal_place&) = default;
 };
