Share the room of an endpoint that has just returned among the routers

Cause: an endpoint without an answer is presumed to be as brittle as its group, but each router allowed itself one request there, whatever the number of routers. The class: a bound for all routers kept by each for itself. The model did not show it; its tests of returning endpoints had nine routers.

Fix: before its first answer an endpoint is shared like the others of its group, with one share for each router.

Evidence: refusal_budget.routers_share_the_room_of_an_endpoint_that_has_not_answered, 78 of 78 routers may send at once before, six at most after.

--- a/decision/src/refusal_budget.cpp
+++ b/decision/src/refusal_budget.cpp
@@ -257,8 +257,9 @@
                               instant now) const
 {
     const double usable = std::min(this->room.requests(capacity, now), group.room(capacity, now));
-    if (!this->has_answered) {
-        return there.own < 1.0 && there.all < usable;
+    // Many routers learn of a new endpoint at the same moment.
+    if (!this->has_answered && (there.own >= 1.0 || there.all >= usable)) {
+        return false;
     }
     const bool may_be_full = (this->knows_load() || this->room.is_reduced()) && there.all >= usable;
     if (may_be_full) {
@@ -270,7 +271,8 @@
     const bool has_much_room = this->knows_load() && there.all < shared;
     const bool is_rarely_used =
         static_cast<double>(place.routers) >= many_routers_per_place * usable;
-    const double shares = has_much_room ? max_shares_of_one_router
+    const double shares = !this->has_answered ? 1.0
+                          : has_much_room     ? max_shares_of_one_router
                           : is_rarely_used && !this->room.was_reduced_lately(now)
                               ? shares_of_many_routers
                               : 1.0;
--- a/decision/test/refusal_budget_test.cpp
+++ b/decision/test/refusal_budget_test.cpp
@@ -61,6 +61,23 @@
     CHECK_FALSE(refusal_budget().is_brittle(group, start + seconds(20)));
 }
 
+// Guards against many routers that each send a request to an endpoint that has just returned.
+TEST(refusal_budget, routers_share_the_room_of_an_endpoint_that_has_not_answered)
+{
+    constexpr std::size_t routers = 78;
+    brittle_group group;
+    group.on_statement(5.0, start);
+    for (int period = 0; period < 40; ++period) {
+        const auto now = start + milliseconds(200) * period;
+        std::size_t all = 0;
+        for (std::size_t rank = 0; rank < routers; ++rank) {
+            all += refusal_budget().may_send({}, capacity, {rank, routers, 0}, group, now) ? 1 : 0;
+        }
+        CHECK_COMPARE(all, <=, std::size_t{6});
+        CHECK_COMPARE(all, >=, std::size_t{1});
+    }
+}
+
 // Guards against routers that together offer an endpoint more than it has room for.
 TEST(refusal_budget, routers_share_the_room_of_an_endpoint)
 {
