Move whole sessions in a load trial only on routes that fill the endpoint

While a load trial fills an endpoint and needs more than 7 in 10 sessions, only the requests that fill it moved, so a session with short and long prompts alternated between versions. The sessions of a route of which at least a quarter of the requests fill an endpoint now move with all of their requests, whatever the share, and sessions of other routes move by the sample alone. Each router counts the requests of each route from its start on.

A resumed stream is a kind of its own, and a rare one, so the dispatcher counts by the new field `arrival::route`, which the platform sets and which defaults to the kind. Otherwise a resumed request of a moved session would be decided apart from the session's other requests.

In rollout_exposure_test, requests_that_do_not_fill_an_endpoint_stay_where_most_sessions_would_move stated the removed rule (by request above 0.7); it is replaced by sessions_of_a_kind_that_does_not_fill_stay_while_an_endpoint_is_filled, which checks both requests, inside and outside the sample, at 0.3 and 0.9. a_session_keeps_its_version_while_an_endpoint_is_filled also checks 0.9.

--- a/coordination/test/session_versions_test.cpp
+++ b/coordination/test/session_versions_test.cpp
@@ -1,8 +1,10 @@
 #include "pearhaven/coordination/rollout_progress.hpp"
 
+#include "pearhaven/decision/endpoint_filling_kinds.hpp"
 #include "pearhaven/decision/mix.hpp"
 #include "pearhaven/decision/rollout_exposure.hpp"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,9 +38,13 @@
     bool on_new_version = false;
 };
 
+constexpr std::size_t route_count = 2;
+
 struct fleet_traffic {
     double long_answers_per_s = 1.0; // of each router
-    bool mixes_prompts = false;      // whether half of a session's prompts are short
+
+    // Share of the requests of each route that fill an endpoint. A session stays on one route.
+    std::array<std::uint32_t, route_count> filling_percent{};
 };
 
 // Routers that receive each step of a rollout at different times, and sessions whose requests
@@ -53,6 +59,7 @@
             model_rollout_order order{"model@v1", "model@v2", 28, order_time, 64};
             this->progress_by_router.push_back(std::make_unique<rollout_progress>(
                 rollout_progress_settings{}, order, start + this->watch_delay()));
+            this->filling_kinds.emplace_back();
             this->exposures.push_back(std::make_unique<rollout_exposure>());
             this->exposures.back()->on_fleet(i, router_count);
             this->exposures.back()->on_configuration(*configuration_builder().build());
@@ -75,6 +82,8 @@
     int changed_in_first_half = 0;
     int moved_back = 0;
     int moved = 0;
+    std::array<int, route_count> sent_in_trial{};
+    std::array<int, route_count> moved_in_trial{};
 
 private:
     std::uint64_t next_random() { return mix(this->random_state++); }
@@ -145,10 +154,21 @@
         question.caller = &question.current->teams().at("anyone");
         question.asked = "model";
         question.session_key = mix(session);
+        const auto route = session % route_count;
+        const auto kind = std::to_string(route);
+        const auto percent = this->traffic.filling_percent.at(route);
+        auto& kinds = this->filling_kinds[router];
         rollout_context context;
-        context.fills_endpoint = this->traffic.mixes_prompts && this->next_random() % 2 == 0;
+        context.fills_endpoint = percent > 0 && this->next_random() % 100 < percent;
+        kinds.record(kind, context.fills_endpoint);
+        context.kind_fills_endpoint = kinds.fills(kind, context.fills_endpoint);
         const auto answer = this->exposures[router]->choose(question, context).answer;
-        this->record_answer(session, answer.version == "model@v2", now);
+        const bool on_new_version = answer.version == "model@v2";
+        if (question.current->rollouts().begin()->second.fills_endpoint) {
+            ++this->sent_in_trial.at(route);
+            this->moved_in_trial.at(route) += on_new_version ? 1 : 0;
+        }
+        this->record_answer(session, on_new_version, now);
     }
 
     void record_answer(std::uint64_t session, bool on_new_version, instant now)
@@ -168,6 +188,7 @@
     fleet_traffic traffic;
     std::vector<std::unique_ptr<rollout_progress>> progress_by_router;
     std::vector<std::unique_ptr<rollout_exposure>> exposures;
+    std::vector<endpoint_filling_kinds> filling_kinds; // by router
     std::map<std::size_t, configuration_ptr> configurations;
     std::vector<delayed_record> in_flight;
     std::map<std::uint64_t, session_end> sessions;
@@ -209,7 +230,7 @@
 TEST(session_versions, few_sessions_with_mixed_prompts_move_back)
 {
     for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        session_fleet fleet(seed << 32U, {2.0, true});
+        session_fleet fleet(seed << 32U, {2.0, {50, 50}});
         fleet.simulate();
         CHECK_TRUE(fleet.moved_back <= 3);
     }
@@ -219,8 +240,25 @@
 TEST(session_versions, few_sessions_with_mixed_prompts_move_back_where_long_answers_are_few)
 {
     for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        session_fleet fleet(seed << 32U, {1.0, true});
+        session_fleet fleet(seed << 32U, {1.0, {50, 50}});
+        fleet.simulate();
+        CHECK_TRUE(fleet.moved_back <= 3);
+        CHECK_COMPARE(fleet.moved_in_trial[0], >, 0);
+    }
+}
+
+// Guards against sessions that alternate between versions, and against sessions that meet an
+// untested version without filling its endpoint, where 0.83 of the sessions are needed and only one
+// route fills.
+TEST(session_versions, sessions_of_the_route_that_fills_move_in_a_trial_and_others_do_not)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        session_fleet fleet(seed << 32U, {1.2, {75, 2}});
         fleet.simulate();
         CHECK_TRUE(fleet.moved_back <= 3);
+        CHECK_COMPARE(fleet.moved_in_trial[0], >=, fleet.sent_in_trial[0] * 78 / 100);
+        CHECK_COMPARE(fleet.moved_in_trial[0], <=, fleet.sent_in_trial[0] * 88 / 100);
+        // A tenth of the sessions is in the sample; a trial has some 280 requests of a route.
+        CHECK_COMPARE(fleet.moved_in_trial[1], <=, fleet.sent_in_trial[1] * 16 / 100);
     }
 }
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -3,6 +3,7 @@
 
 #include "pearhaven/decision/configuration.hpp"
 #include "pearhaven/decision/crashing_parts.hpp"
+#include "pearhaven/decision/endpoint_filling_kinds.hpp"
 #include "pearhaven/decision/endpoint_table.hpp"
 #include "pearhaven/decision/fair_queue.hpp"
 #include "pearhaven/decision/lost_runs.hpp"
@@ -115,6 +116,10 @@
     std::uint32_t sizes = 0;  // number of model sizes that may answer; 0 or 1 for no choice
     bool long_prompt = false; // prefill takes an engine longer than generating the answer
     duration objective{}; // target time from arrival to the first piece of the answer; zero if none
+
+    // Whole and resumed requests of one route are different kinds. If empty, the kind is the route.
+    std::string route;
+
     friend bool operator==(const arrival&, const arrival&) = default;
 };
 
@@ -644,6 +649,7 @@
     speed_reference paces{pace_settings()};
     response_times completion_times;     // from arrival to the end of the answer
     response_times first_response_times; // from an attempt's start to the beginning of its answer
+    endpoint_filling_kinds filling_kinds;
     rollout_exposure exposure;
     std::vector<dispatch_action> actions;
     std::optional<planned_stop> stop;
--- a/decision/include/pearhaven/decision/rollout_exposure.hpp
+++ b/decision/include/pearhaven/decision/rollout_exposure.hpp
@@ -28,6 +28,7 @@
     std::string ran_on;               // version of its last run; empty before the first
     bool delivered = false;           // its caller has received part of an answer
     bool fills_endpoint = false;      // occupies a slot for long and may be retried elsewhere
+    bool kind_fills_endpoint = false; // many requests of its kind do
 };
 
 struct rollout_choice {
--- a/decision/src/dispatch_failures.hpp
+++ b/decision/src/dispatch_failures.hpp
@@ -31,6 +31,12 @@
     return request.kind.empty() ? request.asked : request.kind;
 }
 
+// Groups requests that sessions send together.
+inline const std::string& route_of(const arrival& request)
+{
+    return request.route.empty() ? kind_of(request) : request.route;
+}
+
 } // namespace pearhaven::decision
 
 #endif
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -254,7 +254,11 @@
     if (tested_part) {
         this->begin_quarantine_test(state, *tested_part, now);
     }
+    const auto& route = route_of(state.request);
     state.rollouts.fills_endpoint = fills_endpoint(state.request);
+    this->filling_kinds.record(route, state.rollouts.fills_endpoint);
+    state.rollouts.kind_fills_endpoint =
+        this->filling_kinds.fills(route, state.rollouts.fills_endpoint);
     auto& arrivals = this->arrivals_by_target[state.request.asked];
     ++arrivals.all.in_period;
     arrivals.endpoint_filling.in_period += state.rollouts.fills_endpoint ? 1 : 0;
--- a/decision/src/rollout_exposure.cpp
+++ b/decision/src/rollout_exposure.cpp
@@ -25,21 +25,14 @@
     return key % million < ppm;
 }
 
-// Most sessions per million that may move with all their requests while an endpoint is being
-// filled. Beyond it nearly all callers would meet a version that has not been tested under load.
-constexpr std::uint32_t max_filling_sessions_ppm = 700'000;
-
-bool moves_whole_sessions(const rollout& plan)
-{
-    return plan.fills_endpoint && plan.fill_ppm <= max_filling_sessions_ppm;
-}
-
-// Sessions per million that use the new version. While an endpoint is being filled, the sessions
-// whose requests may fill it move with all their requests: those with long prompts as well.
-std::uint32_t moved_sessions_ppm(const rollout& plan)
+// Sessions per million of the request's kind that use the new version. While an endpoint is being
+// filled, the sessions of the kinds that fill it move with all their requests: those with long
+// prompts as well. Sessions of other kinds would meet an untested version without filling it.
+std::uint32_t moved_sessions_ppm(const rollout& plan, const rollout_context& context)
 {
-    return moves_whole_sessions(plan) ? std::max(plan.session_ppm, plan.fill_ppm)
-                                      : plan.session_ppm;
+    return plan.fills_endpoint && context.kind_fills_endpoint
+               ? std::max(plan.session_ppm, plan.fill_ppm)
+               : plan.session_ppm;
 }
 
 bool may_use(const version_question& question, const std::string& name)
@@ -147,17 +140,15 @@
     if (!may_change && !context.ran_on.empty() && context.ran_on != plan.to) {
         return false;
     }
-    const bool fills_alone = plan.fills_endpoint && context.fills_endpoint &&
-                             (session_key == 0 || !moves_whole_sessions(plan));
-    if (fills_alone &&
-        is_sampled(session_key != 0 ? session_key : question.random, plan.fill_ppm)) {
-        return is_running;
-    }
     // Routers keep no table of sessions, so none knows which version this session last used at
-    // another router. The decision depends on its key alone, so all routers agree and the session
-    // changes version once.
+    // another router. The decision depends on its key and its kind alone, so all routers agree and
+    // the session changes version once.
     if (session_key != 0) {
-        return is_running && is_sampled(session_key, moved_sessions_ppm(plan));
+        return is_running && is_sampled(session_key, moved_sessions_ppm(plan, context));
+    }
+    if (plan.fills_endpoint && context.fills_endpoint &&
+        is_sampled(question.random, plan.fill_ppm)) {
+        return is_running;
     }
     const bool has_grant = context.exposed_by == plan.name || known.spent < known.granted;
     return is_running && !plan.paused && has_grant;
--- a/decision/test/rollout_dispatch_test.cpp
+++ b/decision/test/rollout_dispatch_test.cpp
@@ -80,16 +80,26 @@
     }
 
     // A request with a long answer and a short prompt that any endpoint may resume.
-    start_attempt arrive_long()
+    static arrival long_request()
     {
         arrival request;
+        request.streamed = true;
+        request.on_loss = continuation::another_run;
+        return request;
+    }
+
+    start_attempt arrive_long()
+    {
+        return this->arrive_long(long_request());
+    }
+
+    start_attempt arrive_long(arrival request)
+    {
         request.ticket = ++this->last_ticket;
         request.team = "deposits";
         request.asked = "adjudicator";
-        request.streamed = true;
         request.work.tokens = 10;
         request.sizes = 3;
-        request.on_loss = continuation::another_run;
         request.max_attempts = 3;
         request.deadline = this->now + seconds(60);
         request.fingerprint = request.ticket;
@@ -257,6 +267,38 @@
     CHECK_COMPARE(moved, <, 130);
 }
 
+// Guards against a session that alternates between versions because of its prompts, or because a
+// stream of it is resumed, and against sessions of other kinds at a version that is being tested.
+TEST(rollout_dispatch_test, sessions_move_to_the_filled_endpoint_by_the_kind_of_their_requests)
+{
+    begin();
+    auto report = long_request();
+    report.kind = "report";
+    auto lookup = long_request();
+    lookup.kind = "lookup";
+    for (int i = 0; i < 16; ++i) {
+        report.long_prompt = i % 2 == 0;
+        lookup.long_prompt = i % 8 != 0;
+        end(arrive_long(report), attempt_result::finished, false);
+        end(arrive_long(lookup), attempt_result::finished, false);
+    }
+    fleet_plan wanted{true, "adjudicator", true};
+    wanted.fill_ppm = 900'000;
+    router.on_configuration(make_configuration(wanted), now);
+    auto resumed = report;
+    resumed.kind = "report (resumed)";
+    resumed.route = "report";
+    for (const bool long_prompt : {false, true}) {
+        for (auto* request : {&report, &resumed, &lookup}) {
+            request->long_prompt = long_prompt;
+            request->session_key = 500'000;
+        }
+        CHECK_EQUAL(std::string("adjudicator-2"), arrive_long(report).version);
+        CHECK_EQUAL(std::string("adjudicator-2"), arrive_long(resumed).version);
+        CHECK_EQUAL(std::string("adjudicator-1"), arrive_long(lookup).version);
+    }
+}
+
 // The filled endpoint sends nothing for a time in which a good version would send data: the version
 // is several times too slow. The request continues elsewhere.
 TEST(rollout_dispatch_test, the_silence_of_a_filled_endpoint_is_evidence)
--- a/decision/test/rollout_exposure_test.cpp
+++ b/decision/test/rollout_exposure_test.cpp
@@ -306,42 +306,51 @@
     CHECK_EQUAL(std::string("adjudicator-1"), router.ask().answer.version);
 }
 
-// Guards against a session that alternates between versions because one of its prompts is long.
+// Guards against a session that alternates between versions because one of its prompts is long,
+// also in a fleet that needs most of its long answers to fill one endpoint.
 TEST(rollout_exposure_test, a_session_keeps_its_version_while_an_endpoint_is_filled)
 {
-    router_model router;
-    auto plan = make_plan(2);
-    plan.fills_endpoint = true;
-    plan.fill_ppm = 300'000;
-    plan.session_ppm = 40'000;
-    router.apply(plan);
-    int moved = 0;
-    for (std::uint64_t key = 1; key <= 1'000'000; key += 997) {
-        router.session_key = key;
-        router.context.fills_endpoint = true;
-        const auto chosen = router.ask();
-        router.context.fills_endpoint = false;
-        STRCMP_EQUAL(chosen.answer.version.c_str(), router.ask().answer.version.c_str());
-        moved += chosen.answer.version == "adjudicator-2" ? 1 : 0;
+    for (const std::uint32_t fill_ppm : {300'000U, 900'000U}) {
+        router_model router;
+        auto plan = make_plan(2);
+        plan.fills_endpoint = true;
+        plan.fill_ppm = fill_ppm;
+        plan.session_ppm = 40'000;
+        router.apply(plan);
+        router.context.kind_fills_endpoint = true;
+        std::uint32_t moved = 0;
+        for (std::uint64_t key = 1; key <= 1'000'000; key += 997) {
+            router.session_key = key;
+            router.context.fills_endpoint = true;
+            const auto chosen = router.ask();
+            router.context.fills_endpoint = false;
+            STRCMP_EQUAL(chosen.answer.version.c_str(), router.ask().answer.version.c_str());
+            moved += chosen.answer.version == "adjudicator-2" ? 1 : 0;
+        }
+        CHECK_COMPARE(moved, >=, fill_ppm / 1'000 - 10); // of 1,003
+        CHECK_COMPARE(moved, <=, fill_ppm / 1'000 + 10);
     }
-    CHECK_COMPARE(moved, >=, 290); // 30 in 100 of 1,003
-    CHECK_COMPARE(moved, <=, 310);
 }
 
-// Guards against nearly all callers at a version that has not been tested under load, in a fleet
-// that needs all its long answers to fill one endpoint.
-TEST(rollout_exposure_test,
-     requests_that_do_not_fill_an_endpoint_stay_where_most_sessions_would_move)
+// Guards against nearly all callers at a version that has not been tested under load: sessions of a
+// kind that does not fill endpoints move by their own share alone, with all of their requests.
+TEST(rollout_exposure_test, sessions_of_a_kind_that_does_not_fill_stay_while_an_endpoint_is_filled)
 {
-    router_model router;
-    auto plan = make_plan(2);
-    plan.fills_endpoint = true;
-    plan.fill_ppm = 900'000;
-    router.apply(plan);
-    router.session_key = 500'000;
-    STRCMP_EQUAL("adjudicator-1", router.ask().answer.version.c_str());
-    router.context.fills_endpoint = true;
-    STRCMP_EQUAL("adjudicator-2", router.ask().answer.version.c_str());
+    for (const std::uint32_t fill_ppm : {300'000U, 900'000U}) {
+        router_model router;
+        auto plan = make_plan(2);
+        plan.fills_endpoint = true;
+        plan.fill_ppm = fill_ppm;
+        plan.session_ppm = 40'000;
+        router.apply(plan);
+        for (const bool fills : {false, true}) {
+            router.context.fills_endpoint = fills;
+            router.session_key = 40'000;
+            STRCMP_EQUAL("adjudicator-1", router.ask().answer.version.c_str());
+            router.session_key = 39'999;
+            STRCMP_EQUAL("adjudicator-2", router.ask().answer.version.c_str());
+        }
+    }
 }
 
 // Guards against a session with one request's second run on the old version after it has moved.
