Let a router save retries in proportion to its recent requests

It may now also save a share of the requests that it admitted for the target in the last 10 s. The balance is limited by the present savings before each use, so that it falls with the traffic.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "pearhaven/decision/reachability.hpp"
 #include "pearhaven/decision/response_times.hpp"
 #include "pearhaven/decision/retry_budget.hpp"
+#include "pearhaven/decision/retry_savings.hpp"
 #include "pearhaven/decision/rollout_exposure.hpp"
 #include "pearhaven/decision/session_token.hpp"
 #include "pearhaven/decision/size_choice.hpp"
@@ -252,6 +253,10 @@
     double retry_share_on_arrival = 0.0; // retries earned by each admitted request
     double retry_burst = 20.0;           // retries allowed beyond those shares, per router
     double fleet_retry_burst = 0.0;      // for all routers together; zero for no limit
+
+    // Retries that a router may save beyond its burst, relative to the requests for the target that
+    // it admitted in the last 10 s.
+    double retry_savings_share = 0.0;
     size_choice_settings sizes;
 
     // Relative to the largest model's work for the same request.
@@ -533,6 +538,12 @@
         arrival_counter endpoint_filling; // see `rollout_context::fills_endpoint`
     };
 
+    struct target_retries {
+        retry_budget budget;
+        retry_savings savings;
+        double extra = 0.0; // savings when the budget was last used
+    };
+
     struct start_choice {
         std::string address;
         std::string version;
@@ -594,7 +605,11 @@
     [[nodiscard]] double work_of(const request_state& state) const;
     void record_answer_begin(request_state& state, instant now);
     void record_loaded_run(const request_state& state, bool good);
-    [[nodiscard]] retry_budget& budget_of(const arrival& request);
+    [[nodiscard]] target_retries& retries_of(const arrival& request);
+    [[nodiscard]] retry_budget& budget_of(const arrival& request, instant now);
+    void record_admission(const arrival& request, instant now);
+    void update_burst(target_retries& target, const std::string& asked, instant now) const;
+    [[nodiscard]] bool can_spend_retry(const arrival& request, instant now) const;
     [[nodiscard]] double router_burst(const std::string& asked) const;
     [[nodiscard]] bool has_runs_left(const request_state& state) const;
     void record_version_refusal(request_state& state) const;
@@ -627,7 +642,7 @@
     configuration_ptr config;
     endpoint_table table;
     fair_queue queue;
-    std::map<std::string, retry_budget> budgets; // by requested model or service
+    std::map<std::string, target_retries> retries; // by requested model or service
     suspect_table suspects;
     lost_run_table lost_runs;
     crashing_part_table crashes;
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -231,8 +231,8 @@
     this->fleet_rank = std::min(rank, this->fleet_size - 1);
     this->exposure.on_fleet(this->fleet_rank, this->fleet_size);
     this->table.on_fleet(this->fleet_rank, this->fleet_size);
-    for (auto& [asked, budget] : this->budgets) {
-        budget.set_burst(this->router_burst(asked));
+    for (auto& [asked, target] : this->retries) {
+        target.budget.set_burst(burst_with_savings(this->router_burst(asked), target.extra));
     }
 }
 
@@ -258,7 +258,7 @@
     auto& arrivals = this->arrivals_by_target[state.request.asked];
     ++arrivals.all.in_period;
     arrivals.endpoint_filling.in_period += state.rollouts.fills_endpoint ? 1 : 0;
-    this->budget_of(state.request).earn(this->settings.retry_share_on_arrival, now);
+    this->record_admission(state.request, now);
     const auto& admitted = this->requests.emplace(ticket, std::move(state)).first->second;
     if (!this->enqueue(admitted)) {
         this->give_up(ticket, retryable_failure(failure_code::overloaded, short_retry_delay,
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -78,7 +78,7 @@
     const double work = end.actual_work > 0.0 ? end.actual_work : request.work.tokens;
     this->record_attempt_end(state, end.result, end.first_token, now);
     this->queue.settle(request.team, request.work.tokens, work);
-    this->budget_of(request).on_success();
+    this->budget_of(request, now).on_success();
     if (!end.answer_reports_failure) {
         this->completion_times.record(kind_of(request), now - state.arrived);
     }
@@ -130,10 +130,10 @@
     const bool is_free =
         end.endpoint_leaving || end.result == attempt_result::unreachable || state.forwarded;
     if (end.endpoint_leaving) {
-        this->budget_of(request).debit(now);
+        this->budget_of(request, now).debit(now);
     }
     const bool may_retry = state.refusals < this->settings.max_refusals &&
-                           (is_free || this->budget_of(request).try_spend(now));
+                           (is_free || this->budget_of(request, now).try_spend(now));
     if (!may_retry) {
         const auto run = state.may_have_run ? run_state::unknown : run_state::not_run;
         this->give_up(request.ticket,
@@ -259,8 +259,8 @@
         return;
     }
     // The other router has used the request's attempts.
-    const bool may_retry =
-        !state.forwarded && this->has_runs_left(state) && this->budget_of(request).try_spend(now);
+    const bool may_retry = !state.forwarded && this->has_runs_left(state) &&
+                           this->budget_of(request, now).try_spend(now);
     if (!may_retry) {
         this->give_up(ticket,
                       {failure_code::endpoint_failed, run_state::unknown, true, short_retry_delay,
@@ -271,11 +271,48 @@
 }
 
 // Each target has its own budget, so that failures of one do not use up the retries of another.
-retry_budget& dispatcher::budget_of(const arrival& request)
+dispatcher::target_retries& dispatcher::retries_of(const arrival& request)
 {
-    return this->budgets
-        .try_emplace(request.asked, this->settings.retry_share, this->router_burst(request.asked))
-        .first->second;
+    const auto found = this->retries.find(request.asked);
+    if (found != this->retries.end()) {
+        return found->second;
+    }
+    const retry_budget budget(this->settings.retry_share, this->router_burst(request.asked));
+    const retry_savings savings(this->settings.retry_savings_share);
+    return this->retries.emplace(request.asked, target_retries{budget, savings}).first->second;
+}
+
+// The balance is limited by the present savings before each use, so that it falls with the traffic.
+retry_budget& dispatcher::budget_of(const arrival& request, instant now)
+{
+    auto& target = this->retries_of(request);
+    this->update_burst(target, request.asked, now);
+    return target.budget;
+}
+
+void dispatcher::update_burst(target_retries& target, const std::string& asked, instant now) const
+{
+    if (this->settings.retry_savings_share > 0.0) {
+        target.extra = target.savings.extra(now);
+        target.budget.set_burst(burst_with_savings(this->router_burst(asked), target.extra));
+    }
+}
+
+bool dispatcher::can_spend_retry(const arrival& request, instant now) const
+{
+    const auto found = this->retries.find(request.asked);
+    if (found == this->retries.end()) {
+        return false;
+    }
+    auto target = found->second;
+    this->update_burst(target, request.asked, now);
+    return target.budget.can_spend(now);
+}
+
+void dispatcher::record_admission(const arrival& request, instant now)
+{
+    this->retries_of(request).savings.on_admitted(now);
+    this->budget_of(request, now).earn(this->settings.retry_share_on_arrival, now);
 }
 
 // With a fixed burst per router, ninety routers together held nine times the fleet's limit, and an
@@ -327,14 +364,12 @@
         return false;
     }
     const auto& state = found->second;
-    const auto budget = this->budgets.find(state.request.asked);
     auto next = state;
     ++next.runs;
     ++next.losses;
     return state.request.idempotent && !state.forwarded &&
            this->has_time_for_run(state.request, now) && this->has_runs_left(next) &&
-           budget != this->budgets.end() && budget->second.can_spend(now) &&
-           !this->target_failure(state, now);
+           this->can_spend_retry(state.request, now) && !this->target_failure(state, now);
 }
 
 // The prompt has been read once the answer begins. If its work were still counted, a prompt of half
@@ -388,7 +423,7 @@
     const bool drops_answer = next != state.size && !state.delivered &&
                               state.runs + 1 < std::max(request.max_attempts, 1U) &&
                               !this->target_failure(state, now) &&
-                              this->budget_of(request).try_spend(now);
+                              this->budget_of(request, now).try_spend(now);
     if (!drops_answer) {
         this->record_answer_begin(state, now);
         return true;
--- a/decision/test/routed_dispatch_test.cpp
+++ b/decision/test/routed_dispatch_test.cpp
@@ -145,6 +145,36 @@
     CHECK_TRUE(this->router->accepts_answer(1, second.attempt, 10.0, now + milliseconds(200)));
 }
 
+// Guards against poor answers that are delivered in a clump of requests because no retry is saved,
+// and against a change of the fleet that takes the savings or leaves them when the traffic ends.
+TEST(routed_dispatch, retries_are_saved_by_recent_requests_also_after_a_change_of_the_fleet)
+{
+    const auto second_runs = [this](double savings_share, duration after) {
+        this->settings.fleet_retry_burst = 10.0;
+        this->settings.retry_share_on_arrival = 0.765;
+        this->settings.retry_savings_share = savings_share;
+        this->make();
+        this->router->on_fleet(0, 5);
+        constexpr ticket_number last_ticket = 100;
+        for (ticket_number ticket = 1; ticket <= last_ticket; ++ticket) {
+            auto request = make_request();
+            request.ticket = ticket;
+            request.deadline = now + seconds(60);
+            request.objective = duration::zero();
+            this->router->on_arrival(request, now);
+        }
+        this->router->on_fleet(1, 5);
+        int dropped = 0;
+        for (ticket_number ticket = 1; ticket <= last_ticket; ++ticket) {
+            dropped += this->router->accepts_answer(ticket, 1, 0.0, now + after) ? 0 : 1;
+        }
+        return dropped;
+    };
+    LONGS_EQUAL(2, second_runs(0.0, seconds(1)));
+    LONGS_EQUAL(11, second_runs(0.09, seconds(1)));
+    LONGS_EQUAL(2, second_runs(0.09, seconds(10)));
+}
+
 TEST(routed_dispatch, a_low_confidence_answer_is_delivered_when_no_attempt_is_left)
 {
     auto request = make_request();
