Deliver a small model's answer while a larger run would be late

Whether a small model's answer is good enough did not depend on the load, so that second runs filled the endpoints in busy seconds and lost. With the setting sheds_load, the required confidence falls with the forecast time to the first piece of the largest model's answer, relative to the time left to the objective. The forecast is the learned time of the kind and size plus the backlog known at the endpoints. Answers delivered for this reason are logged and counted, and the error of the forecast is published.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "pearhaven/decision/crashing_parts.hpp"
 #include "pearhaven/decision/endpoint_table.hpp"
 #include "pearhaven/decision/fair_queue.hpp"
+#include "pearhaven/decision/load_forecast.hpp"
 #include "pearhaven/decision/lost_runs.hpp"
 #include "pearhaven/decision/peer_forwarding.hpp"
 #include "pearhaven/decision/reachability.hpp"
@@ -238,11 +239,20 @@
     friend bool operator==(const report_reachability&, const report_reachability&) = default;
 };
 
+// A small model's answer is delivered although its confidence is below the configured one, because
+// a run of the largest model is forecast to begin its answer too late.
+struct report_cheaper_answer {
+    ticket_number ticket = 0;
+    double confidence = 0.0;
+    duration forecast{}; // time to the first piece of the largest model's answer
+    friend bool operator==(const report_cheaper_answer&, const report_cheaper_answer&) = default;
+};
+
 using dispatch_action =
     std::variant<start_attempt, resume_attempt, cancel_attempt, complete_request, give_up_request,
                  announce_leaving, announce_suspect_status, announce_lost_run,
                  announce_finished_run, announce_lost_prompt, announce_answered_prompt,
-                 report_quarantine_test, report_reachability>;
+                 report_quarantine_test, report_reachability, report_cheaper_answer>;
 
 struct dispatcher_settings {
     endpoint_table_settings endpoints;
@@ -275,6 +285,10 @@
     duration first_quarantine_test = std::chrono::seconds(2);
     int quarantine_test_factor = 4;
 
+    // Whether requests with an objective are served with regard to the forecast load. Requires
+    // work to be stated in milliseconds.
+    bool sheds_load = false;
+
     reachability_settings reached;
     peer_forwarding_settings forwarding;
 
@@ -466,6 +480,12 @@
     [[nodiscard]] double long_arrival_rate(const std::string& asked) const;
     [[nodiscard]] std::vector<rollout_report> rollouts() const { return this->exposure.reports(); }
 
+    // Mean error of the forecast time to the first piece, by model size; zero if unknown.
+    [[nodiscard]] duration forecast_error(std::uint32_t size) const
+    {
+        return this->forecast.error(size);
+    }
+
 private:
     struct avoided_endpoint {
         std::string address;
@@ -495,6 +515,7 @@
         std::uint32_t size = 0; // model size for the next attempt
         instant arrived;
         instant sent_at;            // start of the current attempt
+        duration backlog{};         // known at that time, with `dispatcher_settings::sheds_load`
         bool concentrated = false;  // the current attempt goes to the endpoint that is being filled
         bool was_displaced = false; // the endpoint that is being filled refused it
 
@@ -610,6 +631,17 @@
     void record_admission(const arrival& request, instant now);
     void update_burst(target_retries& target, const std::string& asked, instant now) const;
     [[nodiscard]] bool can_spend_retry(const arrival& request, instant now) const;
+
+    // The forecast time from now to the first piece of a run of this size; nothing if unknown.
+    [[nodiscard]] std::optional<duration>
+    expected_first_piece(const request_state& state, std::uint32_t size, instant now) const;
+
+    // The present backlog at the endpoints that the request's next run may use.
+    [[nodiscard]] duration backlog_for(const request_state& state, instant now) const;
+    [[nodiscard]] duration backlog_at(const request_state& state, const std::string& target,
+                                      instant now) const;
+    [[nodiscard]] bool is_larger_run_late(const request_state& state, size_question question,
+                                          instant now);
     [[nodiscard]] double router_burst(const std::string& asked) const;
     [[nodiscard]] bool has_runs_left(const request_state& state) const;
     void record_version_refusal(request_state& state) const;
@@ -659,6 +691,7 @@
     speed_reference paces{pace_settings()};
     response_times completion_times;     // from arrival to the end of the answer
     response_times first_response_times; // from an attempt's start to the beginning of its answer
+    load_forecast forecast;              // with `dispatcher_settings::sheds_load`
     rollout_exposure exposure;
     std::vector<dispatch_action> actions;
     std::optional<planned_stop> stop;
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -362,6 +362,11 @@
     // Requests of all routers at the endpoint for concentrated requests; zero if there is none.
     [[nodiscard]] double concentrated_requests(const std::string& version, instant now) const;
 
+    // The mean of the known work over the endpoints among which a request is placed, full ones
+    // included, as time: a unit of work is a millisecond. Requests of others are accounted for as
+    // in `work_at`.
+    [[nodiscard]] duration backlog(const placement& wanted, std::size_t routers, instant now) const;
+
     // Whether any endpoint is not leaving, even if it is full or ejected.
     [[nodiscard]] bool serves(const placement& wanted, instant now) const;
 
--- a/decision/include/pearhaven/decision/size_choice.hpp
+++ b/decision/include/pearhaven/decision/size_choice.hpp
@@ -4,6 +4,7 @@
 #include "pearhaven/decision/time.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace pearhaven::decision {
 
@@ -36,6 +37,9 @@
     duration waited{};
     duration objective{}; // zero: none
 
+    // Forecast of the time from now to the first piece of the largest model's answer.
+    std::optional<duration> larger_run = {};
+
     friend bool operator==(const size_question&, const size_question&) = default;
 };
 
@@ -44,7 +48,8 @@
 
 // The size to continue with once an answer has begun: the same one to deliver the answer, or the
 // largest one. Sizes in between are skipped: a middle model rarely answers what a small one cannot,
-// and the request would wait for both.
+// and the request would wait for both. The required confidence falls as the forecast takes more
+// than half of the time left to the objective, and is zero if the larger run would be late.
 [[nodiscard]] std::uint32_t next_size(const size_question& question,
                                       const size_choice_settings& settings);
 
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -493,6 +493,9 @@
         this->reached.on_try(request.asked, now);
     }
     state.sent_at = now;
+    if (this->settings.sheds_load && !state.forwarded) {
+        state.backlog = this->backlog_at(state, where.version, now);
+    }
     state.concentrated = where.concentrated;
     if (state.concentrated) {
         const double load = this->table.writing_per_slot(where.address, this->fleet_size);
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -399,6 +399,54 @@
     return max_attempts == 0 ? state.losses < this->settings.max_losses : state.runs < max_attempts;
 }
 
+std::optional<duration> dispatcher::expected_first_piece(const request_state& state,
+                                                         std::uint32_t size, instant now) const
+{
+    return this->forecast.first_piece(kind_of(state.request), size, this->backlog_for(state, now),
+                                      now);
+}
+
+duration dispatcher::backlog_for(const request_state& state, instant now) const
+{
+    const auto& request = state.request;
+    if (request.is_service) {
+        return this->backlog_at(state, request.asked, now);
+    }
+    // No version can be chosen for a removed team.
+    if (!this->config || this->caller_failure(request)) {
+        return duration::zero();
+    }
+    return this->backlog_at(state, this->choose_version(state, now).answer.version, now);
+}
+
+duration dispatcher::backlog_at(const request_state& state, const std::string& target,
+                                instant now) const
+{
+    placement wanted;
+    wanted.version_or_service = target;
+    wanted.is_service = state.request.is_service;
+    if (now < state.avoid_until) {
+        this->add_avoided(state, wanted);
+    }
+    return this->table.backlog(wanted, this->fleet_size, now);
+}
+
+// Whether a run of the largest model is not worth its cost because its answer would begin too late.
+// Reports the answer that is delivered in its place, unless no retry was left for it anyway.
+bool dispatcher::is_larger_run_late(const request_state& state, size_question question, instant now)
+{
+    if (!this->settings.sheds_load || !this->can_spend_retry(state.request, now)) {
+        return false;
+    }
+    question.larger_run = this->expected_first_piece(state, question.sizes - 1, now);
+    if (next_size(question, this->settings.sizes) != state.size) {
+        return false;
+    }
+    this->actions.emplace_back(report_cheaper_answer{state.request.ticket, question.confidence,
+                                                     question.larger_run.value_or(duration())});
+    return true;
+}
+
 bool dispatcher::accepts_answer(ticket_number ticket, attempt_number attempt, double confidence,
                                 instant now)
 {
@@ -412,6 +460,11 @@
     this->record_endpoint_answer(state);
     this->record_first_token(state, now - state.sent_at);
     this->first_response_times.record(kind_of(request), now - state.sent_at);
+    // The endpoint that is being filled answers later than the others.
+    if (this->settings.sheds_load && !state.concentrated) {
+        this->forecast.on_first_piece(kind_of(request), state.size, now - state.sent_at,
+                                      state.backlog, now);
+    }
     size_question question;
     question.sizes = request.sizes;
     question.size = state.size;
@@ -423,6 +476,7 @@
     const bool drops_answer = next != state.size && !state.delivered &&
                               state.runs + 1 < std::max(request.max_attempts, 1U) &&
                               !this->target_failure(state, now) &&
+                              !this->is_larger_run_late(state, question, now) &&
                               this->budget_of(request, now).try_spend(now);
     if (!drops_answer) {
         this->record_answer_begin(state, now);
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -586,6 +586,25 @@
     return known * this->inner->extrapolation_factor(routers);
 }
 
+duration endpoint_table::backlog(const placement& wanted, std::size_t routers, instant now) const
+{
+    const route& from =
+        this->inner->directory.route_for(wanted.version_or_service, wanted.is_service);
+    this->inner->others.expire(now, this->inner->settings.peer_load_lifetime);
+    const auto subset = subset_of(from, wanted.avoid, now, this->inner->settings);
+    if (subset.empty()) {
+        return duration::zero();
+    }
+    double work = 0.0;
+    for (const endpoint* where : subset) {
+        work += where->work + this->inner->others.of(where->host).work;
+    }
+    const double mean = work / static_cast<double>(subset.size());
+    const std::chrono::duration<double, std::milli> time(
+        mean * this->inner->extrapolation_factor(routers));
+    return std::chrono::duration_cast<duration>(time);
+}
+
 double endpoint_table::writing_per_slot(const std::string& address, std::size_t routers) const
 {
     const endpoint* where = this->inner->directory.find(address);
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -160,6 +160,7 @@
     void carry_out(const decision::report_quarantine_test& action);
     void carry_out(const decision::announce_finished_run& action);
     void carry_out(const decision::report_reachability& action);
+    void carry_out(const decision::report_cheaper_answer& action);
 
     [[nodiscard]] std::optional<decision::endpoint_host>
     find_endpoint(const decision::start_attempt& action) const;
@@ -178,6 +179,7 @@
     void keep_failed_answer(relayed_request& relayed) const;
     void log_local_answer(const adapters::inbound_exchange& caller, const local_answer& answer);
     void log_end(const relayed_request& relayed, const std::string& outcome, int status);
+    void publish_forecast_error(std::uint32_t size);
     void record_activity(relayed_attempt& attempt);
     static void record_attempt(relayed_request& relayed, const std::string& result);
     void forget(ticket_number ticket);
@@ -274,6 +276,7 @@
         return;
     }
     relayed.attempt.endpoint = *endpoint;
+    relayed.attempt.size = action.size;
     relayed.attempt.target_label = action.forwarded ? "forwarded" : action.version;
     attempt_terms terms;
     terms.endpoint = *endpoint;
@@ -461,6 +464,28 @@
                          {{"target", action.target}});
 }
 
+void event_relay::state::carry_out(const decision::report_cheaper_answer& action)
+{
+    const auto found = this->requests.find(action.ticket);
+    const bool is_open = found != this->requests.end();
+    const auto id = is_open ? found->second.request.id : "";
+    const auto route = is_open ? found->second.request.route : "";
+    this->counts.add("pearhaven_cheaper_answers", {{"route", route}});
+    adapters::log_change("cheaper_answer", {{"id", id},
+                                            {"route", route},
+                                            {"confidence", fmt::format("{}", action.confidence)},
+                                            {"forecast_ms", milliseconds(action.forecast)}});
+}
+
+void event_relay::state::publish_forecast_error(std::uint32_t size)
+{
+    const auto error = this->dispatcher.forecast_error(size);
+    if (error > duration::zero()) {
+        this->counts.set("pearhaven_forecast_error_seconds", {{"size", std::to_string(size)}},
+                         std::chrono::duration<double>(error).count());
+    }
+}
+
 void event_relay::state::on_connected(ticket_number ticket, decision::attempt_number attempt)
 {
     this->dispatcher.on_connected(ticket, attempt);
@@ -491,6 +516,7 @@
     if (success && !relayed->began && !current.forwarded) {
         const bool accepted = this->dispatcher.accepts_answer(
             ticket, attempt, current.facts.confidence, this->loop.now());
+        this->publish_forecast_error(current.size);
         if (!accepted) {
             record_attempt(*relayed,
                            "poor" + std::to_string(static_cast<int>(current.facts.confidence)));
--- a/router/src/relayed_request.hpp
+++ b/router/src/relayed_request.hpp
@@ -6,6 +6,7 @@
 
 #include "pearhaven/router/caller_dialect.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -26,6 +27,7 @@
     decision::endpoint_host endpoint;
     bool forwarded = false;   // to another router, at the endpoint's address
     std::string target_label; // version and model size index, for the log
+    std::uint32_t size = 0;   // model size index
     decision::instant started;
     decision::duration first_token{};
     adapters::http_response_head head;
--- a/router/src/routing_worker.hpp
+++ b/router/src/routing_worker.hpp
@@ -95,6 +95,9 @@
     void carry_out(const decision::report_quarantine_test& /*action*/) {}
     void carry_out(const decision::announce_finished_run& /*action*/) {}
     void carry_out(const decision::report_reachability& action);
+
+    // Requests of this interface have no objective.
+    void carry_out(const decision::report_cheaper_answer& /*action*/) {}
     void start_engine(request_record& record, const decision::start_attempt& action);
     void start_service(request_record& record, const decision::start_attempt& action);
     [[nodiscard]] coordination::bill make_bill(const request_record& record,
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -231,20 +231,44 @@
     void setup() override
     {
         CHECK_TRUE(log_is_created);
+        this->client = adapters::make_http_outbound(this->loop, {});
+        this->script = std::make_unique<loop_script>(this->loop);
+        this->endpoints.push_back(std::make_unique<script_listener>());
+        this->endpoints.push_back(std::make_unique<script_listener>());
+        this->make_dispatcher();
+        this->dialect.prototype.kind = work_kind::resumable_stream;
+    }
+
+    void make_dispatcher(bool sheds_load = false)
+    {
         decision::dispatcher_settings chosen;
         chosen.endpoints.zone = "osu";
         chosen.max_refusals = 1;
         chosen.config_expiry_grace = std::chrono::hours(1);
+        chosen.sheds_load = sheds_load;
         this->dispatcher = std::make_unique<decision::dispatcher>(chosen);
-        this->client = adapters::make_http_outbound(this->loop, {});
-        this->script = std::make_unique<loop_script>(this->loop);
-        this->endpoints.push_back(std::make_unique<script_listener>());
-        this->endpoints.push_back(std::make_unique<script_listener>());
         const auto now = this->loop.now();
         this->dispatcher->on_configuration(make_configuration(), now);
         this->dispatcher->on_hosts(this->hosts(), now);
         this->dispatcher->on_config_confirmed(decision::instant::max(), now);
-        this->dialect.prototype.kind = work_kind::resumable_stream;
+    }
+
+    // A request whose small model's answer is poor, so that the times of both models are known.
+    void run_both_models()
+    {
+        const auto now = this->loop.now();
+        decision::arrival first;
+        first.ticket = 1;
+        first.team = "deposits";
+        first.asked = "model";
+        first.deadline = now + seconds(30);
+        first.max_attempts = 2;
+        first.sizes = 2;
+        this->dispatcher->on_arrival(first, now);
+        CHECK_FALSE(this->dispatcher->accepts_answer(1, 1, 0.0, now));
+        CHECK_TRUE(this->dispatcher->accepts_answer(1, 2, 0.0, now));
+        this->dispatcher->on_caller_gone(1, now);
+        CHECK_FALSE(this->dispatcher->take_actions().empty());
     }
 
     // Creates the relay with the settings that the test has chosen.
@@ -779,6 +803,33 @@
     this->finish(false);
 }
 
+// The endpoints have 20 s of work, so a larger model's answer would be late. Guards against answers
+// of low confidence that are delivered without a trace.
+TEST(event_relay, a_low_confidence_answer_delivered_because_of_the_load_is_counted)
+{
+    this->make_dispatcher(true);
+    this->run_both_models();
+    this->dialect.prototype.kind = work_kind::idempotent;
+    this->dialect.prototype.models = {"small", "large"};
+    this->dialect.prototype.route = "chat";
+    this->dialect.objective = seconds(10);
+    this->begin()
+        .when(this->has_run(0),
+              [this] {
+                  std::vector<decision::endpoint_load> loads;
+                  for (const auto& host : this->hosts()) {
+                      loads.push_back({host.address, 1, 20'000.0});
+                  }
+                  this->dispatcher->on_peer_loads("peer", loads, this->loop.now());
+                  this->run_at(0)->send(complete_answer("doubted", "Poor: yes\r\n"));
+              })
+        .when(this->caller_has("doubted"), [this] { this->caller->close(); });
+    this->finish(false);
+    const auto published = this->counts.exposition();
+    STRCMP_CONTAINS("pearhaven_cheaper_answers{route=\"chat\"} 1", published.c_str());
+    STRCMP_CONTAINS("pearhaven_forecast_error_seconds{size=\"0\"}", published.c_str());
+}
+
 // The team is removed in the middle of a stream. The request was sent before, so the caller gets
 // the complete stream.
 TEST(event_relay, a_stream_completes_after_its_team_was_removed)
