--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "pearhaven/decision/endpoint_table.hpp"
 #include "pearhaven/decision/fair_queue.hpp"
 #include "pearhaven/decision/lost_runs.hpp"
+#include "pearhaven/decision/overload_policy.hpp"
 #include "pearhaven/decision/peer_forwarding.hpp"
 #include "pearhaven/decision/reachability.hpp"
 #include "pearhaven/decision/response_times.hpp"
@@ -16,6 +17,7 @@
 #include "pearhaven/decision/speed_reference.hpp"
 #include "pearhaven/decision/suspects.hpp"
 #include "pearhaven/decision/time.hpp"
+#include "pearhaven/decision/usual_runs.hpp"
 #include "pearhaven/decision/version_choice.hpp"
 #include "pearhaven/decision/work.hpp"
 
@@ -49,6 +51,7 @@
     session_ended, // the session's version is withdrawn or no longer allowed
     team_limit,
     overloaded,
+    shed, // the answer was forecast to begin after the deadline, so it was not sent
     deadline_passed,
     no_endpoint,
     config_unconfirmed, // this router cannot confirm that its configuration is in force
@@ -115,6 +118,7 @@
     std::uint32_t sizes = 0;  // number of model sizes that may answer; 0 or 1 for no choice
     bool long_prompt = false; // prefill takes an engine longer than generating the answer
     duration objective{}; // target time from arrival to the first piece of the answer; zero if none
+    bool continues_answer = false; // the caller already has the beginning of the answer
     friend bool operator==(const arrival&, const arrival&) = default;
 };
 
@@ -149,6 +153,10 @@
 
     // `address` is that of another router, which takes over the request.
     bool forwarded = false;
+
+    // Tells the endpoint how to order its queue, 0 for the first to 9 for the last. If it is not
+    // set, the request's priority does.
+    std::optional<std::uint32_t> urgency = std::nullopt;
     friend bool operator==(const start_attempt&, const start_attempt&) = default;
 };
 
@@ -237,11 +245,24 @@
     friend bool operator==(const report_reachability&, const report_reachability&) = default;
 };
 
+// What overload changed for a request that is served.
+enum class load_measure : std::uint8_t {
+    made_cheaper, // answered by the smallest model, since the largest one's answer would end late
+    ordered_back, // sent with a later urgency than others of its priority
+    odd_terms,    // a term was out of range and was replaced
+};
+
+struct report_load_measure {
+    ticket_number ticket = 0;
+    load_measure measure = load_measure::made_cheaper;
+    friend bool operator==(const report_load_measure&, const report_load_measure&) = default;
+};
+
 using dispatch_action =
     std::variant<start_attempt, resume_attempt, cancel_attempt, complete_request, give_up_request,
                  announce_leaving, announce_suspect_status, announce_lost_run,
                  announce_finished_run, announce_lost_prompt, announce_answered_prompt,
-                 report_quarantine_test, report_reachability>;
+                 report_quarantine_test, report_reachability, report_load_measure>;
 
 struct dispatcher_settings {
     endpoint_table_settings endpoints;
@@ -278,6 +299,10 @@
 
     // Multiple of the time in which answers of the kind usually begin.
     double first_response_timeout_factor = 2.0;
+
+    // Whether requests to a model that have an objective are refused, answered by a smaller model
+    // or delayed by forecast; see `overload_policy.hpp`.
+    bool sheds_load = false;
     std::uint64_t seed = 1;
 };
 
@@ -502,6 +527,7 @@
         // The current attempt has answered to its end, or for longer than an endpoint takes to
         // crash on a part of its prompt.
         bool is_prompt_answered = false;
+        bool was_made_cheaper = false;   // `size` was lowered, and the run has not started yet
         bool is_quarantine_test = false; // sent although a part of its prompt is quarantined
 
         // Work that the endpoint still has to do for the current attempt.
@@ -556,6 +582,26 @@
                                                         instant now) const;
     [[nodiscard]] std::optional<failure> limit_failure(const request_state& state,
                                                        const placement& wanted, instant now) const;
+    [[nodiscard]] bool sheds(const arrival& request) const;
+    [[nodiscard]] request_terms terms_of(const request_state& state, instant now) const;
+    [[nodiscard]] run_forecast forecast_of(const request_state& state, instant now) const;
+    void report_odd_terms(const request_state& state, instant now);
+    [[nodiscard]] std::optional<failure> shed_failure(const request_state& state,
+                                                      instant now) const;
+    void make_cheaper(request_state& state, instant now) const;
+    [[nodiscard]] bool would_end_late(const request_state& state, instant now) const;
+    [[nodiscard]] std::optional<std::uint32_t> urgency_of(request_state& state, instant now);
+    void record_answer_pace(const request_state& state, instant now);
+
+    // The expected time from the start of a run of this model size to the first piece of its
+    // answer; nothing without samples.
+    [[nodiscard]] std::optional<duration>
+    expected_first_piece(const request_state& state, std::uint32_t size, instant now) const;
+
+    // The part of that time that other requests' work takes.
+    [[nodiscard]] duration backlog_for(const request_state& state, instant now) const;
+    [[nodiscard]] duration forecast_error(std::uint32_t size) const; // mean error of the first
+
     [[nodiscard]] bool is_cut_off_from(const arrival& request, const std::string& target) const;
     [[nodiscard]] std::optional<start_choice> find_peer(const request_state& state, instant now);
     void record_reachability(const request_state& state, const attempt_end& end, instant now);
@@ -644,6 +690,7 @@
     speed_reference paces{pace_settings()};
     response_times completion_times;     // from arrival to the end of the answer
     response_times first_response_times; // from an attempt's start to the beginning of its answer
+    usual_runs usual_by_kind;            // of requests that may be shed
     rollout_exposure exposure;
     std::vector<dispatch_action> actions;
     std::optional<planned_stop> stop;
--- a/decision/include/pearhaven/decision/overload_policy.hpp
+++ b/decision/include/pearhaven/decision/overload_policy.hpp
@@ -38,7 +38,7 @@
     std::optional<duration> largest;     // of the largest size
     duration error{};                    // mean error of `first_piece`
     duration backlog{};                  // included in all of them
-    double usual_work_ms = 0.0;          // of requests of the kind
+    std::optional<double> usual_work_ms; // of requests of the kind
     double answer_pace = 1.0;            // time to write an answer, relative to its `answer_ms`
 
     friend bool operator==(const run_forecast&, const run_forecast&) = default;
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -247,10 +247,18 @@
         this->actions.emplace_back(give_up_request{ticket, std::move(*refused)});
         return;
     }
-    ++this->team_in_flight[state.request.team];
-    state.lost_at = now; // by another router, if it is already a suspect
     state.arrived = now;
     state.size = first_size(state.request.sizes, this->settings.sizes);
+    this->report_odd_terms(state, now);
+    if (auto refused = this->shed_failure(state, now)) {
+        this->actions.emplace_back(give_up_request{ticket, std::move(*refused)});
+        return;
+    }
+    if (this->sheds(state.request)) {
+        this->usual_by_kind.on_request(kind_of(state.request), state.request.work.tokens);
+    }
+    ++this->team_in_flight[state.request.team];
+    state.lost_at = now; // by another router, if it is already a suspect
     if (tested_part) {
         this->begin_quarantine_test(state, *tested_part, now);
     }
@@ -451,6 +459,7 @@
     const auto can_start = [this, now](const queue_entry& entry) {
         const auto& state = this->requests.at(entry.ticket);
         return this->target_failure(state, now).has_value() ||
+               this->shed_failure(state, now).has_value() ||
                this->find_start(state, now).has_value();
     };
     while (const auto entry = this->queue.pop(can_start)) {
@@ -468,6 +477,12 @@
         this->give_up(ticket, std::move(*refused));
         return;
     }
+    if (auto refused = this->shed_failure(state, now)) {
+        this->queue.settle(state.request.team, state.request.work.tokens, 0.0);
+        this->give_up(ticket, std::move(*refused));
+        return;
+    }
+    this->make_cheaper(state, now);
     const auto where = this->find_start(state, now);
     if (!where) {
         // The random choice found no endpoint this time.
@@ -517,8 +532,9 @@
     state.prefill_work = request.work.prefill * this->size_factor(state) + cold;
     state.outstanding_work = this->work_of(state) + cold;
     this->table.started(where.address, request.work.kind, state.outstanding_work, state.parts, now);
+    const auto urgency = this->urgency_of(state, now);
     this->actions.emplace_back(start_attempt{request.ticket, state.attempt, where.address,
-                                             where.version, state.size, where.forwarded});
+                                             where.version, state.size, where.forwarded, urgency});
 }
 
 // A bad version can answer correctly but several times too slowly. Its response times are compared
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -81,6 +81,7 @@
     this->budget_of(request).on_success();
     if (!end.answer_reports_failure) {
         this->completion_times.record(kind_of(request), now - state.arrived);
+        this->record_answer_pace(state, now);
     }
     this->suspects.on_finished(request.fingerprint, now);
     if (!end.answer_reports_failure) {
@@ -385,7 +386,11 @@
     question.waited = now - state.arrived;
     question.objective = request.objective;
     const auto next = next_size(question, this->settings.sizes);
-    const bool drops_answer = next != state.size && !state.delivered &&
+    const bool ends_late = next != state.size && this->would_end_late(state, now);
+    if (ends_late) {
+        this->actions.emplace_back(report_load_measure{ticket, load_measure::made_cheaper});
+    }
+    const bool drops_answer = next != state.size && !ends_late && !state.delivered &&
                               state.runs + 1 < std::max(request.max_attempts, 1U) &&
                               !this->target_failure(state, now) &&
                               this->budget_of(request).try_spend(now);
--- a/decision/src/overload_policy.cpp
+++ b/decision/src/overload_policy.cpp
@@ -126,7 +126,7 @@
     const auto first_piece = limited(forecast.first_piece.value_or(duration::zero()));
     const bool is_pressing = terms.waited > terms.objective / pressing_wait_divisor &&
                              terms.waited + first_piece <= terms.objective;
-    return !is_pressing && terms.work_ms > forecast.usual_work_ms;
+    return !is_pressing && forecast.usual_work_ms && terms.work_ms > *forecast.usual_work_ms;
 }
 
 } // namespace
--- a/decision/test/one_router.hpp
+++ b/decision/test/one_router.hpp
@@ -15,9 +15,8 @@
 // that a test sends to it.
 class one_router {
 public:
-    explicit one_router(const std::vector<std::string>& hosts)
+    explicit one_router(const std::vector<std::string>& hosts, dispatcher_settings settings = {})
     {
-        dispatcher_settings settings;
         settings.endpoints.zone = "osu";
         this->router = std::make_unique<dispatcher>(settings);
         this->router->on_configuration(make_configuration(), this->now);
--- a/router/include/pearhaven/router/caller_dialect.hpp
+++ b/router/include/pearhaven/router/caller_dialect.hpp
@@ -47,6 +47,10 @@
     // caller had sent it there.
     bool forwarded = false;
 
+    // How the endpoint orders its queue, 0 for the first to 9 for the last; if it is not set, by
+    // the request's priority.
+    std::optional<std::uint32_t> urgency;
+
     friend bool operator==(const attempt_terms&, const attempt_terms&) = default;
 };
 
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -91,6 +91,25 @@
     return work.session_key == 0 ? std::string() : fmt::format("{:016x}", work.session_key);
 }
 
+const char* counter_of(decision::load_measure measure)
+{
+    switch (measure) {
+    case decision::load_measure::made_cheaper:
+        return "pearhaven_requests_made_cheaper";
+    case decision::load_measure::ordered_back:
+        return "pearhaven_requests_ordered_back";
+    case decision::load_measure::odd_terms:
+        return "pearhaven_requests_with_odd_terms";
+    }
+    return "";
+}
+
+adapters::metric_labels labels_of(const relayed_request& relayed)
+{
+    return {{"route", relayed.request.route},
+            {"priority", std::to_string(relayed.request.work.priority)}};
+}
+
 bool is_refusal(answer_meaning meaning)
 {
     return meaning == answer_meaning::refused || meaning == answer_meaning::refused_leaving ||
@@ -160,6 +179,7 @@
     void carry_out(const decision::report_quarantine_test& action);
     void carry_out(const decision::announce_finished_run& action);
     void carry_out(const decision::report_reachability& action);
+    void carry_out(const decision::report_load_measure& action);
 
     [[nodiscard]] std::optional<decision::endpoint_host>
     find_endpoint(const decision::start_attempt& action) const;
@@ -176,6 +196,7 @@
     void begin_answer(relayed_request& relayed);
     void buffer(relayed_request& relayed, std::string_view piece);
     void keep_failed_answer(relayed_request& relayed) const;
+    void log_shed(const relayed_request& relayed, const decision::failure& why);
     void log_local_answer(const adapters::inbound_exchange& caller, const local_answer& answer);
     void log_end(const relayed_request& relayed, const std::string& outcome, int status);
     void record_activity(relayed_attempt& attempt);
@@ -280,6 +301,7 @@
     terms.time_left = relayed.request.work.deadline - this->loop.now();
     terms.last_event = relayed.last_event;
     terms.forwarded = action.forwarded;
+    terms.urgency = action.urgency;
     if (!action.forwarded && action.size < relayed.request.models.size()) {
         terms.model = relayed.request.models[action.size];
         relayed.attempt.target_label += "/" + std::to_string(action.size);
@@ -404,6 +426,9 @@
         return;
     }
     auto& relayed = found->second;
+    if (action.why.code == decision::failure_code::shed) {
+        this->log_shed(relayed, action.why);
+    }
     if (relayed.began) {
         relayed.caller->abort();
         this->log_end(relayed, "broken: " + action.why.detail, status_ok);
@@ -461,6 +486,26 @@
                          {{"target", action.target}});
 }
 
+void event_relay::state::carry_out(const decision::report_load_measure& action)
+{
+    const auto found = this->requests.find(action.ticket);
+    if (found != this->requests.end()) {
+        this->counts.add(counter_of(action.measure), labels_of(found->second));
+    }
+}
+
+void event_relay::state::log_shed(const relayed_request& relayed, const decision::failure& why)
+{
+    this->counts.add("pearhaven_requests_shed", labels_of(relayed));
+    adapters::log_change("request_shed",
+                         {{"id", relayed.request.id},
+                          {"route", relayed.request.route},
+                          {"team", relayed.request.work.team},
+                          {"priority", std::to_string(relayed.request.work.priority)},
+                          {"retry_after_ms", milliseconds(why.retry_after)},
+                          {"why", why.detail}});
+}
+
 void event_relay::state::on_connected(ticket_number ticket, decision::attempt_number attempt)
 {
     this->dispatcher.on_connected(ticket, attempt);
--- a/router/src/http_reply.cpp
+++ b/router/src/http_reply.cpp
@@ -33,6 +33,7 @@
     case failure_code::team_limit:
         return {"team_limit", status_too_many};
     case failure_code::overloaded:
+    case failure_code::shed:
         return {"overloaded", status_unavailable};
     case failure_code::deadline_passed:
         return {"deadline_passed", status_gateway_timeout};
--- a/router/src/routing_worker.hpp
+++ b/router/src/routing_worker.hpp
@@ -93,6 +93,7 @@
     void carry_out(const decision::announce_lost_prompt& /*action*/) {}
     void carry_out(const decision::announce_answered_prompt& /*action*/) {}
     void carry_out(const decision::report_quarantine_test& /*action*/) {}
+    void carry_out(const decision::report_load_measure& /*action*/) {}
     void carry_out(const decision::announce_finished_run& /*action*/) {}
     void carry_out(const decision::report_reachability& action);
     void start_engine(request_record& record, const decision::start_attempt& action);
