Lower the required confidence only where a larger run would be late

An answer that a larger run can still give in time is worth more to its caller than a doubtful one, so the fall begins where the run would be late.

--- a/decision/src/size_choice.cpp
+++ b/decision/src/size_choice.cpp
@@ -6,9 +6,11 @@
 
 namespace {
 
-// Part of the time left to the objective that a larger run may take without any reduction of the
-// required confidence.
-constexpr double unhurried_part = 0.5;
+// Times to the first piece of a larger run, as multiples of the time left to the objective, between
+// which the required confidence falls to zero. A larger run that is still in time is worth more to
+// its caller than a doubtful answer; one that takes twice the time left mostly delays others.
+constexpr double timely_part = 1.0;
+constexpr double late_part = 2.0;
 
 double required_confidence(const size_question& question, const size_choice_settings& settings)
 {
@@ -22,7 +24,7 @@
         return std::min(configured, 0.0);
     }
     const double part = static_cast<double>(question.larger_run->count()) / left;
-    return configured * std::clamp((1.0 - part) / (1.0 - unhurried_part), 0.0, 1.0);
+    return configured * std::clamp((late_part - part) / (late_part - timely_part), 0.0, 1.0);
 }
 
 } // namespace
