--- a/decision/src/dispatcher_overload.cpp
+++ b/decision/src/dispatcher_overload.cpp
@@ -59,20 +59,20 @@
 run_forecast dispatcher::forecast_of(const request_state& state, instant now) const
 {
     const auto& request = state.request;
-    run_forecast forecast;
-    forecast.first_piece = this->expected_first_piece(state, state.size, now);
+    run_forecast expected;
+    expected.first_piece = this->expected_first_piece(state, state.size, now);
     if (request.sizes > 1) {
         const auto largest = request.sizes - 1;
-        forecast.smallest =
-            state.size == 0 ? forecast.first_piece : this->expected_first_piece(state, 0, now);
-        forecast.largest = state.size == largest ? forecast.first_piece
+        expected.smallest =
+            state.size == 0 ? expected.first_piece : this->expected_first_piece(state, 0, now);
+        expected.largest = state.size == largest ? expected.first_piece
                                                  : this->expected_first_piece(state, largest, now);
     }
-    forecast.error = this->forecast_error(state.size);
-    forecast.backlog = this->backlog_for(state, now);
-    forecast.usual_work_ms = this->usual_by_kind.work_ms(kind_of(request));
-    forecast.answer_pace = this->usual_by_kind.answer_pace(kind_of(request)).value_or(1.0);
-    return forecast;
+    expected.error = this->forecast_error(state.size);
+    expected.backlog = this->backlog_for(state, now);
+    expected.usual_work_ms = this->usual_by_kind.work_ms(kind_of(request));
+    expected.answer_pace = this->usual_by_kind.answer_pace(kind_of(request)).value_or(1.0);
+    return expected;
 }
 
 void dispatcher::report_odd_terms(const request_state& state, instant now)
@@ -90,12 +90,12 @@
         return std::nullopt;
     }
     const auto terms = this->terms_of(state, now);
-    const auto forecast = this->forecast_of(state, now);
-    const auto verdict = judge_load(terms, forecast);
+    const auto expected = this->forecast_of(state, now);
+    const auto verdict = judge_load(terms, expected);
     if (verdict.action != overload_action::refuse) {
         return std::nullopt;
     }
-    return retryable_failure(failure_code::shed, verdict.retry_after, detail_of(terms, forecast));
+    return retryable_failure(failure_code::shed, verdict.retry_after, detail_of(terms, expected));
 }
 
 // Moves the request to the smallest model where the largest one's answer would be cut off at the
