--- a/decision/include/pearhaven/decision/size_choice.hpp
+++ b/decision/include/pearhaven/decision/size_choice.hpp
@@ -48,8 +48,8 @@
 
 // The size to continue with once an answer has begun: the same one to deliver the answer, or the
 // largest one. Sizes in between are skipped: a middle model rarely answers what a small one cannot,
-// and the request would wait for both. The required confidence falls as the forecast takes more
-// than half of the time left to the objective, and is zero if the larger run would be late.
+// and the request would wait for both. The required confidence falls where the forecast exceeds the
+// time left to the objective, and is zero from twice that time on.
 [[nodiscard]] std::uint32_t next_size(const size_question& question,
                                       const size_choice_settings& settings);
 
--- a/decision/src/dispatcher_overload.cpp
+++ b/decision/src/dispatcher_overload.cpp
@@ -137,17 +137,16 @@
     return verdict.urgency;
 }
 
-// The pace of one kind is learned from answers of all sizes, since the declared work is scaled by
-// size. Learned from the largest model alone, a pace that had once been too high would never be
-// corrected, because no answer of that model would be asked for.
+// Learned from the largest model alone: a small model's tokens wait for the steps of larger ones in
+// the same batch, so its pace does not scale with its size. A pace that has become too high is
+// corrected by the shorter answers of the kind, which still end in time.
 void dispatcher::record_answer_pace(const request_state& state, instant now)
 {
     const auto& request = state.request;
     const bool is_whole =
         state.answer_begun && state.losses == 0 && !state.forwarded && !request.continues_answer;
-    if (this->sheds(request) && is_whole) {
-        const double answer_ms =
-            (request.work.tokens - request.work.prefill) * this->size_factor(state);
+    if (this->sheds(request) && is_whole && state.size + 1 >= request.sizes) {
+        const double answer_ms = request.work.tokens - request.work.prefill;
         this->usual_by_kind.on_answer(kind_of(request), answer_ms, now - state.answer_begun_at);
     }
 }
--- a/decision/src/load_forecast.cpp
+++ b/decision/src/load_forecast.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 
 namespace pearhaven::decision {
 
@@ -10,6 +11,9 @@
 // Smoothing factor: weight of the newest sample in a mean.
 constexpr double newest_weight = 0.2;
 
+// Kinds come and go with the routes of each configuration for as long as the process runs.
+constexpr std::size_t max_means = 1024;
+
 void add(double& mean, double sample)
 {
     mean += newest_weight * (sample - mean);
@@ -22,6 +26,9 @@
 {
     const auto forecast = this->first_piece(kind, size, backlog, now);
     const auto own_part = static_cast<double>((observed - backlog).count());
+    if (this->own_parts.size() >= max_means && this->own_parts.count({kind, size}) == 0) {
+        this->own_parts.clear();
+    }
     auto& known = this->own_parts[{kind, size}];
     if (!forecast) {
         known = {own_part, now};
--- a/decision/src/overload_policy.cpp
+++ b/decision/src/overload_policy.cpp
@@ -66,11 +66,12 @@
            first_piece + answer_time(terms, forecast) <= time_left(terms);
 }
 
-// A stream that has begun is continued by the same model.
+// A stream that has begun is continued by the same model. A request that has run is not sent to the
+// smallest model, whose answer may be the one that was dropped.
 bool is_made_cheaper(const request_terms& terms, const run_forecast& forecast)
 {
     const bool is_largest = terms.sizes > 1 && terms.size + 1 == terms.sizes;
-    return is_largest && !terms.delivered && !ends_in_time(terms, forecast);
+    return is_largest && !terms.delivered && !terms.may_have_run && !ends_in_time(terms, forecast);
 }
 
 // The forecast for the fastest run that the request may get. A request that was refused before is
--- a/decision/test/forecast_dispatch_test.cpp
+++ b/decision/test/forecast_dispatch_test.cpp
@@ -21,7 +21,8 @@
         dispatcher_settings settings;
         settings.sheds_load = true;
         settings.retry_share = 1.0;
-        this->site = std::make_unique<test::one_router>(std::vector<std::string>{"a", "b"}, settings);
+        this->site =
+            std::make_unique<test::one_router>(std::vector<std::string>{"a", "b"}, settings);
         for (int i = 0; i < samples; ++i) {
             const auto run = this->site->send(this->make_request(seconds(60)));
             this->site->now += seconds(9);
--- a/decision/test/overload_dispatch_test.cpp
+++ b/decision/test/overload_dispatch_test.cpp
@@ -154,15 +154,31 @@
 }
 
 // Guards against a pace that is taken for the declared work: answers take several times as long.
-TEST(overload_dispatch, learns_the_pace_of_answers)
+TEST(overload_dispatch, learns_the_pace_of_the_largest_models_answers)
 {
     auto& router = *this->site->router;
     auto run = this->site->send(this->make_request());
-    CHECK_TRUE(router.accepts_answer(run->ticket, 1, 100.0, this->site->now));
-    this->site->now += seconds(1); // the smallest model's declared work is 0.4 s
+    CHECK_FALSE(router.accepts_answer(run->ticket, 1, 0.0, this->site->now));
+    run = this->site->take_start();
+    CHECK_TRUE(router.accepts_answer(run->ticket, run->attempt, 100.0, this->site->now));
+    this->site->now += seconds(10); // its declared work is 4 s
     this->site->end(*run, attempt_result::finished);
     (void)this->site->take_start();
-    run = this->site->send(this->make_request()); // the largest model needs 10 s
+    run = this->site->send(this->make_request());
     this->site->now += milliseconds(1);
     CHECK_TRUE(router.accepts_answer(run->ticket, 1, 0.0, this->site->now));
 }
+
+// Guards against poor answers because a small model's answer waited for larger ones in its batch.
+TEST(overload_dispatch, a_slow_answer_of_a_small_model_tells_no_pace)
+{
+    auto& router = *this->site->router;
+    auto run = this->site->send(this->make_request());
+    CHECK_TRUE(router.accepts_answer(run->ticket, 1, 100.0, this->site->now));
+    this->site->now += seconds(1); // its declared work is 0.4 s
+    this->site->end(*run, attempt_result::finished);
+    (void)this->site->take_start();
+    run = this->site->send(this->make_request());
+    this->site->now += milliseconds(1);
+    CHECK_FALSE(router.accepts_answer(run->ticket, 1, 0.0, this->site->now));
+}
