Compute the backlog once for the forecasts of all sizes

A judgement under load scanned the endpoints up to four times for the same value. Behaviour is unchanged: decision_tests with AddressSanitizer pass (438).

--- a/decision/src/dispatcher_overload.cpp
+++ b/decision/src/dispatcher_overload.cpp
@@ -60,16 +60,16 @@
 {
     const auto& request = state.request;
     run_forecast expected;
-    expected.first_piece = this->expected_first_piece(state, state.size, now);
+    expected.backlog = this->backlog_for(state, now);
+    const auto first_piece = [&](std::uint32_t size) {
+        return this->forecast.first_piece(kind_of(request), size, expected.backlog, now);
+    };
+    expected.first_piece = first_piece(state.size);
     if (request.sizes > 1) {
-        const auto largest = request.sizes - 1;
-        expected.smallest =
-            state.size == 0 ? expected.first_piece : this->expected_first_piece(state, 0, now);
-        expected.largest = state.size == largest ? expected.first_piece
-                                                 : this->expected_first_piece(state, largest, now);
+        expected.smallest = first_piece(0);
+        expected.largest = first_piece(request.sizes - 1);
     }
     expected.error = this->forecast_error(state.size);
-    expected.backlog = this->backlog_for(state, now);
     expected.usual_work_ms = this->usual_by_kind.work_ms(kind_of(request));
     expected.answer_pace = this->usual_by_kind.answer_pace(kind_of(request)).value_or(1.0);
     return expected;
