Read no list that may be stale

What callers saw: 404 for requests that a confirmed version allows, at routers that had started within seconds of a restoration of the store, until the store's counter had passed what it had been before, or for good.

Cause: the first list of a router could be some seconds old, and then be from before the restoration. Its revisions were taken for revisions of the present era, where they are far ahead: what the operator wrote next was taken for old. Where the store had given the list's revision out again by the first watch, nothing told that the changes before it were missing.

Why this works: a current answer is the store's state of the era that it names. No list asks for less now.

--- a/coordination/include/pearhaven/coordination/key_value.hpp
+++ b/coordination/include/pearhaven/coordination/key_value.hpp
@@ -33,8 +33,6 @@
 
 struct kv_range {
     std::string prefix;
-    // Accepts a result that is some seconds old, if the service returns it at a lower cost.
-    bool allow_stale = false;
     friend bool operator==(const kv_range&, const kv_range&) = default;
 };
 
--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -34,9 +34,6 @@
     // The same when other routers rely on this mirror.
     decision::duration shared_change_batch_delay = std::chrono::milliseconds{150};
 
-    // Whether the first list may be some seconds old, which costs the store less. The watch that
-    // follows delivers the missing changes.
-    bool allow_stale_first_list = false;
     // Shortest pause after a failed call. The time between the beginnings of two calls doubles with
     // each failure.
     decision::duration first_retry = std::chrono::milliseconds{50};
@@ -175,7 +172,6 @@
     std::map<std::string, store_revision> removed; // removals seen by watches, until the next list
     bool has_list = false;
     bool needs_list = true;
-    bool has_requested_list = false; // for any list
     store_revision received_revision = 0;
     decision::instant peers_served_since; // without a gap longer than `missing_key_grace`
     decision::instant peers_served_at;
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -68,9 +68,7 @@
         return;
     }
     if (this->needs_list) {
-        const bool allow_stale = this->settings.allow_stale_first_list && !this->has_requested_list;
-        this->has_requested_list = true;
-        this->call(kv_range{this->settings.prefix, allow_stale}, now);
+        this->call(kv_range{this->settings.prefix}, now);
     } else if (this->mode != watch_mode::follower || this->must_read_store() ||
                this->failures > 0) {
         this->call(
