Answer a request that was read behind another one before a server closes

What callers saw: of two requests sent together on a kept connection, the second got neither an answer nor a refusal when the router was told to stop meanwhile; its connection was closed (LOST).

Cause: a server that closes announced the close in the first answer, also where it had read bytes of another request already, and dropped them. Whether a connection closes is now decided once, as the head of an answer is sent, and not while bytes of another request are waiting. A request is handed over after the bytes behind it are kept, so that one that is refused at once sees them.

--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -40,7 +40,7 @@
     }
     auto all = fields;
     all.emplace_back("Content-Length", std::to_string(body.size()));
-    if (this->connection->closes_after_answer()) {
+    if (this->connection->decide_close()) {
         all.emplace_back("Connection", "close");
     }
     auto bytes = write_response_head(status, all);
@@ -58,7 +58,7 @@
     }
     auto all = fields;
     all.emplace_back("Transfer-Encoding", "chunked");
-    if (this->connection->closes_after_answer()) {
+    if (this->connection->decide_close()) {
         all.emplace_back("Connection", "close");
     }
     this->connection->send(write_response_head(status, all));
@@ -188,7 +188,6 @@
     if (!this->reader.inside_message()) {
         this->begin_message();
     }
-    this->processing = true;
     while (!bytes.empty() && this->current_phase == phase::reading) {
         bytes.remove_prefix(this->reader.feed(bytes));
         const auto fault = this->reader.fault();
@@ -198,9 +197,9 @@
                                                                : status_bad_request);
         }
     }
-    this->processing = false;
     if (this->current_phase == phase::answering) {
         this->pipelined.append(bytes);
+        this->owner.listener().on_request(this->exchange);
     }
 }
 
@@ -251,7 +250,6 @@
     this->current_phase = phase::answering;
     this->has_served = true;
     this->exchange->set_arrived(this->owner.loop().now());
-    this->owner.listener().on_request(this->exchange);
 }
 
 void inbound_socket::send(std::string_view bytes)
@@ -269,9 +267,13 @@
     }
 }
 
-bool inbound_socket::closes_after_answer() const
+// A server that is closing still answers a request of which bytes were read already: its caller
+// could not know whether it had run.
+bool inbound_socket::decide_close()
 {
-    return this->owner.is_closing() || (this->exchange && !this->exchange->head().keep_alive);
+    const bool is_last = this->exchange && !this->exchange->head().keep_alive;
+    this->closes_after_answer = is_last || (this->owner.is_closing() && this->pipelined.empty());
+    return this->closes_after_answer;
 }
 
 // The connection gives up its reference to the exchange, which may then be destroyed as soon as its
@@ -286,7 +288,7 @@
 
 void inbound_socket::finish_answer()
 {
-    const bool closes = this->closes_after_answer();
+    const bool closes = std::exchange(this->closes_after_answer, false);
     this->drop_exchange();
     if (this->current_phase != phase::answering) {
         return;
@@ -298,7 +300,7 @@
         return;
     }
     this->current_phase = phase::reading;
-    if (!this->processing && !this->pipelined.empty()) {
+    if (!this->pipelined.empty()) {
         this->request_deferred_work();
     }
 }
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -78,7 +78,10 @@
     void send(std::string_view bytes);
     void finish_answer();
     void abort();
-    [[nodiscard]] bool closes_after_answer() const;
+
+    // Decides whether the connection closes after the answer whose head is about to be sent.
+    // Returns the decision, which the head announces.
+    [[nodiscard]] bool decide_close();
     [[nodiscard]] std::size_t unsent() const { return this->socket.unsent(); }
 
     // Runs the work that earlier calls deferred to the loop. Returns true when the connection is
@@ -117,10 +120,10 @@
     buffered_socket socket;
     http_reader reader;
     phase current_phase = phase::reading;
-    bool processing = false; // inside `process_bytes`, which continues with the next request
     bool has_served = false;
-    bool idle_close_pending = false; // checked in the deferred work
-    bool closed_as_idle = false;     // and nothing was received since
+    bool closes_after_answer = false; // announced in the head of the answer in progress
+    bool idle_close_pending = false;  // checked in the deferred work
+    bool closed_as_idle = false;      // and nothing was received since
     timer_number deferred_work = 0;
     std::string pipelined; // bytes after the request in progress
 
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -281,6 +281,45 @@
     CHECK_TRUE(script.run());
 }
 
+// Guards against a request that was read whole and is dropped with its connection, because the
+// answer before it is the first one of a server that has begun to close.
+TEST(http_inbound, a_pipelined_request_is_answered_when_the_server_begins_to_close)
+{
+    loop_script script(this->loop);
+    this->caller->send(request("/a") + request("/b"));
+    script
+        .when(this->has_requests(1),
+              [this] {
+                  this->server->begin_close();
+                  this->listener.call_exchange(answer);
+              })
+        .when(this->has_requests(2),
+              [this] {
+                  this->listener.held.erase(this->listener.held.begin());
+                  this->listener.call_exchange(
+                      [](inbound_exchange& exchange) { exchange.answer(200, {}, "second"); });
+              })
+        .until(this->all_closed());
+    CHECK_TRUE(script.run());
+    const auto& received = this->caller->received();
+    CHECK_TRUE(received.find("whole") < received.find("Connection: close"));
+    CHECK_TRUE(received.ends_with("second"));
+}
+
+// Guards against the same where the first request is answered at once, as one that is refused.
+TEST(http_inbound, a_pipelined_request_is_answered_after_one_that_is_answered_at_once)
+{
+    loop_script script(this->loop);
+    this->listener.on_each_request = [this] { answer(*this->listener.held.back()); };
+    this->server->begin_close();
+    this->caller->send(request("/a") + request("/b"));
+    script.until(this->has_requests(2)).until(this->all_closed());
+    CHECK_TRUE(script.run());
+    const auto& received = this->caller->received();
+    CHECK_TRUE(received.find("whole") < received.find("Connection: close"));
+    CHECK_TRUE(received.ends_with("whole"));
+}
+
 // Guards against losing a request during shutdown. A complete request had arrived but was not read
 // yet when idle connections were closed; it was read and discarded, and its caller could not know
 // whether it had run.
