Send an answer whole to a slow caller before its connection closes

What callers saw: an answer that was cut off where the connection ends with it (in a planned stop, or as the caller asked) and its caller, or the link to it, takes more than a second for the rest.

Cause: a connection lingered for one second from when its answer had been handed over, not from when it had been sent. The same for idle connections: a caller that was still taking its answer counted as idle. Both times run from the last progress now; an answer that makes none for the idle time is given up.

Evidence: an_answer_is_sent_whole_to_a_slow_caller_before_its_connection_closes (16 MB, not read for 2 s) failed before and passes.

--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -124,6 +124,7 @@
             this->close(true);
             return;
         }
+        this->note_progress();
         if (had_unsent && this->socket.unsent() == 0) {
             this->watch();
             if (this->current_phase == phase::lingering) {
@@ -138,6 +139,21 @@
     }
 }
 
+// A caller that still takes its answer is not idle.
+void inbound_socket::note_progress()
+{
+    const bool waits = this->current_phase == phase::lingering || this->is_idle();
+    if (waits && this->socket.total_sent() != this->sent_at_wait) {
+        this->begin_wait();
+    }
+}
+
+void inbound_socket::begin_wait()
+{
+    this->wait_started = this->owner.loop().now();
+    this->sent_at_wait = this->socket.total_sent();
+}
+
 void inbound_socket::read_more()
 {
     std::array<char, read_size> bytes; // NOLINT(cppcoreguidelines-pro-type-member-init): filled
@@ -178,7 +194,7 @@
 // caller began to send it would be refused in the middle.
 void inbound_socket::begin_message()
 {
-    this->wait_started = this->owner.loop().now();
+    this->begin_wait();
     this->message_limits = this->owner.limits();
     this->reader.set_max_head(this->message_limits.head_bytes);
 }
@@ -293,7 +309,7 @@
     if (this->current_phase != phase::answering) {
         return;
     }
-    this->wait_started = this->owner.loop().now();
+    this->begin_wait();
     this->idle_time = this->owner.limits().idle_time;
     if (closes) {
         this->linger();
@@ -318,7 +334,7 @@
 void inbound_socket::linger()
 {
     this->current_phase = phase::lingering;
-    this->wait_started = this->owner.loop().now();
+    this->begin_wait();
     if (this->socket.unsent() == 0) {
         ::shutdown(this->number(), SHUT_WR);
     }
@@ -390,16 +406,19 @@
 void inbound_socket::check_time(decision::instant polled_until)
 {
     const auto waited = polled_until - this->wait_started;
-    if (this->current_phase == phase::lingering && waited > linger_timeout) {
-        this->close(false);
+    if (this->current_phase == phase::lingering) {
+        // Until the answer has been sent, the caller has not had the chance to close first.
+        const auto limit = this->socket.unsent() > 0 ? this->idle_limit() : linger_timeout;
+        if (waited > limit) {
+            this->close(false);
+        }
         return;
     }
     if (this->current_phase != phase::reading) {
         return;
     }
     if (!this->reader.inside_message()) {
-        const auto& limits = this->owner.limits();
-        if (waited > std::max(this->idle_time, limits.idle_time) + limits.idle_slack) {
+        if (waited > this->idle_limit()) {
             this->idle_close_pending = true;
             this->request_deferred_work();
         }
@@ -414,6 +433,12 @@
     }
 }
 
+decision::duration inbound_socket::idle_limit() const
+{
+    const auto& limits = this->owner.limits();
+    return std::max(this->idle_time, limits.idle_time) + limits.idle_slack;
+}
+
 bool inbound_socket::is_idle() const
 {
     return this->current_phase == phase::reading && !this->reader.inside_message() &&
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -114,6 +114,9 @@
     void request_deferred_work();
     void close_if_still_idle();
     [[nodiscard]] bool is_idle() const;
+    [[nodiscard]] decision::duration idle_limit() const;
+    void note_progress();
+    void begin_wait();
     void watch();
 
     inbound_socket_owner& owner;
@@ -130,7 +133,8 @@
     // The request in progress. On a closed connection: the one whose listener has not been notified
     // yet that the caller disconnected.
     boost::intrusive_ptr<connection_exchange> exchange;
-    decision::instant wait_started;     // of the current wait
+    decision::instant wait_started;     // of the current wait, or the last progress in it
+    std::size_t sent_at_wait = 0;       // bytes sent when `wait_started` was set
     decision::duration idle_duration{}; // before it was closed as idle
     decision::duration idle_time{};     // limit when the wait began, on which the caller relies
     inbound_limits message_limits;      // limits when the current message began
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -70,6 +70,7 @@
 // connections several times.
 constexpr milliseconds several_polls{20};
 constexpr milliseconds several_checks{700};
+constexpr milliseconds longer_than_a_close_lingers{2000};
 
 std::string request(const std::string& target)
 {
@@ -320,6 +321,26 @@
     CHECK_TRUE(received.ends_with("whole"));
 }
 
+// Guards against an answer that is cut off because its caller reads it more slowly than a
+// connection lingers that is about to close.
+TEST(http_inbound, an_answer_is_sent_whole_to_a_slow_caller_before_its_connection_closes)
+{
+    const std::string body(16U << 20U, 'x');
+    loop_script script(this->loop);
+    this->caller->send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    script
+        .when(this->has_requests(1),
+              [this, &body] {
+                  this->listener.call_exchange([&body](inbound_exchange& exchange) {
+                      exchange.answer(200, {}, body + "last");
+                  });
+              })
+        .when(this->has_passed(longer_than_a_close_lingers), [] {})
+        .until([this] { return this->caller->is_ended(); });
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(this->caller->ends_with("last"));
+}
+
 // Guards against losing a request during shutdown. A complete request had arrived but was not read
 // yet when idle connections were closed; it was read and discarded, and its caller could not know
 // whether it had run.
