Bound bytes without end in heads, framing, failures and refusals

What callers saw: a request that must not run twice waited for its deadline, behind a refusal or a failure of an endpoint whose body never ended; and the router kept every byte of a failure's body, until it had no memory.

Cause: only good answers were bounded (they are passed on and no longer retried beyond 256 KB), heads, and single events. Now a failure's body beyond that counts as no answer, and a refusal, whose head has already said that the request did not run, is not read further. In the client, bytes that are no part of the answer (interim answers, answers to other requests, chunk extensions) are bounded between two parts of it, and do not count as progress.

Evidence: a_failed_answer_without_an_end_is_told_to_the_caller and a_refusal_without_an_end_counts_at_once failed before (60 s each) and pass; four more tests of heads, interim answers, chunk extensions and failures that may be retried pass, and passed before but for the bytes that they count.

--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -10,6 +10,11 @@
 constexpr std::size_t read_size = 16U << 10U;
 constexpr int first_final_status = 200;
 
+// Maximum bytes received in a row that are no part of the answer: incomplete heads, interim
+// answers, answers to other requests, and framing. An endpoint in trouble may send such bytes
+// without end.
+constexpr std::size_t max_undelivered_bytes = 256U << 10U;
+
 // Returns the seconds of `timeout=N` in a Keep-Alive field; zero if there is none.
 decision::duration announced_idle_timeout(const http_fields& fields)
 {
@@ -59,6 +64,7 @@
     this->listener = std::move(callback);
     this->head_received = false;
     this->skipping = false;
+    this->undelivered_bytes = 0;
     this->message_complete = false;
     this->answer_time = request.answer_time;
     this->progress_time = request.progress_time;
@@ -213,10 +219,12 @@
 
 void outbound_socket::process_bytes(std::string_view bytes)
 {
-    this->last_progress = this->owner.loop().now();
+    this->undelivered_bytes += bytes.size();
     while (!bytes.empty() && this->current_phase == phase::busy && !this->message_complete) {
         bytes.remove_prefix(this->reader.feed(bytes));
-        if (this->current_phase == phase::busy && this->reader.fault() != framing_fault::none) {
+        const bool is_endless = this->undelivered_bytes > max_undelivered_bytes;
+        if (this->current_phase == phase::busy &&
+            (is_endless || this->reader.fault() != framing_fault::none)) {
             this->fail(outbound_fault::malformed);
             return;
         }
@@ -250,6 +258,7 @@
         return false;
     }
     this->head_received = true;
+    this->undelivered_bytes = 0;
     this->reusable = head.keep_alive;
     this->announced_idle_time = announced_idle_timeout(head.fields);
     this->arm(this->progress_time);
@@ -259,6 +268,8 @@
 void outbound_socket::on_body(std::string_view piece)
 {
     if (this->current_phase == phase::busy && !this->skipping) {
+        this->undelivered_bytes = 0;
+        this->last_progress = this->owner.loop().now();
         this->listener->on_body(piece);
     }
 }
--- a/adapters/src/outbound_socket.hpp
+++ b/adapters/src/outbound_socket.hpp
@@ -78,7 +78,8 @@
     bool no_body = false;       // the request was HEAD
     bool reused = false;
     bool head_received = false;
-    bool skipping = false; // the current answer belongs to an earlier request
+    bool skipping = false;             // the current answer belongs to an earlier request
+    std::size_t undelivered_bytes = 0; // received since the last part of the answer
     bool message_complete = false;
     bool paused = false;
     bool reusable = true; // the connection can be reused after the current answer
--- a/router/include/pearhaven/router/event_relay.hpp
+++ b/router/include/pearhaven/router/event_relay.hpp
@@ -53,7 +53,8 @@
     std::size_t max_event_size = 1U << 20U;
 
     // Maximum bytes of a plain answer that are buffered so that the request can be retried at
-    // another endpoint if the answer breaks off.
+    // another endpoint if the answer breaks off. The answer of a failure that is longer counts as
+    // none, and a refusal is not read further: an endpoint in trouble may send bytes without end.
     std::size_t max_buffered = 256U << 10U;
 };
 
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -195,7 +195,9 @@
     void cut_off(ticket_number ticket, relayed_request& relayed);
     void pass_events(ticket_number ticket, relayed_request& relayed, std::string_view piece);
     void begin_answer(relayed_request& relayed);
-    void buffer(relayed_request& relayed, std::string_view piece);
+    void buffer(ticket_number ticket, relayed_request& relayed, std::string_view piece);
+    void discard(ticket_number ticket, relayed_request& relayed, std::size_t bytes);
+    static void log_endless_answer(const relayed_request& relayed);
     void keep_failed_answer(relayed_request& relayed) const;
     void log_shed(const relayed_request& relayed, const decision::failure& why);
     void log_local_answer(const adapters::inbound_exchange& caller, const local_answer& answer);
@@ -684,7 +686,9 @@
             relayed->caller->write(piece);
         }
     } else if (relayed->attempt.use == answer_use::buffered) {
-        this->buffer(*relayed, piece);
+        this->buffer(ticket, *relayed, piece);
+    } else if (relayed->attempt.use == answer_use::discarded) {
+        this->discard(ticket, *relayed, piece.size());
     }
     const auto found = this->requests.find(ticket);
     if (found != this->requests.end() &&
@@ -693,19 +697,46 @@
     }
 }
 
-void event_relay::state::buffer(relayed_request& relayed, std::string_view piece)
+void event_relay::state::buffer(ticket_number ticket, relayed_request& relayed,
+                                std::string_view piece)
 {
     auto& current = relayed.attempt;
     current.buffered.append(piece);
-    const bool success = current.facts.meaning == answer_meaning::success;
-    if (success && current.buffered.size() > this->settings.max_buffered) {
+    if (current.buffered.size() <= this->settings.max_buffered) {
+        return;
+    }
+    if (current.facts.meaning == answer_meaning::success) {
         current.use = answer_use::forwarded;
         this->begin_answer(relayed);
         relayed.caller->write(current.buffered);
         current.buffered.clear();
+    } else {
+        this->log_endless_answer(relayed);
+        this->endpoints.cancel(current.exchange);
+        this->end_attempt(relayed, {ticket, current.number, attempt_result::failed});
+    }
+}
+
+// The head has already said that the request did not run.
+void event_relay::state::discard(ticket_number ticket, relayed_request& relayed, std::size_t bytes)
+{
+    auto& current = relayed.attempt;
+    current.discarded_bytes += bytes;
+    if (current.discarded_bytes > this->settings.max_buffered) {
+        this->log_endless_answer(relayed);
+        this->endpoints.cancel(current.exchange);
+        this->on_end(ticket, current.number);
     }
 }
 
+void event_relay::state::log_endless_answer(const relayed_request& relayed)
+{
+    const auto& current = relayed.attempt;
+    adapters::log_warning("answer_too_long", {{"id", relayed.request.id},
+                                              {"endpoint", current.endpoint.address},
+                                              {"status", std::to_string(current.head.status)}});
+}
+
 void event_relay::state::begin_answer(relayed_request& relayed)
 {
     if (!relayed.began) {
--- a/router/src/relayed_request.hpp
+++ b/router/src/relayed_request.hpp
@@ -34,6 +34,7 @@
     answer_facts facts;
     answer_use use = answer_use::awaited;
     std::string buffered;
+    std::size_t discarded_bytes = 0; // of a refusal
     event_splitter events;
     std::uint64_t tokens = 0; // events forwarded
     pace_meter pace;
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -203,6 +203,10 @@
     return stream;
 }
 
+// More than the socket buffers of a connection hold.
+constexpr std::size_t most_endless_bytes = std::size_t{32} << 20U;
+const std::string endless_piece(std::size_t{16} << 10U, 'x');
+
 std::string stream_end()
 {
     return std::string(adapters::last_chunk);
@@ -374,6 +378,34 @@
         return *this->script;
     }
 
+    // Sends a part of an answer that never ends, until the relay closes the connection. It is
+    // bounded, so that a relay that keeps all of it does not exhaust the test's memory.
+    void send_more(const std::string& piece)
+    {
+        if (this->endless_bytes < most_endless_bytes && this->run_at(0)->flush() == 0) {
+            this->run_at(0)->send(piece);
+            this->endless_bytes += piece.size();
+        }
+    }
+
+    // The first endpoint's answer never ends. The other one's must reach the caller, and the first
+    // run must end.
+    void run_endless_answer(const std::string& first, const std::string& piece)
+    {
+        this->begin()
+            .when(this->has_run(0), [this, first] { this->run_at(0)->send(first); })
+            .when(
+                [this, piece] {
+                    this->send_more(piece);
+                    return this->run_at(1) != nullptr;
+                },
+                [this] { this->run_at(1)->send(complete_answer("whole")); })
+            .when(this->caller_has("whole"), [this] { this->caller->close(); })
+            .until([this] { return this->run_at(0)->is_ended(); });
+        this->finish(false);
+        CHECK_TRUE(this->endless_bytes < most_endless_bytes);
+    }
+
     // Runs the script, then a request of another caller, which must be served.
     void finish(bool run_ends = true)
     {
@@ -459,6 +491,7 @@
     }
 
     std::vector<script_socket*> runs;
+    std::size_t endless_bytes = 0;
 };
 
 // The end of a stop refuses waiting requests, and the refusal is the first send after the caller
@@ -730,6 +763,69 @@
     CHECK_FALSE(this->caller->has("xxx"));
 }
 
+// Guards against an answer of a failure whose body never ends, which was buffered without limit.
+TEST(event_relay, a_failed_answer_without_an_end_does_not_exhaust_memory)
+{
+    this->dialect.prototype.kind = work_kind::idempotent;
+    this->run_endless_answer("HTTP/1.1 500 X\r\n\r\n", endless_piece);
+}
+
+// Guards against the same where a request that must not run twice waits for its deadline.
+TEST(event_relay, a_failed_answer_without_an_end_is_told_to_the_caller)
+{
+    this->dialect.prototype.kind = work_kind::at_most_once;
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send("HTTP/1.1 500 X\r\n\r\n"); })
+        .when(
+            [this] {
+                this->send_more(endless_piece);
+                return this->caller->has("refused, may have run");
+            },
+            [this] { this->caller->close(); });
+    this->finish();
+}
+
+// Guards against a refusal that counts only when its body ends, which it never does.
+TEST(event_relay, a_refusal_without_an_end_counts_at_once)
+{
+    this->dialect.prototype.kind = work_kind::at_most_once;
+    this->begin()
+        .when(this->has_run(0), [this] { this->run_at(0)->send("HTTP/1.1 503 No\r\n\r\n"); })
+        .when(
+            [this] {
+                this->send_more(endless_piece);
+                return this->caller->has("refused, not run");
+            },
+            [this] { this->caller->close(); });
+    this->finish();
+}
+
+// Guards against a head that never ends.
+TEST(event_relay, a_head_without_an_end_is_a_failure)
+{
+    this->dialect.prototype.kind = work_kind::idempotent;
+    this->run_endless_answer("HTTP/1.1 200 OK\r\nField: ", endless_piece);
+}
+
+// Guards against interim answers that go on and never lead to an answer.
+TEST(event_relay, interim_answers_without_an_end_are_a_failure)
+{
+    this->dialect.prototype.kind = work_kind::idempotent;
+    std::string interim;
+    while (interim.size() < endless_piece.size()) {
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    this->run_endless_answer(interim, interim);
+}
+
+// Guards against bytes within a body that belong to none of its pieces.
+TEST(event_relay, a_chunk_extension_without_an_end_is_a_failure)
+{
+    this->dialect.prototype.kind = work_kind::idempotent;
+    this->run_endless_answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+                             endless_piece);
+}
+
 // The caller reads nothing until the relay stops reading from the endpoint. Then it reads
 // everything.
 TEST(event_relay, a_slow_caller_gets_the_complete_stream)
