Let a version whose speed is unknown get all traffic only near the end of its order

Cause: the sample of sessions and the load trial ended by the clock. Where few callers meet the sample, no answer had shown the version's speed by then (0 quick, 0 slow; 9 slow ones came in the next six seconds), and no evidence counted as good evidence. The class is that of the trial that ended by the clock before its endpoint was under load.

Change: all traffic needs eight answers of known speed, of all routers, that do not lean to a slow version; each reporting router tells its first ones. Without them it waits for 0.8 of the order's time, so that the rest of the order bounds the callers who meet the version. A version that seems slow by then is rejected at the time of decision. Good results do not delay bad ones.

Evidence: two of the three new tests of rollout_progress fail without the change.

The tests' fleet now has the quick answers of a good version, and begins each state without answers, as routers do.

--- a/coordination/include/pearhaven/coordination/rollout_progress.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_progress.hpp
@@ -147,8 +147,8 @@
     // recent.
     double rate_report_fraction = 0.45;
 
-    // Maximum number of routers that report their rate. In a larger fleet they represent the
-    // others: each report is a write to the store and wakes every watcher.
+    // Maximum number of routers that report their rate, or good speed results. In a larger fleet
+    // they represent the others: each report is a write to the store and wakes every watcher.
     std::size_t max_rate_reporters = 32;
 
     double base_error_rate = 0.03; // of a good version
@@ -162,6 +162,14 @@
     double base_slow_rate_full_traffic = 0.38;
     double max_slow_rate_full_traffic = 0.62;
 
+    // Answers whose speed is known, of all routers, that a version needs before it gets all
+    // traffic, and the fraction of the order's time after which it gets all traffic without them.
+    // Without them, a version that answers several times slower got all traffic for as long as its
+    // first answers took, and was finished if these were few. If nothing shows its speed, the rest
+    // of the order limits how many callers meet it.
+    std::uint64_t min_speed_results = 8;
+    double untested_speed_fraction = 0.8;
+
     // Minimum time between two reports of a router's evidence. It bounds the store's load.
     decision::duration report_period = std::chrono::milliseconds(700);
 
@@ -273,11 +281,14 @@
     [[nodiscard]] bool is_slow(const decision::run_counts& speed) const;
     [[nodiscard]] decision::sequential_test speed_test() const;
     [[nodiscard]] bool seems_slow() const;
+    [[nodiscard]] bool is_speed_tested() const;
+    [[nodiscard]] bool may_get_full_traffic(decision::duration elapsed) const;
     [[nodiscard]] bool is_full_traffic() const;
     [[nodiscard]] progress_state current_state() const;
     [[nodiscard]] bool has_reportable_changes() const;
-    [[nodiscard]] bool is_rate_report_due(std::size_t rank, std::size_t size,
-                                          decision::instant now) const;
+    [[nodiscard]] bool is_sampled_reporter(std::size_t rank, std::size_t size) const;
+    [[nodiscard]] bool is_rate_report_due(decision::instant now) const;
+    [[nodiscard]] bool has_awaited_speed_results() const;
     [[nodiscard]] double fleet_rate(std::size_t size) const;
     [[nodiscard]] bool can_fill(std::size_t size) const;
     [[nodiscard]] decision::duration load_time(std::size_t size) const;
@@ -307,6 +318,7 @@
                                                                   decision::instant now) const;
     [[nodiscard]] std::optional<progress_state>
     state_after_full_traffic(decision::duration in_step, decision::duration elapsed) const;
+    [[nodiscard]] std::optional<progress_state> state_if_slow(decision::duration elapsed) const;
     [[nodiscard]] decision::duration order_fraction(double fraction) const;
 
     rollout_progress_settings settings;
@@ -324,6 +336,7 @@
     router_evidence reported;
     bool rate_reported = false;
     decision::instant next_report;
+    decision::instant next_speed_report;
     bool writing = false;
     decision::instant retry_at;
     std::optional<progress_record> due_record; // the record that this router would write
--- a/coordination/src/rollout_progress.cpp
+++ b/coordination/src/rollout_progress.cpp
@@ -259,6 +259,36 @@
     return this->speed_test().log_ratio(this->in_current_state(&router_evidence::speed)) > 0.0;
 }
 
+bool rollout_progress::is_speed_tested() const
+{
+    return this->in_current_state(&router_evidence::speed).total() >=
+               this->settings.min_speed_results &&
+           !this->seems_slow();
+}
+
+// A version does not get all traffic for lack of results: few callers meet the sample, and a slow
+// version's answers come late.
+bool rollout_progress::may_get_full_traffic(decision::duration elapsed) const
+{
+    return this->is_speed_tested() ||
+           (elapsed >= this->order_fraction(this->settings.untested_speed_fraction) &&
+            !this->seems_slow());
+}
+
+// Each router reports its first results, also if it knows enough of them: others may not.
+bool rollout_progress::has_awaited_speed_results() const
+{
+    const auto state = this->current_state();
+    const bool is_sampling =
+        state == progress_state::staged && this->stored && this->stored->session_ppm > 0;
+    const bool same_state =
+        this->reported.run == this->ordered.run && this->reported.state == this->own.state;
+    const auto reported_results = same_state ? this->reported.speed.total() : 0;
+    return (is_sampling || state == progress_state::load_trial) &&
+           this->own.speed.total() > reported_results &&
+           reported_results < this->settings.min_speed_results;
+}
+
 // Good results alone change no decision, so they are reported with the next bad one. Slow answers
 // are reported when they are more than a good version has, since each report wakes every router.
 bool rollout_progress::has_reportable_changes() const
@@ -294,12 +324,15 @@
 
 // The reporting routers are spread evenly over the ranks, since routers of the same availability
 // zone have consecutive ranks.
-bool rollout_progress::is_rate_report_due(std::size_t rank, std::size_t size,
-                                          decision::instant now) const
+bool rollout_progress::is_sampled_reporter(std::size_t rank, std::size_t size) const
 {
     const auto reporters = std::min(this->settings.max_rate_reporters, size);
-    const bool is_reporter = size == 0 || rank * reporters / size != (rank + 1) * reporters / size;
-    return is_reporter && !this->rate_reported &&
+    return size == 0 || rank * reporters / size != (rank + 1) * reporters / size;
+}
+
+bool rollout_progress::is_rate_report_due(decision::instant now) const
+{
+    return !this->rate_reported &&
            now - this->began >= this->order_fraction(this->settings.rate_report_fraction);
 }
 
@@ -460,7 +493,18 @@
     if (elapsed < due) {
         return std::nullopt;
     }
-    return fills ? progress_state::load_trial : progress_state::full_traffic;
+    if (fills) {
+        return progress_state::load_trial;
+    }
+    return this->may_get_full_traffic(elapsed) ? std::make_optional(progress_state::full_traffic)
+                                               : this->state_if_slow(elapsed);
+}
+
+// A version that seems slow when the result is decided is rejected.
+std::optional<progress_state> rollout_progress::state_if_slow(decision::duration elapsed) const
+{
+    const bool is_due = elapsed >= this->order_fraction(this->settings.decision_fraction);
+    return is_due && this->seems_slow() ? std::make_optional(progress_state::bad) : std::nullopt;
 }
 
 // A version with inconclusive results under load does not get all traffic to gather more of
@@ -468,12 +512,13 @@
 std::optional<progress_state> rollout_progress::state_after_trial(std::size_t size,
                                                                   decision::instant now) const
 {
-    if (this->trial_is_over(size, now)) {
+    const auto elapsed = now - this->began;
+    if (this->trial_is_over(size, now) && this->may_get_full_traffic(elapsed)) {
         return progress_state::full_traffic;
     }
-    const bool is_due = now - this->began >= this->order_fraction(this->settings.decision_fraction);
+    const bool is_due = elapsed >= this->order_fraction(this->settings.decision_fraction);
     return is_due && this->is_inconclusive_under_load() ? std::make_optional(progress_state::bad)
-                                                        : std::nullopt;
+                                                        : this->state_if_slow(elapsed);
 }
 
 // Requires a minimum time at full traffic and no inconclusive result. Otherwise a version with half
@@ -553,11 +598,18 @@
     }
     this->own.run = this->ordered.run;
     this->own.long_answer_rate = rates.long_answers;
-    const bool reports_rate = this->is_rate_report_due(rank, size, now);
-    if ((this->has_reportable_changes() || reports_rate) && now >= this->next_report) {
+    const bool is_reporter = this->is_sampled_reporter(rank, size);
+    const bool reports_rate = is_reporter && this->is_rate_report_due(now);
+    const bool reports_speed =
+        is_reporter && this->has_awaited_speed_results() && now >= this->next_speed_report;
+    const bool reports_changes =
+        (this->has_reportable_changes() || reports_rate) && now >= this->next_report;
+    if (reports_changes || reports_speed) {
         this->rate_reported = this->rate_reported || reports_rate;
         this->reported = this->own;
-        this->next_report = now + this->settings.report_period;
+        this->next_speed_report = now + this->settings.report_period;
+        // Good results do not delay bad ones.
+        this->next_report = reports_changes ? this->next_speed_report : this->next_report;
         actions.report = this->own;
     }
     const auto next = this->next_record(size, rates, this->is_bad() ? now : now - rank_wait);
--- a/coordination/test/rollout_progress_test.cpp
+++ b/coordination/test/rollout_progress_test.cpp
@@ -56,6 +56,7 @@
                 continue;
             }
             auto& progress = *this->routers[rank];
+            this->measure_speed(progress);
             this->load(progress);
             const auto wanted = progress.on_tick(rank, this->routers.size(), this->rates, now);
             this->trips += wanted.trip ? 1 : 0;
@@ -87,6 +88,26 @@
         }
     }
 
+    // Adds each router's answers to the sample of sessions that use the new version: as quick as
+    // the old version's. Each state begins without answers.
+    void measure_speed(rollout_progress& progress) const
+    {
+        const auto& record = progress.record();
+        const auto& own = progress.own_evidence();
+        if (!record) {
+            return;
+        }
+        const bool is_sampling =
+            record->session_ppm > 0 && (record->state == progress_state::staged ||
+                                        record->state == progress_state::load_trial);
+        const run_counts speed{is_sampling ? this->quick_answers : 0, 0};
+        if (own.state != record->state) {
+            progress.on_own_evidence({}, speed, false, own.under_load);
+        } else if (is_sampling && own.speed.total() == 0) {
+            progress.on_own_evidence(own.seen, speed, false, own.under_load);
+        }
+    }
+
     // Adds each router's share of the runs at the filled endpoint: good ones, at half of its slots.
     void load(rollout_progress& progress) const
     {
@@ -105,7 +126,8 @@
     std::vector<progress_record> history;
     store_revision revision = 0;
     request_rates rates = typical_rates;
-    std::uint64_t loaded_runs = 12; // per router
+    std::uint64_t loaded_runs = 12;  // per router
+    std::uint64_t quick_answers = 4; // per router and state
     int writes = 0;
     int reports = 0;
     int trips = 0;
@@ -246,6 +268,51 @@
     }
 }
 
+// Guards against a slow version that gets all traffic, and is finished, because few callers met its
+// sample and their answers had not come yet.
+TEST(rollout_progress, version_of_unknown_speed_gets_all_traffic_only_near_the_end)
+{
+    for (const double long_answers : {0.1, 2.0}) {
+        progress_fleet fleet(9);
+        fleet.rates = {1.0, long_answers};
+        fleet.quick_answers = 0;
+        const std::vector<bool> all(9, true);
+        simulate(fleet, milliseconds(19'000), all);
+        for (const auto& record : fleet.history) {
+            CHECK_TRUE(record.state == progress_state::staged ||
+                       record.state == progress_state::load_trial);
+        }
+        simulate(fleet, milliseconds(24'000), all);
+        CHECK_TRUE(progress_state::finished == fleet.history.back().state);
+    }
+}
+
+// Guards against a version that gets all traffic although the answers of its sample are slow.
+TEST(rollout_progress, version_that_seems_slow_in_its_sample_never_gets_all_traffic)
+{
+    progress_fleet fleet(9);
+    fleet.rates = {1.0, 0.1};
+    fleet.quick_answers = 0;
+    const std::vector<bool> all(9, true);
+    simulate(fleet, milliseconds(13'000), all);
+    fleet.routers[0]->on_own_evidence({2, 0}, {1, 2}, false);
+    simulate(fleet, milliseconds(24'000), all);
+    CHECK_TRUE(progress_state::bad == fleet.history.back().state);
+    for (const auto& record : fleet.history) {
+        CHECK_TRUE(record.state != progress_state::full_traffic);
+    }
+}
+
+// Guards against good versions that are delayed although the answers of their sample are quick.
+TEST(rollout_progress, quick_answers_of_the_sample_are_reported_until_the_speed_is_known)
+{
+    progress_fleet fleet(9);
+    fleet.rates = {1.0, 0.1};
+    const std::vector<bool> all(9, true);
+    simulate(fleet, milliseconds(16'000), all);
+    CHECK_TRUE(progress_state::full_traffic == fleet.history.back().state);
+}
+
 TEST(rollout_progress, good_answers_of_one_state_do_not_hide_bad_ones_of_the_next)
 {
     progress_fleet fleet(2);
@@ -491,6 +558,7 @@
     const std::vector<bool> all(size, true);
     fleet.rates = {4.0, 0.5};
     fleet.loaded_runs = 0;
+    fleet.quick_answers = 0;
     simulate(fleet, milliseconds(12'600), all);
     CHECK_TRUE(progress_state::load_trial == fleet.history.back().state);
     LONGS_EQUAL(rollout_progress_settings().max_rate_reporters, fleet.reports);
