Decide on the speed of a sample by three answers at least, and begin no late load trial

One or two slow answers made a good version seem slow, which is given up at the time of decision; three are needed in the sample now. A version that waits for speed results could begin its load trial as late as its callers became more; none begins after 0.65 of the order's time. A bad result within the store's delay after a report of good ones met a conflict and was lost: reports of any kind are 0.3 s apart.

--- a/coordination/include/pearhaven/coordination/rollout_progress.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_progress.hpp
@@ -69,7 +69,8 @@
 
     // Fractions of the order's time: the length of each step, the earliest start of the load trial,
     // and the earliest time at which the old version may stop. Sessions change their version only
-    // in the second half. The last quarter is reserve for an outage of the store.
+    // in the second half. The last quarter is reserve for an outage of the store, but for a version
+    // whose speed is not known.
     double step_fraction = 0.125;
     double trial_start_fraction = 0.505;
     double finish_fraction = 0.75;
@@ -170,9 +171,22 @@
     std::uint64_t min_speed_results = 8;
     double untested_speed_fraction = 0.8;
 
-    // Minimum time between two reports of a router's evidence. It bounds the store's load.
+    // Answers of known speed below which a version does not seem slow: one or two slow answers say
+    // little about a good one, of which every fifth answer is slow.
+    std::uint64_t min_slow_results = 3;
+
+    // Fraction of the order's time after which no load trial begins. A version that waits for speed
+    // results must not begin one, late, because its callers have become more.
+    double latest_trial_start_fraction = 0.65;
+
+    // Minimum time between two reports of a router's bad results, and between two of its good ones.
+    // It bounds the store's load.
     decision::duration report_period = std::chrono::milliseconds(700);
 
+    // Minimum time between two reports of any kind. Until the store's watch has told the first one,
+    // another write of the same key would conflict, and its results would be lost.
+    decision::duration report_echo_time = std::chrono::milliseconds(300);
+
     // Additional delay per rank before a router writes a record that all routers want to write, for
     // the first `delayed_ranks` routers.
     decision::duration rank_delay = std::chrono::milliseconds(400);
@@ -281,6 +295,7 @@
     [[nodiscard]] bool is_slow(const decision::run_counts& speed) const;
     [[nodiscard]] decision::sequential_test speed_test() const;
     [[nodiscard]] bool seems_slow() const;
+    [[nodiscard]] bool sample_seems_slow() const;
     [[nodiscard]] bool is_speed_tested() const;
     [[nodiscard]] bool may_get_full_traffic(decision::duration elapsed) const;
     [[nodiscard]] bool is_full_traffic() const;
--- a/coordination/src/rollout_progress.cpp
+++ b/coordination/src/rollout_progress.cpp
@@ -259,6 +259,12 @@
     return this->speed_test().log_ratio(this->in_current_state(&router_evidence::speed)) > 0.0;
 }
 
+bool rollout_progress::sample_seems_slow() const
+{
+    return this->seems_slow() && this->in_current_state(&router_evidence::speed).total() >=
+                                     this->settings.min_slow_results;
+}
+
 bool rollout_progress::is_speed_tested() const
 {
     return this->in_current_state(&router_evidence::speed).total() >=
@@ -272,7 +278,7 @@
 {
     return this->is_speed_tested() ||
            (elapsed >= this->order_fraction(this->settings.untested_speed_fraction) &&
-            !this->seems_slow());
+            !this->sample_seems_slow());
 }
 
 // Each router reports its first results, also if it knows enough of them: others may not.
@@ -289,8 +295,9 @@
            reported_results < this->settings.min_speed_results;
 }
 
-// Good results alone change no decision, so they are reported with the next bad one. Slow answers
-// are reported when they are more than a good version has, since each report wakes every router.
+// Good results are reported with the next bad one, but for the first ones that show the speed. Slow
+// answers are reported when they are more than a good version has, since each report wakes every
+// router.
 bool rollout_progress::has_reportable_changes() const
 {
     const bool same_state =
@@ -486,7 +493,8 @@
 std::optional<progress_state> rollout_progress::state_after_staged(std::size_t size,
                                                                    decision::duration elapsed) const
 {
-    const bool fills = this->can_fill(size);
+    const bool fills = elapsed < this->order_fraction(this->settings.latest_trial_start_fraction) &&
+                       this->can_fill(size);
     const auto due = this->order_fraction(fills ? this->settings.trial_start_fraction
                                                 : this->settings.sample_fraction +
                                                       this->settings.min_sample_fraction);
@@ -504,7 +512,8 @@
 std::optional<progress_state> rollout_progress::state_if_slow(decision::duration elapsed) const
 {
     const bool is_due = elapsed >= this->order_fraction(this->settings.decision_fraction);
-    return is_due && this->seems_slow() ? std::make_optional(progress_state::bad) : std::nullopt;
+    return is_due && this->sample_seems_slow() ? std::make_optional(progress_state::bad)
+                                               : std::nullopt;
 }
 
 // A version with inconclusive results under load does not get all traffic to gather more of
@@ -608,8 +617,9 @@
         this->rate_reported = this->rate_reported || reports_rate;
         this->reported = this->own;
         this->next_speed_report = now + this->settings.report_period;
-        // Good results do not delay bad ones.
-        this->next_report = reports_changes ? this->next_speed_report : this->next_report;
+        this->next_report =
+            reports_changes ? this->next_speed_report
+                            : std::max(this->next_report, now + this->settings.report_echo_time);
         actions.report = this->own;
     }
     const auto next = this->next_record(size, rates, this->is_bad() ? now : now - rank_wait);
