Count a failure that is too long as one, and a refusal whose body breaks off

Found by the review. A failure beyond the bound counted as a lost connection, not as a bad answer of its version. A refusal whose body went silent or broke off was told as a request that may have run, though its head had said that it had not. A store's answer beyond its bound kept its call open for ever: what is collected has a bound in the client now.

a_refusal_whose_body_breaks_off_is_a_refusal and a_body_beyond_its_limit_fails_before_its_end pass; they were not run on the code before.

--- a/adapters/include/pearhaven/adapters/http_outbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_outbound.hpp
@@ -31,6 +31,7 @@
     decision::duration connect_time = std::chrono::seconds(1);
     decision::duration answer_time{};   // from sending to the head; zero: no limit
     decision::duration progress_time{}; // longest silence after the head; zero: no limit
+    std::size_t max_body = 0;           // bytes; a longer answer is malformed; zero: no limit
     bool fresh_connection = false;
 
     friend bool operator==(const outbound_request&, const outbound_request&) = default;
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -65,6 +65,8 @@
     this->head_received = false;
     this->skipping = false;
     this->undelivered_bytes = 0;
+    this->body_bytes = 0;
+    this->max_body = request.max_body;
     this->message_complete = false;
     this->answer_time = request.answer_time;
     this->progress_time = request.progress_time;
@@ -222,7 +224,8 @@
     this->undelivered_bytes += bytes.size();
     while (!bytes.empty() && this->current_phase == phase::busy && !this->message_complete) {
         bytes.remove_prefix(this->reader.feed(bytes));
-        const bool is_endless = this->undelivered_bytes > max_undelivered_bytes;
+        const bool is_endless = this->undelivered_bytes > max_undelivered_bytes ||
+                                (this->max_body > 0 && this->body_bytes > this->max_body);
         if (this->current_phase == phase::busy &&
             (is_endless || this->reader.fault() != framing_fault::none)) {
             this->fail(outbound_fault::malformed);
@@ -269,6 +272,7 @@
 {
     if (this->current_phase == phase::busy && !this->skipping) {
         this->undelivered_bytes = 0;
+        this->body_bytes += piece.size();
         this->last_progress = this->owner.loop().now();
         this->listener->on_body(piece);
     }
--- a/adapters/src/outbound_socket.hpp
+++ b/adapters/src/outbound_socket.hpp
@@ -80,6 +80,8 @@
     bool head_received = false;
     bool skipping = false;             // the current answer belongs to an earlier request
     std::size_t undelivered_bytes = 0; // received since the last part of the answer
+    std::size_t body_bytes = 0;        // of the current answer
+    std::size_t max_body = 0;          // zero: no limit
     bool message_complete = false;
     bool paused = false;
     bool reusable = true; // the connection can be reused after the current answer
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -312,6 +312,16 @@
     CHECK_TRUE(seen->failure->why == outbound_fault::connection_lost);
 }
 
+// Guards against a body without an end, which keeps its exchange open for ever.
+TEST(http_outbound, a_body_beyond_its_limit_fails_before_its_end)
+{
+    this->endpoint->answers = {"HTTP/1.1 200 OK\r\n\r\n" + std::string(3000, 'x')};
+    outbound_request limited;
+    limited.max_body = 2000;
+    const auto seen = this->ask(limited);
+    CHECK_TRUE(seen->failure && seen->failure->why == outbound_fault::malformed);
+}
+
 TEST(http_outbound, malformed_bytes_fail)
 {
     this->endpoint->answers = {"garbage\r\n\r\n"};
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -713,7 +713,11 @@
     } else {
         this->log_endless_answer(relayed);
         this->endpoints.cancel(current.exchange);
-        this->end_attempt(relayed, {ticket, current.number, attempt_result::failed});
+        decision::attempt_end end{ticket, current.number, attempt_result::failed};
+        end.answer_began = true;
+        end.answered_error = true;
+        end.answer_reports_failure = true;
+        this->end_attempt(relayed, end);
     }
 }
 
@@ -832,6 +836,9 @@
     if (relayed == nullptr) {
         return true;
     }
+    if (relayed->attempt.use == answer_use::discarded) {
+        return true;
+    }
     if (!this->dispatcher.can_retry(ticket, this->loop.now())) {
         return false;
     }
@@ -855,6 +862,10 @@
         this->cut_off(ticket, *relayed);
         return;
     }
+    if (relayed->attempt.use == answer_use::discarded) {
+        this->on_end(ticket, attempt);
+        return;
+    }
     decision::attempt_end end;
     end.ticket = ticket;
     end.attempt = attempt;
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -800,6 +800,20 @@
     this->finish();
 }
 
+// Guards against a refusal that is forgotten because its connection breaks in its body: the request
+// has not run, and is told as one that may have.
+TEST(event_relay, a_refusal_whose_body_breaks_off_is_a_refusal)
+{
+    this->dialect.prototype.kind = work_kind::at_most_once;
+    this->begin()
+        .when(this->has_run(0),
+              [this] { this->run_at(0)->send("HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\nx"); })
+        .when([this] { return this->relay->in_flight() == 1; },
+              [this] { this->run_at(0)->close(); })
+        .when(this->caller_has("refused, not run"), [this] { this->caller->close(); });
+    this->finish();
+}
+
 // Guards against a head that never ends.
 TEST(event_relay, a_head_without_an_end_is_a_failure)
 {
