Take two slow answers without a quick one for a slow sample

The bound is a likelihood ratio now, which one slow answer does not reach and two without a quick one do.

--- a/coordination/include/pearhaven/coordination/rollout_progress.hpp
+++ b/coordination/include/pearhaven/coordination/rollout_progress.hpp
@@ -171,9 +171,10 @@
     std::uint64_t min_speed_results = 8;
     double untested_speed_fraction = 0.8;
 
-    // Answers of known speed below which a version does not seem slow: one or two slow answers say
-    // little about a good one, of which every fifth answer is slow.
-    std::uint64_t min_slow_results = 3;
+    // Logarithm of the likelihood ratio of a slow version to a good one from which the sample seems
+    // slow. One slow answer does not reach it: every fifth answer of a good version is slow. Two
+    // without a quick one do.
+    double min_slow_ratio = 1.0;
 
     // Fraction of the order's time after which no load trial begins. A version that waits for speed
     // results must not begin one, late, because its callers have become more.
--- a/coordination/src/rollout_progress.cpp
+++ b/coordination/src/rollout_progress.cpp
@@ -261,8 +261,8 @@
 
 bool rollout_progress::sample_seems_slow() const
 {
-    return this->seems_slow() && this->in_current_state(&router_evidence::speed).total() >=
-                                     this->settings.min_slow_results;
+    return this->speed_test().log_ratio(this->in_current_state(&router_evidence::speed)) >=
+           this->settings.min_slow_ratio;
 }
 
 bool rollout_progress::is_speed_tested() const
--- a/coordination/test/rollout_progress_test.cpp
+++ b/coordination/test/rollout_progress_test.cpp
@@ -303,6 +303,19 @@
     }
 }
 
+// Guards against a good version that is rejected for one slow answer of its sample.
+TEST(rollout_progress, version_with_one_slow_answer_in_its_sample_gets_all_traffic)
+{
+    progress_fleet fleet(9);
+    fleet.rates = {1.0, 0.1};
+    fleet.quick_answers = 0;
+    const std::vector<bool> all(9, true);
+    simulate(fleet, milliseconds(13'000), all);
+    fleet.routers[0]->on_own_evidence({2, 0}, {0, 1}, false);
+    simulate(fleet, milliseconds(24'000), all);
+    CHECK_TRUE(progress_state::finished == fleet.history.back().state);
+}
+
 // Guards against good versions that are delayed although the answers of their sample are quick.
 TEST(rollout_progress, quick_answers_of_the_sample_are_reported_until_the_speed_is_known)
 {
