--- a/coordination/test/zone_fleet.hpp
+++ b/coordination/test/zone_fleet.hpp
@@ -36,6 +36,8 @@
     std::optional<std::uint32_t> room{}; // requests that an endpoint takes; nothing: any number
     double retry_share_on_arrival = 0.0;
     std::optional<double> retry_burst{}; // of one router; nothing: the default
+    bool sheds_load = false;             // whether requests are served with regard to the forecast
+    std::chrono::milliseconds objective{0};
     std::uint64_t seed = 1;
 
     // Between the clocks of two routers with consecutive ranks, and by how much their time of day
@@ -138,6 +140,9 @@
 
     void set_request_rate(double requests_per_s) { this->options.requests_per_s = requests_per_s; }
 
+    // From now on, nine of ten requests arrive at this router; nothing: all get as many.
+    void set_crowded(std::optional<std::size_t> router) { this->crowded = router; }
+
     // From now on, each endpoint has room for that many requests.
     void set_room(std::uint32_t room) { this->options.room = room; }
 
@@ -319,6 +324,7 @@
         settings.seed = rank + 1;
         settings.endpoints.router_seed = rank + 1;
         settings.retry_share_on_arrival = this->options.retry_share_on_arrival;
+        settings.sheds_load = this->options.sheds_load;
         if (this->options.retry_burst) {
             settings.retry_share = 0.0;
             settings.retry_burst = *this->options.retry_burst;
@@ -332,6 +338,11 @@
         const auto error = static_cast<std::int64_t>(decision::mix(rank) % 3) - 1;
         router->set_clock_offset(this->now - this->clock(rank) +
                                  error * this->options.time_of_day_error);
+        for (std::size_t peer = 0; peer < this->options.routers; ++peer) {
+            if (peer != rank) {
+                router->set_peer(std::to_string(peer), std::to_string(peer));
+            }
+        }
         return router;
     }
 
@@ -424,7 +435,7 @@
         this->request_credit += this->options.requests_per_s *
                                 std::chrono::duration<double>(this->options.tick).count();
         for (; this->request_credit >= 1.0; this->request_credit -= 1.0) {
-            const auto router = this->next_random() % this->routers.size();
+            const auto router = this->next_router();
             decision::arrival request;
             request.ticket = ++this->arrived;
             request.team = "anyone";
@@ -432,17 +443,67 @@
             request.idempotent = !this->options.at_most_once;
             request.on_loss = decision::continuation::none;
             request.work = {decision::work_class::lookup, 60.0, 14.0};
+            request.objective = this->options.objective;
             request.deadline = this->clock(router) + this->options.deadline;
             request.fingerprint = request.ticket;
-            this->routers[router]->on_arrival(request, this->clock(router));
-            this->apply_actions(router);
+            this->admit(router, request);
         }
     }
 
+    std::size_t next_router()
+    {
+        constexpr std::uint64_t crowded_of_ten = 9;
+        if (this->crowded && this->next_random() % 10 < crowded_of_ten) {
+            return *this->crowded;
+        }
+        return this->next_random() % this->routers.size();
+    }
+
+    void admit(std::size_t router, const decision::arrival& request)
+    {
+        this->requests[request.ticket] = request;
+        this->routers[router]->on_arrival(request, this->clock(router));
+        this->apply_actions(router);
+    }
+
+    // Another router handles the request as a new one.
+    void forward(std::size_t router, const decision::start_attempt& attempt)
+    {
+        const auto to = static_cast<std::size_t>(std::stoul(attempt.address));
+        auto request = this->requests.at(attempt.ticket);
+        request.deadline += this->clock(to) - this->clock(router);
+        request.ticket = ++this->arrived;
+        request.forwarded = true;
+        this->forwarded_by[request.ticket] = {router, attempt};
+        this->events.push_back(
+            {this->now + answer_delay, [this, to, request] { this->admit(to, request); }});
+    }
+
+    // Tells the router that forwarded the request, if one did, how it ended. Returns whether one
+    // did.
+    bool end_forwarded(decision::ticket_number ticket, decision::attempt_result result)
+    {
+        const auto found = this->forwarded_by.find(ticket);
+        if (found == this->forwarded_by.end()) {
+            return false;
+        }
+        const auto [router, attempt] = found->second;
+        this->forwarded_by.erase(found);
+        this->events.push_back(
+            {this->now + answer_delay, [this, router = router, attempt = attempt, result] {
+                 this->end(router, attempt, result);
+             }});
+        return true;
+    }
+
     void apply_actions(std::size_t router)
     {
         for (const auto& action : this->routers[router]->take_actions()) {
             if (const auto* started = std::get_if<decision::start_attempt>(&action)) {
+                if (started->forwarded) {
+                    this->forward(router, *started);
+                    continue;
+                }
                 this->starts[started->address].push_back(this->now);
                 this->record_send(router, started->address);
                 this->repeated_sends += started->attempt > 1 ? 1 : 0;
@@ -454,15 +515,38 @@
                     continue;
                 }
                 this->runs.push_back({router, *started, this->now + this->options.run_time});
+                if (this->options.sheds_load) {
+                    this->answer_soon(router, *started);
+                }
                 this->max_held = std::max(this->max_held, ++this->held[started->address]);
             } else if (const auto* cancelled = std::get_if<decision::cancel_attempt>(&action)) {
                 this->drop_run(router, *cancelled);
-            } else if (std::holds_alternative<decision::give_up_request>(action)) {
-                ++this->refused;
+            } else if (const auto* given_up = std::get_if<decision::give_up_request>(&action)) {
+                const bool has_run = given_up->why.run != decision::run_state::not_run;
+                const bool was_forwarded = this->end_forwarded(
+                    given_up->ticket,
+                    has_run ? decision::attempt_result::failed : decision::attempt_result::refused);
+                this->refused += was_forwarded ? 0 : 1;
+                this->requests.erase(given_up->ticket);
+            } else if (const auto* done = std::get_if<decision::complete_request>(&action)) {
+                this->end_forwarded(done->ticket, decision::attempt_result::finished);
+                this->requests.erase(done->ticket);
             }
         }
     }
 
+    // The answer begins within the first eighth of the run.
+    void answer_soon(std::size_t router, const decision::start_attempt& attempt)
+    {
+        constexpr int answer_divisor = 8;
+        constexpr double confidence = 100.0;
+        this->events.push_back(
+            {this->now + this->options.run_time / answer_divisor, [this, router, attempt] {
+                 this->routers[router]->accepts_answer(attempt.ticket, attempt.attempt, confidence,
+                                                       this->clock(router));
+             }});
+    }
+
     // An endpoint drops a run whose connection is closed.
     void drop_run(std::size_t router, const decision::cancel_attempt& cancelled)
     {
@@ -657,8 +741,13 @@
     zone_fleet_options options;
     std::uint64_t random_state = 1 + (this->options.seed - 1) * 1'000'003;
     double request_credit = 0.0;
+    std::optional<std::size_t> crowded; // router
     instant next_router_tick;
     std::uint64_t arrived = 0;
+    std::map<decision::ticket_number, decision::arrival> requests;
+
+    // The routers that forwarded requests, and their attempts, by the tickets at the other routers.
+    std::map<decision::ticket_number, std::pair<std::size_t, decision::start_attempt>> forwarded_by;
     std::vector<std::unique_ptr<decision::dispatcher>> routers;
     std::vector<std::unique_ptr<peer_exchange>> exchanges;
     std::map<std::string, std::string> zone_by_address;
