Do not take the load of a crowded router for that of the fleet

What callers could see: forecasts and brittle endpoints' known load many times too high, at the router that most callers meet and at those that it reports to.

Cause: the load of the routers that report was multiplied by the number of those that do not, whatever it was. Idle routers report once and then fall silent, so that their reports expired and a crowded router counted itself as the only sample: 40 requests of its own became 214 of a fleet of 91 with 16 idle peers, 3,640 after a second.

Change: routers that do not report are taken for usual ones (the mean or the median of those that do, whichever is lower), and an empty report holds until its router has requests again or has ended. The estimates while an endpoint is being filled use the same reports.

Tests: two of endpoint_table_test, 2,141 of work where 400 are known and 2,998 where 1,300 are before the change.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -410,7 +410,11 @@
     {
         this->forwarding.set_peer(name, address);
     }
-    void drop_peer(const std::string& name) { this->forwarding.drop_peer(name); }
+    void drop_peer(const std::string& name)
+    {
+        this->forwarding.drop_peer(name);
+        this->table.drop_peer(name);
+    }
 
     // Another router's evidence ended this attempt at rolling out the version.
     void on_peer_trip(const std::string& version, std::uint64_t run, instant now);
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -362,6 +362,9 @@
     // Requests of all routers at the endpoint for concentrated requests; zero if there is none.
     [[nodiscard]] double concentrated_requests(const std::string& version, instant now) const;
 
+    // The router has ended.
+    void drop_peer(const std::string& router);
+
     // The mean of the known work over the endpoints among which a request is placed, full ones
     // included, as time: a unit of work is a millisecond. Requests of others are accounted for as
     // in `work_at`.
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -133,8 +133,7 @@
 
 double endpoint_table::state::extrapolation_factor(std::size_t routers) const
 {
-    const auto known_routers = static_cast<double>(this->others.routers() + 1);
-    return std::max(1.0, static_cast<double>(routers) / known_routers);
+    return this->others.extrapolation_to(routers, this->own.outstanding);
 }
 
 double endpoint_table::state::extrapolation_factor_when_filling(std::size_t routers) const
@@ -564,6 +563,11 @@
     return changes;
 }
 
+void endpoint_table::drop_peer(const std::string& router)
+{
+    this->inner->others.drop(router);
+}
+
 std::optional<limited_access> endpoint_table::access(const placement& wanted, instant now) const
 {
     return this->inner->access(wanted, now);
--- a/decision/src/peer_loads.cpp
+++ b/decision/src/peer_loads.cpp
@@ -26,13 +26,47 @@
     auto& report = this->reports[router];
     this->add(report, -1);
     report = {std::move(loads), now};
+    for (const auto& load : report.loads) {
+        report.requests += load.requests;
+    }
     this->add(report, 1);
 }
 
+void peer_loads::drop(const std::string& router)
+{
+    const auto found = this->reports.find(router);
+    if (found != this->reports.end()) {
+        this->add(found->second, -1);
+        this->reports.erase(found);
+    }
+}
+
+double peer_loads::extrapolation_to(std::size_t routers, std::optional<std::int64_t> own) const
+{
+    const auto known = this->reports.size() + (own ? 1 : 0);
+    const auto all = this->all_requests + own.value_or(0);
+    if (routers <= known || all <= 0) {
+        return 1.0;
+    }
+    std::vector<std::int64_t> held;
+    held.reserve(known);
+    for (const auto& [router, report] : this->reports) {
+        held.push_back(report.requests);
+    }
+    if (own) {
+        held.push_back(*own);
+    }
+    const auto middle = held.begin() + static_cast<std::ptrdiff_t>(known / 2);
+    std::nth_element(held.begin(), middle, held.end());
+    const double mean = static_cast<double>(all) / static_cast<double>(known);
+    const double usual = std::min(static_cast<double>(*middle), mean);
+    return 1.0 + static_cast<double>(routers - known) * usual / static_cast<double>(all);
+}
+
 void peer_loads::expire(instant now, duration lifetime)
 {
     for (auto at = this->reports.begin(); at != this->reports.end();) {
-        if (now - at->second.received <= lifetime) {
+        if (now - at->second.received <= lifetime || at->second.loads.empty()) {
             ++at;
             continue;
         }
@@ -43,6 +77,7 @@
 
 void peer_loads::add(const peer_report& report, int sign)
 {
+    this->all_requests += sign * report.requests;
     for (const auto& load : report.loads) {
         auto& incarnations = this->sums[load.address];
         const auto is_same = [&load](const incarnation_sum& one) {
--- a/decision/src/peer_loads.hpp
+++ b/decision/src/peer_loads.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -13,7 +14,8 @@
 
 // The sum of the loads that the other routers report at the endpoints. A router's latest report
 // replaces its previous one. Reports expire, because a silent router's callers have moved elsewhere
-// or its requests have ended without a report.
+// or its requests have ended without a report. An empty one does not: an idle router sends nothing
+// until it has requests again.
 class peer_loads {
 public:
     struct sum {
@@ -29,9 +31,21 @@
     // Drops the reports older than `lifetime`.
     void expire(instant now, duration lifetime);
 
+    // The router has ended.
+    void drop(const std::string& router);
+
     // Number of routers with a current report.
     [[nodiscard]] std::size_t routers() const { return this->reports.size(); }
 
+    // Requests in flight of all routers that report.
+    [[nodiscard]] std::int64_t requests() const { return this->all_requests; }
+
+    // Factor from the requests of the routers that report, and of one more that holds `own` if
+    // there is one, to those of `routers` in all. The others are taken for usual ones: a router
+    // that gets most of the callers is the only one.
+    [[nodiscard]] double extrapolation_to(std::size_t routers,
+                                          std::optional<std::int64_t> own) const;
+
     // Only at this incarnation: requests sent to an earlier one ended with it.
     [[nodiscard]] sum of(const endpoint_host& where) const;
 
@@ -39,6 +53,7 @@
     struct peer_report {
         std::vector<endpoint_load> loads;
         instant received;
+        std::int64_t requests = 0; // sum of `loads`
     };
 
     struct incarnation_sum {
@@ -49,7 +64,8 @@
     // `sign` is 1 to add the report, -1 to remove it.
     void add(const peer_report& report, int sign);
 
-    std::map<std::string, peer_report> reports;                         // by router
+    std::map<std::string, peer_report> reports; // by router
+    std::int64_t all_requests = 0;
     std::unordered_map<std::string, std::vector<incarnation_sum>> sums; // by address
 };
 
--- a/decision/test/endpoint_table_test.cpp
+++ b/decision/test/endpoint_table_test.cpp
@@ -1104,6 +1104,36 @@
     DOUBLES_EQUAL(0.0, fixture.table.writing_per_slot("e0", 2), 0.001);
 }
 
+// Guards against a router with most of the callers that takes its load for the fleet's mean.
+TEST(endpoint_table_test, the_load_of_a_crowded_router_is_not_multiplied_by_the_idle_ones)
+{
+    table_fixture fixture(1, 64);
+    for (int peer = 0; peer < 16; ++peer) {
+        fixture.table.peer_reported(std::to_string(peer), {}, fixture.now);
+    }
+    for (int request = 0; request < 40; ++request) {
+        fixture.table.started("e0", work_class::lookup, 10.0, {}, fixture.now);
+    }
+    DOUBLES_EQUAL(400.0, fixture.table.work_at("e0", 91), 0.001);
+    // An idle router sends nothing more.
+    fixture.now += std::chrono::seconds(30);
+    const auto backlog = fixture.table.backlog(a_lookup, 91, fixture.now);
+    CHECK_TRUE(backlog == std::chrono::milliseconds(400));
+}
+
+// Guards against a router that takes the load of a crowded peer for that of all peers.
+TEST(endpoint_table_test, the_load_of_a_crowded_peer_is_counted_once)
+{
+    table_fixture fixture(1, 64);
+    fixture.table.started("e0", work_class::lookup, 10.0, {}, fixture.now);
+    fixture.table.peer_reported("crowded", {{"e0", 40, 400.0, 1}}, fixture.now);
+    for (int peer = 0; peer < 15; ++peer) {
+        fixture.table.peer_reported(std::to_string(peer), {{"e0", 1, 10.0, 1}}, fixture.now);
+    }
+    // 74 of the 91 do not report.
+    DOUBLES_EQUAL(560.0 + 74.0 * 10.0, fixture.table.work_at("e0", 91), 0.001);
+}
+
 // Guards against a load test that starts over when the endpoint that it had lost returns.
 TEST(endpoint_table_test, concentrated_requests_stay_when_a_lost_endpoint_returns)
 {
