Forward what a router's own share of the endpoints has no room for

What callers saw: while most of them meet one router, it refuses them or lets them wait, though the endpoints have room.

Cause: brittle endpoints, stated limits and cold endpoints are shared by rank, so that a router with all callers has the part of one. Only a router that reaches no endpoint forwarded requests.

Change: a request that nothing but this router's share keeps waiting goes to another router, three at most, which refuses it unless it can start it at once. Where the others may have used up their shares as well (rates, endpoints that refused lately) only a crowded router does so: one that holds twice the requests of its peers. It stops while most of what it forwards is refused. It is the same mechanism as at a cut; only requests that have not run are forwarded.

--- a/coordination/test/zone_fleet.hpp
+++ b/coordination/test/zone_fleet.hpp
@@ -474,6 +474,7 @@
         request.deadline += this->clock(to) - this->clock(router);
         request.ticket = ++this->arrived;
         request.forwarded = true;
+        request.only_at_once = attempt.only_at_once;
         this->forwarded_by[request.ticket] = {router, attempt};
         this->events.push_back(
             {this->now + answer_delay, [this, to, request] { this->admit(to, request); }});
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -118,6 +118,9 @@
 
     // Another router forwarded it, so it may not be forwarded again.
     bool forwarded = false;
+
+    // With `forwarded`: refused unless it can start at once, as the other router can wait as well.
+    bool only_at_once = false;
     std::uint32_t sizes = 0;  // number of model sizes that may answer; 0 or 1 for no choice
     bool long_prompt = false; // prefill takes an engine longer than generating the answer
     duration objective{}; // target time from arrival to the first piece of the answer; zero if none
@@ -164,6 +167,7 @@
     // Tells the endpoint how to order its queue, 0 for the first to 9 for the last. If it is not
     // set, the request's priority does.
     std::optional<std::uint32_t> urgency = std::nullopt;
+    bool only_at_once = false; // with `forwarded`: if that router can start the request at once
     friend bool operator==(const start_attempt&, const start_attempt&) = default;
 };
 
@@ -404,8 +408,8 @@
     // The parts that this router refuses by its own evidence, also while the store is away.
     void set_quarantined_parts(const std::vector<std::uint64_t>& parts);
 
-    // The routers that may take over requests whose endpoints this router cannot connect to, by the
-    // address at which they accept callers' requests.
+    // The routers that may take over requests that this router cannot start, by the address at
+    // which they accept callers' requests.
     void set_peer(const std::string& name, const std::string& address)
     {
         this->forwarding.set_peer(name, address);
@@ -416,6 +420,9 @@
         this->table.drop_peer(name);
     }
 
+    // Whether this router holds many more requests than those that report their loads to it.
+    [[nodiscard]] bool is_crowded() const;
+
     // Another router's evidence ended this attempt at rolling out the version.
     void on_peer_trip(const std::string& version, std::uint64_t run, instant now);
 
@@ -538,6 +545,7 @@
         std::uint32_t resumes = 0;
         std::uint32_t refusals = 0;
         bool forwarded = false;                   // the current attempt is at another router
+        bool only_at_once = false;                // and only if it starts there at once
         std::uint32_t forwardings = 0;            // attempts at other routers
         std::uint32_t losses = 0;                 // runs that were lost
         instant lost_at;                          // time of the last loss
@@ -605,6 +613,7 @@
         std::string exposed_by;
         bool concentrated = false;
         bool forwarded = false;
+        bool only_at_once = false;
     };
 
     [[nodiscard]] std::optional<failure> admission_failure(const request_state& probe,
@@ -634,7 +643,13 @@
     void record_answer_pace(const request_state& state, instant now);
 
     [[nodiscard]] bool is_cut_off_from(const arrival& request, const std::string& target) const;
+    void refuse_if_queued(ticket_number ticket);
+    [[nodiscard]] bool may_forward(const request_state& state) const;
     [[nodiscard]] std::optional<start_choice> find_peer(const request_state& state, instant now);
+
+    // A router that may start at once what has to wait here for a share of the endpoints.
+    [[nodiscard]] std::optional<start_choice>
+    find_peer_with_share(const request_state& state, const placement& wanted, instant now);
     void record_reachability(const request_state& state, const attempt_end& end, instant now);
     [[nodiscard]] std::optional<start_choice> find_start(const request_state& state, instant now);
     [[nodiscard]] rollout_choice choose_version(const request_state& state, instant now) const;
--- a/decision/include/pearhaven/decision/endpoint_table.hpp
+++ b/decision/include/pearhaven/decision/endpoint_table.hpp
@@ -365,6 +365,14 @@
     // The router has ended.
     void drop_peer(const std::string& router);
 
+    // Whether an endpoint has room for the request and only this router's own share of it is used
+    // up. `if_uncertain`: also where the others may have used up theirs.
+    [[nodiscard]] bool has_room_for_others(const placement& wanted, bool if_uncertain,
+                                           instant now) const;
+
+    // Requests in flight of the routers that report their loads.
+    [[nodiscard]] std::int64_t peer_requests() const;
+
     // The mean of the known work over the endpoints among which a request is placed, full ones
     // included, as time: a unit of work is a millisecond. Requests of others are accounted for as
     // in `work_at`.
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -17,6 +17,11 @@
 
 constexpr duration rate_period = std::chrono::seconds(1);
 
+// A router that holds this multiple of its peers' mean number of requests is crowded, unless it
+// holds only a few.
+constexpr double crowded_factor = 2.0;
+constexpr std::size_t min_crowd = 8;
+
 // Time between two checks for runs past their deadline.
 constexpr duration overdue_check_period = std::chrono::milliseconds(100);
 
@@ -197,6 +202,9 @@
     const bool is_unreachable = end.result == attempt_result::unreachable;
     if (state.forwarded && (is_unreachable || end.result == attempt_result::refused)) {
         this->forwarding.on_refused(state.address, now);
+        if (state.only_at_once) {
+            this->forwarding.on_refused_to_start(now);
+        }
     }
     if (state.forwarded || !is_unreachable) {
         return;
@@ -277,7 +285,30 @@
                                                 "the queue is full"));
         return;
     }
+    const bool may_wait = !admitted.request.only_at_once;
     this->dispatch(now);
+    if (!may_wait) {
+        this->refuse_if_queued(ticket);
+    }
+}
+
+void dispatcher::refuse_if_queued(ticket_number ticket)
+{
+    const auto found = this->requests.find(ticket);
+    if (found != this->requests.end() && found->second.address.empty()) {
+        this->queue.remove(ticket);
+        this->give_up(ticket, retryable_failure(failure_code::overloaded, short_retry_delay,
+                                                "this router cannot start it at once"));
+    }
+}
+
+bool dispatcher::is_crowded() const
+{
+    const auto peers = std::min(this->fleet_size - 1, load_fanout);
+    const auto held = static_cast<double>(this->requests.size());
+    const auto by_peers = static_cast<double>(this->table.peer_requests());
+    return peers > 0 && this->requests.size() >= min_crowd &&
+           held * static_cast<double>(peers) >= crowded_factor * by_peers;
 }
 
 bool dispatcher::is_suspect(const request_state& state, instant now) const
@@ -403,17 +434,36 @@
         wanted.concentrated && this->table.has_concentrated_room(wanted, this->fleet_size, now);
     auto address = this->table.choose(wanted, now, this->next_random());
     if (!address) {
-        return peer;
+        return peer ? peer : this->find_peer_with_share(state, wanted, now);
     }
     return start_choice{std::move(*address), std::move(target), std::move(exposed_by),
                         wanted.concentrated};
 }
 
+bool dispatcher::may_forward(const request_state& state) const
+{
+    return !state.request.forwarded && state.forwardings < this->settings.max_forwardings;
+}
+
+std::optional<dispatcher::start_choice>
+dispatcher::find_peer_with_share(const request_state& state, const placement& wanted, instant now)
+{
+    if (!this->may_forward(state) || !this->forwarding.may_ask_to_start(now) ||
+        !this->table.has_room_for_others(wanted, this->is_crowded(), now)) {
+        return std::nullopt;
+    }
+    auto choice = this->find_peer(state, now);
+    if (choice) {
+        choice->only_at_once = true;
+    }
+    return choice;
+}
+
 // The other router counts the request as its own, with its own attempts.
 std::optional<dispatcher::start_choice> dispatcher::find_peer(const request_state& state,
                                                               instant now)
 {
-    if (state.request.forwarded || state.forwardings >= this->settings.max_forwardings) {
+    if (!this->may_forward(state)) {
         return std::nullopt;
     }
     std::vector<std::string> avoid;
@@ -505,8 +555,12 @@
     state.address = where.address;
     state.version = where.version;
     state.forwarded = where.forwarded;
+    state.only_at_once = where.only_at_once;
     if (where.forwarded) {
         ++state.forwardings;
+        if (where.only_at_once) {
+            this->forwarding.on_asked_to_start(now);
+        }
     } else {
         state.rollouts.ran_on = where.version;
         this->reached.on_try(request.asked, now);
@@ -541,7 +595,8 @@
     this->table.started(where.address, request.work.kind, state.outstanding_work, state.parts, now);
     const auto urgency = this->urgency_of(state, now);
     this->actions.emplace_back(start_attempt{request.ticket, state.attempt, where.address,
-                                             where.version, state.size, where.forwarded, urgency});
+                                             where.version, state.size, where.forwarded, urgency,
+                                             where.only_at_once});
 }
 
 // A bad version can answer correctly but several times too slowly. Its response times are compared
--- a/decision/src/dispatcher_admission.cpp
+++ b/decision/src/dispatcher_admission.cpp
@@ -264,7 +264,7 @@
                                                  const placement& wanted, instant now) const
 {
     const auto access = this->table.access(wanted, now);
-    if (!access) {
+    if (!access || (this->may_forward(state) && this->is_crowded())) {
         return std::nullopt;
     }
     auto start = access->opens;
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -118,7 +118,7 @@
     state.avoid.push_back({address, state.incarnation});
     state.avoid_until = std::max(state.avoid_until, now + refusal_avoidance);
     state.address.clear();
-    ++state.refusals;
+    state.refusals += state.only_at_once ? 0 : 1;
     if (state.concentrated) {
         state.was_displaced = true;
         state.size = state.size_before_concentration;
--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -235,39 +235,69 @@
            this->settings.cold_prefill_cost * this->load_of_work(cold_work, where);
 }
 
-bool endpoint_choice::has_room(const endpoint& where) const
+bool endpoint_choice::has_room_for_others(const route& from, bool if_uncertain) const
 {
-    if (where.health.trial_under_way(this->now)) {
-        return false;
+    const auto subset = subset_of(from, this->wanted.avoid, this->now, this->settings);
+    return std::any_of(subset.begin(), subset.end(), [this, if_uncertain](const endpoint* where) {
+        const auto found = this->obstacle_at(*where);
+        return found == obstacle::share || (if_uncertain && found == obstacle::uncertain_share);
+    });
+}
+
+// A share is the obstacle only if nothing else is.
+endpoint_choice::obstacle endpoint_choice::obstacle_at(const endpoint& where) const
+{
+    if (this->is_full(where)) {
+        return obstacle::other;
     }
-    if (!where.cold.may_send(cold_share_of(where, this->place), this->now)) {
-        return false;
+    const auto by_refusals = this->obstacle_by_refusals(where);
+    if (by_refusals == obstacle::other) {
+        return obstacle::other;
     }
-    if (opens_at(where, this->place, this->brittle, this->now) > this->now ||
-        this->may_be_refused(where)) {
-        return false;
+    if (!where.cold.may_send(cold_share_of(where, this->place), this->now) ||
+        where.stated_limit.opens_at(this->now) > this->now) {
+        return obstacle::uncertain_share;
+    }
+    return by_refusals;
+}
+
+// Whether the endpoint has no room for the request, whichever router sends it.
+bool endpoint_choice::is_full(const endpoint& where) const
+{
+    if (where.health.trial_under_way(this->now) || where.rests_until > this->now) {
+        return true;
     }
     const double limit = std::floor(where.limit.value());
     if (where.outstanding >= limit) {
-        return false;
+        return true;
     }
     if (this->wanted.kind == work_class::reading && !this->has_room_for_readings(where, limit)) {
-        return false;
+        return true;
     }
-    return this->has_reported_room(where);
+    return !this->has_reported_room(where);
 }
 
 // Whether a brittle endpoint may have to refuse the request.
-bool endpoint_choice::may_be_refused(const endpoint& where) const
+endpoint_choice::obstacle endpoint_choice::obstacle_by_refusals(const endpoint& where) const
 {
     const auto& group = group_of(where, this->brittle);
+    if (where.refusals.opens_at(this->place.size, group, this->now) > this->now) {
+        return obstacle::other;
+    }
     if (!where.refusals.is_brittle(group, this->now)) {
-        return false;
+        return obstacle::none;
     }
     const refusal_place here{this->place.rank, this->place.size,
                              this->directory.number_in_group(where), this->place.clock_offset};
     const auto there = known_requests_at(where, this->others, this->place);
-    return !where.refusals.may_send(there, where.capacity(), here, group, this->now);
+    if (where.refusals.may_be_full(there, where.capacity(), group, this->now)) {
+        return obstacle::other;
+    }
+    if (where.refusals.may_send(there, where.capacity(), here, group, this->now)) {
+        return obstacle::none;
+    }
+    return where.refusals.was_refused_lately(this->now) ? obstacle::uncertain_share
+                                                        : obstacle::share;
 }
 
 // Reserves at least one slot for lookups if there are several. If there is only one, readings may
--- a/decision/src/endpoint_choice.hpp
+++ b/decision/src/endpoint_choice.hpp
@@ -66,6 +66,10 @@
     // Returns null if none has room.
     [[nodiscard]] const endpoint* choose(const route& from, std::uint64_t random);
 
+    // Whether an endpoint has room and only this router's share of it is used up; see
+    // `endpoint_table`.
+    [[nodiscard]] bool has_room_for_others(const route& from, bool if_uncertain) const;
+
     // The endpoint for concentrated requests: of the permitted endpoints the one that is already
     // being filled, otherwise the one that all routers rank first, regardless of zone and subset;
     // null if none is permitted. By rank alone, an endpoint that was lost and comes back empty
@@ -79,8 +83,21 @@
     };
 
     [[nodiscard]] std::pair<bool, std::uint64_t> concentration_rank(const endpoint& where) const;
-    [[nodiscard]] bool has_room(const endpoint& where) const;
-    [[nodiscard]] bool may_be_refused(const endpoint& where) const;
+    // Why an endpoint takes no further request from this router.
+    enum class obstacle : std::uint8_t {
+        none,
+        share,           // this router's part of the room is used up
+        uncertain_share, // the same, and the others may have used up theirs
+        other,
+    };
+
+    [[nodiscard]] bool has_room(const endpoint& where) const
+    {
+        return this->obstacle_at(where) == obstacle::none;
+    }
+    [[nodiscard]] obstacle obstacle_at(const endpoint& where) const;
+    [[nodiscard]] obstacle obstacle_by_refusals(const endpoint& where) const;
+    [[nodiscard]] bool is_full(const endpoint& where) const;
     [[nodiscard]] bool has_room_for_readings(const endpoint& where, double limit) const;
     [[nodiscard]] bool has_reported_room(const endpoint& where) const;
     [[nodiscard]] bool may_add_reading(const endpoint& where, double held) const;
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -62,6 +62,13 @@
     [[nodiscard]] std::optional<std::string> choose(const placement& wanted, instant now,
                                                     std::uint64_t random);
     [[nodiscard]] const endpoint* concentration_endpoint(const placement& wanted, instant now);
+
+    // The request must outlive the choice.
+    [[nodiscard]] endpoint_choice choice_for(const placement& wanted, instant now) const
+    {
+        return {this->settings,  wanted,        this->own,   this->others, this->prompts,
+                this->directory, this->brittle, this->place, now};
+    }
     [[nodiscard]] std::optional<limited_access> access(const placement& wanted, instant now);
     void add_used(std::set<std::string>& used, const std::string& name, bool is_service,
                   instant now);
@@ -301,9 +308,7 @@
     this->apply_fleet_size(now);
     this->others.expire(now, this->settings.peer_load_lifetime);
     this->prompts.expire(now);
-    endpoint_choice choice(this->settings, wanted, this->own, this->others, this->prompts,
-                           this->directory, this->brittle, this->place, now);
-    const endpoint* const chosen = choice.choose(from, random);
+    const endpoint* const chosen = this->choice_for(wanted, now).choose(from, random);
     return chosen == nullptr ? std::nullopt : std::make_optional(chosen->host.address);
 }
 
@@ -366,9 +371,7 @@
 const endpoint* endpoint_table::state::concentration_endpoint(const placement& wanted, instant now)
 {
     const route& from = this->directory.route_for(wanted.version_or_service, wanted.is_service);
-    return endpoint_choice(this->settings, wanted, this->own, this->others, this->prompts,
-                           this->directory, this->brittle, this->place, now)
-        .concentration_endpoint(from);
+    return this->choice_for(wanted, now).concentration_endpoint(from);
 }
 
 void endpoint_table::state::add_used(std::set<std::string>& used, const std::string& name,
@@ -568,6 +571,19 @@
     this->inner->others.drop(router);
 }
 
+bool endpoint_table::has_room_for_others(const placement& wanted, bool if_uncertain,
+                                         instant now) const
+{
+    const route& from =
+        this->inner->directory.route_for(wanted.version_or_service, wanted.is_service);
+    return this->inner->choice_for(wanted, now).has_room_for_others(from, if_uncertain);
+}
+
+std::int64_t endpoint_table::peer_requests() const
+{
+    return this->inner->others.requests();
+}
+
 std::optional<limited_access> endpoint_table::access(const placement& wanted, instant now) const
 {
     return this->inner->access(wanted, now);
--- a/decision/src/refusal_budget.cpp
+++ b/decision/src/refusal_budget.cpp
@@ -252,19 +252,28 @@
     this->room.on_peer(requests, found_at);
 }
 
+bool refusal_budget::may_be_full(const known_requests& there, double capacity,
+                                 const brittle_group& group, instant now) const
+{
+    const bool is_known = !this->has_answered || this->knows_load() || this->room.is_reduced();
+    return is_known && there.all >= this->usable(capacity, group, now);
+}
+
+double refusal_budget::usable(double capacity, const brittle_group& group, instant now) const
+{
+    return std::min(this->room.requests(capacity, now), group.room(capacity, now));
+}
+
 bool refusal_budget::may_send(const known_requests& there, double capacity,
                               const refusal_place& place, const brittle_group& group,
                               instant now) const
 {
-    const double usable = std::min(this->room.requests(capacity, now), group.room(capacity, now));
     // Many routers learn of a new endpoint at the same moment.
-    if (!this->has_answered && (there.own >= 1.0 || there.all >= usable)) {
-        return false;
-    }
-    const bool may_be_full = (this->knows_load() || this->room.is_reduced()) && there.all >= usable;
-    if (may_be_full) {
+    if (this->may_be_full(there, capacity, group, now) ||
+        (!this->has_answered && there.own >= 1.0)) {
         return false;
     }
+    const double usable = this->usable(capacity, group, now);
     const auto shared = std::max(1.0, std::floor(usable * shared_part_of_room));
     const auto reserved = std::max(0.0, std::ceil(usable) - shared);
     const auto own_reserved = own_part(static_cast<std::size_t>(reserved), place);
--- a/decision/src/refusal_budget.hpp
+++ b/decision/src/refusal_budget.hpp
@@ -142,6 +142,17 @@
         return this->presumed_limit(group, now).has_value();
     }
 
+    // Whether the endpoint refused a request, of this router or of a peer, in the last seconds.
+    [[nodiscard]] bool was_refused_lately(instant now) const
+    {
+        return this->room.was_reduced_lately(now);
+    }
+
+    // Whether the endpoint, which can run `capacity` requests, may have no room for a further one,
+    // whichever router sends it.
+    [[nodiscard]] bool may_be_full(const known_requests& there, double capacity,
+                                   const brittle_group& group, instant now) const;
+
     // Whether this router may send a request to the endpoint, which is brittle.
     [[nodiscard]] bool may_send(const known_requests& there, double capacity,
                                 const refusal_place& place, const brittle_group& group,
@@ -165,6 +176,7 @@
     [[nodiscard]] std::optional<room_report> reported_room(instant now) const;
 
 private:
+    [[nodiscard]] double usable(double capacity, const brittle_group& group, instant now) const;
     // Whether the requests that peers report are about as many as are there.
     [[nodiscard]] bool knows_load() const;
 
--- a/decision/test/forwarded_dispatch_test.cpp
+++ b/decision/test/forwarded_dispatch_test.cpp
@@ -128,3 +128,47 @@
     const auto run = this->cut_off();
     CHECK_TRUE(run.has_value() && !run->forwarded);
 }
+
+// Guards against a router that refuses most of its callers, or lets them wait, while the others do
+// not use their turns at the endpoints.
+TEST(forwarded_dispatch, a_crowded_router_forwards_what_has_to_wait_for_its_turns)
+{
+    this->fleet.router->on_fleet(0, 3);
+    for (const auto* const id : {"a", "b", "c", "d"}) {
+        endpoint_load load{id, 0, 0.0, 1};
+        load.limit = {1.0, duration::zero()};
+        this->fleet.router->on_peer_loads("edge-2", {load}, this->fleet.now);
+    }
+    std::optional<start_attempt> run;
+    for (int request = 0; request < 12; ++request) {
+        run = this->send();
+    }
+    CHECK_TRUE(run.has_value() && run->forwarded && run->only_at_once);
+    // Each of the two others is asked once.
+    this->fleet.end(*run, attempt_result::refused);
+    const auto next = this->fleet.take_start();
+    CHECK_TRUE(next.has_value() && next->forwarded && next->ticket == run->ticket);
+    CHECK_FALSE(next->address == run->address);
+    const auto in_flight = this->fleet.router->in_flight();
+    this->fleet.end(*next, attempt_result::refused);
+    CHECK_FALSE(this->fleet.take_start().has_value());
+    CHECK_EQUAL(in_flight, this->fleet.router->in_flight());
+}
+
+// Guards against a request that waits at a router without room while the one that forwarded it
+// could ask another router.
+TEST(forwarded_dispatch, a_request_that_only_starts_at_once_is_refused_rather_than_queued)
+{
+    auto request = this->fleet.make_request(false);
+    request.forwarded = true;
+    request.only_at_once = true;
+    CHECK_TRUE(this->fleet.send(request).has_value());
+    while (this->send().has_value()) {
+    }
+    const auto in_flight = this->fleet.router->in_flight();
+    request.ticket = 1000;
+    CHECK_FALSE(this->fleet.send(request).has_value());
+    const auto* const refusal = this->fleet.find_action<give_up_request>();
+    CHECK_TRUE(refusal != nullptr && refusal->why.run == run_state::not_run);
+    CHECK_EQUAL(in_flight, this->fleet.router->in_flight());
+}
--- a/decision/test/peer_forwarding_test.cpp
+++ b/decision/test/peer_forwarding_test.cpp
@@ -38,3 +38,22 @@
     this->forwarding.drop_peer("edge-2");
     CHECK_FALSE(this->forwarding.choose({}, 0, start).has_value());
 }
+
+// Guards against routers that ask each other again and again while none of them has room.
+TEST(peer_forwarding, requests_to_start_at_once_pause_while_most_of_them_are_refused)
+{
+    int asked = 0;
+    for (; this->forwarding.may_ask_to_start(start) && asked < 100; ++asked) {
+        this->forwarding.on_asked_to_start(start);
+        this->forwarding.on_refused_to_start(start);
+    }
+    CHECK_COMPARE(asked, <, 10);
+    CHECK_TRUE(this->forwarding.may_ask_to_start(start + seconds(2)));
+    for (int request = 0; request < 100; ++request) {
+        this->forwarding.on_asked_to_start(start + seconds(2));
+    }
+    for (int request = 0; request < 50; ++request) {
+        this->forwarding.on_refused_to_start(start + seconds(2));
+    }
+    CHECK_TRUE(this->forwarding.may_ask_to_start(start + seconds(2)));
+}
--- a/router/include/pearhaven/router/caller_dialect.hpp
+++ b/router/include/pearhaven/router/caller_dialect.hpp
@@ -46,6 +46,7 @@
     // The request goes to another router, at the endpoint's address, which handles it as if the
     // caller had sent it there.
     bool forwarded = false;
+    bool only_at_once = false; // with `forwarded`: that router refuses it unless it can start it
 
     // How the endpoint orders its queue, 0 for the first to 9 for the last; if it is not set, by
     // the request's priority.
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -306,6 +306,7 @@
     terms.time_left = relayed.request.work.deadline - this->loop.now();
     terms.last_event = relayed.last_event;
     terms.forwarded = action.forwarded;
+    terms.only_at_once = action.only_at_once;
     terms.urgency = action.urgency;
     if (!action.forwarded && action.size < relayed.request.models.size()) {
         terms.model = relayed.request.models[action.size];
