Turn new connections away from a crowded router that lags

What callers saw: while most of them meet one router on a host with little processor time, half of the requests that it has read get no answer within their deadline.

A caller whose request is not read goes on at another router at once.

Change: the event loop measures how long events wait for the callbacks before them. Above 50 ms, a router that holds twice the requests of its peers closes new connections with nothing read. Where all routers are as busy, none does.

Lag, closed connections and the comparison with the peers have unit tests.

--- a/adapters/include/pearhaven/adapters/event_loop.hpp
+++ b/adapters/include/pearhaven/adapters/event_loop.hpp
@@ -77,6 +77,10 @@
     // and data that arrives meanwhile is read only afterwards.
     [[nodiscard]] decision::instant polled_until() const;
 
+    // How long events have lately waited for the callbacks before them, on average over some tenths
+    // of a second. It grows without bound while there is more to do than the host has time for.
+    [[nodiscard]] decision::duration lag() const;
+
     // Reads the clock of `now` directly. Thread-safe.
     [[nodiscard]] static decision::instant read_clock();
 
--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -48,6 +48,10 @@
 class inbound_listener {
 public:
     virtual ~inbound_listener() = default;
+
+    // Whether a new connection is to be read. Otherwise it is closed at once, so that its caller
+    // can turn to another server.
+    [[nodiscard]] virtual bool accepts_connection() { return true; }
     virtual void on_request(inbound_exchange_ptr exchange) = 0;
 
     // The caller's connection was lost before the end of the answer. Until this call, sends on the
@@ -79,6 +83,7 @@
 
 struct inbound_counts {
     std::uint64_t accepted = 0;
+    std::uint64_t turned_away = 0;    // closed with nothing read
     std::uint64_t refused_heads = 0;  // malformed or too long
     std::uint64_t unacknowledged = 0; // closed because the caller's host did not acknowledge
     std::uint64_t closed_as_idle = 0;
--- a/adapters/src/event_loop.cpp
+++ b/adapters/src/event_loop.cpp
@@ -19,6 +19,9 @@
 // although sockets may have been left out. Enough for all sockets that a process may have.
 constexpr std::size_t max_consecutive_full_polls = 32;
 
+// Time over which `lag` is averaged.
+constexpr decision::duration lag_period = std::chrono::milliseconds(200);
+
 } // namespace
 
 class event_loop::state {
@@ -30,6 +33,7 @@
     void run_timers();
     void run_sockets();
     void record_poll(decision::instant poll_started);
+    void record_turn(decision::instant poll_started);
     [[nodiscard]] std::optional<std::chrono::nanoseconds>
     time_to_next_timer(decision::instant now) const;
 
@@ -43,7 +47,9 @@
     decision::instant clock = read_clock();
     decision::instant polled_until{};       // nothing has been read before the first poll
     std::size_t consecutive_full_polls = 0; // polls in a row that filled the batch
-    std::string_view work;                  // name of the current work
+    decision::instant turn_started = this->clock;
+    decision::duration lag{};
+    std::string_view work; // name of the current work
     decision::duration min_pause{};
     std::function<void(const loop_pause&)> on_pause;
     std::atomic<bool> stopping{false};
@@ -113,6 +119,7 @@
     const auto poll_started = read_clock();
     const auto& ready = this->sockets.wait(this->time_to_next_timer(poll_started));
     this->clock = read_clock();
+    this->record_turn(poll_started);
     this->forgotten.clear();
     for (const auto& socket : ready) {
         const auto found = this->listeners.find(socket.socket);
@@ -137,6 +144,23 @@
     }
 }
 
+// An event that arrives at any moment of a turn waits until its end, and one that arrives during
+// the poll does not wait.
+void event_loop::state::record_turn(decision::instant poll_started)
+{
+    const std::chrono::duration<double, decision::duration::period> turn =
+        poll_started - this->turn_started;
+    const std::chrono::duration<double, decision::duration::period> all =
+        this->clock - this->turn_started;
+    this->turn_started = this->clock;
+    if (all.count() <= 0.0) {
+        return;
+    }
+    const auto waits = turn * (turn / all);
+    const double weight = all / (all + lag_period);
+    this->lag += std::chrono::duration_cast<decision::duration>(weight * (waits - this->lag));
+}
+
 event_loop::event_loop() : inner(std::make_unique<event_loop::state>()) {}
 
 event_loop::~event_loop() = default;
@@ -198,6 +222,11 @@
     return this->inner->polled_until;
 }
 
+decision::duration event_loop::lag() const
+{
+    return this->inner->lag;
+}
+
 void event_loop::post(std::function<void()> task)
 {
     {
--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -84,6 +84,10 @@
         if (!accepted) {
             return;
         }
+        if (!this->requests.accepts_connection()) {
+            ++this->counted.turned_away;
+            continue;
+        }
         ++this->counted.accepted;
         const int number = accepted.get();
         this->connections[number] = std::make_unique<inbound_socket>(*this, std::move(accepted));
--- a/adapters/test/event_loop_test.cpp
+++ b/adapters/test/event_loop_test.cpp
@@ -360,3 +360,24 @@
     CHECK_TRUE(std::count(reported.begin(), reported.end(), "sums") == 1);
     CHECK_TRUE(longest >= work);
 }
+
+// Guards against a loop that has more to do than it has time for and does not notice it.
+TEST(event_loop, the_lag_grows_to_the_length_of_the_turns_while_the_loop_never_rests)
+{
+    constexpr milliseconds work{40};
+    constexpr int turns = 25;
+    adapters::event_loop loop;
+    decision::duration lag_at_rest{};
+    int done = 0;
+    const std::function<void()> next = [&] {
+        if (done == 0) {
+            lag_at_rest = loop.lag();
+        }
+        std::this_thread::sleep_for(work);
+        ++done < turns ? static_cast<void>(loop.after({}, next)) : loop.stop();
+    };
+    loop.after(milliseconds(1), next);
+    loop.run();
+    CHECK_TRUE(lag_at_rest < loop.lag());
+    CHECK_TRUE(loop.lag() >= work / 2);
+}
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -24,6 +24,7 @@
 // whether it was called from within one of its own calls into an exchange.
 class holding_listener final : public inbound_listener {
 public:
+    bool accepts_connection() override { return this->accepts; }
     void on_request(inbound_exchange_ptr exchange) override
     {
         this->record_call();
@@ -59,6 +60,7 @@
     int disconnects = 0;
     int flushes = 0;
     bool called_inside = false;
+    bool accepts = true; // whether new connections are read
 
 private:
     void record_call() { this->called_inside = this->called_inside || this->inside; }
@@ -640,3 +642,25 @@
     CHECK_EQUAL(0, this->listener.disconnects);
     this->listener.call_exchange(write_twice); // has no effect
 }
+
+// Guards against requests that a server reads although it has no time for them: their callers could
+// have turned to another server.
+TEST(http_inbound, a_connection_that_is_turned_away_is_closed_with_its_request_unread)
+{
+    loop_script script(this->loop);
+    this->listener.accepts = false;
+    this->caller->send(request("/unread"));
+    script
+        .when([this] { return this->caller->is_ended(); },
+              [this] {
+                  this->listener.accepts = true;
+                  this->caller = script_socket::connect(this->server->port());
+                  this->caller->send(request("/read"));
+              })
+        .when(this->has_requests(1), [this] { this->listener.call_exchange(answer); })
+        .until([this] { return this->caller->has("whole"); });
+    CHECK_TRUE(script.run());
+    STRCMP_EQUAL("/read", this->listener.targets.front().c_str());
+    CHECK_EQUAL(1U, this->server->counts().turned_away);
+    CHECK_EQUAL(1U, this->server->counts().accepted);
+}
--- a/decision/test/forwarded_dispatch_test.cpp
+++ b/decision/test/forwarded_dispatch_test.cpp
@@ -172,3 +172,21 @@
     CHECK_TRUE(refusal != nullptr && refusal->why.run == run_state::not_run);
     CHECK_EQUAL(in_flight, this->fleet.router->in_flight());
 }
+
+// Guards against a busy fleet whose routers each turn callers away to the others.
+TEST(forwarded_dispatch, a_router_is_crowded_only_beside_peers_with_fewer_requests)
+{
+    this->fleet.router->on_fleet(0, 3);
+    this->send();
+    CHECK_FALSE(this->fleet.router->is_crowded());
+    for (int request = 0; request < 11; ++request) {
+        this->send();
+    }
+    CHECK_TRUE(this->fleet.router->is_crowded());
+    this->fleet.router->on_peer_loads("edge-2", {{"a", 6, 0.0, 1}}, this->fleet.now);
+    CHECK_TRUE(this->fleet.router->is_crowded());
+    this->fleet.router->on_peer_loads("edge-3", {{"a", 12, 0.0, 1}}, this->fleet.now);
+    CHECK_FALSE(this->fleet.router->is_crowded());
+    this->fleet.router->drop_peer("edge-3");
+    CHECK_TRUE(this->fleet.router->is_crowded());
+}
--- a/router/include/pearhaven/router/event_relay.hpp
+++ b/router/include/pearhaven/router/event_relay.hpp
@@ -44,6 +44,10 @@
     // Consecutive timeouts without a piece after which even an endpoint that is alive is given up.
     std::uint32_t max_silences = 3;
 
+    // A crowded router turns new connections away while its event loop lags more than this. Callers
+    // come back through another router, whereas requests that it has read can only get late.
+    decision::duration max_lag_when_crowded = std::chrono::milliseconds(50);
+
     // Maximum bytes of one answer that the caller has not received yet. Above this the relay stops
     // reading from the endpoint.
     std::size_t max_unsent = 64U << 10U;
@@ -71,6 +75,7 @@
     event_relay(const event_relay&) = delete;
     event_relay& operator=(const event_relay&) = delete;
 
+    [[nodiscard]] bool accepts_connection() override;
     void on_request(adapters::inbound_exchange_ptr caller) override;
     void on_caller_gone(adapters::inbound_exchange& caller) override;
     void on_flushed(adapters::inbound_exchange& caller) override;
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -1065,6 +1065,13 @@
 
 event_relay::~event_relay() = default;
 
+bool event_relay::accepts_connection()
+{
+    const auto& state = *this->inner;
+    return state.loop.lag() <= state.settings.max_lag_when_crowded ||
+           !state.dispatcher.is_crowded();
+}
+
 void event_relay::on_request(adapters::inbound_exchange_ptr caller)
 {
     this->inner->admit(caller);
