--- a/coordination/test/crowded_router_test.cpp
+++ b/coordination/test/crowded_router_test.cpp
@@ -182,3 +182,46 @@
 {
     check_limited(plain_service(90));
 }
+
+// Guards against a router that uses no more than its own turns at endpoints that have just started.
+TEST(crowded_router, callers_are_served_while_all_endpoints_return_cold)
+{
+    auto options = plain_service(40);
+    const auto endpoints = zone_fleet::zones * options.endpoints_per_zone;
+    options.cold_requests_per_s = 2.5 * options.requests_per_s / static_cast<double>(endpoints);
+    zone_fleet fleet(options);
+    fleet.simulate(seconds(2));
+    fleet.set_crowded(7);
+    fleet.simulate(contact_time);
+    for (const auto* const zone : zone_names) {
+        fleet.lose(zone, options.endpoints_per_zone);
+        fleet.return_cold(zone, options.endpoints_per_zone, {});
+    }
+    const auto served = served_in(fleet, zone_fleet::cold_time);
+    std::printf("%zu served by cold endpoints\n", served);
+    CHECK_COMPARE(static_cast<double>(served), >=, 0.75 * options.requests_per_s * 3.0);
+}
+
+// Guards against a crowd that moves on to a router which has just started and knows no peer.
+TEST(crowded_router, callers_are_served_by_routers_that_restart_in_an_evacuation)
+{
+    const auto options = plain_service(40);
+    zone_fleet fleet(options);
+    for (const auto* const zone : zone_names) {
+        fleet.state_refusal_limit(zone, options.endpoints_per_zone, refusals_per_s);
+    }
+    fleet.simulate(seconds(4));
+    fleet.configure({"z1"}, milliseconds(500));
+    fleet.set_crowded(7);
+    fleet.simulate(contact_time);
+    const auto before = fleet.finished;
+    for (const std::size_t next : {11U, 12U, 13U}) {
+        fleet.restart_router(next);
+        fleet.set_crowded(next);
+        fleet.simulate(seconds(2));
+    }
+    const auto served = fleet.finished - before;
+    std::printf("%zu served by restarted routers\n", served);
+    CHECK_COMPARE(static_cast<double>(served), >=, 0.75 * options.requests_per_s * 6.0);
+    CHECK_COMPARE(fleet.crashes, <=, 2 + 3 * options.endpoints_per_zone / 10);
+}
--- a/coordination/test/zone_fleet.hpp
+++ b/coordination/test/zone_fleet.hpp
@@ -543,8 +543,8 @@
         constexpr double confidence = 100.0;
         this->events.push_back(
             {this->now + this->options.run_time / answer_divisor, [this, router, attempt] {
-                 this->routers[router]->accepts_answer(attempt.ticket, attempt.attempt, confidence,
-                                                       this->clock(router));
+                 [[maybe_unused]] const bool accepted = this->routers[router]->accepts_answer(
+                     attempt.ticket, attempt.attempt, confidence, this->clock(router));
              }});
     }
 
