--- a/coordination/test/brittle_endpoints_test.cpp
+++ b/coordination/test/brittle_endpoints_test.cpp
@@ -170,6 +170,33 @@
     CHECK_COMPARE(fleet.crashes, <=, tolerated(3));
 }
 
+// Guards against limits, turns and places that are each kept only without the others.
+TEST(brittle_endpoints, cold_endpoints_that_state_limits_survive_a_burst)
+{
+    constexpr double rate = 80.0; // requests per second
+    constexpr double tolerated_factor = 1.5;
+    constexpr double tolerated_slack = 5.0;
+    auto options = plain_service();
+    options.cold_requests_per_s = rate / 2.0;
+    zone_fleet fleet(options);
+    make_all_brittle(fleet, options);
+    for (const auto* const zone : {"z0", "z1", "z2", "z3"}) {
+        fleet.state_limit(zone, options.endpoints_per_zone, rate);
+    }
+    fleet.simulate(seconds(4));
+    const auto begin = fleet.now;
+    fleet.set_request_rate(options.requests_per_s * 6.0);
+    fleet.lose("z1", options.endpoints_per_zone);
+    fleet.simulate(seconds(1));
+    fleet.return_cold("z1", options.endpoints_per_zone, milliseconds(200));
+    fleet.simulate(seconds(9));
+    CHECK_COMPARE(fleet.crashes, <=, tolerated(4));
+    CHECK_COMPARE(static_cast<double>(fleet.most_from_told_routers(begin, seconds(4))), <=,
+                  tolerated_factor * rate * 4.0 + tolerated_slack);
+    CHECK_COMPARE(static_cast<double>(fleet.most_in_a_second_since_return()), <=,
+                  tolerated_factor * rate + tolerated_slack);
+}
+
 // Guards against routers that forget what an endpoint stated when another one crashes beside it.
 TEST(brittle_endpoints, plain_endpoints_survive_the_crash_of_one_of_them_in_a_burst)
 {
