Refuse at once what no other router has a turn for either

A crowded router skipped the refusal of requests that its own turns come too late for, also while it forwarded nothing since the others refuse. They waited until their deadline. It is skipped now only while requests may be forwarded, and nothing is forwarded where no peer is known. A test of forwarded_dispatch; a shadowed name in event_relay is gone.

--- a/decision/src/dispatcher_admission.cpp
+++ b/decision/src/dispatcher_admission.cpp
@@ -264,7 +264,9 @@
                                                  const placement& wanted, instant now) const
 {
     const auto access = this->table.access(wanted, now);
-    if (!access || (this->may_forward(state) && this->is_crowded())) {
+    const bool may_start_elsewhere =
+        this->may_forward(state) && this->is_crowded() && this->forwarding.may_ask_to_start(now);
+    if (!access || may_start_elsewhere) {
         return std::nullopt;
     }
     auto start = access->opens;
--- a/decision/src/peer_forwarding.cpp
+++ b/decision/src/peer_forwarding.cpp
@@ -41,8 +41,9 @@
 bool peer_forwarding::may_ask_to_start(instant now) const
 {
     const auto latest = this->recent_at(now);
-    return latest.refused <=
-           this->settings.max_refused_part * latest.asked + this->settings.refused_slack;
+    return !this->peers.empty() &&
+           latest.refused <=
+               this->settings.max_refused_part * latest.asked + this->settings.refused_slack;
 }
 
 std::optional<std::string> peer_forwarding::choose(const std::vector<std::string>& avoid,
--- a/decision/test/forwarded_dispatch_test.cpp
+++ b/decision/test/forwarded_dispatch_test.cpp
@@ -190,3 +190,27 @@
     this->fleet.router->drop_peer("edge-3");
     CHECK_TRUE(this->fleet.router->is_crowded());
 }
+
+// Guards against requests that a crowded router keeps until their deadline although it knows that
+// no router has room for them.
+TEST(forwarded_dispatch, a_crowded_router_refuses_at_once_while_the_others_have_no_turns_either)
+{
+    this->fleet.router->on_fleet(0, 3);
+    for (const auto* const id : {"a", "b", "c", "d"}) {
+        endpoint_load load{id, 0, 0.0, 1};
+        load.limit = {0.1, duration::zero()};
+        this->fleet.router->on_peer_loads("edge-2", {load}, this->fleet.now);
+    }
+    bool is_refused = false;
+    for (int request = 0; request < 60 && !is_refused; ++request) {
+        auto run = this->send();
+        while (run && run->forwarded) {
+            this->fleet.end(*run, attempt_result::refused);
+            run = this->fleet.take_start();
+        }
+        is_refused = this->fleet.find_action<give_up_request>() != nullptr;
+    }
+    CHECK_TRUE(is_refused);
+    CHECK_FALSE(this->send().has_value());
+    CHECK_TRUE(this->fleet.find_action<give_up_request>() != nullptr);
+}
--- a/decision/test/peer_forwarding_test.cpp
+++ b/decision/test/peer_forwarding_test.cpp
@@ -42,6 +42,8 @@
 // Guards against routers that ask each other again and again while none of them has room.
 TEST(peer_forwarding, requests_to_start_at_once_pause_while_most_of_them_are_refused)
 {
+    CHECK_FALSE(this->forwarding.may_ask_to_start(start));
+    this->forwarding.set_peer("edge-1", "10.0.0.1:80");
     int asked = 0;
     for (; this->forwarding.may_ask_to_start(start) && asked < 100; ++asked) {
         this->forwarding.on_asked_to_start(start);
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -1067,9 +1067,8 @@
 
 bool event_relay::accepts_connection()
 {
-    const auto& state = *this->inner;
-    return state.loop.lag() <= state.settings.max_lag_when_crowded ||
-           !state.dispatcher.is_crowded();
+    return this->inner->loop.lag() <= this->inner->settings.max_lag_when_crowded ||
+           !this->inner->dispatcher.is_crowded();
 }
 
 void event_relay::on_request(adapters::inbound_exchange_ptr caller)
