--- a/decision/src/endpoint_choice.cpp
+++ b/decision/src/endpoint_choice.cpp
@@ -83,7 +83,7 @@
 known_requests known_requests_at(const endpoint& where, const peer_loads& peers,
                                  const fleet_place& place)
 {
-    const double factor = peers.extrapolation_to(place.size - 1, std::nullopt);
+    const double factor = peers.extrapolation_to(place.size - 1);
     const double own = where.outstanding;
     return {own, own + factor * static_cast<double>(peers.of(where.host).requests)};
 }
--- a/decision/src/endpoint_table.cpp
+++ b/decision/src/endpoint_table.cpp
@@ -140,7 +140,7 @@
 
 double endpoint_table::state::extrapolation_factor(std::size_t routers) const
 {
-    return this->others.extrapolation_to(routers, this->own.outstanding);
+    return this->others.extrapolation_with(this->own.outstanding, routers);
 }
 
 double endpoint_table::state::extrapolation_factor_when_filling(std::size_t routers) const
--- a/decision/src/peer_loads.cpp
+++ b/decision/src/peer_loads.cpp
@@ -1,6 +1,7 @@
 #include "peer_loads.hpp"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -41,26 +42,43 @@
     }
 }
 
-double peer_loads::extrapolation_to(std::size_t routers, std::optional<std::int64_t> own) const
+double peer_loads::extrapolation_to(std::size_t routers) const
 {
-    const auto known = this->reports.size() + (own ? 1 : 0);
-    const auto all = this->all_requests + own.value_or(0);
-    if (routers <= known || all <= 0) {
-        return 1.0;
+    if (!this->last_extrapolation || this->last_extrapolation->first != routers) {
+        this->last_extrapolation = {routers, extrapolation(this->held_by_router(), routers)};
     }
+    return this->last_extrapolation->second;
+}
+
+double peer_loads::extrapolation_with(std::int64_t own, std::size_t routers) const
+{
+    auto held = this->held_by_router();
+    held.push_back(own);
+    return extrapolation(std::move(held), routers);
+}
+
+std::vector<std::int64_t> peer_loads::held_by_router() const
+{
     std::vector<std::int64_t> held;
-    held.reserve(known);
+    held.reserve(this->reports.size() + 1);
     for (const auto& [router, report] : this->reports) {
         held.push_back(report.requests);
     }
-    if (own) {
-        held.push_back(*own);
+    return held;
+}
+
+double peer_loads::extrapolation(std::vector<std::int64_t> held, std::size_t routers)
+{
+    const auto all =
+        static_cast<double>(std::accumulate(held.begin(), held.end(), std::int64_t{0}));
+    if (routers <= held.size() || all <= 0.0) {
+        return 1.0;
     }
-    const auto middle = held.begin() + static_cast<std::ptrdiff_t>(known / 2);
+    const auto middle = held.begin() + static_cast<std::ptrdiff_t>(held.size() / 2);
     std::nth_element(held.begin(), middle, held.end());
-    const double mean = static_cast<double>(all) / static_cast<double>(known);
-    const double usual = std::min(static_cast<double>(*middle), mean);
-    return 1.0 + static_cast<double>(routers - known) * usual / static_cast<double>(all);
+    const double usual =
+        std::min(static_cast<double>(*middle), all / static_cast<double>(held.size()));
+    return 1.0 + static_cast<double>(routers - held.size()) * usual / all;
 }
 
 void peer_loads::expire(instant now, duration lifetime)
@@ -78,6 +96,7 @@
 void peer_loads::add(const peer_report& report, int sign)
 {
     this->all_requests += sign * report.requests;
+    this->last_extrapolation.reset();
     for (const auto& load : report.loads) {
         auto& incarnations = this->sums[load.address];
         const auto is_same = [&load](const incarnation_sum& one) {
--- a/decision/src/peer_loads.hpp
+++ b/decision/src/peer_loads.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace pearhaven::decision {
@@ -40,11 +41,12 @@
     // Requests in flight of all routers that report.
     [[nodiscard]] std::int64_t requests() const { return this->all_requests; }
 
-    // Factor from the requests of the routers that report, and of one more that holds `own` if
-    // there is one, to those of `routers` in all. The others are taken for usual ones: a router
-    // that gets most of the callers is the only one.
-    [[nodiscard]] double extrapolation_to(std::size_t routers,
-                                          std::optional<std::int64_t> own) const;
+    // Factor from the requests of the routers that report to those of `routers` in all. The others
+    // are taken for usual ones: a router that gets most of the callers is the only one.
+    [[nodiscard]] double extrapolation_to(std::size_t routers) const;
+
+    // The same from those that report and one more, which holds `own`.
+    [[nodiscard]] double extrapolation_with(std::int64_t own, std::size_t routers) const;
 
     // Only at this incarnation: requests sent to an earlier one ended with it.
     [[nodiscard]] sum of(const endpoint_host& where) const;
@@ -61,11 +63,21 @@
         sum total;
     };
 
+    // The factor from `held`, the requests of some routers, to those of `routers`.
+    [[nodiscard]] static double extrapolation(std::vector<std::int64_t> held, std::size_t routers);
+
+    // Requests of each router that reports.
+    [[nodiscard]] std::vector<std::int64_t> held_by_router() const;
+
     // `sign` is 1 to add the report, -1 to remove it.
     void add(const peer_report& report, int sign);
 
     std::map<std::string, peer_report> reports; // by router
     std::int64_t all_requests = 0;
+
+    // A result of `extrapolation_to` and its argument, for the present reports. Each choice among
+    // many endpoints needs it for each of them.
+    mutable std::optional<std::pair<std::size_t, double>> last_extrapolation;
     std::unordered_map<std::string, std::vector<incarnation_sum>> sums; // by address
 };
 
