Keep connections to peers that read slowly

Hypotheses: (1) TCP_USER_TIMEOUT, which also ends a connection whose peer acknowledges every probe but keeps its window closed (tcp(7)); (2) the close after a second of lingering; (3) the relay's pause at max_unsent, which lets the endpoint cut its answer.

Change: delivery_monitor reads TCP_INFO of connections with unacknowledged bytes, and while probes are acknowledged moves the timeout ahead by two fifths of itself, so that the kernel goes on probing at that pace. The configured timeout comes back with the next acknowledged byte. Without TCP_INFO nothing changes. A caller that takes nothing for 30 s is closed (`caller_not_reading`).

--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -78,6 +78,14 @@
     // A late close costs only a descriptor.
     decision::duration idle_slack = std::chrono::seconds(5);
 
+    // Longest time that a caller's host may leave sent bytes unacknowledged. Applies to connections
+    // that are accepted after a change. The host of a caller that reads slowly still acknowledges.
+    std::chrono::milliseconds unacknowledged_time{5000};
+
+    // Longest time that a caller may take no byte of an answer that waits for it. Longer than
+    // callers wait for an answer: a caller that still reads is never cut off.
+    decision::duration unread_time = std::chrono::seconds(30);
+
     friend bool operator==(const inbound_limits&, const inbound_limits&) = default;
 };
 
@@ -86,6 +94,7 @@
     std::uint64_t turned_away = 0;    // closed with nothing read
     std::uint64_t refused_heads = 0;  // malformed or too long
     std::uint64_t unacknowledged = 0; // closed because the caller's host did not acknowledge
+    std::uint64_t unread = 0;         // closed because the caller did not read
     std::uint64_t closed_as_idle = 0;
     std::uint64_t sent_to_closed = 0; // of those: received further bytes, which were lost
     std::size_t open = 0;
--- /dev/null
+++ b/adapters/src/delivery_monitor.cpp
@@ -0,0 +1,59 @@
+#include "delivery_monitor.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pearhaven::adapters {
+
+namespace {
+
+// Fractions of the timeout. A peer that disappears while it reads nothing is detected within the
+// step for the next probe and the same step again for its acknowledgement, each with the time
+// between two checks in addition; together they must not exceed the timeout.
+constexpr int checks_per_timeout = 4;
+constexpr int checks_per_timeout_while_outstanding = 10;
+constexpr double step_part = 0.4;
+
+} // namespace
+
+void delivery_monitor::on_written(decision::instant now)
+{
+    if (!this->observing) {
+        this->observing = true;
+        this->last_check = now;
+        this->stall_start = now;
+        this->next_check = now + this->timeout / checks_per_timeout;
+    }
+}
+
+bool delivery_monitor::check(const tcp_socket& socket, decision::instant now)
+{
+    const auto delivery = socket.delivery();
+    const auto acknowledged = delivery ? delivery->acknowledged_bytes : 0;
+    const bool progressed = acknowledged != this->acknowledged_bytes;
+    this->acknowledged_bytes = acknowledged;
+    this->observing = delivery && delivery->outstanding;
+    // The bytes that were acknowledged may have been so right after the last check.
+    const auto earlier_check = std::exchange(this->last_check, now);
+    this->stall_start = progressed ? earlier_check : this->stall_start;
+    this->stall = this->observing && !progressed ? now - this->stall_start : decision::duration();
+    this->next_check = now + this->timeout / checks_per_timeout_while_outstanding;
+    if (this->stall == decision::duration()) {
+        this->set_timeout(socket, this->timeout);
+    } else if (const auto step = this->timeout * step_part;
+               delivery->awaits_reader || delivery->silence < step) {
+        const auto extended = std::chrono::ceil<std::chrono::milliseconds>(this->stall + step);
+        this->set_timeout(socket, std::max(this->timeout, extended));
+    }
+    return progressed;
+}
+
+void delivery_monitor::set_timeout(const tcp_socket& socket, std::chrono::milliseconds chosen)
+{
+    if (chosen != this->current_timeout) {
+        this->current_timeout = chosen;
+        socket.set_unacknowledged_timeout(chosen);
+    }
+}
+
+} // namespace pearhaven::adapters
--- /dev/null
+++ b/adapters/src/delivery_monitor.hpp
@@ -0,0 +1,62 @@
+#ifndef PEARHAVEN_ADAPTERS_SRC_DELIVERY_MONITOR_HPP
+#define PEARHAVEN_ADAPTERS_SRC_DELIVERY_MONITOR_HPP
+
+#include "tcp_socket.hpp"
+
+#include "pearhaven/decision/time.hpp"
+
+namespace pearhaven::adapters {
+
+// Distinguishes a peer that reads slowly from one that is gone. The system's timeout for
+// unacknowledged bytes also ends a connection whose peer acknowledges every probe but reads
+// nothing. While probes are acknowledged, the monitor moves that timeout ahead in small steps, so
+// that the system keeps probing and still detects a peer that disappears. Once bytes are
+// acknowledged again, the configured timeout is restored; it also decides when an idle connection
+// fails. Where the system tells nothing about its connections, the configured timeout stays.
+class delivery_monitor {
+public:
+    // The timeout that the socket was given; at least 1.5 s, because a host acknowledges no more
+    // than two probes a second.
+    explicit delivery_monitor(std::chrono::milliseconds unacknowledged_timeout)
+        : timeout(unacknowledged_timeout), current_timeout(unacknowledged_timeout)
+    {}
+
+    // Must be called after each write.
+    void on_written(decision::instant now);
+
+    // Whether a check is due. Checks that are later than the step of the timeout risk the
+    // connection of a slow peer.
+    [[nodiscard]] bool is_due(decision::instant now) const
+    {
+        return this->observing && now >= this->next_check;
+    }
+
+    // When the next check is due, unless `is_delivered`.
+    [[nodiscard]] decision::instant next() const { return this->next_check; }
+
+    // Returns whether bytes were acknowledged since the last check.
+    bool check(const tcp_socket& socket, decision::instant now);
+
+    // Whether, at the last check, all written bytes had been acknowledged, or the system told
+    // nothing.
+    [[nodiscard]] bool is_delivered() const { return !this->observing; }
+
+    // How long, at the last check, the peer had acknowledged nothing although bytes were waiting.
+    [[nodiscard]] decision::duration stalled() const { return this->stall; }
+
+private:
+    void set_timeout(const tcp_socket& socket, std::chrono::milliseconds chosen);
+
+    std::chrono::milliseconds timeout;
+    std::chrono::milliseconds current_timeout;
+    bool observing = false;
+    decision::instant next_check;
+    decision::instant last_check;  // or when the observation began
+    decision::instant stall_start; // the peer may have acknowledged nothing since
+    decision::duration stall{};
+    std::uint64_t acknowledged_bytes = 0;
+};
+
+} // namespace pearhaven::adapters
+
+#endif
--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -55,6 +55,7 @@
     [[nodiscard]] bool is_closing() const override { return this->closing; }
     void on_refused_head() override { ++this->counted.refused_heads; }
     void on_unacknowledged() override;
+    void on_unread(decision::duration stalled) override;
     void on_closed_as_idle() override { ++this->counted.closed_as_idle; }
     void on_sent_to_closed(decision::duration closed, decision::duration idle_duration) override;
     [[nodiscard]] timer_number schedule_deferred_work(inbound_socket& connection) override;
@@ -111,6 +112,12 @@
     log_warning("caller_unreachable", {{"cause", "sent bytes were not acknowledged"}});
 }
 
+void inbound_server::on_unread(decision::duration stalled)
+{
+    ++this->counted.unread;
+    log_warning("caller_not_reading", {{"stalled_ms", milliseconds(stalled)}});
+}
+
 void inbound_server::on_sent_to_closed(decision::duration closed, decision::duration idle_duration)
 {
     ++this->counted.sent_to_closed;
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -23,9 +23,6 @@
 // request is in transit for a round trip, which takes tens of milliseconds between regions.
 constexpr decision::duration first_request_grace = std::chrono::milliseconds(250);
 
-// Longest time that a caller's host may leave sent bytes unacknowledged.
-constexpr std::chrono::milliseconds unacknowledged_timeout{5000};
-
 constexpr int status_bad_request = 400;
 constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
@@ -93,11 +90,11 @@
 }
 
 inbound_socket::inbound_socket(inbound_socket_owner& server, tcp_socket accepted)
-    : owner(server), socket(std::move(accepted)),
+    : owner(server), socket(std::move(accepted)), delivery(server.limits().unacknowledged_time),
       reader(http_reader_kind::requests, *this, server.limits().head_bytes),
       wait_started(server.loop().now()), idle_time(server.limits().idle_time)
 {
-    this->socket.get().set_options(unacknowledged_timeout);
+    this->socket.get().set_options(server.limits().unacknowledged_time);
     this->watch();
 }
 
@@ -124,6 +121,7 @@
             this->close(true);
             return;
         }
+        this->delivery.on_written(this->owner.loop().now());
         this->note_progress();
         if (had_unsent && this->socket.unsent() == 0) {
             this->watch();
@@ -142,12 +140,33 @@
 // A caller that still takes its answer is not idle.
 void inbound_socket::note_progress()
 {
-    const bool waits = this->current_phase == phase::lingering || this->is_idle();
-    if (waits && this->socket.total_sent() != this->sent_at_wait) {
+    if (this->waits() && this->socket.total_sent() != this->sent_at_wait) {
         this->begin_wait();
     }
 }
 
+bool inbound_socket::waits() const
+{
+    return this->current_phase == phase::lingering || this->is_idle();
+}
+
+bool inbound_socket::is_delivered() const
+{
+    return this->socket.unsent() == 0 && this->delivery.is_delivered();
+}
+
+void inbound_socket::check_delivery()
+{
+    const bool progressed = this->delivery.check(this->socket.get(), this->owner.loop().now());
+    if (progressed && this->waits()) {
+        this->begin_wait();
+    }
+    if (this->delivery.stalled() > this->owner.limits().unread_time) {
+        this->owner.on_unread(this->delivery.stalled());
+        this->close(true);
+    }
+}
+
 void inbound_socket::begin_wait()
 {
     this->wait_started = this->owner.loop().now();
@@ -278,6 +297,7 @@
         this->close(true);
         return;
     }
+    this->delivery.on_written(this->owner.loop().now());
     if (!had_unsent && this->socket.unsent() > 0) {
         this->watch();
     }
@@ -405,6 +425,9 @@
 // arrived.
 void inbound_socket::check_time(decision::instant polled_until)
 {
+    if (this->current_phase != phase::closed && this->delivery.is_due(this->owner.loop().now())) {
+        this->check_delivery();
+    }
     const auto waited = polled_until - this->wait_started;
     if (this->current_phase == phase::lingering) {
         // Until the answer has been sent, the caller has not had the chance to close first.
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -2,6 +2,7 @@
 #define PEARHAVEN_ADAPTERS_SRC_INBOUND_SOCKET_HPP
 
 #include "buffered_socket.hpp"
+#include "delivery_monitor.hpp"
 
 #include "pearhaven/adapters/http_inbound.hpp"
 
@@ -19,6 +20,7 @@
     [[nodiscard]] virtual bool is_closing() const = 0;
     virtual void on_refused_head() = 0;
     virtual void on_unacknowledged() = 0;
+    virtual void on_unread(decision::duration stalled) = 0;
     virtual void on_closed_as_idle() = 0;
 
     // Bytes arrived on a connection that was closed as idle. `closed` is the time since the close,
@@ -115,12 +117,16 @@
     void close_if_still_idle();
     [[nodiscard]] bool is_idle() const;
     [[nodiscard]] decision::duration idle_limit() const;
+    [[nodiscard]] bool waits() const;
+    [[nodiscard]] bool is_delivered() const;
+    void check_delivery();
     void note_progress();
     void begin_wait();
     void watch();
 
     inbound_socket_owner& owner;
     buffered_socket socket;
+    delivery_monitor delivery;
     http_reader reader;
     phase current_phase = phase::reading;
     bool has_served = false;
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -36,6 +36,7 @@
                                  outbound_target target)
     : owner(client), own_id(id), destination(std::move(target)),
       socket(tcp_socket::connect(this->destination.host, this->destination.port)),
+      delivery(client.settings().unacknowledged_timeout),
       reader(http_reader_kind::responses, *this, client.settings().max_head)
 {
     if (this->socket.get()) {
@@ -46,6 +47,7 @@
 outbound_socket::~outbound_socket()
 {
     this->owner.loop().cancel(this->timer);
+    this->owner.loop().cancel(this->delivery_timer);
     if (this->socket.get()) {
         this->owner.loop().forget(this->socket.get().get());
     }
@@ -94,6 +96,7 @@
         this->fail_soon(outbound_fault::connection_lost);
         return;
     }
+    this->observe_delivery();
     this->watch();
 }
 
@@ -165,9 +168,29 @@
         this->fail(outbound_fault::connection_lost);
         return;
     }
+    this->observe_delivery();
     this->watch();
 }
 
+// An endpoint may read a long body slowly.
+void outbound_socket::observe_delivery()
+{
+    this->delivery.on_written(this->owner.loop().now());
+    if (this->delivery_timer == 0) {
+        this->delivery_timer = this->owner.loop().after(
+            this->delivery.next() - this->owner.loop().now(), [this] { this->check_delivery(); });
+    }
+}
+
+void outbound_socket::check_delivery()
+{
+    this->delivery_timer = 0;
+    static_cast<void>(this->delivery.check(this->socket.get(), this->owner.loop().now()));
+    if (!this->delivery.is_delivered() || this->socket.unsent() > 0) {
+        this->observe_delivery();
+    }
+}
+
 void outbound_socket::on_ready(bool readable, bool writable, bool failed)
 {
     if (this->current_phase == phase::connecting) {
@@ -353,8 +376,8 @@
         return;
     }
     this->current_phase = phase::closed;
-    this->owner.loop().cancel(this->timer);
-    this->timer = 0;
+    this->owner.loop().cancel(std::exchange(this->timer, 0));
+    this->owner.loop().cancel(std::exchange(this->delivery_timer, 0));
     if (this->socket.get()) {
         this->owner.loop().forget(this->socket.get().get());
         this->socket.get().close();
--- a/adapters/src/outbound_socket.hpp
+++ b/adapters/src/outbound_socket.hpp
@@ -2,6 +2,7 @@
 #define PEARHAVEN_ADAPTERS_SRC_OUTBOUND_SOCKET_HPP
 
 #include "buffered_socket.hpp"
+#include "delivery_monitor.hpp"
 
 #include "pearhaven/adapters/http_outbound.hpp"
 
@@ -63,12 +64,15 @@
     void watch();
     void arm(decision::duration timeout);
     void on_timer();
+    void observe_delivery();
+    void check_delivery();
     [[nodiscard]] decision::instant idle_end() const;
 
     outbound_socket_owner& owner;
     std::uint64_t own_id;
     outbound_target destination;
     buffered_socket socket;
+    delivery_monitor delivery;
     http_reader reader;
     phase current_phase = phase::connecting;
 
@@ -91,6 +95,7 @@
     decision::instant last_progress;
     decision::duration timeout{}; // of the current wait; zero: none
     timer_number timer = 0;
+    timer_number delivery_timer = 0; // pending while written bytes may be unacknowledged
 };
 
 } // namespace pearhaven::adapters
--- a/adapters/src/tcp_socket.cpp
+++ b/adapters/src/tcp_socket.cpp
@@ -1,10 +1,11 @@
 #include "tcp_socket.hpp"
 
 #include <cerrno>
+#include <cstddef>
+#include <linux/tcp.h> // unlike <netinet/tcp.h>, has all fields of tcp_info
 #include <memory>
 #include <netdb.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <system_error>
 #include <unistd.h>
@@ -116,8 +117,31 @@
     set_integer_option(this->descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_integer_option(this->descriptor, IPPROTO_TCP, TCP_KEEPIDLE, idle_seconds);
     set_integer_option(this->descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probe_seconds);
+    this->set_unacknowledged_timeout(unacknowledged_timeout);
+}
+
+void tcp_socket::set_unacknowledged_timeout(std::chrono::milliseconds timeout) const
+{
     set_integer_option(this->descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-                       static_cast<int>(unacknowledged_timeout.count()));
+                       static_cast<int>(timeout.count()));
+}
+
+std::optional<tcp_delivery> tcp_socket::delivery() const
+{
+    tcp_info known{};
+    socklen_t length = sizeof known;
+    constexpr auto needed =
+        offsetof(tcp_info, tcpi_notsent_bytes) + sizeof known.tcpi_notsent_bytes;
+    if (getsockopt(this->descriptor, IPPROTO_TCP, TCP_INFO, &known, &length) != 0 ||
+        length < needed) {
+        return std::nullopt;
+    }
+    tcp_delivery result;
+    result.outstanding = known.tcpi_unacked > 0 || known.tcpi_notsent_bytes > 0;
+    result.acknowledged_bytes = known.tcpi_bytes_acked;
+    result.awaits_reader = known.tcpi_unacked == 0 && known.tcpi_probes == 0;
+    result.silence = std::chrono::milliseconds(known.tcpi_last_ack_recv);
+    return result;
 }
 
 bool tcp_socket::is_connected() const
--- a/adapters/src/tcp_socket.hpp
+++ b/adapters/src/tcp_socket.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,21 @@
     int error = 0; // errno of a lost connection; 0 when the other end closed it
 };
 
+// What the host knows about the bytes that it has accepted for a connection.
+struct tcp_delivery {
+    bool outstanding = false;             // bytes are not acknowledged yet, or not even sent
+    std::uint64_t acknowledged_bytes = 0; // since the connection was opened
+
+    // Nothing that was transmitted lacks an acknowledgement: whatever is outstanding waits for the
+    // other end to read.
+    bool awaits_reader = false;
+
+    // Time since the other host last acknowledged anything, including a probe.
+    std::chrono::milliseconds silence{};
+
+    friend bool operator==(const tcp_delivery&, const tcp_delivery&) = default;
+};
+
 // Owns one non-blocking TCP socket, or none. Hosts are given as IP addresses.
 class tcp_socket {
 public:
@@ -39,7 +55,13 @@
 
     // Disables the delay of small writes, enables keepalive probes on an idle connection, and makes
     // the connection fail when the other host does not acknowledge sent bytes within the timeout.
+    // It also fails when the other end has not read for so long (tcp(7), TCP_USER_TIMEOUT), unless
+    // `delivery_monitor` extends the timeout.
     void set_options(std::chrono::milliseconds unacknowledged_timeout) const;
+    void set_unacknowledged_timeout(std::chrono::milliseconds timeout) const;
+
+    // Nothing if the host does not tell.
+    [[nodiscard]] std::optional<tcp_delivery> delivery() const;
 
     [[nodiscard]] bool is_connected() const;
     [[nodiscard]] tcp_transfer read(char* target, std::size_t capacity) const;
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -74,6 +74,12 @@
 constexpr milliseconds several_checks{700};
 constexpr milliseconds longer_than_a_close_lingers{2000};
 
+constexpr milliseconds acknowledgement_time{2000};
+constexpr milliseconds longer_than_acknowledgement_time{5000};
+
+constexpr int small_buffer = 4096; // bytes that wait at a caller that does not read
+const std::string large_body(1U << 20U, 'x');
+
 std::string request(const std::string& target)
 {
     return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -141,6 +147,17 @@
         };
     }
 
+    // Connects a caller with a small receive buffer, to a server that gives up connections without
+    // acknowledgements after a short time.
+    void connect_slow_caller(decision::duration unread_time = inbound_limits().unread_time)
+    {
+        inbound_limits limits;
+        limits.unacknowledged_time = acknowledgement_time;
+        limits.unread_time = unread_time;
+        this->server->set_limits(limits);
+        this->caller = script_socket::connect(this->server->port(), small_buffer);
+    }
+
     std::function<bool()> all_closed()
     {
         return [this] { return this->server->counts().open == 0; };
@@ -343,6 +360,67 @@
     CHECK_TRUE(this->caller->ends_with("last"));
 }
 
+// Guards against closing the connection of a caller that reads nothing for a while, as if its host
+// were gone.
+TEST(http_inbound, a_caller_that_pauses_in_its_answer_gets_all_of_it)
+{
+    this->connect_slow_caller();
+    loop_script script(this->loop);
+    this->caller->send(request("/a"));
+    script
+        .when(this->has_requests(1),
+              [this] {
+                  this->listener.call_exchange([](inbound_exchange& exchange) {
+                      exchange.answer(200, {}, large_body + "last");
+                  });
+              })
+        .until(this->has_passed(longer_than_acknowledgement_time))
+        .until([this] { return this->caller->ends_with("last") || this->caller->is_ended(); });
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(this->caller->ends_with("last"));
+    CHECK_EQUAL(0U, this->server->counts().unacknowledged);
+}
+
+TEST(http_inbound, a_caller_that_disappears_while_it_is_slow_is_noticed)
+{
+    this->connect_slow_caller();
+    loop_script script(this->loop);
+    this->caller->send(request("/a"));
+    script
+        .when(this->has_requests(1),
+              [this] {
+                  this->listener.call_exchange([](inbound_exchange& exchange) {
+                      begin(exchange);
+                      exchange.write(large_body);
+                  });
+              })
+        .when(this->has_passed(longer_than_acknowledgement_time),
+              [this] { this->caller->vanish(); })
+        .until([this] { return this->listener.disconnects == 1; });
+    CHECK_TRUE(script.run());
+    CHECK_EQUAL(1U, this->server->counts().unacknowledged);
+}
+
+// Guards against holding an answer for ever whose caller lives and never reads.
+TEST(http_inbound, a_caller_that_never_reads_is_closed_after_the_unread_time)
+{
+    this->connect_slow_caller(longer_than_acknowledgement_time);
+    loop_script script(this->loop);
+    this->caller->send(request("/a"));
+    script
+        .when(this->has_requests(1),
+              [this] {
+                  this->listener.call_exchange([](inbound_exchange& exchange) {
+                      begin(exchange);
+                      exchange.write(large_body);
+                  });
+              })
+        .until([this] { return this->listener.disconnects == 1; });
+    CHECK_TRUE(script.run());
+    CHECK_EQUAL(1U, this->server->counts().unread);
+    CHECK_EQUAL(0U, this->server->counts().unacknowledged);
+}
+
 // Guards against losing a request during shutdown. A complete request had arrived but was not read
 // yet when idle connections were closed; it was read and discarded, and its caller could not know
 // whether it had run.
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -20,6 +20,8 @@
 using namespace pearhaven::adapters;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using tests::loop_script;
+using tests::script_listener;
 
 namespace {
 
@@ -450,3 +452,66 @@
     this->loop.run();
     CHECK_TRUE(tries < retrying_listener::max_tries);
 }
+
+TEST_GROUP(http_outbound_to_slow_endpoint)
+{
+    event_loop loop;
+    script_listener endpoint{4096}; // bytes that wait at an endpoint that does not read
+    std::unique_ptr<http_outbound> client;
+    boost::intrusive_ptr<recording_listener> seen{new recording_listener};
+
+    void setup() override
+    {
+        this->client = make_http_outbound(this->loop, {});
+        outbound_request request;
+        request.method = "POST";
+        request.fields = {{"Host", "h"}};
+        request.body = std::string(3U << 20U, 'x') + "last";
+        this->client->start({"endpoint", "127.0.0.1", this->endpoint.port()}, std::move(request),
+                            this->seen);
+    }
+
+    void teardown() override
+    {
+        this->client.reset();
+    }
+
+    tests::script_socket& connection()
+    {
+        return *this->endpoint.connections().front();
+    }
+
+    // True once the endpoint has read nothing for much longer than the timeout.
+    std::function<bool()> has_paused()
+    {
+        return [this, end = decision::instant()]() mutable {
+            if (end == decision::instant() && !this->endpoint.connections().empty()) {
+                end = this->loop.now() + seconds(5);
+            }
+            return end != decision::instant() && this->loop.now() >= end;
+        };
+    }
+};
+
+// Guards against closing the connection of an endpoint that reads a body slowly, which looks like
+// a run that crashed the endpoint.
+TEST(http_outbound_to_slow_endpoint, an_endpoint_that_pauses_in_the_body_gets_all_of_it)
+{
+    loop_script script(this->loop);
+    script.until(this->has_paused())
+        .when([this] { return this->seen->failure || this->connection().ends_with("last"); },
+              [this] { this->connection().send(answer); })
+        .until([this] { return this->seen->failure || this->seen->ended; });
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(this->seen->ended);
+}
+
+TEST(http_outbound_to_slow_endpoint, an_endpoint_that_disappears_while_it_is_slow_is_noticed)
+{
+    loop_script script(this->loop);
+    script.when(this->has_paused(), [this] { this->connection().vanish(); }).until([this] {
+        return this->seen->failure.has_value();
+    });
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(this->seen->failure->why == outbound_fault::connection_lost);
+}
--- a/tests/support/loop_script.hpp
+++ b/tests/support/loop_script.hpp
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -34,10 +35,14 @@
     script_socket(const script_socket&) = delete;
     script_socket& operator=(const script_socket&) = delete;
 
-    // Connected when this returns: the listen queue accepts it.
-    static std::unique_ptr<script_socket> connect(std::uint16_t port)
+    // Connected when this returns: the listen queue accepts it. A small receive buffer, in bytes,
+    // makes the other end wait for this one to read; 0 leaves the choice to the host.
+    static std::unique_ptr<script_socket> connect(std::uint16_t port, int receive_buffer = 0)
     {
         const int opened = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (receive_buffer > 0) {
+            setsockopt(opened, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+        }
         const sockaddr_in address = loopback(port);
         [[maybe_unused]] const int connected =
             ::connect(opened, reinterpret_cast<const sockaddr*>(&address), sizeof address);
@@ -110,6 +115,15 @@
         this->close();
     }
 
+    // From now on this end ignores all that arrives and acknowledges nothing, like a host that has
+    // lost power.
+    void vanish()
+    {
+        sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+        const sock_fprog program{1, &drop_all};
+        setsockopt(this->socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+    }
+
     void close()
     {
         if (this->socket >= 0) {
@@ -127,8 +141,14 @@
 // A listening socket whose connections the test serves itself.
 class script_listener {
 public:
-    script_listener() : listening(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
+    // The receive buffers of the connections are as for `script_socket::connect`.
+    explicit script_listener(int receive_buffer = 0)
+        : listening(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
     {
+        if (receive_buffer > 0) {
+            setsockopt(this->listening, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                       sizeof receive_buffer);
+        }
         const sockaddr_in address = script_socket::loopback(0);
         [[maybe_unused]] const int bound =
             bind(this->listening, reinterpret_cast<const sockaddr*>(&address), sizeof address);
