Keep a connection, and a planned stop, until answers have arrived

What callers saw: a router that was told to stop ended 3.7 s later, when its host still held nearly all of the answers of callers that read slowly.

Cause: a connection that is about to close lingered for a second after its last byte was handed to the host, and then counted as done. An idle connection whose answer was unread was closed by the same rule.

Change: lingering and idle times begin once the caller's host has acknowledged the answer.

--- a/adapters/src/delivery_monitor.cpp
+++ b/adapters/src/delivery_monitor.cpp
@@ -32,11 +32,12 @@
     const auto acknowledged = delivery ? delivery->acknowledged_bytes : 0;
     const bool progressed = acknowledged != this->acknowledged_bytes;
     this->acknowledged_bytes = acknowledged;
-    this->observing = delivery && delivery->outstanding;
+    this->waiting = delivery && delivery->outstanding;
+    this->observing = this->waiting;
     // The bytes that were acknowledged may have been so right after the last check.
     const auto earlier_check = std::exchange(this->last_check, now);
     this->stall_start = progressed ? earlier_check : this->stall_start;
-    this->stall = this->observing && !progressed ? now - this->stall_start : decision::duration();
+    this->stall = this->waiting && !progressed ? now - this->stall_start : decision::duration();
     this->next_check = now + this->timeout / checks_per_timeout_while_outstanding;
     if (this->stall == decision::duration()) {
         this->set_timeout(socket, this->timeout);
--- a/adapters/src/delivery_monitor.hpp
+++ b/adapters/src/delivery_monitor.hpp
@@ -41,6 +41,9 @@
     // nothing.
     [[nodiscard]] bool is_delivered() const { return !this->observing; }
 
+    // Whether the last check found bytes that were not acknowledged.
+    [[nodiscard]] bool is_waiting() const { return this->waiting; }
+
     // How long, at the last check, the peer had acknowledged nothing although bytes were waiting.
     [[nodiscard]] decision::duration stalled() const { return this->stall; }
 
@@ -49,7 +52,8 @@
 
     std::chrono::milliseconds timeout;
     std::chrono::milliseconds current_timeout;
-    bool observing = false;
+    bool observing = false; // bytes were written, and no check has found them acknowledged
+    bool waiting = false;
     decision::instant next_check;
     decision::instant last_check;  // or when the observation began
     decision::instant stall_start; // the peer may have acknowledged nothing since
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -15,8 +15,8 @@
 // in the socket.
 constexpr std::size_t max_pipelined_bytes = 64U << 10U;
 
-// How long a connection that this end has closed is still read. A close with unread bytes resets
-// the connection, and the reset can overtake the last answer.
+// How long a connection that this end has closed is still read after its last answer has arrived. A
+// close with unread bytes resets the connection, and the reset can overtake the last answer.
 constexpr decision::duration linger_timeout = std::chrono::seconds(1);
 
 // How long a new connection does not count as idle although nothing was received on it: the first
@@ -157,8 +157,9 @@
 
 void inbound_socket::check_delivery()
 {
+    const bool was_waiting = this->delivery.is_waiting();
     const bool progressed = this->delivery.check(this->socket.get(), this->owner.loop().now());
-    if (progressed && this->waits()) {
+    if (was_waiting && progressed && this->waits()) {
         this->begin_wait();
     }
     if (this->delivery.stalled() > this->owner.limits().unread_time) {
@@ -430,8 +431,8 @@
     }
     const auto waited = polled_until - this->wait_started;
     if (this->current_phase == phase::lingering) {
-        // Until the answer has been sent, the caller has not had the chance to close first.
-        const auto limit = this->socket.unsent() > 0 ? this->idle_limit() : linger_timeout;
+        // Until the answer has arrived, the caller has not had the chance to close first.
+        const auto limit = this->is_delivered() ? linger_timeout : this->owner.limits().unread_time;
         if (waited > limit) {
             this->close(false);
         }
@@ -441,7 +442,9 @@
         return;
     }
     if (!this->reader.inside_message()) {
-        if (waited > this->idle_limit()) {
+        const auto limit =
+            this->is_delivered() ? this->idle_limit() : this->owner.limits().unread_time;
+        if (waited > limit) {
             this->idle_close_pending = true;
             this->request_deferred_work();
         }
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -77,7 +77,8 @@
 constexpr milliseconds acknowledgement_time{2000};
 constexpr milliseconds longer_than_acknowledgement_time{5000};
 
-constexpr int small_buffer = 4096; // bytes that wait at a caller that does not read
+constexpr int small_buffer = 4096;             // bytes that wait at a caller that does not read
+const std::string small_body(32U << 10U, 'x'); // fits into the buffers of the sending host
 const std::string large_body(1U << 20U, 'x');
 
 std::string request(const std::string& target)
@@ -401,6 +402,51 @@
     CHECK_EQUAL(1U, this->server->counts().unacknowledged);
 }
 
+// Guards against closing a connection, and ending the process, with an answer that the host has
+// accepted but the caller has not read.
+TEST(http_inbound, a_closing_connection_stays_open_until_its_answer_has_arrived)
+{
+    this->connect_slow_caller();
+    loop_script script(this->loop);
+    this->caller->send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    script
+        .when(this->has_requests(1),
+              [this] {
+                  this->listener.call_exchange([](inbound_exchange& exchange) {
+                      exchange.answer(200, {}, small_body + "last");
+                      CHECK_EQUAL(0U, exchange.unsent());
+                  });
+              })
+        .when(this->has_passed(longer_than_acknowledgement_time),
+              [this] { CHECK_EQUAL(1U, this->server->counts().open); })
+        .until([this] { return this->caller->is_ended(); });
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(this->caller->ends_with("last"));
+}
+
+TEST(http_inbound, a_connection_with_an_unread_answer_is_not_idle)
+{
+    inbound_limits limits;
+    limits.idle_time = milliseconds(20);
+    limits.idle_slack = milliseconds(20);
+    this->server->set_limits(limits);
+    this->caller = script_socket::connect(this->server->port(), small_buffer);
+    loop_script script(this->loop);
+    this->caller->send(request("/a"));
+    script
+        .when(this->has_requests(1),
+              [this] {
+                  this->listener.call_exchange([](inbound_exchange& exchange) {
+                      exchange.answer(200, {}, small_body + "last");
+                  });
+              })
+        .when(this->has_passed(longer_than_a_close_lingers),
+              [this] { CHECK_EQUAL(0U, this->server->counts().closed_as_idle); })
+        .until([this] { return this->caller->is_ended(); });
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(this->caller->ends_with("last"));
+}
+
 // Guards against holding an answer for ever whose caller lives and never reads.
 TEST(http_inbound, a_caller_that_never_reads_is_closed_after_the_unread_time)
 {
