Keep connections of the HTTP client to servers that read slowly

What callers saw: on the own interface a body that an engine or a service did not read for 3 s failed with `connection_lost`, as if the host were gone; so did a write to the store, or a call of pearhavenctl.

Cause: the same as for callers: TCP_USER_TIMEOUT ends a connection whose window stays closed.

Change: libcurl's sockets are watched by delivery_monitor from the send of the request on. Its functions take a descriptor now.

One test held the fault: a_connection_without_acknowledgements_is_lost_... took a peer that reads nothing, whose host acknowledges, for a lost path. Its peer now drops every segment, so that nothing is acknowledged; what it expects is the same.

--- a/adapters/src/delivery_monitor.cpp
+++ b/adapters/src/delivery_monitor.cpp
@@ -26,9 +26,9 @@
     }
 }
 
-bool delivery_monitor::check(const tcp_socket& socket, decision::instant now)
+bool delivery_monitor::check(int socket, decision::instant now)
 {
-    const auto delivery = socket.delivery();
+    const auto delivery = delivery_of(socket);
     const auto acknowledged = delivery ? delivery->acknowledged_bytes : 0;
     const bool progressed = acknowledged != this->acknowledged_bytes;
     this->acknowledged_bytes = acknowledged;
@@ -49,11 +49,11 @@
     return progressed;
 }
 
-void delivery_monitor::set_timeout(const tcp_socket& socket, std::chrono::milliseconds chosen)
+void delivery_monitor::set_timeout(int socket, std::chrono::milliseconds chosen)
 {
     if (chosen != this->current_timeout) {
         this->current_timeout = chosen;
-        socket.set_unacknowledged_timeout(chosen);
+        set_unacknowledged_timeout(socket, chosen);
     }
 }
 
--- a/adapters/src/delivery_monitor.hpp
+++ b/adapters/src/delivery_monitor.hpp
@@ -35,7 +35,7 @@
     [[nodiscard]] decision::instant next() const { return this->next_check; }
 
     // Returns whether bytes were acknowledged since the last check.
-    bool check(const tcp_socket& socket, decision::instant now);
+    bool check(int socket, decision::instant now);
 
     // Whether, at the last check, all written bytes had been acknowledged, or the system told
     // nothing.
@@ -48,7 +48,7 @@
     [[nodiscard]] decision::duration stalled() const { return this->stall; }
 
 private:
-    void set_timeout(const tcp_socket& socket, std::chrono::milliseconds chosen);
+    void set_timeout(int socket, std::chrono::milliseconds chosen);
 
     std::chrono::milliseconds timeout;
     std::chrono::milliseconds current_timeout;
--- a/adapters/src/http_client.cpp
+++ b/adapters/src/http_client.cpp
@@ -275,8 +275,11 @@
         const auto limit = exchange.deadline();
         if (limit && *limit <= now) {
             this->finish(exchange, exchange.timeout_error(now));
-        } else if (limit) {
-            this->deadlines.arm(exchange, *limit);
+            continue;
+        }
+        exchange.check_delivery();
+        if (const auto next = exchange.next_check()) {
+            this->deadlines.arm(exchange, *next);
         }
     }
 }
@@ -313,14 +316,23 @@
     }
 }
 
-int curl_http_client::on_socket(CURL* /*easy*/, curl_socket_t socket, int what, void* self,
+int curl_http_client::on_socket(CURL* easy, curl_socket_t socket, int what, void* self,
                                 void* /*unused*/)
 {
     const auto& client = *static_cast<curl_http_client*>(self);
+    void* context = nullptr; // null for libcurl's own handles
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &context);
+    auto* const exchange = static_cast<http_exchange*>(context);
     if (what == CURL_POLL_REMOVE) {
+        if (exchange != nullptr) {
+            exchange->forget_socket(socket);
+        }
         client.socket_poller.forget(socket);
         return 0;
     }
+    if (exchange != nullptr) {
+        exchange->set_socket(socket);
+    }
     const bool readable = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
     const bool writable = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
     return client.socket_poller.watch(socket, readable, writable) ? 0 : -1;
--- a/adapters/src/http_exchange.cpp
+++ b/adapters/src/http_exchange.cpp
@@ -1,11 +1,10 @@
 #include "http_exchange.hpp"
 
+#include "pearhaven/adapters/event_loop.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace pearhaven::adapters {
 
@@ -100,7 +99,7 @@
 
 void http_exchange::set_connection(const http_client_settings& settings)
 {
-    this->unacknowledged_ms = static_cast<long>(settings.unacknowledged_timeout.count());
+    this->unacknowledged_timeout = settings.unacknowledged_timeout;
     const auto probe_seconds = static_cast<long>(settings.keepalive_probe.count());
     this->set(CURLOPT_URL, this->request.url.c_str());
     this->set(CURLOPT_PATH_AS_IS, 1L);
@@ -203,6 +202,29 @@
     return earliest;
 }
 
+std::optional<monotonic_time> http_exchange::next_check() const
+{
+    auto earliest = this->deadline();
+    if (this->delivery && !this->delivery->is_delivered()) {
+        const monotonic_time check(this->delivery->next().time_since_epoch());
+        earliest = earliest ? std::min(*earliest, check) : check;
+    }
+    return earliest;
+}
+
+void http_exchange::check_delivery()
+{
+    const auto now = event_loop::read_clock();
+    if (!this->delivery || !this->delivery->is_due(now)) {
+        return;
+    }
+    if (this->socket == CURL_SOCKET_BAD) {
+        this->delivery.reset();
+    } else {
+        this->delivery->check(this->socket, now);
+    }
+}
+
 http_error http_exchange::timeout_error(monotonic_time now) const
 {
     const auto total = this->request.total_timeout;
@@ -263,7 +285,11 @@
 {
     this->current = next;
     this->last_progress = std::chrono::steady_clock::now();
-    if (const auto limit = this->deadline()) {
+    if (next == phase::awaiting_head) {
+        this->delivery.emplace(this->unacknowledged_timeout);
+        this->delivery->on_written(event_loop::read_clock());
+    }
+    if (const auto limit = this->next_check()) {
         this->deadlines.arm(*this, *limit);
     }
 }
@@ -360,8 +386,7 @@
 
 int http_exchange::on_socket_open(void* self, curl_socket_t socket, curlsocktype /*purpose*/)
 {
-    const auto limit = static_cast<unsigned>(static_cast<http_exchange*>(self)->unacknowledged_ms);
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+    set_unacknowledged_timeout(socket, static_cast<http_exchange*>(self)->unacknowledged_timeout);
     return CURL_SOCKOPT_OK;
 }
 
--- a/adapters/src/http_exchange.hpp
+++ b/adapters/src/http_exchange.hpp
@@ -2,6 +2,7 @@
 #define PEARHAVEN_ADAPTERS_SRC_HTTP_EXCHANGE_HPP
 
 #include "deadline_index.hpp"
+#include "delivery_monitor.hpp"
 #include "pearhaven/adapters/http_client.hpp"
 
 #include <curl/curl.h>
@@ -35,9 +36,23 @@
     [[nodiscard]] CURL* handle() const { return this->easy.get(); }
     [[nodiscard]] curl_easy release_handle() { return std::move(this->easy); }
 
+    // The exchange's connection, as long as libcurl waits for it.
+    void set_socket(curl_socket_t connected) { this->socket = connected; }
+    void forget_socket(curl_socket_t closed)
+    {
+        this->socket = this->socket == closed ? CURL_SOCKET_BAD : this->socket;
+    }
+
+    // Keeps the connection to a server that reads the request slowly. Must be called at each
+    // `next_check`.
+    void check_delivery();
+
     // Earliest time at which the exchange times out if nothing happens before.
     [[nodiscard]] std::optional<monotonic_time> deadline() const;
 
+    // The deadline, or the next check of a request that is being delivered.
+    [[nodiscard]] std::optional<monotonic_time> next_check() const;
+
     // Returns the error for an expired deadline.
     [[nodiscard]] http_error timeout_error(monotonic_time now) const;
 
@@ -80,7 +95,10 @@
     deadline_index& deadlines;
     curl_easy easy;
     curl_list header_list;
-    long unacknowledged_ms = 0;
+    std::chrono::milliseconds unacknowledged_timeout{};
+    std::optional<delivery_monitor>
+        delivery; // from when the request is sent until its answer begins
+    curl_socket_t socket = CURL_SOCKET_BAD;
     bool setup_failed = false;
 
     phase current = phase::connecting;
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -175,7 +175,7 @@
 void inbound_socket::check_delivery()
 {
     const bool was_waiting = this->delivery.is_waiting();
-    const bool progressed = this->delivery.check(this->socket.get(), this->owner.loop().now());
+    const bool progressed = this->delivery.check(this->number(), this->owner.loop().now());
     if (was_waiting && progressed && this->waits()) {
         this->begin_wait();
     }
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -185,7 +185,7 @@
 void outbound_socket::check_delivery()
 {
     this->delivery_timer = 0;
-    static_cast<void>(this->delivery.check(this->socket.get(), this->owner.loop().now()));
+    static_cast<void>(this->delivery.check(this->socket.get().get(), this->owner.loop().now()));
     if (!this->delivery.is_delivered() || this->socket.unsent() > 0) {
         this->observe_delivery();
     }
--- a/adapters/src/tcp_socket.cpp
+++ b/adapters/src/tcp_socket.cpp
@@ -55,6 +55,28 @@
 
 } // namespace
 
+void set_unacknowledged_timeout(int socket, std::chrono::milliseconds timeout)
+{
+    set_integer_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
+}
+
+std::optional<tcp_delivery> delivery_of(int socket)
+{
+    tcp_info known{};
+    socklen_t length = sizeof known;
+    constexpr auto needed =
+        offsetof(tcp_info, tcpi_notsent_bytes) + sizeof known.tcpi_notsent_bytes;
+    if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &known, &length) != 0 || length < needed) {
+        return std::nullopt;
+    }
+    tcp_delivery result;
+    result.outstanding = known.tcpi_unacked > 0 || known.tcpi_notsent_bytes > 0;
+    result.acknowledged_bytes = known.tcpi_bytes_acked;
+    result.awaits_reader = known.tcpi_unacked == 0 && known.tcpi_probes == 0;
+    result.silence = std::chrono::milliseconds(known.tcpi_last_ack_recv);
+    return result;
+}
+
 tcp_socket::tcp_socket(tcp_socket&& other) noexcept
     : descriptor(std::exchange(other.descriptor, -1))
 {}
@@ -117,13 +139,7 @@
     set_integer_option(this->descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_integer_option(this->descriptor, IPPROTO_TCP, TCP_KEEPIDLE, idle_seconds);
     set_integer_option(this->descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probe_seconds);
-    this->set_unacknowledged_timeout(unacknowledged_timeout);
-}
-
-void tcp_socket::set_unacknowledged_timeout(std::chrono::milliseconds timeout) const
-{
-    set_integer_option(this->descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-                       static_cast<int>(timeout.count()));
+    set_unacknowledged_timeout(this->descriptor, unacknowledged_timeout);
 }
 
 void tcp_socket::limit_unsent(std::size_t bytes) const
@@ -131,24 +147,6 @@
     set_integer_option(this->descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, static_cast<int>(bytes));
 }
 
-std::optional<tcp_delivery> tcp_socket::delivery() const
-{
-    tcp_info known{};
-    socklen_t length = sizeof known;
-    constexpr auto needed =
-        offsetof(tcp_info, tcpi_notsent_bytes) + sizeof known.tcpi_notsent_bytes;
-    if (getsockopt(this->descriptor, IPPROTO_TCP, TCP_INFO, &known, &length) != 0 ||
-        length < needed) {
-        return std::nullopt;
-    }
-    tcp_delivery result;
-    result.outstanding = known.tcpi_unacked > 0 || known.tcpi_notsent_bytes > 0;
-    result.acknowledged_bytes = known.tcpi_bytes_acked;
-    result.awaits_reader = known.tcpi_unacked == 0 && known.tcpi_probes == 0;
-    result.silence = std::chrono::milliseconds(known.tcpi_last_ack_recv);
-    return result;
-}
-
 bool tcp_socket::is_connected() const
 {
     sockaddr_storage peer{};
--- a/adapters/src/tcp_socket.hpp
+++ b/adapters/src/tcp_socket.hpp
@@ -10,6 +10,9 @@
 
 namespace pearhaven::adapters {
 
+// For sockets of any owner. How long the other host may leave bytes unacknowledged.
+void set_unacknowledged_timeout(int socket, std::chrono::milliseconds timeout);
+
 enum class tcp_outcome { done, would_block, closed };
 
 struct tcp_transfer {
@@ -33,6 +36,9 @@
     friend bool operator==(const tcp_delivery&, const tcp_delivery&) = default;
 };
 
+// Nothing if the host does not tell.
+[[nodiscard]] std::optional<tcp_delivery> delivery_of(int socket);
+
 // Owns one non-blocking TCP socket, or none. Hosts are given as IP addresses.
 class tcp_socket {
 public:
@@ -58,15 +64,11 @@
     // It also fails when the other end has not read for so long (tcp(7), TCP_USER_TIMEOUT), unless
     // `delivery_monitor` extends the timeout.
     void set_options(std::chrono::milliseconds unacknowledged_timeout) const;
-    void set_unacknowledged_timeout(std::chrono::milliseconds timeout) const;
 
     // The system then accepts only as many bytes as it could send soon. Otherwise it holds several
     // megabytes for a peer that does not read.
     void limit_unsent(std::size_t bytes) const;
 
-    // Nothing if the host does not tell.
-    [[nodiscard]] std::optional<tcp_delivery> delivery() const;
-
     [[nodiscard]] bool is_connected() const;
     [[nodiscard]] tcp_transfer read(char* target, std::size_t capacity) const;
     [[nodiscard]] tcp_transfer write(std::string_view bytes) const;
--- a/adapters/test/delivery_monitor_test.cpp
+++ b/adapters/test/delivery_monitor_test.cpp
@@ -66,7 +66,7 @@
     {
         const auto now = event_loop::read_clock();
         if (monitor.is_due(now)) {
-            monitor.check(this->socket, now);
+            monitor.check(this->socket.get(), now);
         }
         char byte = 0;
         return this->socket.read(&byte, 1).outcome == tcp_outcome::would_block;
--- a/adapters/test/http_client_test.cpp
+++ b/adapters/test/http_client_test.cpp
@@ -441,11 +441,14 @@
 
 TEST(http_client, a_connection_without_acknowledgements_is_lost_before_the_first_byte_timeout)
 {
-    // Guards against waiting 30 s for the first byte on a dead connection. The other end reads
-    // nothing, so the request stays unacknowledged, as when a device on the path has lost the state
-    // of the connection; the exchange must end after the acknowledgement timeout.
+    // Guards against waiting 30 s for the first byte on a dead connection. The other end
+    // acknowledges nothing, as when a device on the path has lost the state of the connection; the
+    // exchange must end after the acknowledgement timeout.
     std::atomic<bool> test_done{false};
-    raw_server stalled_server([&](raw_connection&, int) { wait_for(test_done); });
+    raw_server stalled_server([&](raw_connection& connection, int) {
+        connection.vanish();
+        wait_for(test_done);
+    });
     http_client_settings settings;
     settings.unacknowledged_timeout = milliseconds(300);
     const auto short_timeout_client = make_http_client(settings);
@@ -457,6 +460,25 @@
     CHECK_EQUAL(make_error_code(http_error::connection_lost), result.error);
 }
 
+TEST(http_client, a_server_that_pauses_in_a_body_gets_all_of_it)
+{
+    // Guards against closing the connection to a server that reads a body slowly, as if its host
+    // were gone.
+    raw_server slow_server([](raw_connection& connection, int) {
+        std::this_thread::sleep_for(std::chrono::seconds(6));
+        const auto request = connection.read_request();
+        connection.answer(request.ends_with("last") ? 200 : 500, "");
+    });
+    http_client_settings settings;
+    settings.unacknowledged_timeout = milliseconds(2000);
+    const auto patient_client = make_http_client(settings);
+    const auto answer = fetch_and_wait(
+        *patient_client, post(slow_server.url(), std::string(32U << 20U, 'x') + "last"),
+        max_answer_bytes);
+    CHECK_EQUAL(std::error_code(), answer.result.error);
+    LONGS_EQUAL(200, answer.result.status);
+}
+
 TEST(http_client, many_concurrent_streams_arrive_complete)
 {
     raw_server server([](raw_connection& connection, int) {
