Do not pass on answers without proof of their origin

Cause: the dialect called whatever is neither sealed nor a refusal an endpoint's failure, and the relay passes such a failure on with its status.

Change: these answers are `unproven`.

--- a/router/include/pearhaven/router/caller_dialect.hpp
+++ b/router/include/pearhaven/router/caller_dialect.hpp
@@ -58,6 +58,7 @@
 enum class answer_meaning : std::uint8_t {
     success,
     endpoint_error,        // the request ran and failed, or may have run
+    unproven,              // not shown to be an endpoint's answer; the request may have run
     refused,               // not run: the endpoint has no capacity
     refused_leaving,       // not run: the endpoint is draining
     refused_other_process, // not run: another process has taken over the address
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -202,7 +202,7 @@
     void buffer(ticket_number ticket, relayed_request& relayed, std::string_view piece);
     void discard(ticket_number ticket, relayed_request& relayed, std::size_t bytes);
     static void log_endless_answer(const relayed_request& relayed);
-    void keep_failed_answer(relayed_request& relayed) const;
+    [[nodiscard]] local_answer answer_to_forward(const relayed_request& relayed) const;
     void log_shed(const relayed_request& relayed, const decision::failure& why);
     void log_local_answer(const adapters::inbound_exchange& caller, const local_answer& answer);
     void log_end(const relayed_request& relayed, const std::string& outcome, int status);
@@ -417,15 +417,15 @@
         return;
     }
     auto& relayed = found->second;
-    const auto status = relayed.attempt.head.status;
     if (relayed.attempt.use == answer_use::forwarded) {
         this->begin_answer(relayed);
         relayed.caller->end();
+        this->log_end(relayed, "answered", relayed.attempt.head.status);
     } else {
-        relayed.caller->answer(status, this->dialect.forwarded_fields(relayed.attempt.head),
-                               relayed.attempt.buffered);
+        const auto answer = this->answer_to_forward(relayed);
+        relayed.caller->answer(answer.status, answer.fields, answer.body);
+        this->log_end(relayed, "answered", answer.status);
     }
-    this->log_end(relayed, "answered", status);
     this->forget(action.ticket);
 }
 
@@ -819,11 +819,25 @@
     }
 }
 
-void event_relay::state::keep_failed_answer(relayed_request& relayed) const
+// The endpoint's buffered answer. One that is not shown to be an endpoint's is replaced: its status
+// could say that the request succeeded, or that it has not run.
+local_answer event_relay::state::answer_to_forward(const relayed_request& relayed) const
 {
     const auto& current = relayed.attempt;
-    relayed.failed_answer = local_answer{
-        current.head.status, this->dialect.forwarded_fields(current.head), current.buffered};
+    if (current.facts.meaning != answer_meaning::unproven) {
+        return {current.head.status, this->dialect.forwarded_fields(current.head),
+                current.buffered};
+    }
+    this->counts.add("pearhaven_answers_without_proof", {});
+    adapters::log_warning("answer_without_proof",
+                          {{"id", relayed.request.id},
+                           {"endpoint", current.endpoint.address},
+                           {"status", std::to_string(current.head.status)}});
+    decision::failure why;
+    why.code = decision::failure_code::endpoint_failed;
+    why.run = decision::run_state::unknown;
+    why.detail = "the endpoint's answer has no proof of its origin";
+    return this->dialect.refuse(relayed.request, why);
 }
 
 void event_relay::state::on_end(ticket_number ticket, decision::attempt_number attempt)
@@ -842,10 +856,13 @@
         end.result = attempt_result::refused;
         end.endpoint_leaving = current.facts.meaning != answer_meaning::refused;
         this->log_brittle_refusal(*relayed);
-    } else if (current.facts.meaning == answer_meaning::endpoint_error) {
-        this->keep_failed_answer(*relayed);
+    } else if (current.facts.meaning == answer_meaning::endpoint_error ||
+               current.facts.meaning == answer_meaning::unproven) {
         const bool repeatable = decision::may_run_again(relayed->request.kind);
         end.result = repeatable ? attempt_result::failed : attempt_result::finished;
+        if (repeatable) {
+            relayed->failed_answer = this->answer_to_forward(*relayed);
+        }
         end.answered_error = repeatable;
         end.answer_reports_failure = true;
     } else if (current.events.has_part()) {
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -73,8 +74,9 @@
     {
         this->on_call("judge");
         answer_facts facts;
-        facts.meaning = head.status == 200   ? answer_meaning::success
-                        : head.status == 503 ? answer_meaning::refused
+        facts.meaning = adapters::find_field(head.fields, "Foreign") ? answer_meaning::unproven
+                        : head.status == 200                         ? answer_meaning::success
+                        : head.status == 503                         ? answer_meaning::refused
                                              : answer_meaning::endpoint_error;
         facts.confidence = adapters::find_field(head.fields, "Poor") != nullptr ? 0.0 : 100.0;
         facts.notice.emplace();
@@ -353,6 +355,27 @@
         };
     }
 
+    // Each endpoint that is asked sends a foreign page; the caller is told that the request may
+    // have run.
+    void run_foreign_answer(work_kind kind, const std::string& status)
+    {
+        this->dialect.prototype.kind = kind;
+        this->begin().when(
+            [this, status] {
+                for (std::size_t index = 0; this->run_at(index) != nullptr; ++index) {
+                    if (this->answered.insert(index).second) {
+                        this->run_at(index)->send("HTTP/1.1 " + status +
+                                                  " X\r\nForeign: 1\r\n"
+                                                  "Content-Length: 7\r\n\r\nforeign");
+                    }
+                }
+                return this->caller->has("refused, may have run");
+            },
+            [this] { this->disconnect_caller(); });
+        this->finish(false);
+        CHECK_FALSE(this->caller->has("foreign"));
+    }
+
     std::function<bool()> caller_has(const std::string& part)
     {
         return [this, part] { return this->caller->has(part); };
@@ -506,6 +529,7 @@
     }
 
     std::vector<script_socket*> runs;
+    std::set<std::size_t> answered; // indexes of runs
     std::size_t endless_bytes = 0;
 };
 
@@ -947,6 +971,27 @@
     this->finish(false);
 }
 
+// Guards against passing on bytes that are not an endpoint's answer, with a status that says that
+// the request succeeded.
+TEST(event_relay, a_foreign_success_is_not_forwarded)
+{
+    this->run_foreign_answer(work_kind::at_most_once, "200");
+    CHECK_EQUAL(1U, this->sends_of("GET /a "));
+}
+
+// Guards against passing on a foreign status that says that a request has not run, so that its
+// caller sends it again.
+TEST(event_relay, a_foreign_refusal_is_not_forwarded)
+{
+    this->run_foreign_answer(work_kind::at_most_once, "503");
+    CHECK_EQUAL(1U, this->sends_of("GET /a "));
+}
+
+TEST(event_relay, a_foreign_success_of_the_last_attempt_is_not_forwarded)
+{
+    this->run_foreign_answer(work_kind::idempotent, "200");
+}
+
 // The small model has low confidence in its answer, and the team was removed, so no larger model
 // may be asked. The caller gets the small model's answer.
 TEST(event_relay, a_low_confidence_answer_is_forwarded_after_the_team_was_removed)
