--- a/adapters/src/buffered_socket.hpp
+++ b/adapters/src/buffered_socket.hpp
@@ -33,8 +33,8 @@
 
     tcp_socket socket;
     std::string pending;
-    std::size_t sent = 0; // bytes of `pending` already written
-    int last_error = 0;
+    std::size_t sent = 0;  // bytes of `pending` already written
+    int last_error = 0;    // of the write that found the connection lost
     std::size_t total = 0; // bytes written since the socket was opened
 };
 
--- a/adapters/src/http_exchange.hpp
+++ b/adapters/src/http_exchange.hpp
@@ -96,8 +96,7 @@
     curl_easy easy;
     curl_list header_list;
     std::chrono::milliseconds unacknowledged_timeout{};
-    std::optional<delivery_monitor>
-        delivery; // from when the request is sent until its answer begins
+    std::optional<delivery_monitor> delivery; // of the request, once it is being sent
     curl_socket_t socket = CURL_SOCKET_BAD;
     bool setup_failed = false;
 
