Share the tests' peer that vanishes, and their large answer

The filter that makes a socket ignore all that arrives stood in script_socket and in raw_connection; both call drop_all_that_arrives now. Two tests of http_inbound began the same large answer in the same lines. No assertion changed.

--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -102,6 +102,12 @@
     exchange.write("two");
 }
 
+void begin_large_answer(inbound_exchange& exchange)
+{
+    begin(exchange);
+    exchange.write(large_body);
+}
+
 void end(inbound_exchange& exchange)
 {
     exchange.end();
@@ -388,14 +394,7 @@
     this->connect_slow_caller();
     loop_script script(this->loop);
     this->caller->send(request("/a"));
-    script
-        .when(this->has_requests(1),
-              [this] {
-                  this->listener.call_exchange([](inbound_exchange& exchange) {
-                      begin(exchange);
-                      exchange.write(large_body);
-                  });
-              })
+    script.when(this->has_requests(1), [this] { this->listener.call_exchange(begin_large_answer); })
         .when(this->has_passed(longer_than_acknowledgement_time),
               [this] { this->caller->vanish(); })
         .until([this] { return this->listener.disconnects == 1; });
@@ -455,14 +454,7 @@
     this->connect_slow_caller(longer_than_acknowledgement_time);
     loop_script script(this->loop);
     this->caller->send(request("/a"));
-    script
-        .when(this->has_requests(1),
-              [this] {
-                  this->listener.call_exchange([](inbound_exchange& exchange) {
-                      begin(exchange);
-                      exchange.write(large_body);
-                  });
-              })
+    script.when(this->has_requests(1), [this] { this->listener.call_exchange(begin_large_answer); })
         .until([this] { return this->listener.disconnects == 1; });
     CHECK_TRUE(script.run());
     CHECK_EQUAL(1U, this->server->counts().unread);
--- a/adapters/test/raw_server.hpp
+++ b/adapters/test/raw_server.hpp
@@ -1,9 +1,10 @@
 #ifndef PEARHAVEN_ADAPTERS_TEST_RAW_SERVER_HPP
 #define PEARHAVEN_ADAPTERS_TEST_RAW_SERVER_HPP
 
+#include "vanished_peer.hpp"
+
 #include <arpa/inet.h>
 #include <fcntl.h>
-#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -112,14 +113,8 @@
 
     void shut() const { shutdown(this->socket, SHUT_RDWR); }
 
-    // From now on this end ignores all that arrives and acknowledges nothing, like a host that has
-    // lost power.
-    void vanish() const
-    {
-        sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
-        const sock_fprog program{1, &drop_all};
-        setsockopt(this->socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
-    }
+    // Acts like a host that has lost power.
+    void vanish() const { tests::drop_all_that_arrives(this->socket); }
 
     // Resets the connection, so that the other end's next use of it fails. The descriptor number
     // stays in use until its owner closes it.
--- a/tests/support/loop_script.hpp
+++ b/tests/support/loop_script.hpp
@@ -1,11 +1,12 @@
 #ifndef PEARHAVEN_TESTS_SUPPORT_LOOP_SCRIPT_HPP
 #define PEARHAVEN_TESTS_SUPPORT_LOOP_SCRIPT_HPP
 
+#include "vanished_peer.hpp"
+
 #include "pearhaven/adapters/event_loop.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
-#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -115,14 +116,8 @@
         this->close();
     }
 
-    // From now on this end ignores all that arrives and acknowledges nothing, like a host that has
-    // lost power.
-    void vanish()
-    {
-        sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
-        const sock_fprog program{1, &drop_all};
-        setsockopt(this->socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
-    }
+    // Acts like a host that has lost power.
+    void vanish() { drop_all_that_arrives(this->socket); }
 
     void close()
     {
