--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -2,6 +2,7 @@
 
 #include "loop_script.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,6 +18,7 @@
 using std::chrono::milliseconds;
 using tests::loop_script;
 using tests::script_socket;
+using tests::short_outages;
 
 namespace {
 
@@ -402,6 +404,38 @@
     CHECK_EQUAL(1U, this->server->counts().unacknowledged);
 }
 
+// Guards against losing a request that waits for its answer because one probe of its idle
+// connection was not acknowledged within a second.
+TEST(http_inbound, callers_that_are_unreachable_for_two_seconds_get_their_answers)
+{
+    IGNORE_ALL_LEAKS_IN_TEST(); // the log is created with its first line and kept
+    std::vector<std::unique_ptr<script_socket>> callers;
+    std::vector<script_socket*> peers;
+    while (callers.size() < short_outages::connections) {
+        callers.push_back(script_socket::connect(this->server->port()));
+        callers.back()->send(request("/" + std::to_string(callers.size())));
+        peers.push_back(callers.back().get());
+    }
+    std::unique_ptr<short_outages> outages;
+    loop_script script(this->loop);
+    script
+        .when(this->has_requests(callers.size()),
+              [&] { outages = std::make_unique<short_outages>(this->loop, peers); })
+        .when([&] { return outages->is_over(); },
+              [this] {
+                  for (const auto& exchange : this->listener.held) {
+                      answer(*exchange);
+                  }
+              })
+        .until([this, &peers] {
+            return this->listener.disconnects > 0 ||
+                   std::all_of(peers.begin(), peers.end(),
+                               [](auto* peer) { return peer->has("whole"); });
+        });
+    CHECK_TRUE(script.run());
+    CHECK_EQUAL(0, this->listener.disconnects);
+}
+
 // Guards against closing a connection, and ending the process, with an answer that the host has
 // accepted but the caller has not read.
 TEST(http_inbound, a_closing_connection_stays_open_until_its_answer_has_arrived)
@@ -574,9 +608,9 @@
     CHECK_TRUE(script.run());
 }
 
-// Bytes received on a connection that was closed a moment ago are lost; the server counts such
-// connections.
-TEST(http_inbound, a_request_on_a_connection_closed_as_idle_is_counted)
+// Guards against reading a request that nobody answers. Its caller must learn that it was not read,
+// since only then it may send it again.
+TEST(http_inbound, a_request_that_crosses_the_close_of_its_idle_connection_is_left_unread)
 {
     IGNORE_ALL_LEAKS_IN_TEST(); // the log is created with its first line and kept
     loop_script script(this->loop);
@@ -585,12 +619,38 @@
         .when([this] { return this->caller->has("whole"); }, [this] { this->server->close_idle(); })
         .when([this] { return this->caller->is_ended(); },
               [this] { this->caller->send(request("/late")); })
-        .until([this] { return this->server->counts().sent_to_closed == 1; });
+        .until([this, is_late = this->has_passed(longer_than_a_close_lingers)]() mutable {
+            return this->caller->is_reset() || is_late();
+        });
     CHECK_TRUE(script.run());
+    CHECK_TRUE(this->caller->is_reset());
+    CHECK_EQUAL(1, this->server->counts().sent_to_closed);
     CHECK_EQUAL(1, this->server->counts().closed_as_idle);
     CHECK_EQUAL(1, this->listener.targets.size());
 }
 
+// Guards against reading a request behind one whose answer is cut off: it would get no answer, and
+// its caller could not know whether it had run.
+TEST(http_inbound, a_request_behind_an_aborted_answer_is_left_unread)
+{
+    loop_script script(this->loop);
+    this->caller->send(request("/a"));
+    script
+        .when(this->has_requests(1),
+              [this] {
+                  this->listener.call_exchange(begin);
+                  this->caller->send(request("/behind"));
+              })
+        .when(this->has_passed(several_polls),
+              [this] { this->listener.call_exchange(abort_exchange); })
+        .until([this, is_late = this->has_passed(longer_than_a_close_lingers)]() mutable {
+            return this->caller->is_reset() || is_late();
+        });
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(this->caller->is_reset());
+    CHECK_EQUAL(1, this->listener.targets.size());
+}
+
 // The listener aborts the request in `on_request`, while received bytes are still being processed.
 TEST(http_inbound, a_connection_aborted_while_its_bytes_are_processed_processes_no_more)
 {
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -3,6 +3,7 @@
 #include "loop_script.hpp"
 #include "tcp_socket.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -22,6 +23,8 @@
 using std::chrono::seconds;
 using tests::loop_script;
 using tests::script_listener;
+using tests::script_socket;
+using tests::short_outages;
 
 namespace {
 
@@ -515,3 +518,67 @@
     CHECK_TRUE(script.run());
     CHECK_TRUE(this->seen->failure->why == outbound_fault::connection_lost);
 }
+
+TEST_GROUP(http_outbound_to_unreachable_endpoint)
+{
+    event_loop loop;
+    script_listener endpoint;
+    std::unique_ptr<http_outbound> client;
+
+    void setup() override
+    {
+        this->client = make_http_outbound(this->loop, {});
+    }
+
+    void teardown() override
+    {
+        this->client.reset();
+    }
+};
+
+// Guards against losing a run because one probe of its idle connection was not acknowledged within
+// a second.
+TEST(http_outbound_to_unreachable_endpoint, runs_survive_two_seconds)
+{
+    std::vector<boost::intrusive_ptr<recording_listener>> runs;
+    while (runs.size() < short_outages::connections) {
+        runs.emplace_back(new recording_listener);
+        outbound_request request;
+        request.method = "GET";
+        request.fields = {{"Host", "h"}};
+        request.fresh_connection = true;
+        this->client->start({"endpoint", "127.0.0.1", this->endpoint.port()}, std::move(request),
+                            runs.back());
+    }
+    std::unique_ptr<short_outages> outages;
+    loop_script script(this->loop);
+    script
+        .when(
+            [this, &runs] {
+                const auto& all = this->endpoint.connections();
+                return all.size() == runs.size() &&
+                       std::all_of(all.begin(), all.end(),
+                                   [](const auto& one) { return one->ends_with("\r\n\r\n"); });
+            },
+            [this, &outages] {
+                std::vector<script_socket*> peers;
+                for (const auto& connection : this->endpoint.connections()) {
+                    peers.push_back(connection.get());
+                }
+                outages = std::make_unique<short_outages>(this->loop, peers);
+            })
+        .when([&outages] { return outages->is_over(); },
+              [this] {
+                  for (const auto& connection : this->endpoint.connections()) {
+                      connection->send(answer);
+                  }
+              })
+        .until([&runs] {
+            return std::all_of(runs.begin(), runs.end(),
+                               [](const auto& run) { return run->failure || run->ended; });
+        });
+    CHECK_TRUE(script.run());
+    for (const auto& run : runs) {
+        CHECK_TRUE(run->ended);
+    }
+}
--- a/tests/support/loop_script.hpp
+++ b/tests/support/loop_script.hpp
@@ -118,6 +118,17 @@
 
     // Acts like a host that has lost power.
     void vanish() { drop_all_that_arrives(this->socket); }
+    void reappear() { accept_what_arrives(this->socket); }
+
+    // Whether the other end has reset the connection, also after it had closed it in order.
+    [[nodiscard]] bool is_reset()
+    {
+        int error = 0;
+        socklen_t length = sizeof error;
+        getsockopt(this->socket, SOL_SOCKET, SO_ERROR, &error, &length);
+        this->was_reset = this->was_reset || error != 0;
+        return this->was_reset;
+    }
 
     void close()
     {
@@ -131,6 +142,7 @@
     std::string unsent;
     std::string text;
     bool ended = false;
+    bool was_reset = false;
 };
 
 // A listening socket whose connections the test serves itself.
@@ -176,6 +188,36 @@
     std::vector<std::unique_ptr<script_socket>> accepted;
 };
 
+// Makes the hosts of several connections unreachable for two seconds each, one half a second after
+// the other, so that any probe of an idle connection gets no answer on some of them.
+class short_outages {
+public:
+    static constexpr std::size_t connections = 12;
+    static constexpr std::chrono::seconds duration{2};
+
+    // All outages are over, and an idle connection that was lost in one has ended.
+    static constexpr std::chrono::seconds end{11};
+
+    // The outages begin now. Connections and loop must outlive this object's last step.
+    short_outages(adapters::event_loop& test_loop, const std::vector<script_socket*>& peers)
+        : loop(test_loop)
+    {
+        auto begin = std::chrono::milliseconds(1500);
+        for (auto* const peer : peers) {
+            this->loop.after(begin, [peer] { peer->vanish(); });
+            this->loop.after(begin + duration, [peer] { peer->reappear(); });
+            begin += std::chrono::milliseconds(500);
+        }
+        this->loop.after(end, [this] { this->over = true; });
+    }
+
+    [[nodiscard]] bool is_over() const { return this->over; }
+
+private:
+    adapters::event_loop& loop;
+    bool over = false;
+};
+
 // A test's steps on the loop; each waits for its condition. The code under test sees all effects of
 // one step at once, before the loop can process a part of them.
 class loop_script {
--- a/tests/support/vanished_peer.hpp
+++ b/tests/support/vanished_peer.hpp
@@ -15,6 +15,13 @@
     setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
 }
 
+// Ends the effect of `drop_all_that_arrives`.
+inline void accept_what_arrives(int socket)
+{
+    const int unused = 0;
+    setsockopt(socket, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
+}
+
 } // namespace pearhaven::tests
 
 #endif
