--- a/adapters/include/pearhaven/adapters/http_outbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_outbound.hpp
@@ -50,6 +50,8 @@
     bool answer_began = false; // a head was received
     bool was_reused = false;   // the connection had been used by an earlier exchange
 
+    bool unacknowledged = false; // the host gave up: the other one acknowledged nothing
+
     friend bool operator==(const outbound_failure&, const outbound_failure&) = default;
 };
 
--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -62,7 +62,7 @@
         return this->counted.unsent_bytes < this->bounds.unsent_bytes;
     }
     void on_refused_head() override { ++this->counted.refused_heads; }
-    void on_unacknowledged() override;
+    void on_unacknowledged(bool in_progress) override;
     void on_unread(decision::duration stalled) override;
     void on_closed_as_idle() override { ++this->counted.closed_as_idle; }
     void on_sent_to_closed(decision::duration closed, decision::duration idle_duration) override;
@@ -114,10 +114,11 @@
     });
 }
 
-void inbound_server::on_unacknowledged()
+void inbound_server::on_unacknowledged(bool in_progress)
 {
     ++this->counted.unacknowledged;
-    log_warning("caller_unreachable", {{"cause", "sent bytes were not acknowledged"}});
+    log_warning("caller_unreachable", {{"cause", "bytes or a probe were not acknowledged"},
+                                       {"in_progress", in_progress ? "true" : "false"}});
 }
 
 void inbound_server::on_unread(decision::duration stalled)
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -408,7 +408,7 @@
 void inbound_socket::close_as_lost(int error)
 {
     if (error == ETIMEDOUT) {
-        this->owner.on_unacknowledged();
+        this->owner.on_unacknowledged(this->current_phase == phase::answering);
     }
     this->close(true);
 }
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -23,7 +23,9 @@
     virtual void change_unsent(std::size_t before, std::size_t now) = 0;
     [[nodiscard]] virtual bool has_room() const = 0;
     virtual void on_refused_head() = 0;
-    virtual void on_unacknowledged() = 0;
+    // The caller's host acknowledged nothing for too long. `in_progress`: before the end of the
+    // answer to a request.
+    virtual void on_unacknowledged(bool in_progress) = 0;
     virtual void on_unread(decision::duration stalled) = 0;
     virtual void on_closed_as_idle() = 0;
 
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -1,6 +1,7 @@
 #include "outbound_socket.hpp"
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 
 namespace pearhaven::adapters {
@@ -165,7 +166,7 @@
     }
     const auto bytes = std::exchange(this->unsent_request, {});
     if (!this->socket.write(bytes)) {
-        this->fail(outbound_fault::connection_lost);
+        this->fail(outbound_fault::connection_lost, this->socket.error());
         return;
     }
     this->observe_delivery();
@@ -201,7 +202,7 @@
     }
     if (writable && this->socket.unsent() > 0) {
         if (!this->socket.flush()) {
-            this->fail(outbound_fault::connection_lost);
+            this->fail(outbound_fault::connection_lost, this->socket.error());
             return;
         }
         if (this->socket.unsent() == 0) {
@@ -226,7 +227,7 @@
         return;
     }
     if (transfer.outcome == tcp_outcome::closed && transfer.error != 0) {
-        this->fail(outbound_fault::connection_lost);
+        this->fail(outbound_fault::connection_lost, transfer.error);
         return;
     }
     if (transfer.bytes > 0) {
@@ -338,7 +339,8 @@
     callback->on_end();
 }
 
-void outbound_socket::fail(outbound_fault why)
+// `error` is the errno of a lost connection, or 0.
+void outbound_socket::fail(outbound_fault why, int error)
 {
     if (this->current_phase == phase::closed) {
         return;
@@ -348,6 +350,7 @@
     how.why = why;
     how.answer_began = this->head_received;
     how.was_reused = this->reused;
+    how.unacknowledged = error == ETIMEDOUT;
     this->close();
     if (callback) {
         callback->on_failure(how);
--- a/adapters/src/outbound_socket.hpp
+++ b/adapters/src/outbound_socket.hpp
@@ -58,7 +58,7 @@
     void read_more();
     void process_bytes(std::string_view bytes);
     void finish();
-    void fail(outbound_fault why);
+    void fail(outbound_fault why, int error = 0);
     void fail_soon(outbound_fault why);
     void close();
     void watch();
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -195,7 +195,8 @@
     void log_brittle_refusal(const relayed_request& relayed) const;
     static void log_limit(std::string_view event, std::string_view unit,
                           std::optional<double> limit, const relayed_request& relayed);
-    void end_attempt(relayed_request& relayed, decision::attempt_end end, bool was_reused = false);
+    void end_attempt(relayed_request& relayed, decision::attempt_end end,
+                     const adapters::outbound_failure& how = {});
     void cut_off(ticket_number ticket, relayed_request& relayed);
     void pass_events(ticket_number ticket, relayed_request& relayed, std::string_view piece);
     void begin_answer(relayed_request& relayed);
@@ -919,7 +920,7 @@
     end.result = result_of(how);
     end.answer_began = how.answer_began;
     end.connection_lost = how.why == adapters::outbound_fault::connection_lost;
-    this->end_attempt(*relayed, end, how.was_reused);
+    this->end_attempt(*relayed, end, how);
 }
 
 // A plain answer that was too long to buffer broke off. The part that the caller has received
@@ -935,7 +936,7 @@
 }
 
 void event_relay::state::end_attempt(relayed_request& relayed, decision::attempt_end end,
-                                     bool was_reused)
+                                     const adapters::outbound_failure& how)
 {
     auto& current = relayed.attempt;
     end.tokens = current.tokens;
@@ -951,7 +952,8 @@
                               {"endpoint", current.endpoint.address},
                               {"incarnation", std::to_string(current.endpoint.incarnation)},
                               {"result", name_of(end.result)},
-                              {"reused", was_reused ? "true" : "false"},
+                              {"reused", how.was_reused ? "true" : "false"},
+                              {"unacknowledged", how.unacknowledged ? "true" : "false"},
                               {"connection_lost", end.connection_lost ? "true" : "false"},
                               {"answer_began", end.answer_began ? "true" : "false"},
                               {"status", std::to_string(current.head.status)},
