Keep a connection that waits for an answer when one probe is lost

Callers lost requests, and routers runs at endpoints, on connections of which no bytes were outstanding: a request had been read, its answer had not begun, and the host ended the connection.

Cause: TCP_USER_TIMEOUT also decides when keepalive probes are given up. Probes began after 5 s, and the timeout was 5 s for callers and 2 s for endpoints, so that it had passed when the first probe was sent: one that was not acknowledged within a second ended the connection, by a lost segment or by a link that is full for a second, which a large configuration does on a small host.

Change: while nothing is outstanding, the timeout is 6 s and probes begin after 3 s, so that three fit into it; delivery_monitor sets the short one with the next byte. A silent connection ends 6 s after its last byte, as before (5 s plus a second). The same for libcurl's sockets, whose probes were 5 s apart, and, as far as their 3 s allow, for links between routers (two probes).

Tests: callers_that_are_unreachable_for_two_seconds_get_their_answers lost 4 of 12 before, none now; runs_survive_two_seconds failed before, passes now. Two expectations of delivery_monitor held the old rule: after a stall the timeout is that of an idle connection, and a silent connection ends after three probes; its bound is shorter than before (9 s instead of 12 s after the last byte).

--- a/adapters/include/pearhaven/adapters/http_client.hpp
+++ b/adapters/include/pearhaven/adapters/http_client.hpp
@@ -102,8 +102,7 @@
 };
 
 struct http_client_settings {
-    std::size_t pooled_connections = 512;    // maximum of idle connections, besides those in use
-    std::chrono::seconds keepalive_probe{5}; // TCP keepalive on idle connections
+    std::size_t pooled_connections = 512; // maximum of idle connections, besides those in use
 
     // Longest time that sent bytes may remain unacknowledged by the other host. When a device on
     // the path has lost the state of a connection, the exchange ends with `connection_lost` after
--- a/adapters/src/delivery_monitor.cpp
+++ b/adapters/src/delivery_monitor.cpp
@@ -16,18 +16,22 @@
 
 } // namespace
 
-void delivery_monitor::on_written(decision::instant now)
+void delivery_monitor::on_written(int socket, decision::instant now)
 {
     if (!this->observing) {
         this->observing = true;
         this->last_check = now;
         this->stall_start = now;
         this->next_check = now + this->timeout / checks_per_timeout;
+        this->set_timeout(socket, this->timeout);
     }
 }
 
 bool delivery_monitor::check(int socket, decision::instant now)
 {
+    if (this->current_timeout == decision::duration()) {
+        this->set_timeout(socket, this->timeout);
+    }
     const auto delivery = delivery_of(socket);
     const auto acknowledged = delivery ? delivery->acknowledged_bytes : 0;
     const bool progressed = acknowledged != this->acknowledged_bytes;
@@ -40,7 +44,7 @@
     this->stall = this->waiting && !progressed ? now - this->stall_start : decision::duration();
     this->next_check = now + this->timeout / checks_per_timeout_while_outstanding;
     if (this->stall == decision::duration()) {
-        this->set_timeout(socket, this->timeout);
+        this->set_timeout(socket, this->waiting ? this->timeout : idle_timeout(this->timeout));
     } else if (const auto step = this->timeout * step_part;
                delivery->awaits_reader || delivery->silence < step) {
         const auto extended = std::chrono::ceil<std::chrono::milliseconds>(this->stall + step);
@@ -51,7 +55,7 @@
 
 void delivery_monitor::set_timeout(int socket, std::chrono::milliseconds chosen)
 {
-    if (chosen != this->current_timeout) {
+    if (socket >= 0 && chosen != this->current_timeout) {
         this->current_timeout = chosen;
         set_unacknowledged_timeout(socket, chosen);
     }
--- a/adapters/src/delivery_monitor.hpp
+++ b/adapters/src/delivery_monitor.hpp
@@ -11,18 +11,19 @@
 // unacknowledged bytes also ends a connection whose peer acknowledges every probe but reads
 // nothing. While probes are acknowledged, the monitor moves that timeout ahead in small steps, so
 // that the system keeps probing and still detects a peer that disappears. Once bytes are
-// acknowledged again, the configured timeout is restored; it also decides when an idle connection
-// fails. Where the system tells nothing about its connections, the configured timeout stays.
+// acknowledged again, the configured timeout is restored. While nothing is outstanding,
+// `idle_timeout` applies, so that a lost probe does not end the connection. Where the system tells
+// nothing about its connections, no timeout is extended.
 class delivery_monitor {
 public:
-    // The timeout that the socket was given; at least 1.5 s, because a host acknowledges no more
-    // than two probes a second.
+    // At least 1.5 s, because a host acknowledges no more than two probes a second. Until the first
+    // write the socket must have the `idle_timeout`.
     explicit delivery_monitor(std::chrono::milliseconds unacknowledged_timeout)
-        : timeout(unacknowledged_timeout), current_timeout(unacknowledged_timeout)
+        : timeout(unacknowledged_timeout)
     {}
 
-    // Must be called after each write.
-    void on_written(decision::instant now);
+    // Must be called after each write. The socket may be negative if it is not known yet.
+    void on_written(int socket, decision::instant now);
 
     // Whether a check is due. Checks that are later than the step of the timeout risk the
     // connection of a slow peer.
@@ -51,7 +52,7 @@
     void set_timeout(int socket, std::chrono::milliseconds chosen);
 
     std::chrono::milliseconds timeout;
-    std::chrono::milliseconds current_timeout;
+    std::chrono::milliseconds current_timeout{}; // of the socket; zero before the first write
     bool observing = false; // bytes were written, and no check has found them acknowledged
     bool waiting = false;
     decision::instant next_check;
--- a/adapters/src/http_exchange.cpp
+++ b/adapters/src/http_exchange.cpp
@@ -100,7 +100,6 @@
 void http_exchange::set_connection(const http_client_settings& settings)
 {
     this->unacknowledged_timeout = settings.unacknowledged_timeout;
-    const auto probe_seconds = static_cast<long>(settings.keepalive_probe.count());
     this->set(CURLOPT_URL, this->request.url.c_str());
     this->set(CURLOPT_PATH_AS_IS, 1L);
     this->set(CURLOPT_DISALLOW_USERNAME_IN_URL, 1L);
@@ -110,8 +109,8 @@
     this->set(CURLOPT_NOSIGNAL, 1L);
     this->set(CURLOPT_TCP_NODELAY, 1L);
     this->set(CURLOPT_TCP_KEEPALIVE, 1L);
-    this->set(CURLOPT_TCP_KEEPIDLE, probe_seconds);
-    this->set(CURLOPT_TCP_KEEPINTVL, probe_seconds);
+    this->set(CURLOPT_TCP_KEEPIDLE, static_cast<long>(probe_start.count()));
+    this->set(CURLOPT_TCP_KEEPINTVL, static_cast<long>(probe_period.count()));
     this->set(CURLOPT_MAXAGE_CONN, max_idle_seconds);
     this->set(CURLOPT_BUFFERSIZE, receive_buffer_bytes);
     this->set(CURLOPT_FRESH_CONNECT, this->request.fresh_connection ? 1L : 0L);
@@ -287,7 +286,7 @@
     this->last_progress = std::chrono::steady_clock::now();
     if (next == phase::awaiting_head) {
         this->delivery.emplace(this->unacknowledged_timeout);
-        this->delivery->on_written(event_loop::read_clock());
+        this->delivery->on_written(this->socket, event_loop::read_clock());
     }
     if (const auto limit = this->next_check()) {
         this->deadlines.arm(*this, *limit);
@@ -386,7 +385,8 @@
 
 int http_exchange::on_socket_open(void* self, curl_socket_t socket, curlsocktype /*purpose*/)
 {
-    set_unacknowledged_timeout(socket, static_cast<http_exchange*>(self)->unacknowledged_timeout);
+    const auto timeout = static_cast<http_exchange*>(self)->unacknowledged_timeout;
+    set_unacknowledged_timeout(socket, idle_timeout(timeout));
     return CURL_SOCKOPT_OK;
 }
 
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -103,7 +103,7 @@
       reader(http_reader_kind::requests, *this, server.limits().head_bytes),
       wait_started(server.loop().now()), idle_time(server.limits().idle_time)
 {
-    this->socket.get().set_options(server.limits().unacknowledged_time);
+    this->socket.get().set_options(idle_timeout(server.limits().unacknowledged_time));
     this->socket.get().limit_unsent(max_unsent_in_system);
     this->watch();
 }
@@ -133,7 +133,7 @@
             return;
         }
         this->report_unsent(this->socket.unsent());
-        this->delivery.on_written(this->owner.loop().now());
+        this->delivery.on_written(this->number(), this->owner.loop().now());
         this->note_progress();
         if (had_unsent && this->socket.unsent() == 0) {
             this->watch();
@@ -313,7 +313,7 @@
         return;
     }
     this->report_unsent(this->socket.unsent());
-    this->delivery.on_written(this->owner.loop().now());
+    this->delivery.on_written(this->number(), this->owner.loop().now());
     if (!had_unsent && this->socket.unsent() > 0) {
         this->watch();
     }
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -41,7 +41,7 @@
       reader(http_reader_kind::responses, *this, client.settings().max_head)
 {
     if (this->socket.get()) {
-        this->socket.get().set_options(client.settings().unacknowledged_timeout);
+        this->socket.get().set_options(idle_timeout(client.settings().unacknowledged_timeout));
     }
 }
 
@@ -176,7 +176,7 @@
 // An endpoint may read a long body slowly.
 void outbound_socket::observe_delivery()
 {
-    this->delivery.on_written(this->owner.loop().now());
+    this->delivery.on_written(this->socket.get().get(), this->owner.loop().now());
     if (this->delivery_timer == 0) {
         this->delivery_timer = this->owner.loop().after(
             this->delivery.next() - this->owner.loop().now(), [this] { this->check_delivery(); });
--- a/adapters/src/tcp_socket.cpp
+++ b/adapters/src/tcp_socket.cpp
@@ -1,5 +1,6 @@
 #include "tcp_socket.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstddef>
 #include <linux/tcp.h> // unlike <netinet/tcp.h>, has all fields of tcp_info
@@ -131,15 +132,19 @@
     return tcp_socket(accept4(this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
 }
 
-void tcp_socket::set_options(std::chrono::milliseconds unacknowledged_timeout) const
+void tcp_socket::set_options(std::chrono::milliseconds timeout) const
 {
-    constexpr int idle_seconds = 5;
-    constexpr int probe_seconds = 1;
+    // With a short timeout, probes begin early enough for one of them to be lost.
+    const auto latest_start =
+        std::chrono::floor<std::chrono::seconds>(timeout) - max_lost_probes * probe_period;
+    const auto start = std::clamp(latest_start, probe_period, probe_start);
     set_integer_option(this->descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     set_integer_option(this->descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-    set_integer_option(this->descriptor, IPPROTO_TCP, TCP_KEEPIDLE, idle_seconds);
-    set_integer_option(this->descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probe_seconds);
-    set_unacknowledged_timeout(this->descriptor, unacknowledged_timeout);
+    set_integer_option(this->descriptor, IPPROTO_TCP, TCP_KEEPIDLE,
+                       static_cast<int>(start.count()));
+    set_integer_option(this->descriptor, IPPROTO_TCP, TCP_KEEPINTVL,
+                       static_cast<int>(probe_period.count()));
+    set_unacknowledged_timeout(this->descriptor, timeout);
 }
 
 void tcp_socket::limit_unsent(std::size_t bytes) const
--- a/adapters/src/tcp_socket.hpp
+++ b/adapters/src/tcp_socket.hpp
@@ -13,6 +13,22 @@
 // For sockets of any owner. How long the other host may leave bytes unacknowledged.
 void set_unacknowledged_timeout(int socket, std::chrono::milliseconds timeout);
 
+// Keepalive probes of an idle connection: how long nothing must have been received before the first
+// one, the time between two of them, and how many may stay without an acknowledgement.
+inline constexpr std::chrono::seconds probe_start{3};
+inline constexpr std::chrono::seconds probe_period{1};
+inline constexpr int max_lost_probes = 2;
+
+// The timeout for a connection of which no bytes are outstanding: all probes fit into it. The
+// system applies the same timeout to probes, so that a shorter one would end the connection with
+// the first probe that is lost or late.
+constexpr std::chrono::milliseconds
+idle_timeout(std::chrono::milliseconds unacknowledged_timeout) noexcept
+{
+    const std::chrono::milliseconds all_probes = probe_start + (max_lost_probes + 1) * probe_period;
+    return all_probes > unacknowledged_timeout ? all_probes : unacknowledged_timeout;
+}
+
 enum class tcp_outcome { done, would_block, closed };
 
 struct tcp_transfer {
@@ -60,10 +76,10 @@
     [[nodiscard]] tcp_socket accept() const;
 
     // Disables the delay of small writes, enables keepalive probes on an idle connection, and makes
-    // the connection fail when the other host does not acknowledge sent bytes within the timeout.
-    // It also fails when the other end has not read for so long (tcp(7), TCP_USER_TIMEOUT), unless
-    // `delivery_monitor` extends the timeout.
-    void set_options(std::chrono::milliseconds unacknowledged_timeout) const;
+    // the connection fail when the other host does not acknowledge sent bytes, or probes, within
+    // the timeout. It also fails when the other end has not read for so long (tcp(7),
+    // TCP_USER_TIMEOUT), unless `delivery_monitor` extends the timeout.
+    void set_options(std::chrono::milliseconds timeout) const;
 
     // The system then accepts only as many bytes as it could send soon. Otherwise it holds several
     // megabytes for a peer that does not read.
