Leave a request unread that its connection will not answer

Callers sent whole requests that were read and dropped: one that crossed the close of an idle connection, because a closed connection was read on for a second, and one behind an answer that was cut off, because up to 64 KiB of later requests were read ahead. Such a caller gets neither an answer nor a refusal and cannot know that its request was not run, so that it may not repeat it.

Class: a request is taken from the socket before it is certain that this connection can answer it. Now only bytes that come with the end of the request in progress are read before its answer has ended; a disconnect is detected by looking at the next byte. A connection that was closed as idle is reset as soon as something arrives on it, unless its last answer may still be in transit. The rest of a refused request is read as before. In a stop, a request that has arrived behind the one that is answered is answered too, also if it came later than it (a_request_behind_another_..., dropped before).

--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -103,7 +103,7 @@
     std::uint64_t unacknowledged = 0; // closed because the caller's host did not acknowledge
     std::uint64_t unread = 0;         // closed because the caller did not read
     std::uint64_t closed_as_idle = 0;
-    std::uint64_t sent_to_closed = 0; // of those: received further bytes, which were lost
+    std::uint64_t sent_to_closed = 0; // of those: received further bytes, which were not read
     std::size_t open = 0;
     std::size_t unsent_bytes = 0; // held for callers that have not taken them
 
@@ -111,8 +111,8 @@
 };
 
 // An HTTP/1.1 server on an event loop. Each connection serves one request at a time; the next one
-// stays buffered until the answer has ended. A caller that disconnects is detected while its
-// request is in progress.
+// is not read until the answer has ended, apart from bytes that came with the end of the first. A
+// caller that disconnects is detected while its request is in progress.
 class http_inbound {
 public:
     virtual ~http_inbound() = default;
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -15,10 +15,6 @@
 // here.
 constexpr std::size_t max_unsent_in_system = 64U << 10U;
 
-// Maximum of bytes of later requests that are buffered while one is in progress; further bytes stay
-// in the socket.
-constexpr std::size_t max_pipelined_bytes = 64U << 10U;
-
 // How long a connection that this end has closed is still read after its last answer has arrived. A
 // close with unread bytes resets the connection, and the reset can overtake the last answer.
 constexpr decision::duration linger_timeout = std::chrono::seconds(1);
@@ -120,8 +116,8 @@
 
 void inbound_socket::watch()
 {
-    const bool reads = this->pipelined.size() < max_pipelined_bytes;
-    this->owner.loop().watch(this->number(), *this, reads, this->socket.unsent() > 0);
+    this->owner.loop().watch(this->number(), *this, !this->has_unread_bytes,
+                             this->socket.unsent() > 0);
 }
 
 void inbound_socket::on_ready(bool readable, bool writable, bool failed)
@@ -145,7 +141,11 @@
         }
     }
     if ((readable || failed) && this->current_phase != phase::closed) {
-        this->read_more();
+        if (this->current_phase == phase::reading || this->drains) {
+            this->read_more();
+        } else {
+            this->look_ahead(failed);
+        }
     }
 }
 
@@ -204,23 +204,49 @@
     }
     if (this->current_phase == phase::reading) {
         this->process_bytes({bytes.data(), transfer.bytes});
-    } else if (this->current_phase == phase::answering) {
-        this->pipelined.append(bytes.data(), transfer.bytes);
-        if (this->pipelined.size() >= max_pipelined_bytes) {
-            this->watch();
-        }
-    } else if (this->current_phase == phase::lingering) {
-        this->record_bytes_after_close();
     }
 }
 
-// The caller of a request that is lost in this way gets no answer, and this end knows only that
-// bytes arrived.
-void inbound_socket::record_bytes_after_close()
+// Detects a caller that disconnects. A request that has arrived is not read before its turn.
+void inbound_socket::look_ahead(bool failed)
+{
+    if (failed && this->has_unread_bytes) {
+        this->close_as_lost(this->socket.get().take_error());
+        return;
+    }
+    const auto transfer = this->socket.get().peek();
+    if (transfer.outcome == tcp_outcome::would_block) {
+        return;
+    }
+    if (transfer.outcome == tcp_outcome::closed) {
+        this->close_as_lost(transfer.error);
+        return;
+    }
+    this->has_unread_bytes = true;
+    this->watch();
+    if (this->current_phase == phase::lingering) {
+        this->on_bytes_after_close();
+    }
+}
+
+bool inbound_socket::next_request_arrived() const
+{
+    return !this->pipelined.empty() || this->has_unread_bytes ||
+           this->socket.get().peek().outcome == tcp_outcome::done;
+}
+
+// Bytes have arrived on a connection that this end has closed. The reset that follows a close with
+// unread bytes tells the caller at once that its request was not read. A reset could overtake an
+// answer that has not arrived.
+void inbound_socket::on_bytes_after_close()
 {
-    if (std::exchange(this->closed_as_idle, false)) {
-        this->owner.on_sent_to_closed(this->owner.loop().now() - this->wait_started,
-                                      this->idle_duration);
+    if (!std::exchange(this->closed_as_idle, false)) {
+        return;
+    }
+    this->owner.on_sent_to_closed(this->owner.loop().now() - this->wait_started,
+                                  this->idle_duration);
+    if (this->is_delivered()) {
+        this->close(false);
     }
 }
 
@@ -256,12 +282,8 @@
 void inbound_socket::process_pipelined()
 {
     if (!this->pipelined.empty() && this->current_phase == phase::reading) {
-        const bool was_full = this->pipelined.size() >= max_pipelined_bytes;
         const std::string bytes = std::exchange(this->pipelined, {});
         this->process_bytes(bytes);
-        if (was_full && this->current_phase != phase::closed) {
-            this->watch();
-        }
     }
 }
 
@@ -319,12 +341,12 @@
     }
 }
 
-// A server that is closing still answers a request of which bytes were read already: its caller
-// could not know whether it had run.
+// A server that is closing still answers a request that has arrived by now.
 bool inbound_socket::decide_close()
 {
     const bool is_last = this->exchange && !this->exchange->head().keep_alive;
-    this->closes_after_answer = is_last || (this->owner.is_closing() && this->pipelined.empty());
+    this->closes_after_answer =
+        is_last || (this->owner.is_closing() && !this->next_request_arrived());
     return this->closes_after_answer;
 }
 
@@ -352,6 +374,9 @@
         return;
     }
     this->current_phase = phase::reading;
+    if (std::exchange(this->has_unread_bytes, false)) {
+        this->watch();
+    }
     if (!this->pipelined.empty()) {
         this->request_deferred_work();
     }
@@ -363,6 +388,7 @@
     this->drop_exchange();
     this->send(write_response_head(status, {{"Content-Length", "0"}, {"Connection", "close"}}));
     if (this->current_phase != phase::closed) {
+        this->drains = true;
         this->linger();
     }
 }
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -68,7 +68,7 @@
 };
 
 // One connection of a caller. Functions called by the listener never call the listener back: a lost
-// connection is only marked, and pipelined bytes are only buffered, until the deferred work of the
+// connection is only marked, and pipelined bytes wait, until the deferred work of the
 // connection runs.
 class inbound_socket final : public socket_listener, public http_message_listener {
 public:
@@ -111,6 +111,8 @@
     enum class phase { reading, answering, lingering, closed };
 
     void read_more();
+    void look_ahead(bool failed);
+    [[nodiscard]] bool next_request_arrived() const;
     void process_bytes(std::string_view bytes);
     void process_pipelined();
     void begin_message();
@@ -118,7 +120,7 @@
     void refuse(int status);
     void linger();
     void close_as_idle();
-    void record_bytes_after_close();
+    void on_bytes_after_close();
     void close(bool caller_disconnected);
     void close_as_lost(int error);
     void report_disconnect();
@@ -144,7 +146,13 @@
     bool idle_close_pending = false;  // checked in the deferred work
     bool closed_as_idle = false;      // and nothing was received since
     timer_number deferred_work = 0;
-    std::string pipelined; // bytes after the request in progress
+    std::string pipelined; // bytes read together with the end of the request in progress
+
+    // Bytes have arrived that belong to a request after the one in progress, or to one that will
+    // not be answered. They stay in the socket: whoever closes the connection has not read them, so
+    // that their caller learns that the request was not run.
+    bool has_unread_bytes = false;
+    bool drains = false; // the rest of a refused request is read, so that its caller reads on
 
     // The request in progress. On a closed connection: the one whose listener has not been notified
     // yet that the caller disconnected.
--- a/adapters/src/tcp_socket.cpp
+++ b/adapters/src/tcp_socket.cpp
@@ -54,6 +54,15 @@
     return {again ? tcp_outcome::would_block : tcp_outcome::closed, 0, errno};
 }
 
+tcp_transfer receive(int socket, char* target, std::size_t capacity, int flags)
+{
+    const tcp_transfer transfer = transfer_of(recv(socket, target, capacity, flags));
+    if (transfer.outcome == tcp_outcome::done && transfer.bytes == 0) {
+        return {tcp_outcome::closed, 0};
+    }
+    return transfer;
+}
+
 } // namespace
 
 void set_unacknowledged_timeout(int socket, std::chrono::milliseconds timeout)
@@ -161,11 +170,21 @@
 
 tcp_transfer tcp_socket::read(char* target, std::size_t capacity) const
 {
-    const tcp_transfer transfer = transfer_of(recv(this->descriptor, target, capacity, 0));
-    if (transfer.outcome == tcp_outcome::done && transfer.bytes == 0) {
-        return {tcp_outcome::closed, 0};
-    }
-    return transfer;
+    return receive(this->descriptor, target, capacity, 0);
+}
+
+tcp_transfer tcp_socket::peek() const
+{
+    char byte = 0;
+    return receive(this->descriptor, &byte, 1, MSG_PEEK);
+}
+
+int tcp_socket::take_error() const
+{
+    int error = 0;
+    socklen_t length = sizeof error;
+    getsockopt(this->descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+    return error;
 }
 
 tcp_transfer tcp_socket::write(std::string_view bytes) const
--- a/adapters/src/tcp_socket.hpp
+++ b/adapters/src/tcp_socket.hpp
@@ -87,8 +87,14 @@
 
     [[nodiscard]] bool is_connected() const;
     [[nodiscard]] tcp_transfer read(char* target, std::size_t capacity) const;
+
+    // Like a `read` of one byte that stays unread.
+    [[nodiscard]] tcp_transfer peek() const;
     [[nodiscard]] tcp_transfer write(std::string_view bytes) const;
 
+    // The errno of a connection that has failed; 0 if it has not, or was asked before.
+    [[nodiscard]] int take_error() const;
+
     [[nodiscard]] explicit operator bool() const { return this->descriptor >= 0; }
     [[nodiscard]] int get() const { return this->descriptor; }
     [[nodiscard]] std::uint16_t port() const;
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -335,6 +335,29 @@
     CHECK_TRUE(received.ends_with("second"));
 }
 
+// Guards against the same where the second request arrives while the first one waits for its
+// answer.
+TEST(http_inbound, a_request_behind_another_is_answered_when_the_server_begins_to_close)
+{
+    loop_script script(this->loop);
+    this->caller->send(request("/a"));
+    script.when(this->has_requests(1), [this] { this->caller->send(request("/b")); })
+        .when(this->has_passed(several_polls),
+              [this] {
+                  CHECK_EQUAL(1, this->listener.targets.size());
+                  this->server->begin_close();
+                  this->listener.call_exchange(answer);
+              })
+        .when(this->has_requests(2),
+              [this] {
+                  this->listener.held.erase(this->listener.held.begin());
+                  this->listener.call_exchange(
+                      [](inbound_exchange& exchange) { exchange.answer(200, {}, "second"); });
+              })
+        .until([this] { return this->caller->ends_with("second"); });
+    CHECK_TRUE(script.run());
+}
+
 // Guards against the same where the first request is answered at once, as one that is refused.
 TEST(http_inbound, a_pipelined_request_is_answered_after_one_that_is_answered_at_once)
 {
