Make room for new connections when callers keep the maximum open

Now a new connection takes the place of those that have been idle for longest, a 64th of all at a time; nothing of their answers is in transit and no byte has arrived on them. If all are in use, a new one is closed unread at once, so that its caller turns to another router.

--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -103,7 +103,8 @@
     std::uint64_t unacknowledged = 0; // closed because the caller's host did not acknowledge
     std::uint64_t unread = 0;         // closed because the caller did not read
     std::uint64_t closed_as_idle = 0;
-    std::uint64_t sent_to_closed = 0; // of those: received further bytes, which were not read
+    std::uint64_t closed_for_room = 0; // idle ones, closed to accept others
+    std::uint64_t sent_to_closed = 0;  // of those: received further bytes, which were not read
     std::size_t open = 0;
     std::size_t unsent_bytes = 0; // held for callers that have not taken them
 
@@ -130,7 +131,8 @@
 };
 
 // Listens on the IP address and port. Throws std::system_error when that is not possible. Loop and
-// listener must outlive the server.
+// listener must outlive the server. At the maximum of connections, a new one takes the place of one
+// that is idle; if none is, it is turned away.
 std::unique_ptr<http_inbound> make_http_inbound(event_loop& loop, const std::string& host,
                                                 std::uint16_t port, std::size_t max_connections,
                                                 inbound_listener& listener);
--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -4,7 +4,11 @@
 
 #include "pearhaven/adapters/log.hpp"
 
+#include <algorithm>
+#include <cstddef>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace pearhaven::adapters {
 
@@ -13,6 +17,10 @@
 // Time between two checks for connections that have exceeded a time limit. It adds to each limit.
 constexpr decision::duration check_period = std::chrono::milliseconds(250);
 
+// Part of the connections that is closed at once, those that were idle for longest, to make room
+// for new ones.
+constexpr std::size_t parts_to_make_room = 64;
+
 class inbound_server final : public http_inbound,
                              public inbound_socket_owner,
                              public socket_listener {
@@ -71,6 +79,7 @@
 
 private:
     void drop(const inbound_socket& connection);
+    void make_room();
     void schedule_check();
     template <typename Function>
     void for_each(Function&& act);
@@ -88,12 +97,12 @@
 
 void inbound_server::on_ready(bool /*readable*/, bool /*writable*/, bool /*failed*/)
 {
-    while (this->connections.size() < this->max_connections) {
-        auto accepted = this->acceptor.accept();
-        if (!accepted) {
-            return;
+    while (auto accepted = this->acceptor.accept()) {
+        if (this->connections.size() >= this->max_connections) {
+            this->make_room();
         }
-        if (!this->requests.accepts_connection()) {
+        if (this->connections.size() >= this->max_connections ||
+            !this->requests.accepts_connection()) {
             ++this->counted.turned_away;
             continue;
         }
@@ -101,8 +110,27 @@
         const int number = accepted.get();
         this->connections[number] = std::make_unique<inbound_socket>(*this, std::move(accepted));
     }
-    // At the maximum, new connections wait in the listen queue until a connection closes.
-    this->events.watch(this->acceptor.get(), *this, false, false);
+}
+
+// Closes connections that are idle: their callers may open new ones, whereas a new connection that
+// is not accepted holds its caller up.
+void inbound_server::make_room()
+{
+    std::vector<std::pair<decision::instant, int>> idle;
+    for (const auto& [number, connection] : this->connections) {
+        if (const auto since = connection->idle_since()) {
+            idle.emplace_back(*since, number);
+        }
+    }
+    const auto count = std::min(idle.size(), this->max_connections / parts_to_make_room + 1);
+    std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(count), idle.end());
+    idle.resize(count);
+    for (const auto& [since, number] : idle) {
+        if (!this->connections.at(number)->next_request_arrived()) {
+            ++this->counted.closed_for_room;
+            this->connections.erase(number);
+        }
+    }
 }
 
 timer_number inbound_server::schedule_deferred_work(inbound_socket& connection)
@@ -138,7 +166,6 @@
 void inbound_server::drop(const inbound_socket& connection)
 {
     this->connections.erase(connection.number());
-    this->events.watch(this->acceptor.get(), *this, true, false);
 }
 
 // Calls into a connection never add or remove connections; that is deferred to the loop.
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -520,11 +520,22 @@
            this->pipelined.empty();
 }
 
+bool inbound_socket::awaits_first_request() const
+{
+    return !this->has_served && this->owner.loop().now() - this->wait_started < first_request_grace;
+}
+
+std::optional<decision::instant> inbound_socket::idle_since() const
+{
+    if (!this->is_idle() || this->awaits_first_request() || !this->is_delivered()) {
+        return std::nullopt;
+    }
+    return this->wait_started;
+}
+
 void inbound_socket::close_if_idle()
 {
-    const bool is_new =
-        !this->has_served && this->owner.loop().now() - this->wait_started < first_request_grace;
-    if (this->is_idle() && !is_new) {
+    if (this->is_idle() && !this->awaits_first_request()) {
         this->idle_close_pending = true;
         this->request_deferred_work();
     }
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -6,6 +6,8 @@
 
 #include "pearhaven/adapters/http_inbound.hpp"
 
+#include <optional>
+
 namespace pearhaven::adapters {
 
 class inbound_socket;
@@ -102,6 +104,13 @@
     // data has been reported.
     void check_time(decision::instant polled_until);
 
+    // Since when the connection has been idle; nothing if it is not, or if its last answer may
+    // still be in transit.
+    [[nodiscard]] std::optional<decision::instant> idle_since() const;
+
+    // Whether bytes after the request in progress, or after the last one, have arrived.
+    [[nodiscard]] bool next_request_arrived() const;
+
     // Closes the connection in its deferred work, unless data has arrived by then.
     void close_if_idle();
 
@@ -112,7 +121,6 @@
 
     void read_more();
     void look_ahead(bool failed);
-    [[nodiscard]] bool next_request_arrived() const;
     void process_bytes(std::string_view bytes);
     void process_pipelined();
     void begin_message();
@@ -127,6 +135,7 @@
     void request_deferred_work();
     void close_if_still_idle();
     [[nodiscard]] bool is_idle() const;
+    [[nodiscard]] bool awaits_first_request() const;
     [[nodiscard]] decision::duration idle_limit() const;
     void report_unsent(std::size_t now);
     [[nodiscard]] bool waits() const;
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -79,6 +79,7 @@
 constexpr milliseconds acknowledgement_time{2000};
 constexpr milliseconds longer_than_acknowledgement_time{5000};
 
+constexpr std::size_t max_connections = 16;
 constexpr int small_buffer = 4096;             // bytes that wait at a caller that does not read
 const std::string small_body(32U << 10U, 'x'); // fits into the buffers of the sending host
 const std::string large_body(1U << 20U, 'x');
@@ -131,7 +132,8 @@
 
     void setup() override
     {
-        this->server = make_http_inbound(this->loop, "127.0.0.1", 0, 16, this->listener);
+        this->server =
+            make_http_inbound(this->loop, "127.0.0.1", 0, max_connections, this->listener);
         this->caller = script_socket::connect(this->server->port());
     }
 
@@ -167,6 +169,18 @@
         this->caller = script_socket::connect(this->server->port(), small_buffer);
     }
 
+    // Sends a request on each of the connections that the server may have.
+    std::vector<std::unique_ptr<script_socket>> connect_maximum()
+    {
+        std::vector<std::unique_ptr<script_socket>> others(max_connections - 1);
+        this->caller->send(request("/first"));
+        for (auto& other : others) {
+            other = script_socket::connect(this->server->port());
+            other->send(request("/other"));
+        }
+        return others;
+    }
+
     std::function<bool()> all_closed()
     {
         return [this] { return this->server->counts().open == 0; };
@@ -844,6 +858,46 @@
     this->listener.call_exchange(write_twice); // has no effect
 }
 
+// Guards against a server that accepts nobody because callers keep the maximum of connections open
+// without using them.
+TEST(http_inbound, a_new_connection_takes_the_place_of_one_that_is_idle)
+{
+    this->listener.on_each_request = [this] { answer(*this->listener.held.back()); };
+    auto others = this->connect_maximum();
+    std::unique_ptr<script_socket> late;
+    loop_script script(this->loop);
+    script
+        .when(this->has_passed(longer_than_a_close_lingers),
+              [this, &late] {
+                  CHECK_EQUAL(max_connections, this->server->counts().open);
+                  late = script_socket::connect(this->server->port());
+                  late->send(request("/late"));
+              })
+        .until([&late] { return late->has("whole") || late->is_ended(); });
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(late->has("whole"));
+    CHECK_EQUAL(1U, this->server->counts().closed_for_room);
+    CHECK_EQUAL(max_connections, this->server->counts().open);
+}
+
+// Guards against callers that wait for a server that cannot accept them.
+TEST(http_inbound, a_new_connection_is_turned_away_while_all_others_are_in_use)
+{
+    const auto others = this->connect_maximum();
+    std::unique_ptr<script_socket> late;
+    loop_script script(this->loop);
+    script
+        .when(this->has_requests(max_connections),
+              [this, &late] {
+                  late = script_socket::connect(this->server->port());
+                  late->send(request("/unread"));
+              })
+        .until([&late] { return late->is_ended(); });
+    CHECK_TRUE(script.run());
+    CHECK_EQUAL(max_connections, this->listener.targets.size());
+    CHECK_EQUAL(1U, this->server->counts().turned_away);
+}
+
 // Guards against requests that a server reads although it has no time for them: their callers could
 // have turned to another server.
 TEST(http_inbound, a_connection_that_is_turned_away_is_closed_with_its_request_unread)
