--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -75,11 +75,12 @@
     decision::duration head_time = std::chrono::seconds(3);  // from first to last byte of a head
     decision::duration idle_time = std::chrono::seconds(15); // between two requests
 
-    // Extra time that an idle connection is kept open beyond the announced idle time. A request
-    // sent near the end of that time is still in transit, and the caller counts from when it
-    // received the answer; a close that crosses such a request leaves the caller without an answer.
-    // A late close costs only a descriptor.
-    decision::duration idle_slack = std::chrono::seconds(5);
+    // Extra time that an idle connection is kept open beyond the announced idle time. Callers send
+    // on connections that have rested for longer than they were told, and a close that crosses a
+    // request leaves its caller without an answer. A late close costs only a descriptor: at the
+    // maximum of connections, idle ones make room for others, and one whose caller is gone ends
+    // with its probes.
+    decision::duration idle_slack = std::chrono::seconds(60);
 
     // Longest time that a caller's host may leave sent bytes unacknowledged. Applies to connections
     // that are accepted after a change. The host of a caller that reads slowly still acknowledges.
