Do not spin on an endpoint that fails while its run is paused

A router's loop took a whole core while the caller of a run read slowly and its endpoint had reset the connection: the system reports a failure whether or not reads are watched, and the paused socket ignored it. On a host with a tenth of a core everything else is late meanwhile: requests are read late, connections of slow callers are not looked at in time.

A failed socket is not watched while its exchange is paused; the rest of its bytes and the failure are read when it goes on. Test: a_failure_in_a_pause_is_reported_after_it.

--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -209,7 +209,11 @@
             this->watch();
         }
     }
-    if ((readable || failed) && this->current_phase != phase::closed && !this->paused) {
+    if (this->paused && failed) {
+        // The system goes on reporting a failure. It is read, after the bytes before it, when the
+        // exchange goes on and the socket is watched again.
+        this->owner.loop().forget(this->socket.get().get());
+    } else if ((readable || failed) && this->current_phase != phase::closed && !this->paused) {
         this->read_more();
     }
 }
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -4,6 +4,7 @@
 #include "tcp_socket.hpp"
 
 #include <algorithm>
+#include <ctime>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -536,6 +537,39 @@
     }
 };
 
+// Guards against a loop that runs without a pause while the endpoint of a slow caller has failed.
+TEST(http_outbound_to_unreachable_endpoint, a_failure_in_a_pause_is_reported_after_it)
+{
+    boost::intrusive_ptr<recording_listener> run(new recording_listener);
+    outbound_request request;
+    request.method = "GET";
+    const auto number = this->client->start({"endpoint", "127.0.0.1", this->endpoint.port()},
+                                            std::move(request), run);
+    const auto is_connected = [this] {
+        return !this->endpoint.connections().empty() &&
+               this->endpoint.connections().front()->ends_with("\r\n\r\n");
+    };
+    std::clock_t before = 0;
+    decision::instant paused;
+    loop_script script(this->loop);
+    script
+        .when(is_connected,
+              [&] {
+                  this->client->pause(number, true);
+                  this->endpoint.connections().front()->reset();
+                  before = std::clock();
+                  paused = this->loop.now();
+              })
+        .when([&] { return this->loop.now() - paused > seconds(1); },
+              [&] {
+                  CHECK_TRUE(std::clock() - before < CLOCKS_PER_SEC / 2);
+                  CHECK_FALSE(run->failure.has_value());
+                  this->client->pause(number, false);
+              })
+        .until([&] { return run->failure.has_value(); });
+    CHECK_TRUE(script.run());
+}
+
 // Guards against losing a run because one probe of its idle connection was not acknowledged within
 // a second.
 TEST(http_outbound_to_unreachable_endpoint, runs_survive_two_seconds)
