--- a/adapters/src/delivery_monitor.cpp
+++ b/adapters/src/delivery_monitor.cpp
@@ -44,7 +44,8 @@
     this->stall = this->waiting && !progressed ? now - this->stall_start : decision::duration();
     this->next_check = now + this->timeout / checks_per_timeout_while_outstanding;
     if (this->stall == decision::duration()) {
-        this->set_timeout(socket, this->waiting ? this->timeout : idle_timeout(this->timeout));
+        const bool is_idle = delivery && !this->waiting;
+        this->set_timeout(socket, is_idle ? idle_timeout(this->timeout) : this->timeout);
     } else if (const auto step = this->timeout * step_part;
                delivery->awaits_reader || delivery->silence < step) {
         const auto extended = std::chrono::ceil<std::chrono::milliseconds>(this->stall + step);
--- a/adapters/test/delivery_monitor_test.cpp
+++ b/adapters/test/delivery_monitor_test.cpp
@@ -130,7 +130,8 @@
 // after three probes that are not acknowledged, also after a stall has extended the timeout.
 TEST(delivery_monitor, a_silent_idle_connection_ends_after_three_unanswered_probes)
 {
-    // Three probes last 6 s; the system's nine would last 12 s.
+    // Three probes last 6 s, the first 4 s, and the system's nine 12 s.
+    constexpr milliseconds after_a_lost_probe{4500};
     constexpr seconds before_a_ninth_probe{9};
     delivery_monitor monitor(timeout);
     this->connect();
@@ -141,5 +142,6 @@
         return this->check(monitor) && monitor.is_delivered();
     }));
     this->peer->vanish();
+    CHECK_TRUE(this->stall(monitor, after_a_lost_probe));
     CHECK_TRUE(this->runs([&] { return !this->check(monitor); }, before_a_ninth_probe));
 }
