Notice a caller that leaves while its next request waits, and make room at once

The end of its bytes is watched instead (EPOLLRDHUP). Where both ends have ended a connection whose answer is in transit, it closes by its time and is not reset. - A connection that was answered less than about 1.5 s ago could not make room, because its delivery had not been checked yet; it is checked when room is needed. - Idle connections were closed for one that was then turned away by a router that lags.

--- a/adapters/include/pearhaven/adapters/event_loop.hpp
+++ b/adapters/include/pearhaven/adapters/event_loop.hpp
@@ -46,6 +46,10 @@
     // outlive the watch.
     void watch(int socket, socket_listener& listener, bool readable, bool writable);
 
+    // Like `watch` without `readable`, for a socket whose bytes are to wait. It is `failed` also
+    // when the other end has ended its bytes.
+    void watch_unread(int socket, socket_listener& listener, bool writable);
+
     // Must be called before the socket is closed. Drops events of the socket that are already
     // fetched, so that they cannot reach a new socket with the same descriptor.
     void forget(int socket);
--- a/adapters/src/event_loop.cpp
+++ b/adapters/src/event_loop.cpp
@@ -173,6 +173,12 @@
     [[maybe_unused]] const bool watched = this->inner->sockets.watch(socket, readable, writable);
 }
 
+void event_loop::watch_unread(int socket, socket_listener& listener, bool writable)
+{
+    this->inner->listeners[socket] = &listener;
+    [[maybe_unused]] const bool watched = this->inner->sockets.watch_unread(socket, writable);
+}
+
 void event_loop::forget(int socket)
 {
     this->inner->sockets.forget(socket);
--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -98,11 +98,11 @@
 void inbound_server::on_ready(bool /*readable*/, bool /*writable*/, bool /*failed*/)
 {
     while (auto accepted = this->acceptor.accept()) {
-        if (this->connections.size() >= this->max_connections) {
+        const bool is_accepted = this->requests.accepts_connection();
+        if (is_accepted && this->connections.size() >= this->max_connections) {
             this->make_room();
         }
-        if (this->connections.size() >= this->max_connections ||
-            !this->requests.accepts_connection()) {
+        if (!is_accepted || this->connections.size() >= this->max_connections) {
             ++this->counted.turned_away;
             continue;
         }
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -116,8 +116,12 @@
 
 void inbound_socket::watch()
 {
-    this->owner.loop().watch(this->number(), *this, !this->has_unread_bytes,
-                             this->socket.unsent() > 0);
+    const bool writes = this->socket.unsent() > 0;
+    if (this->has_unread_bytes && this->current_phase == phase::answering) {
+        this->owner.loop().watch_unread(this->number(), *this, writes);
+    } else {
+        this->owner.loop().watch(this->number(), *this, !this->has_unread_bytes, writes);
+    }
 }
 
 void inbound_socket::on_ready(bool readable, bool writable, bool failed)
@@ -211,7 +215,13 @@
 void inbound_socket::look_ahead(bool failed)
 {
     if (failed && this->has_unread_bytes) {
-        this->close_as_lost(this->socket.get().take_error());
+        const int error = this->socket.get().take_error();
+        if (this->current_phase == phase::lingering && error == 0 && !this->is_delivered()) {
+            // Both ends have ended; a close with unread bytes could overtake the answer.
+            this->owner.loop().forget(this->number());
+        } else {
+            this->close_as_lost(error);
+        }
         return;
     }
     const auto transfer = this->socket.get().peek();
@@ -397,6 +407,9 @@
 {
     this->current_phase = phase::lingering;
     this->begin_wait();
+    if (this->has_unread_bytes) {
+        this->watch();
+    }
     if (this->socket.unsent() == 0) {
         ::shutdown(this->number(), SHUT_WR);
     }
@@ -525,9 +538,15 @@
     return !this->has_served && this->owner.loop().now() - this->wait_started < first_request_grace;
 }
 
-std::optional<decision::instant> inbound_socket::idle_since() const
+std::optional<decision::instant> inbound_socket::idle_since()
 {
-    if (!this->is_idle() || this->awaits_first_request() || !this->is_delivered()) {
+    if (!this->is_idle() || this->awaits_first_request()) {
+        return std::nullopt;
+    }
+    if (!this->is_delivered()) {
+        static_cast<void>(this->delivery.check(this->number(), this->owner.loop().now()));
+    }
+    if (!this->is_delivered()) {
         return std::nullopt;
     }
     return this->wait_started;
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -106,7 +106,7 @@
 
     // Since when the connection has been idle; nothing if it is not, or if its last answer may
     // still be in transit.
-    [[nodiscard]] std::optional<decision::instant> idle_since() const;
+    [[nodiscard]] std::optional<decision::instant> idle_since();
 
     // Whether bytes after the request in progress, or after the last one, have arrived.
     [[nodiscard]] bool next_request_arrived() const;
--- a/adapters/src/poller.cpp
+++ b/adapters/src/poller.cpp
@@ -46,11 +46,12 @@
     close(this->epoll);
 }
 
-bool poller::watch(int socket, bool readable, bool writable) const noexcept
+bool poller::set_events(int socket, bool readable, bool writable, bool ended) const noexcept
 {
     epoll_event event{};
-    event.events =
-        (readable ? std::uint32_t{EPOLLIN} : 0U) | (writable ? std::uint32_t{EPOLLOUT} : 0U);
+    event.events = (readable ? std::uint32_t{EPOLLIN} : 0U) |
+                   (writable ? std::uint32_t{EPOLLOUT} : 0U) |
+                   (ended ? std::uint32_t{EPOLLRDHUP} : 0U);
     event.data.fd = socket;
     if (epoll_ctl(this->epoll, EPOLL_CTL_MOD, socket, &event) == 0) {
         return true;
@@ -84,7 +85,7 @@
         }
         this->ready.push_back({event.data.fd, (event.events & EPOLLIN) != 0,
                                (event.events & EPOLLOUT) != 0,
-                               (event.events & (EPOLLERR | EPOLLHUP)) != 0});
+                               (event.events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP)) != 0});
     }
     return this->ready;
 }
--- a/adapters/src/poller.hpp
+++ b/adapters/src/poller.hpp
@@ -28,7 +28,17 @@
 
     // Sets which events of the socket are watched, replacing earlier ones. Returns false when the
     // system refuses.
-    [[nodiscard]] bool watch(int socket, bool readable, bool writable) const noexcept;
+    [[nodiscard]] bool watch(int socket, bool readable, bool writable) const noexcept
+    {
+        return this->set_events(socket, readable, writable, false);
+    }
+
+    // Like `watch` without `readable`, but the socket is `failed` also when the other end has ended
+    // its bytes, whether or not all of them were read.
+    [[nodiscard]] bool watch_unread(int socket, bool writable) const noexcept
+    {
+        return this->set_events(socket, false, writable, true);
+    }
 
     // Does nothing when the socket is not watched or already closed.
     void forget(int socket) const noexcept;
@@ -43,6 +53,9 @@
     void wake() const;
 
 private:
+    [[nodiscard]] bool set_events(int socket, bool readable, bool writable,
+                                  bool ended) const noexcept;
+
     static constexpr std::size_t max_events_per_wait = 256;
 
     int epoll = -1;
