Reject loads of peers that are not finite numbers

A router's message could report infinite work, or work that is not a number, for an endpoint; a fact's value and a bill's cost could be the same. Other routers add the work to what they compare endpoints by, and subtract it when the next report arrives, which leaves no number of the others' work. The decoder, which rejects numbers out of range, checked limits and room only.

Now it rejects every number that is not finite.

--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -103,7 +103,7 @@
         item.completion_tokens = table.completion_tokens();
         item.spent_tokens = table.spent_tokens();
         item.cost = table.cost();
-        return true;
+        return std::isfinite(item.cost);
     }
 
     static bool decode(const wire::Fact& table, fact& item)
@@ -113,7 +113,8 @@
         item.sequence = table.sequence();
         item.value = table.value();
         item.time_to_live = decision::duration(table.time_to_live_us());
-        return decode(table.kind(), fact_kind::exposure_spent, item.kind);
+        return decode(table.kind(), fact_kind::exposure_spent, item.kind) &&
+               std::isfinite(item.value);
     }
 
     static bool decode(const wire::Probe& table, probe& message)
@@ -192,8 +193,9 @@
         if (table.parts() != nullptr) {
             item.parts.assign(table.parts()->begin(), table.parts()->end());
         }
-        return item.parts.size() <= max_reported_parts && std::isfinite(table.limit_per_s()) &&
-               std::isfinite(table.refusal_limit_per_s()) && std::isfinite(table.room());
+        return item.parts.size() <= max_reported_parts && std::isfinite(item.work) &&
+               std::isfinite(table.limit_per_s()) && std::isfinite(table.refusal_limit_per_s()) &&
+               std::isfinite(table.room());
     }
 
     static bool decode(const wire::LoadPush& table, load_push& message)
--- a/adapters/test/peer_codec_test.cpp
+++ b/adapters/test/peer_codec_test.cpp
@@ -5,6 +5,9 @@
 
 #include <rapidcheck.h>
 
+#include <initializer_list>
+#include <limits>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace pearhaven;
@@ -60,6 +63,27 @@
     CHECK_FALSE(decode_envelope(encode_envelope({"a", {"b", 1}, message})).has_value());
 }
 
+// Guards against a load that cannot be compared with that of other endpoints, or summed.
+TEST(peer_codec, a_number_that_is_not_finite_is_rejected)
+{
+    for (const double number :
+         {std::numeric_limits<double>::infinity(), -std::numeric_limits<double>::infinity(),
+          std::numeric_limits<double>::quiet_NaN()}) {
+        decision::endpoint_load load;
+        load.work = number;
+        coordination::fact stated;
+        stated.value = number;
+        coordination::bill owed;
+        owed.cost = number;
+        for (const coordination::peer_message& message :
+             std::initializer_list<coordination::peer_message>{
+                 coordination::load_push{{load}}, coordination::fact_push{{stated}},
+                 coordination::bill_copy{"owner", 1, {owed}}}) {
+            CHECK_FALSE(decode_envelope(encode_envelope({"a", {"b", 1}, message})).has_value());
+        }
+    }
+}
+
 TEST(peer_codec, more_than_one_snapshot_is_rejected)
 {
     coordination::config_update message;
