--- a/adapters/test/progress_codec_test.cpp
+++ b/adapters/test/progress_codec_test.cpp
@@ -1,6 +1,7 @@
 #include "pearhaven/adapters/progress_codec.hpp"
 
 #include <string>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -127,7 +128,11 @@
     const auto with = [](std::string text, const std::string& old, const std::string& number) {
         return text.replace(text.find(old), old.size(), number);
     };
-    for (const auto* const number : {"1e300", "-1", "2.5", "18446744073709551616", "true"}) {
+    // Few enough levels for a test that counts allocations.
+    constexpr std::size_t levels = 20'000;
+    const auto deep = std::string(levels, '[') + std::string(levels, ']');
+    for (const auto& number : std::vector<std::string>{"1e300", "1e999", "-1", "2.5",
+                                                       "18446744073709551616", "true", deep}) {
         CHECK_FALSE(read_progress_record(with(record, "28", number)).has_value());
         CHECK_FALSE(read_progress_record(with(record, "40000", number)).has_value());
         CHECK_FALSE(read_router_evidence(with(evidence, "31", number)).has_value());
