Reject addresses of the store that no connection can be made to

A router's entry in the store was accepted with any text before the port, such as [[[[:73 or 999.1.0.40:73: the routers counted it as one of them, and sent it their loads and forwarded requests, though connections take numeric addresses only.

--- a/adapters/src/host_list_client.cpp
+++ b/adapters/src/host_list_client.cpp
@@ -1,8 +1,8 @@
 #include "host_list.hpp"
 
-#include <nlohmann/json.hpp>
+#include "pearhaven/adapters/ip_address.hpp"
 
-#include <arpa/inet.h>
+#include <nlohmann/json.hpp>
 
 #include <charconv>
 #include <system_error>
@@ -40,15 +40,8 @@
 
 bool is_ip_address(const std::string& text)
 {
-    if (text.find('\0') != std::string::npos) { // inet_pton stops at a zero byte
-        return false;
-    }
-    in_addr ignored{};
-    in6_addr ignored_ipv6{};
     const bool in_brackets = text.size() > 2 && text.front() == '[' && text.back() == ']';
-    return in_brackets
-               ? inet_pton(AF_INET6, text.substr(1, text.size() - 2).c_str(), &ignored_ipv6) == 1
-               : inet_pton(AF_INET, text.c_str(), &ignored) == 1;
+    return in_brackets ? is_ipv6_address(text.substr(1, text.size() - 2)) : is_ipv4_address(text);
 }
 
 // Whether the text is IP:port. Any other text would create an endpoint that looks idle, is selected
--- a/router/src/peer_messenger.cpp
+++ b/router/src/peer_messenger.cpp
@@ -1,5 +1,6 @@
 #include "pearhaven/router/peer_messenger.hpp"
 
+#include "pearhaven/adapters/ip_address.hpp"
 #include "pearhaven/adapters/log.hpp"
 #include "pearhaven/decision/work.hpp"
 
@@ -97,9 +98,10 @@
     if (end_of_zone != std::string_view::npos) {
         read.callers_port = read_port(rest.substr(end_of_zone + 1)).value_or(0);
     }
-    const auto port = read_port(address.substr(colon + 1));
-    read.port = port.value_or(0);
-    return port ? std::make_optional(read) : std::nullopt;
+    read.port = read_port(address.substr(colon + 1)).value_or(0);
+    const bool valid = read.port != 0 && (adapters::is_ipv4_address(read.host) ||
+                                          adapters::is_ipv6_address(read.host));
+    return valid ? std::make_optional(read) : std::nullopt;
 }
 
 peer_messenger::peer_messenger(dependencies all_dependencies, const peer_messenger_settings& chosen)
--- a/router/test/peer_messenger_test.cpp
+++ b/router/test/peer_messenger_test.cpp
@@ -23,8 +23,10 @@
 
 TEST(peer_messenger, malformed_addresses_are_rejected)
 {
-    for (const auto* const text : {"", "osu", ":7340 osu", "10.1.0.40: osu", "10.1.0.40:0 osu",
-                                   "10.1.0.40:70000 osu", "10.1.0.40:73x osu"}) {
+    for (const auto* const text :
+         {"", "osu", ":7340 osu", "10.1.0.40: osu", "10.1.0.40:0 osu", "10.1.0.40:70000 osu",
+          "10.1.0.40:73x osu", "10.1.0.40:-1 osu", "10.1.0.40:99999999999 osu", "[[[[",
+          "999.1.0.40:73 osu", "[[[[:73 osu", "{}:73 osu", "edge-7:73 osu"}) {
         CHECK_FALSE(read_peer(text).has_value());
     }
 }
