Test answers that are cut before any of their bytes

An endpoint may stop in the middle of its answer's head, its framing or its body, in order or by a reset. The client for endpoints reports each of these answers as failed in every framing, except an answer without a length whose head is complete and whose connection ended in order.

--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -457,6 +457,90 @@
     CHECK_TRUE(tries < retrying_listener::max_tries);
 }
 
+// An endpoint that closes its connection in the middle of its answer.
+TEST_GROUP(http_outbound_cut_answer)
+{
+    // Asks for the answer once for each of its bytes, cut before that byte. The results are in the
+    // order of the bytes.
+    struct cutting_client {
+        cutting_client(const std::string& answer, const std::string& with_method, bool resets)
+            : whole(answer), method(with_method)
+        {
+            this->endpoint.closes = true;
+            this->endpoint.resets = resets;
+            this->loop.after(milliseconds(0), [this] { this->proceed(); });
+            this->loop.after(seconds(20), [this] { this->loop.stop(); });
+            this->loop.run();
+        }
+
+        void proceed()
+        {
+            const bool open =
+                !this->seen.empty() && !this->seen.back()->ended && !this->seen.back()->failure;
+            if (!open && this->seen.size() == this->whole.size()) {
+                this->loop.stop();
+                return;
+            }
+            if (!open) {
+                const auto part = this->whole.substr(0, this->seen.size());
+                this->endpoint.answers.assign(this->endpoint.requests + 1, part);
+                outbound_request request;
+                request.method = this->method;
+                request.fields = {{"Host", "h"}};
+                this->seen.emplace_back(new recording_listener);
+                this->client->start(this->endpoint.target(), request, this->seen.back());
+            }
+            this->loop.after(std::chrono::microseconds(50), [this] { this->proceed(); });
+        }
+
+        std::string whole;
+        std::string method;
+        event_loop loop;
+        scripted_endpoint endpoint{this->loop};
+        std::unique_ptr<http_outbound> client = make_http_outbound(this->loop, {});
+        std::vector<boost::intrusive_ptr<recording_listener>> seen;
+    };
+
+    // Checks that no part of the answer ends as a whole one. Only where the end of the connection
+    // is the end of the body may an answer with a complete head end, unless by a reset.
+    static void check_cuts(const std::string& head, const std::string& body,
+                           const std::string& method = "POST")
+    {
+        const bool ends_with_connection =
+            head.find("Length") == std::string::npos && head.find("chunked") == std::string::npos;
+        for (const bool resets : {false, true}) {
+            const cutting_client client(head + body, method, resets);
+            CHECK_EQUAL(head.size() + body.size(), client.seen.size());
+            for (std::size_t position = 0; position < client.seen.size(); ++position) {
+                const bool may_end = ends_with_connection && !resets && position >= head.size();
+                const auto text = (resets ? "reset at byte " : "closed at byte ") +
+                                  std::to_string(position) + " of " + head + body;
+                CHECK_EQUAL_TEXT(may_end, client.seen[position]->ended, text.c_str());
+                CHECK_EQUAL_TEXT(!may_end, client.seen[position]->failure.has_value(),
+                                 text.c_str());
+            }
+        }
+    }
+};
+
+// Guards against an answer cut in its head, its framing or its body that callers get as a whole
+// one.
+TEST(http_outbound_cut_answer, is_a_failure_wherever_it_is_cut)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    check_cuts(ok + "Content-Length: 12\r\n\r\n", "0123456789ab");
+    check_cuts(chunked, "3\r\nabc\r\n1\r\nd\r\n0\r\nEnd: 1\r\n\r\n");
+    check_cuts(ok + "\r\n", events);
+    check_cuts(interim + interim + chunked, "3\r\nabc\r\n0\r\n\r\n");
+    check_cuts(interim + ok + "\r\n", "until close");
+    check_cuts(interim + ok + "Content-Length: 3\r\n\r\n", "", "HEAD");
+    check_cuts("HTTP/1.1 204 No Content\r\nResponse-Seal: s\r\n\r\n", "");
+    check_cuts("HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nbad" + answer, "");
+}
+
 TEST_GROUP(http_outbound_to_slow_endpoint)
 {
     event_loop loop;
