Count an answer cut within its head as a lost connection

An engine or a service that closed its connection in order in the middle of its answer's head, after a whole line of it, gave the caller of the HTTP client a successful answer with that line's status and an empty body: libcurl counts such an answer as complete. The listener got no head, but an end without an error.

An exchange without a complete final head now ends as a lost connection. The new test cuts answers of three framings, and one after an interim answer, before each byte.

--- a/adapters/src/http_exchange.cpp
+++ b/adapters/src/http_exchange.cpp
@@ -255,7 +255,8 @@
 {
     switch (code) {
     case CURLE_OK:
-        return http_error::none;
+        // libcurl counts an answer as complete whose connection ended after a line of its head.
+        return this->head_finished ? http_error::none : http_error::connection_lost;
     case CURLE_URL_MALFORMAT:
     case CURLE_UNSUPPORTED_PROTOCOL:
         return this->send_count == 0 ? http_error::invalid_request : http_error::malformed_answer;
--- a/adapters/test/http_client_test.cpp
+++ b/adapters/test/http_client_test.cpp
@@ -504,6 +504,32 @@
 
 // The other end resets its connection at one step of its answer. The listener gets one
 // `connection_lost`, and the client continues to work.
+// Guards against an answer cut in its head, its framing or its body that counts as a whole one.
+TEST(http_client, an_answer_cut_at_any_byte_is_a_lost_connection)
+{
+    const std::string interim = "HTTP/1.1 103 X\r\nLink: x\r\n\r\n";
+    const std::string sized = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+    const std::string until_close = "HTTP/1.1 200 OK\r\nServer: x\r\n\r\n";
+    // libcurl does not need the last line feed of a chunked answer, after which no body can follow.
+    const std::string chunked = chunked_head + "3\r\nabc\r\n0\r\n\r";
+    for (const auto& whole : {sized, chunked, until_close, interim + sized}) {
+        raw_server server([&whole](raw_connection& connection, int index) {
+            connection.read_request();
+            connection.send(whole.substr(0, static_cast<std::size_t>(index)));
+        });
+        for (std::size_t position = 0; position < whole.size(); ++position) {
+            boost::intrusive_ptr<recording_listener> one(new recording_listener);
+            client->start(post(server.url(), "body"), one);
+            const auto text = "cut at byte " + std::to_string(position) + " of " + whole;
+            const auto error = one->wait().error;
+            CHECK_TRUE_TEXT(static_cast<bool>(error), text.c_str());
+            // A part of the first word may be no answer at all.
+            CHECK_TRUE_TEXT(position < 5 || error == make_error_code(http_error::connection_lost),
+                            (text + ": " + error.message()).c_str());
+        }
+    }
+}
+
 TEST(http_client, a_reset_at_any_step_of_an_answer_is_a_lost_connection)
 {
     const std::vector<std::string> parts = {"", "HTTP/1.1 200 OK\r\nContent-Le", chunked_head,
