Keep the connection of a peer that reads a little at a time

Callers that read slowly and steadily (200 bytes each 25 ms behind a receive buffer of 2 KiB) lost the rest of their answers 5.7 s after their requests, at routers that lived on; endpoints that read so would lose their request bodies.

Cause: with a closed window the host counts TCP_USER_TIMEOUT from the first probe on, and a window that opens by less than a segment does not restart that count. delivery_monitor extended the timeout only while nothing was acknowledged at all, so that a peer that made progress was cut off, and one that read nothing was not.

Change: while bytes wait and the peer's host answers, the timeout is extended from when they began to wait. While transmitted bytes lack an acknowledgement and the host is silent, the configured timeout applies.

--- a/adapters/src/delivery_monitor.cpp
+++ b/adapters/src/delivery_monitor.cpp
@@ -22,6 +22,7 @@
         this->observing = true;
         this->last_check = now;
         this->stall_start = now;
+        this->wait_start = now;
         this->next_check = now + this->timeout / checks_per_timeout;
         this->set_timeout(socket, this->timeout);
     }
@@ -43,13 +44,17 @@
     this->stall_start = progressed ? earlier_check : this->stall_start;
     this->stall = this->waiting && !progressed ? now - this->stall_start : decision::duration();
     this->next_check = now + this->timeout / checks_per_timeout_while_outstanding;
-    if (this->stall == decision::duration()) {
-        const bool is_idle = delivery && !this->waiting;
-        this->set_timeout(socket, is_idle ? idle_timeout(this->timeout) : this->timeout);
-    } else if (const auto step = this->timeout * step_part;
-               delivery->awaits_reader || delivery->silence < step) {
-        const auto extended = std::chrono::ceil<std::chrono::milliseconds>(this->stall + step);
+    const auto step = this->timeout * step_part;
+    if (!this->waiting) {
+        this->set_timeout(socket, delivery ? idle_timeout(this->timeout) : this->timeout);
+    } else if (delivery->awaits_reader || delivery->silence < step) {
+        // The system counts from when the peer's window first closed, also when it has opened a
+        // little since.
+        const auto extended =
+            std::chrono::ceil<std::chrono::milliseconds>(now - this->wait_start + step);
         this->set_timeout(socket, std::max(this->timeout, extended));
+    } else if (delivery->in_flight) {
+        this->set_timeout(socket, this->timeout);
     }
     return progressed;
 }
--- a/adapters/src/delivery_monitor.hpp
+++ b/adapters/src/delivery_monitor.hpp
@@ -9,9 +9,9 @@
 
 // Distinguishes a peer that reads slowly from one that is gone. The system's timeout for
 // unacknowledged bytes also ends a connection whose peer acknowledges every probe but reads
-// nothing. While probes are acknowledged, the monitor moves that timeout ahead in small steps, so
-// that the system keeps probing and still detects a peer that disappears. Once bytes are
-// acknowledged again, the configured timeout is restored. While nothing is outstanding,
+// nothing, or little at a time. While probes are acknowledged, the monitor moves that timeout ahead
+// in small steps, so that the system keeps probing and still detects a peer that disappears. Once
+// bytes are acknowledged again, the configured timeout is restored. While nothing is outstanding,
 // `idle_timeout` applies, so that a lost probe does not end the connection. Where the system tells
 // nothing about its connections, no timeout is extended.
 class delivery_monitor {
@@ -57,6 +57,7 @@
     bool waiting = false;
     decision::instant next_check;
     decision::instant last_check;  // or when the observation began
+    decision::instant wait_start;  // of the observation; bytes have been waiting since
     decision::instant stall_start; // the peer may have acknowledged nothing since
     decision::duration stall{};
     std::uint64_t acknowledged_bytes = 0;
--- a/adapters/src/tcp_socket.cpp
+++ b/adapters/src/tcp_socket.cpp
@@ -81,6 +81,7 @@
     }
     tcp_delivery result;
     result.outstanding = known.tcpi_unacked > 0 || known.tcpi_notsent_bytes > 0;
+    result.in_flight = known.tcpi_unacked > 0;
     result.acknowledged_bytes = known.tcpi_bytes_acked;
     result.awaits_reader = known.tcpi_unacked == 0 && known.tcpi_probes == 0;
     result.silence = std::chrono::milliseconds(known.tcpi_last_ack_recv);
--- a/adapters/src/tcp_socket.hpp
+++ b/adapters/src/tcp_socket.hpp
@@ -42,6 +42,8 @@
     bool outstanding = false;             // bytes are not acknowledged yet, or not even sent
     std::uint64_t acknowledged_bytes = 0; // since the connection was opened
 
+    bool in_flight = false; // transmitted bytes are not acknowledged yet
+
     // Nothing that was transmitted lacks an acknowledgement: whatever is outstanding waits for the
     // other end to read.
     bool awaits_reader = false;
--- a/adapters/test/delivery_monitor_test.cpp
+++ b/adapters/test/delivery_monitor_test.cpp
@@ -106,6 +106,27 @@
     LONGS_EQUAL(idle_timeout(timeout).count(), this->configured_timeout());
 }
 
+// Guards against closing the connection of a peer that reads a little at a time all the while.
+TEST(delivery_monitor, a_peer_that_reads_slowly_keeps_its_connection)
+{
+    constexpr std::size_t bytes_at_once = 200;
+    constexpr milliseconds pause{25};
+    delivery_monitor monitor(timeout);
+    this->connect();
+    this->write(monitor);
+    const auto end = event_loop::read_clock() + long_stall;
+    decision::instant next;
+    CHECK_TRUE(this->runs([&] {
+        const auto now = event_loop::read_clock();
+        if (now >= next) {
+            this->peer->take(bytes_at_once);
+            next = now + pause;
+        }
+        return !this->check(monitor) || now >= end;
+    }));
+    CHECK_TRUE(this->check(monitor));
+}
+
 // Guards against taking a peer for slow that has disappeared while it read nothing.
 TEST(delivery_monitor, a_peer_that_disappears_in_a_stall_is_detected)
 {
--- a/tests/support/loop_script.hpp
+++ b/tests/support/loop_script.hpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <cstdint>
@@ -89,6 +90,14 @@
         return this->text;
     }
 
+    // Takes a few bytes, without keeping them. Returns how many.
+    std::size_t take(std::size_t count)
+    {
+        std::string piece(count, ' ');
+        return static_cast<std::size_t>(
+            std::max<ssize_t>(recv(this->socket, piece.data(), count, 0), 0));
+    }
+
     [[nodiscard]] bool has(std::string_view part)
     {
         return this->received().find(part) != std::string::npos;
