--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -463,8 +463,8 @@
     // Asks for the answer once for each of its bytes, cut before that byte. The results are in the
     // order of the bytes.
     struct cutting_client {
-        cutting_client(const std::string& answer, const std::string& with_method, bool resets)
-            : whole(answer), method(with_method)
+        cutting_client(const std::string& whole_answer, const std::string& with_method, bool resets)
+            : whole(whole_answer), method(with_method)
         {
             this->endpoint.closes = true;
             this->endpoint.resets = resets;
@@ -513,8 +513,8 @@
             CHECK_EQUAL(head.size() + body.size(), client.seen.size());
             for (std::size_t position = 0; position < client.seen.size(); ++position) {
                 const bool may_end = ends_with_connection && !resets && position >= head.size();
-                const auto text = (resets ? "reset at byte " : "closed at byte ") +
-                                  std::to_string(position) + " of " + head + body;
+                std::string text = resets ? "reset at byte " : "closed at byte ";
+                text.append(std::to_string(position)).append(" of ").append(head).append(body);
                 CHECK_EQUAL_TEXT(may_end, client.seen[position]->ended, text.c_str());
                 CHECK_EQUAL_TEXT(!may_end, client.seen[position]->failure.has_value(),
                                  text.c_str());
