--- a/adapters/src/delivery_monitor.cpp
+++ b/adapters/src/delivery_monitor.cpp
@@ -9,7 +9,8 @@
 
 // Fractions of the timeout. A peer that disappears while it reads nothing is detected within the
 // step for the next probe and the same step again for its acknowledgement, each with the time
-// between two checks in addition; together they must not exceed the timeout.
+// between two checks in addition; together they must not exceed the timeout. One that has read
+// slowly before may be detected later, by the time for which it did.
 constexpr int checks_per_timeout = 4;
 constexpr int checks_per_timeout_while_outstanding = 10;
 constexpr double step_part = 0.4;
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -15,8 +15,8 @@
 // here.
 constexpr std::size_t max_unsent_in_system = 64U << 10U;
 
-// How long a connection that this end has closed is still read after its last answer has arrived. A
-// close with unread bytes resets the connection, and the reset can overtake the last answer.
+// How long a connection that this end has ended stays open after its last answer has arrived. A
+// close with unread bytes resets the connection, and the caller may not have read the answer yet.
 constexpr decision::duration linger_timeout = std::chrono::seconds(1);
 
 // How long a new connection does not count as idle although nothing was received on it: the first
