--- a/adapters/test/http_client_test.cpp
+++ b/adapters/test/http_client_test.cpp
@@ -502,8 +502,6 @@
     client->stop();
 }
 
-// The other end resets its connection at one step of its answer. The listener gets one
-// `connection_lost`, and the client continues to work.
 // Guards against an answer cut in its head, its framing or its body that counts as a whole one.
 TEST(http_client, an_answer_cut_at_any_byte_is_a_lost_connection)
 {
@@ -530,6 +528,8 @@
     }
 }
 
+// The other end resets its connection at one step of its answer. The listener gets one
+// `connection_lost`, and the client continues to work.
 TEST(http_client, a_reset_at_any_step_of_an_answer_is_a_lost_connection)
 {
     const std::vector<std::string> parts = {"", "HTTP/1.1 200 OK\r\nContent-Le", chunked_head,
