--- a/adapters/test/http_client_test.cpp
+++ b/adapters/test/http_client_test.cpp
@@ -9,7 +9,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace pearhaven::adapters;
-using namespace pearhaven::adapters::test;
+using namespace pearhaven::tests;
 using std::chrono::milliseconds;
 
 namespace {
--- a/adapters/test/platform_test.cpp
+++ b/adapters/test/platform_test.cpp
@@ -7,7 +7,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace pearhaven::adapters;
-using namespace pearhaven::adapters::test;
+using namespace pearhaven::tests;
 using namespace pearhaven::coordination;
 using std::chrono::milliseconds;
 
--- a/adapters/test/raw_server.hpp
+++ b/tests/support/raw_server.hpp
@@ -1,5 +1,5 @@
-#ifndef PEARHAVEN_ADAPTERS_TEST_RAW_SERVER_HPP
-#define PEARHAVEN_ADAPTERS_TEST_RAW_SERVER_HPP
+#ifndef PEARHAVEN_TESTS_SUPPORT_RAW_SERVER_HPP
+#define PEARHAVEN_TESTS_SUPPORT_RAW_SERVER_HPP
 
 #include "vanished_peer.hpp"
 
@@ -20,7 +20,7 @@
 #include <string_view>
 #include <thread>
 
-namespace pearhaven::adapters::test {
+namespace pearhaven::tests {
 
 inline sockaddr_in loopback(std::uint16_t port)
 {
@@ -114,7 +114,7 @@
     void shut() const { shutdown(this->socket, SHUT_RDWR); }
 
     // Acts like a host that has lost power.
-    void vanish() const { tests::drop_all_that_arrives(this->socket); }
+    void vanish() const { drop_all_that_arrives(this->socket); }
 
     // Resets the connection, so that the other end's next use of it fails. The descriptor number
     // stays in use until its owner closes it.
@@ -236,6 +236,6 @@
     }
 }
 
-} // namespace pearhaven::adapters::test
+} // namespace pearhaven::tests
 
 #endif
