--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -169,6 +169,14 @@
         this->caller = script_socket::connect(this->server->port(), small_buffer);
     }
 
+    // Releases the first request and answers the one that is held next.
+    void answer_second()
+    {
+        this->listener.held.erase(this->listener.held.begin());
+        this->listener.call_exchange(
+            [](inbound_exchange& exchange) { exchange.answer(200, {}, "second"); });
+    }
+
     // Sends a request on each of the connections that the server may have.
     std::vector<std::unique_ptr<script_socket>> connect_maximum()
     {
@@ -279,12 +287,7 @@
     loop_script script(this->loop);
     this->caller->send(request("/a") + request("/b"));
     script.when(this->has_requests(1), [this] { this->listener.call_exchange(answer); })
-        .when(this->has_requests(2),
-              [this] {
-                  this->listener.held.erase(this->listener.held.begin());
-                  this->listener.call_exchange(
-                      [](inbound_exchange& exchange) { exchange.answer(200, {}, "second"); });
-              })
+        .when(this->has_requests(2), [this] { this->answer_second(); })
         .until([this] { return this->caller->has("second"); });
     CHECK_TRUE(script.run());
     CHECK_FALSE(this->listener.called_inside);
@@ -336,12 +339,7 @@
                   this->server->begin_close();
                   this->listener.call_exchange(answer);
               })
-        .when(this->has_requests(2),
-              [this] {
-                  this->listener.held.erase(this->listener.held.begin());
-                  this->listener.call_exchange(
-                      [](inbound_exchange& exchange) { exchange.answer(200, {}, "second"); });
-              })
+        .when(this->has_requests(2), [this] { this->answer_second(); })
         .until(this->all_closed());
     CHECK_TRUE(script.run());
     const auto& received = this->caller->received();
@@ -362,12 +360,7 @@
                   this->server->begin_close();
                   this->listener.call_exchange(answer);
               })
-        .when(this->has_requests(2),
-              [this] {
-                  this->listener.held.erase(this->listener.held.begin());
-                  this->listener.call_exchange(
-                      [](inbound_exchange& exchange) { exchange.answer(200, {}, "second"); });
-              })
+        .when(this->has_requests(2), [this] { this->answer_second(); })
         .until([this] { return this->caller->ends_with("second"); });
     CHECK_TRUE(script.run());
 }
