--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -527,7 +527,7 @@
 // one.
 TEST(http_outbound_cut_answer, is_a_failure_wherever_it_is_cut)
 {
-    const std::string ok = "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n";
+    const std::string ok = "HTTP/1.1 200 OK\r\nServer: s\r\n";
     const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
     const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
     const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
@@ -537,7 +537,7 @@
     check_cuts(interim + interim + chunked, "3\r\nabc\r\n0\r\n\r\n");
     check_cuts(interim + ok + "\r\n", "until close");
     check_cuts(interim + ok + "Content-Length: 3\r\n\r\n", "", "HEAD");
-    check_cuts("HTTP/1.1 204 No Content\r\nResponse-Seal: s\r\n\r\n", "");
+    check_cuts("HTTP/1.1 204 No Content\r\nServer: s\r\n\r\n", "");
     check_cuts("HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nbad" + answer, "");
 }
 
