Derive what is outstanding of a connection from what is in flight

The same value was read three times. A comment says why a lingering connection is watched otherwise.

--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -117,6 +117,7 @@
 void inbound_socket::watch()
 {
     const bool writes = this->socket.unsent() > 0;
+    // A lingering connection goes on sending its answer after the caller has ended its bytes.
     if (this->has_unread_bytes && this->current_phase == phase::answering) {
         this->owner.loop().watch_unread(this->number(), *this, writes);
     } else {
--- a/adapters/src/tcp_socket.cpp
+++ b/adapters/src/tcp_socket.cpp
@@ -80,10 +80,10 @@
         return std::nullopt;
     }
     tcp_delivery result;
-    result.outstanding = known.tcpi_unacked > 0 || known.tcpi_notsent_bytes > 0;
     result.in_flight = known.tcpi_unacked > 0;
+    result.outstanding = result.in_flight || known.tcpi_notsent_bytes > 0;
     result.acknowledged_bytes = known.tcpi_bytes_acked;
-    result.awaits_reader = known.tcpi_unacked == 0 && known.tcpi_probes == 0;
+    result.awaits_reader = !result.in_flight && known.tcpi_probes == 0;
     result.silence = std::chrono::milliseconds(known.tcpi_last_ack_recv);
     return result;
 }
