Keep the connection of a slow peer while the process stands still

Cause: while a peer's window is closed, the host ends the connection by TCP_USER_TIMEOUT alone. The monitor moved that timeout ahead by two fifths of itself, 2 s for callers, so that any longer time without a check ended the connection although the peer acknowledged every probe.

Now the timeout is ahead by itself (5 s for callers, 2 s for endpoints) while probes are acknowledged. A probe that is not acknowledged gets the step that it had before. A peer that disappears in a stall is detected within the timeout for the next probe, a step and the time between checks; the bound of the tests that guard this is unchanged. The class of fault: a deadline that only a running process can extend, with too little reserve.

a_slow_peer_keeps_its_connection_while_nothing_is_checked failed before (1 of 1) and passes; delivery_monitor 6 of 6.

--- a/adapters/src/delivery_monitor.cpp
+++ b/adapters/src/delivery_monitor.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-// Fractions of the timeout. A peer that disappears while it reads nothing is detected within the
-// step for the next probe and the same step again for its acknowledgement, each with the time
-// between two checks in addition; together they must not exceed the timeout. One that has read
-// slowly before may be detected later, by the time for which it did.
+// Fractions of the timeout. While the peer acknowledges probes, the timeout is ahead by itself, so
+// that this process may stand still for as long: the system goes by the timeout alone. A peer that
+// disappears while it reads nothing is detected within that time for the next probe and a step for
+// its acknowledgement, each with the time between two checks in addition. One that has read slowly
+// before may be detected later, by the time for which it did.
 constexpr int checks_per_timeout = 4;
 constexpr int checks_per_timeout_while_outstanding = 10;
 constexpr double step_part = 0.4;
@@ -45,17 +46,20 @@
     this->stall_start = progressed ? earlier_check : this->stall_start;
     this->stall = this->waiting && !progressed ? now - this->stall_start : decision::duration();
     this->next_check = now + this->timeout / checks_per_timeout_while_outstanding;
-    const auto step = this->timeout * step_part;
+    const auto step = std::chrono::ceil<std::chrono::milliseconds>(this->timeout * step_part);
+    // The system counts from when the peer's window first closed, also when it has opened a little
+    // since.
+    const auto waited = std::chrono::ceil<std::chrono::milliseconds>(now - this->wait_start);
     if (!this->waiting) {
         this->set_timeout(socket, delivery ? idle_timeout(this->timeout) : this->timeout);
-    } else if (delivery->awaits_reader || delivery->silence < step) {
-        // The system counts from when the peer's window first closed, also when it has opened a
-        // little since.
-        const auto extended =
-            std::chrono::ceil<std::chrono::milliseconds>(now - this->wait_start + step);
-        this->set_timeout(socket, std::max(this->timeout, extended));
+    } else if (delivery->awaits_reader) {
+        this->set_timeout(socket, waited + this->timeout);
+    } else if (delivery->silence < step) {
+        this->set_timeout(socket, std::max(this->timeout, waited + step));
     } else if (delivery->in_flight) {
         this->set_timeout(socket, this->timeout);
+    } else {
+        this->set_timeout(socket, std::min(this->current_timeout, waited + step));
     }
     return progressed;
 }
--- a/adapters/src/delivery_monitor.hpp
+++ b/adapters/src/delivery_monitor.hpp
@@ -10,7 +10,7 @@
 // Distinguishes a peer that reads slowly from one that is gone. The system's timeout for
 // unacknowledged bytes also ends a connection whose peer acknowledges every probe but reads
 // nothing, or little at a time. While probes are acknowledged, the monitor moves that timeout ahead
-// in small steps, so that the system keeps probing and still detects a peer that disappears. Once
+// in steps, so that the system keeps probing and still detects a peer that disappears. Once
 // bytes are acknowledged again, the configured timeout is restored. While nothing is outstanding,
 // `idle_timeout` applies, so that a lost probe does not end the connection. Where the system tells
 // nothing about its connections, no timeout is extended.
@@ -25,8 +25,8 @@
     // Must be called after each write. The socket may be negative if it is not known yet.
     void on_written(int socket, decision::instant now);
 
-    // Whether a check is due. Checks that are later than the step of the timeout risk the
-    // connection of a slow peer.
+    // Whether a check is due. Checks that are later than the timeout risk the connection of a slow
+    // peer.
     [[nodiscard]] bool is_due(decision::instant now) const
     {
         return this->observing && now >= this->next_check;
--- a/adapters/test/delivery_monitor_test.cpp
+++ b/adapters/test/delivery_monitor_test.cpp
@@ -127,6 +127,21 @@
     CHECK_TRUE(this->check(monitor));
 }
 
+// Guards against closing the connection of a slow peer because this process stands still for a
+// while, as one that is stopped.
+TEST(delivery_monitor, a_slow_peer_keeps_its_connection_while_nothing_is_checked)
+{
+    constexpr milliseconds standstill = timeout * 3 / 4;
+    delivery_monitor monitor(timeout);
+    this->connect();
+    this->write(monitor);
+    for (int time = 0; time < 3; ++time) {
+        CHECK_TRUE(this->stall(monitor, timeout));
+        std::this_thread::sleep_for(standstill);
+        CHECK_TRUE(this->check(monitor));
+    }
+}
+
 // Guards against taking a peer for slow that has disappeared while it read nothing.
 TEST(delivery_monitor, a_peer_that_disappears_in_a_stall_is_detected)
 {
