Refuse requests whose bodies exceed the memory, and share bodies

Cause: a router held any number of bodies, and each one up to three times: in the caller's exchange, in the endpoint's request, and as unsent bytes. The class of fault: what is held for callers has no common bound (unsent answers have one).

A message_body is shared by all who hold it and counted by the server that received it. The rest of a refused body is read up to the limit of bodies, so that a reset does not overtake the refusal.

--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -3,11 +3,13 @@
 
 #include "pearhaven/adapters/event_loop.hpp"
 #include "pearhaven/adapters/http_message.hpp"
+#include "pearhaven/adapters/message_body.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -22,7 +24,7 @@
     virtual ~inbound_exchange() = default;
 
     [[nodiscard]] virtual const http_request_head& head() const = 0;
-    [[nodiscard]] virtual const std::string& body() const = 0;
+    [[nodiscard]] virtual const message_body& body() const = 0;
     [[nodiscard]] virtual decision::instant arrived() const = 0; // when its last byte was read
 
     // Sends a complete answer.
@@ -90,6 +92,11 @@
     // held for callers that read slowly, because an endpoint cuts off one that is not taken.
     std::size_t unsent_bytes = 16U << 20U;
 
+    // Bytes of all request bodies that are held. A request beyond that is refused as not run, while
+    // its body is being received: callers can turn to another server, whereas a process that
+    // exceeds its memory ends with everything that it holds.
+    std::size_t held_body_bytes = std::numeric_limits<std::size_t>::max();
+
     // Longest time that a caller may take no byte of an answer that waits for it. Longer than
     // callers wait for an answer: a caller that still reads is never cut off.
     decision::duration unread_time = std::chrono::seconds(30);
@@ -101,6 +108,7 @@
     std::uint64_t accepted = 0;
     std::uint64_t turned_away = 0;    // closed with nothing read
     std::uint64_t refused_heads = 0;  // malformed or too long
+    std::uint64_t refused_bodies = 0; // no room for them
     std::uint64_t unacknowledged = 0; // closed because the caller's host did not acknowledge
     std::uint64_t unread = 0;         // closed because the caller did not read
     std::uint64_t closed_as_idle = 0;
@@ -108,6 +116,7 @@
     std::uint64_t sent_to_closed = 0;  // of those: received further bytes, which were not read
     std::size_t open = 0;
     std::size_t unsent_bytes = 0; // held for callers that have not taken them
+    std::size_t body_bytes = 0;   // of requests
 
     friend bool operator==(const inbound_counts&, const inbound_counts&) = default;
 };
--- a/adapters/include/pearhaven/adapters/http_outbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_outbound.hpp
@@ -3,6 +3,7 @@
 
 #include "pearhaven/adapters/event_loop.hpp"
 #include "pearhaven/adapters/http_message.hpp"
+#include "pearhaven/adapters/message_body.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -27,7 +28,7 @@
     std::string method = "GET";
     std::string target = "/";
     http_fields fields; // without framing fields
-    std::string body;
+    message_body body;
     decision::duration connect_time = std::chrono::seconds(1);
     decision::duration answer_time{};   // from sending to the head; zero: no limit
     decision::duration progress_time{}; // longest silence after the head; zero: no limit
--- a/adapters/src/buffered_socket.cpp
+++ b/adapters/src/buffered_socket.cpp
@@ -26,27 +26,55 @@
     return true;
 }
 
+bool buffered_socket::write(std::string_view bytes, message_body body)
+{
+    if (!this->write(bytes)) {
+        return false;
+    }
+    this->pending_body = std::move(body);
+    return this->flush();
+}
+
 bool buffered_socket::flush()
 {
-    while (this->unsent() > 0) {
-        const auto transfer =
-            this->socket.write(std::string_view(this->pending).substr(this->sent));
+    if (!this->send(this->pending, this->sent)) {
+        return false;
+    }
+    if (this->sent < this->pending.size()) {
+        this->release_sent();
+        return true;
+    }
+    this->pending.clear();
+    this->sent = 0;
+    if (this->pending.capacity() > max_kept_capacity) {
+        this->pending.shrink_to_fit();
+    }
+    if (!this->send(this->pending_body.text(), this->sent_body)) {
+        return false;
+    }
+    if (this->sent_body == this->pending_body.size()) {
+        this->pending_body = {};
+        this->sent_body = 0;
+    }
+    return true;
+}
+
+// Sends the bytes after the first `counted`, as far as the socket accepts them, and counts them.
+// Returns false when the connection is lost.
+bool buffered_socket::send(std::string_view bytes, std::size_t& counted)
+{
+    while (counted < bytes.size()) {
+        const auto transfer = this->socket.write(bytes.substr(counted));
         if (transfer.outcome == tcp_outcome::closed) {
             this->last_error = transfer.error;
             return false;
         }
         if (transfer.outcome == tcp_outcome::would_block || transfer.bytes == 0) {
-            this->release_sent();
             return true;
         }
-        this->sent += transfer.bytes;
+        counted += transfer.bytes;
         this->total += transfer.bytes;
     }
-    this->pending.clear();
-    this->sent = 0;
-    if (this->pending.capacity() > max_kept_capacity) {
-        this->pending.shrink_to_fit();
-    }
     return true;
 }
 
--- a/adapters/src/buffered_socket.hpp
+++ b/adapters/src/buffered_socket.hpp
@@ -3,6 +3,8 @@
 
 #include "tcp_socket.hpp"
 
+#include "pearhaven/adapters/message_body.hpp"
+
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -19,23 +21,32 @@
     // connection is lost.
     [[nodiscard]] bool write(std::string_view bytes);
 
+    // The same with a body after the bytes. Nothing else may be written until all of it is sent.
+    [[nodiscard]] bool write(std::string_view bytes, message_body body);
+
     // Writes buffered bytes. Returns false when the connection is lost.
     [[nodiscard]] bool flush();
 
-    [[nodiscard]] std::size_t unsent() const { return this->pending.size() - this->sent; }
+    [[nodiscard]] std::size_t unsent() const
+    {
+        return this->pending.size() - this->sent + this->pending_body.size() - this->sent_body;
+    }
     [[nodiscard]] int error() const { return this->last_error; } // errno of the lost connection
     [[nodiscard]] std::size_t total_sent() const { return this->total; }
     [[nodiscard]] tcp_socket& get() { return this->socket; }
     [[nodiscard]] const tcp_socket& get() const { return this->socket; }
 
 private:
+    [[nodiscard]] bool send(std::string_view bytes, std::size_t& counted);
     void release_sent();
 
     tcp_socket socket;
     std::string pending;
-    std::size_t sent = 0;  // bytes of `pending` already written
-    int last_error = 0;    // of the write that found the connection lost
-    std::size_t total = 0; // bytes written since the socket was opened
+    std::size_t sent = 0;      // bytes of `pending` already written
+    message_body pending_body; // follows `pending`
+    std::size_t sent_body = 0; // bytes of it already written
+    int last_error = 0;        // of the write that found the connection lost
+    std::size_t total = 0;     // bytes written since the socket was opened
 };
 
 } // namespace pearhaven::adapters
--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -54,6 +54,7 @@
     {
         auto all = this->counted;
         all.open = this->connections.size();
+        all.body_bytes = this->bodies->value();
         return all;
     }
 
@@ -69,7 +70,12 @@
     {
         return this->counted.unsent_bytes < this->bounds.unsent_bytes;
     }
+    [[nodiscard]] const boost::intrusive_ptr<byte_count>& body_bytes() const override
+    {
+        return this->bodies;
+    }
     void on_refused_head() override { ++this->counted.refused_heads; }
+    void on_refused_body() override { ++this->counted.refused_bodies; }
     void on_unacknowledged(bool in_progress) override;
     void on_unread(decision::duration stalled) override;
     void on_closed_as_idle() override { ++this->counted.closed_as_idle; }
@@ -91,6 +97,7 @@
     inbound_limits bounds;
     bool closing = false;
     inbound_counts counted;
+    boost::intrusive_ptr<byte_count> bodies{new byte_count}; // requests may outlive the server
     std::unordered_map<int, std::unique_ptr<inbound_socket>> connections;
     timer_number check = 0;
 };
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -27,6 +27,10 @@
 constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
 constexpr int status_head_too_large = 431;
+constexpr int status_unavailable = 503;
+
+// Seconds after which a caller may come back whose body there was no room for.
+constexpr const char* retry_delay = "1";
 
 } // namespace
 
@@ -209,6 +213,12 @@
     }
     if (this->current_phase == phase::reading) {
         this->process_bytes({bytes.data(), transfer.bytes});
+        return;
+    }
+    // A caller that is still sending its request may read the refusal only afterwards.
+    this->drained_bytes += transfer.bytes;
+    if (this->drained_bytes <= this->message_limits.body_bytes) {
+        this->begin_wait();
     }
 }
 
@@ -304,7 +314,8 @@
     if (expected != nullptr && same_field_name(*expected, "100-continue")) {
         this->send("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    this->exchange = new connection_exchange(*this, std::move(head), this->owner.loop().now());
+    this->exchange = new connection_exchange(*this, std::move(head), this->owner.loop().now(),
+                                             this->owner.body_bytes());
 }
 
 bool inbound_socket::on_response(http_response_head /*head*/)
@@ -318,10 +329,15 @@
         return;
     }
     const auto bound = std::max(this->message_limits.body_bytes, this->owner.limits().body_bytes);
-    if (this->exchange->body().size() + piece.size() > bound) {
+    if (this->exchange->received_bytes() + piece.size() > bound) {
         this->refuse(status_too_large);
         return;
     }
+    if (this->owner.body_bytes()->value() + piece.size() > this->owner.limits().held_body_bytes) {
+        this->owner.on_refused_body();
+        this->refuse(status_unavailable, {{"Retry-After", retry_delay}});
+        return;
+    }
     this->exchange->append(piece);
 }
 
@@ -394,10 +410,12 @@
 }
 
 // Answers an invalid request and reads no more of it, since the end of the request is unknown.
-void inbound_socket::refuse(int status)
+void inbound_socket::refuse(int status, const http_fields& fields)
 {
     this->drop_exchange();
-    this->send(write_response_head(status, {{"Content-Length", "0"}, {"Connection", "close"}}));
+    http_fields all = {{"Content-Length", "0"}, {"Connection", "close"}};
+    all.insert(all.end(), fields.begin(), fields.end());
+    this->send(write_response_head(status, all));
     if (this->current_phase != phase::closed) {
         this->drains = true;
         this->linger();
@@ -515,7 +533,7 @@
     }
     // A head that arrives byte by byte would hold its connection forever. A body may be long, so
     // the allowed time grows by the head time for each started megabyte of it.
-    const auto parts = 1 + (this->exchange ? this->exchange->body().size() >> 20U : 0U);
+    const auto parts = 1 + (this->exchange ? this->exchange->received_bytes() >> 20U : 0U);
     const auto head_time = std::max(this->message_limits.head_time, this->owner.limits().head_time);
     if (waited > head_time * static_cast<int>(parts + 1)) {
         this->refuse(status_timeout);
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -24,7 +24,11 @@
     // Counts the unsent bytes of all connections: adds `now` and removes `before`.
     virtual void change_unsent(std::size_t before, std::size_t now) = 0;
     [[nodiscard]] virtual bool has_room() const = 0;
+
+    // The bytes of all requests' bodies.
+    [[nodiscard]] virtual const boost::intrusive_ptr<byte_count>& body_bytes() const = 0;
     virtual void on_refused_head() = 0;
+    virtual void on_refused_body() = 0;
     // The caller's host acknowledged nothing for too long. `in_progress`: before the end of the
     // answer to a request.
     virtual void on_unacknowledged(bool in_progress) = 0;
@@ -43,12 +47,14 @@
 // A request together with the connection that its answer is sent on.
 class connection_exchange final : public inbound_exchange {
 public:
-    connection_exchange(inbound_socket& owner, http_request_head request, decision::instant now)
-        : connection(&owner), request_head(std::move(request)), arrival(now)
+    connection_exchange(inbound_socket& owner, http_request_head request, decision::instant now,
+                        boost::intrusive_ptr<byte_count> body_bytes)
+        : connection(&owner), request_head(std::move(request)), arrival(now),
+          charge(std::move(body_bytes))
     {}
 
     [[nodiscard]] const http_request_head& head() const override { return this->request_head; }
-    [[nodiscard]] const std::string& body() const override { return this->request_body; }
+    [[nodiscard]] const message_body& body() const override { return this->request_body; }
     [[nodiscard]] decision::instant arrived() const override { return this->arrival; }
     void answer(int status, const http_fields& fields, std::string_view body) override;
     void begin(int status, const http_fields& fields) override;
@@ -58,15 +64,28 @@
     [[nodiscard]] std::size_t unsent() const override;
     [[nodiscard]] bool has_room() const override;
 
-    void append(std::string_view piece) { this->request_body.append(piece); }
-    void set_arrived(decision::instant now) { this->arrival = now; }
+    // While the request is being received.
+    void append(std::string_view piece)
+    {
+        this->charge.add(piece.size());
+        this->received.append(piece);
+    }
+    [[nodiscard]] std::size_t received_bytes() const { return this->received.size(); }
+
+    void set_arrived(decision::instant now)
+    {
+        this->arrival = now;
+        this->request_body = message_body(std::move(this->received), std::move(this->charge));
+    }
     void detach() { this->connection = nullptr; }
 
 private:
     inbound_socket* connection; // null once the connection is closed or the answer has ended
     http_request_head request_head;
-    std::string request_body;
     decision::instant arrival;
+    std::string received; // of the body, until the request is complete
+    byte_charge charge;   // for `received`
+    message_body request_body;
 };
 
 // One connection of a caller. Functions called by the listener never call the listener back: a lost
@@ -125,7 +144,7 @@
     void process_pipelined();
     void begin_message();
     void drop_exchange();
-    void refuse(int status);
+    void refuse(int status, const http_fields& fields = {});
     void linger();
     void close_as_idle();
     void on_bytes_after_close();
@@ -162,6 +181,7 @@
     // that their caller learns that the request was not run.
     bool has_unread_bytes = false;
     bool drains = false; // the rest of a refused request is read, so that its caller reads on
+    std::size_t drained_bytes = 0;
 
     // The request in progress. On a closed connection: the one whose listener has not been notified
     // yet that the caller disconnected.
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -78,14 +78,14 @@
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
         fields.emplace_back("Content-Length", std::to_string(request.body.size()));
     }
-    auto bytes = write_request_head(request.method, request.target, fields);
-    bytes.append(request.body);
+    auto head = write_request_head(request.method, request.target, fields);
     if (!this->socket.get()) {
         this->fail_soon(outbound_fault::not_connected);
         return;
     }
     if (this->current_phase == phase::connecting) {
-        this->unsent_request = std::move(bytes);
+        this->unsent_head = std::move(head);
+        this->unsent_body = request.body;
         this->arm(request.connect_time);
         this->watch();
         return;
@@ -93,7 +93,7 @@
     this->current_phase = phase::busy;
     this->reused = true;
     this->arm(this->answer_time);
-    if (!this->socket.write(bytes)) {
+    if (!this->socket.write(head, request.body)) {
         this->fail_soon(outbound_fault::connection_lost);
         return;
     }
@@ -164,8 +164,8 @@
     if (this->current_phase != phase::busy) {
         return;
     }
-    const auto bytes = std::exchange(this->unsent_request, {});
-    if (!this->socket.write(bytes)) {
+    const auto head = std::exchange(this->unsent_head, {});
+    if (!this->socket.write(head, std::exchange(this->unsent_body, {}))) {
         this->fail(outbound_fault::connection_lost, this->socket.error());
         return;
     }
--- a/adapters/src/outbound_socket.hpp
+++ b/adapters/src/outbound_socket.hpp
@@ -78,8 +78,9 @@
 
     outbound_number current_exchange = 0;
     outbound_listener_ptr listener;
-    std::string unsent_request; // while connecting
-    bool no_body = false;       // the request was HEAD
+    std::string unsent_head; // while connecting
+    message_body unsent_body;
+    bool no_body = false; // the request was HEAD
     bool reused = false;
     bool head_received = false;
     bool skipping = false;             // the current answer belongs to an earlier request
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -89,6 +89,13 @@
     return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
 }
 
+std::string request_with_body(const std::string& target, const std::string& body)
+{
+    return "POST " + target +
+           " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
 void answer(inbound_exchange& exchange)
 {
     exchange.answer(200, {}, "whole");
@@ -769,7 +776,7 @@
         .when([] { return true; }, [this] { this->caller->send("half"); })
         .when(this->has_requests(1),
               [this] {
-                  STRCMP_EQUAL("halfhalf", this->listener.held.front()->body().c_str());
+                  STRCMP_EQUAL("halfhalf", this->listener.held.front()->body().text().c_str());
                   this->listener.call_exchange(answer);
                   this->caller->send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n"
                                      "halfhalf");
@@ -778,6 +785,54 @@
     CHECK_TRUE(script.run());
 }
 
+// Guards against a process that holds the bodies of more requests than its memory allows and ends
+// with all of them.
+TEST(http_inbound, a_request_whose_body_has_no_room_is_refused_as_not_run)
+{
+    inbound_limits limits;
+    limits.held_body_bytes = small_body.size() + small_body.size() / 2;
+    this->server->set_limits(limits);
+    const auto other = script_socket::connect(this->server->port());
+    const auto last = script_socket::connect(this->server->port());
+    loop_script script(this->loop);
+    this->caller->send(request_with_body("/first", small_body));
+    script
+        .when(this->has_requests(1),
+              [&other] { other->send(request_with_body("/second", small_body)); })
+        .when([&other] { return other->has(" 503 ") && other->has("Retry-After: "); },
+              [this, &last] {
+                  this->listener.call_exchange(answer);
+                  this->listener.held.clear();
+                  last->send(request_with_body("/last", small_body));
+              })
+        .until(this->has_requests(2));
+    CHECK_TRUE(script.run());
+    STRCMP_EQUAL("/last", this->listener.targets.back().c_str());
+    CHECK_EQUAL(1U, this->server->counts().refused_bodies);
+    CHECK_EQUAL(small_body.size(), this->server->counts().body_bytes);
+    this->listener.call_exchange(answer);
+    this->listener.held.clear();
+    CHECK_EQUAL(0U, this->server->counts().body_bytes);
+}
+
+// Guards against a reset in place of a refusal, because the caller is still sending its body when
+// the connection closes.
+TEST(http_inbound, a_refused_caller_may_go_on_sending_its_body)
+{
+    inbound_limits limits;
+    limits.held_body_bytes = 1;
+    this->server->set_limits(limits);
+    loop_script script(this->loop);
+    this->caller->send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nbegin");
+    for (int piece = 0; piece < 4; ++piece) {
+        script.when(this->has_passed(several_checks), [this] { this->caller->send("piece"); });
+    }
+    script.until(this->has_passed(several_polls));
+    CHECK_TRUE(script.run());
+    CHECK_EQUAL(1U, this->server->counts().open);
+    CHECK_TRUE(this->caller->has(" 503 "));
+}
+
 // Guards against closing an idle connection early when the operator shortens the idle time. The
 // caller relies on the longer time in force when the connection became idle.
 TEST(http_inbound, a_shorter_idle_time_does_not_close_a_connection_that_is_already_idle)
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -554,7 +554,7 @@
         outbound_request request;
         request.method = "POST";
         request.fields = {{"Host", "h"}};
-        request.body = std::string(3U << 20U, 'x') + "last";
+        request.body = message_body(std::string(3U << 20U, 'x') + "last");
         this->client->start({"endpoint", "127.0.0.1", this->endpoint.port()}, std::move(request),
                             this->seen);
     }
