Take an answer that came before a reset amid the request's body

The next write failed, and the attempt counted as lost although its answer could be read: its caller got 502, or the request was repeated. What has arrived is read before the attempt fails. an_answer_before_a_reset_amid_the_body_is_taken failed before (5 of 5) and passes.

--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -202,7 +202,7 @@
     }
     if (writable && this->socket.unsent() > 0) {
         if (!this->socket.flush()) {
-            this->fail(outbound_fault::connection_lost, this->socket.error());
+            this->read_rest(this->socket.error());
             return;
         }
         if (this->socket.unsent() == 0) {
@@ -247,6 +247,23 @@
     }
 }
 
+// The other end has closed the connection before it received all of the request. It may have
+// answered before: whoever refuses a body does not read the rest.
+void outbound_socket::read_rest(int error)
+{
+    std::array<char, read_size> bytes; // NOLINT(cppcoreguidelines-pro-type-member-init): filled
+    while (this->current_phase == phase::busy && !this->paused) {
+        const auto transfer = this->socket.get().read(bytes.data(), bytes.size());
+        if (transfer.outcome != tcp_outcome::done) {
+            break;
+        }
+        this->process_bytes({bytes.data(), transfer.bytes});
+    }
+    if (this->current_phase == phase::busy) {
+        this->fail(outbound_fault::connection_lost, error);
+    }
+}
+
 void outbound_socket::process_bytes(std::string_view bytes)
 {
     this->undelivered_bytes += bytes.size();
--- a/adapters/src/outbound_socket.hpp
+++ b/adapters/src/outbound_socket.hpp
@@ -56,6 +56,7 @@
 
     void connected();
     void read_more();
+    void read_rest(int error);
     void process_bytes(std::string_view bytes);
     void finish();
     void fail(outbound_fault why, int error = 0);
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -594,6 +594,25 @@
     CHECK_TRUE(this->seen->ended);
 }
 
+// Guards against losing an answer because the connection was reset while the body was being sent:
+// whoever refuses a body may close before it has read the rest.
+TEST(http_outbound_to_slow_endpoint, an_answer_before_a_reset_amid_the_body_is_taken)
+{
+    loop_script script(this->loop);
+    script
+        .when(
+            [this] {
+                return !this->endpoint.connections().empty() && this->connection().take(1) > 0;
+            },
+            [this] {
+                this->connection().send(answer);
+                this->connection().close(); // with unread bytes: a reset follows the answer
+            })
+        .until([this] { return this->seen->failure || this->seen->ended; });
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(this->seen->ended);
+}
+
 TEST(http_outbound_to_slow_endpoint, an_endpoint_that_disappears_while_it_is_slow_is_noticed)
 {
     loop_script script(this->loop);
