--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -67,7 +67,7 @@
 
 void connection_exchange::write(std::string_view piece)
 {
-    if (this->connection != nullptr && !piece.empty()) {
+    if (this->connection != nullptr && !piece.empty() && this->request_head.method != "HEAD") {
         this->connection->send(write_chunk(piece));
     }
 }
@@ -77,7 +77,9 @@
     if (this->connection == nullptr) {
         return;
     }
-    this->connection->send(last_chunk);
+    if (this->request_head.method != "HEAD") {
+        this->connection->send(last_chunk);
+    }
     this->connection->finish_answer();
 }
 
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -833,6 +833,25 @@
     CHECK_TRUE(this->caller->has(" 503 "));
 }
 
+// Guards against bytes after the head of an answer to HEAD, which its caller takes for the begin of
+// the next answer.
+TEST(http_inbound, an_answer_in_pieces_to_a_head_request_has_no_body)
+{
+    loop_script script(this->loop);
+    this->caller->send("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    script
+        .when(this->has_requests(1),
+              [this] {
+                  this->listener.call_exchange(begin);
+                  this->listener.call_exchange(write_twice);
+                  this->listener.call_exchange(end);
+              })
+        .until(this->has_passed(several_polls));
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(this->caller->ends_with("\r\n\r\n"));
+    CHECK_FALSE(this->caller->has("0\r\n\r\n"));
+}
+
 // Guards against closing an idle connection early when the operator shortens the idle time. The
 // caller relies on the longer time in force when the connection became idle.
 TEST(http_inbound, a_shorter_idle_time_does_not_close_a_connection_that_is_already_idle)
