Refuse a request once

Found by the review: when a body is refused and the bytes after it in the same read are malformed, the request was refused again. The second write met the end of the connection, which was closed at once, so that a reset could overtake the first refusal. a_malformed_rest_of_a_refused_body_is_not_refused_again failed before (6 of 6) and passes.

--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -290,7 +290,7 @@
     while (!bytes.empty() && this->current_phase == phase::reading) {
         bytes.remove_prefix(this->reader.feed(bytes));
         const auto fault = this->reader.fault();
-        if (fault != framing_fault::none) {
+        if (fault != framing_fault::none && this->current_phase == phase::reading) {
             this->owner.on_refused_head();
             this->refuse(fault == framing_fault::head_too_long ? status_head_too_large
                                                                : status_bad_request);
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -833,6 +833,23 @@
     CHECK_TRUE(this->caller->has(" 503 "));
 }
 
+// Guards against a second refusal after the first one, for a fault in bytes that are not read as a
+// body any more.
+TEST(http_inbound, a_malformed_rest_of_a_refused_body_is_not_refused_again)
+{
+    inbound_limits limits;
+    limits.held_body_bytes = 1;
+    this->server->set_limits(limits);
+    loop_script script(this->loop);
+    this->caller->send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "5\r\nbegin\r\nno length\r\n");
+    script.until(this->has_passed(several_polls));
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(this->caller->has(" 503 "));
+    CHECK_FALSE(this->caller->has(" 400 "));
+    CHECK_EQUAL(1U, this->server->counts().open);
+}
+
 // Guards against bytes after the head of an answer to HEAD, which its caller takes for the begin of
 // the next answer.
 TEST(http_inbound, an_answer_in_pieces_to_a_head_request_has_no_body)
