Keep a part of the room for bodies for short ones

Found by the review: at the bound every body was refused, also one of four bytes, so that a few callers with long bodies took the room of all others.

--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -23,6 +23,10 @@
 // request is in transit for a round trip, which takes tens of milliseconds between regions.
 constexpr decision::duration first_request_grace = std::chrono::milliseconds(250);
 
+// Bodies up to this size are short; a part of the room for bodies is theirs alone.
+constexpr std::size_t short_body_bytes = 64U << 10U;
+constexpr std::size_t parts_for_short_bodies = 32;
+
 constexpr int status_bad_request = 400;
 constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
@@ -335,7 +339,7 @@
         this->refuse(status_too_large);
         return;
     }
-    if (this->owner.body_bytes()->value() + piece.size() > this->owner.limits().held_body_bytes) {
+    if (!this->has_room_for(piece.size())) {
         this->owner.on_refused_body();
         this->refuse(status_unavailable, {{"Retry-After", retry_delay}});
         return;
@@ -343,6 +347,15 @@
     this->exchange->append(piece);
 }
 
+// A few long bodies must not take the room of all short ones.
+bool inbound_socket::has_room_for(std::size_t bytes) const
+{
+    const auto room = this->owner.limits().held_body_bytes;
+    const bool is_short = this->exchange->received_bytes() + bytes <= short_body_bytes;
+    const auto bound = is_short ? room : room - room / parts_for_short_bodies;
+    return this->owner.body_bytes()->value() + bytes <= bound;
+}
+
 void inbound_socket::on_message_end()
 {
     if (this->current_phase != phase::reading) {
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -143,6 +143,7 @@
     void process_bytes(std::string_view bytes);
     void process_pipelined();
     void begin_message();
+    [[nodiscard]] bool has_room_for(std::size_t bytes) const;
     void drop_exchange();
     void refuse(int status, const http_fields& fields = {});
     void linger();
--- a/adapters/test/http_inbound_test.cpp
+++ b/adapters/test/http_inbound_test.cpp
@@ -815,6 +815,23 @@
     CHECK_EQUAL(0U, this->server->counts().body_bytes);
 }
 
+// Guards against refusing all requests because a few long bodies take the room.
+TEST(http_inbound, a_short_body_has_room_beside_long_ones)
+{
+    inbound_limits limits;
+    limits.held_body_bytes = large_body.size();
+    this->server->set_limits(limits);
+    const auto other = script_socket::connect(this->server->port());
+    loop_script script(this->loop);
+    this->caller->send(request_with_body("/long", large_body));
+    script
+        .when([this] { return this->caller->flush() == 0 && this->caller->has(" 503 "); },
+              [&other] { other->send(request_with_body("/short", small_body)); })
+        .until(this->has_requests(1));
+    CHECK_TRUE(script.run());
+    STRCMP_EQUAL("/short", this->listener.targets.back().c_str());
+}
+
 // Guards against a reset in place of a refusal, because the caller is still sending its body when
 // the connection closes.
 TEST(http_inbound, a_refused_caller_may_go_on_sending_its_body)
