--- a/router/include/pearhaven/router/caller_dialect.hpp
+++ b/router/include/pearhaven/router/caller_dialect.hpp
@@ -20,6 +20,7 @@
     std::string id;         // as sent by the caller; endpoints echo it
     std::string route;      // name
     decision::work_kind kind = decision::work_kind::at_most_once;
+    std::uint64_t configuration = 0; // revision of the configuration that allows it
     std::uint64_t last_event = 0;    // last event of the stream that the caller received; 0: none
     std::vector<std::string> models; // smallest first; empty: the request names its own model
     decision::duration longest_pause{}; // maximum gap between events of a stream; zero: no limit
