Keep a slow peer whose last probe is not acknowledged yet

Cause: while the newest probe, or a few bytes, were not acknowledged at the last check, the timeout was only a step ahead (2 s for callers), although the peer had acknowledged something less than a step ago. Between two probes to a slow reader that state is common.

Now the timeout runs from the last acknowledgement, as it does for a peer that reads at once. A silence of a step ends the extension as before, so that a peer that disappears is detected no later by a process that runs.

--- a/adapters/src/delivery_monitor.cpp
+++ b/adapters/src/delivery_monitor.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-// Fractions of the timeout. While the peer acknowledges probes, the timeout is ahead by itself, so
-// that this process may stand still for as long: the system goes by the timeout alone. A peer that
-// disappears while it reads nothing is detected within that time for the next probe and a step for
-// its acknowledgement, each with the time between two checks in addition. One that has read slowly
-// before may be detected later, by the time for which it did.
+// Fractions of the timeout. While the peer acknowledges bytes or probes, the timeout is ahead by
+// itself, so that this process may stand still for as long: the system goes by the timeout alone. A
+// peer that disappears while it reads nothing is detected within that time for the next probe and a
+// step for its acknowledgement, each with the time between two checks in addition. One that has
+// read slowly before may be detected later, by the time for which it did.
 constexpr int checks_per_timeout = 4;
 constexpr int checks_per_timeout_while_outstanding = 10;
 constexpr double step_part = 0.4;
@@ -55,7 +55,8 @@
     } else if (delivery->awaits_reader) {
         this->set_timeout(socket, waited + this->timeout);
     } else if (delivery->silence < step) {
-        this->set_timeout(socket, std::max(this->timeout, waited + step));
+        this->set_timeout(socket,
+                          std::max(this->timeout, waited - delivery->silence + this->timeout));
     } else if (delivery->in_flight) {
         this->set_timeout(socket, this->timeout);
     } else {
--- a/adapters/test/delivery_monitor_test.cpp
+++ b/adapters/test/delivery_monitor_test.cpp
@@ -142,6 +142,32 @@
     }
 }
 
+// Guards against the same at a peer that reads a little at a time all the while, whose last probe
+// need not be acknowledged yet.
+TEST(delivery_monitor, a_peer_that_reads_slowly_keeps_its_connection_while_nothing_is_checked)
+{
+    constexpr std::size_t bytes_at_once = 80;
+    constexpr milliseconds pause{25};
+    constexpr milliseconds long_timeout{5000};
+    constexpr milliseconds standstill = long_timeout * 7 / 10;
+    delivery_monitor monitor(long_timeout);
+    this->connect();
+    this->write(monitor);
+    const auto read_for = [&](milliseconds time, bool checks) {
+        const auto end = event_loop::read_clock() + time;
+        while (event_loop::read_clock() < end) {
+            this->peer->take(bytes_at_once);
+            std::this_thread::sleep_for(pause);
+            CHECK_TRUE(!checks || this->check(monitor));
+        }
+    };
+    for (int time = 0; time < 3; ++time) {
+        read_for(seconds(2), true);
+        read_for(standstill, false);
+        CHECK_TRUE(this->check(monitor));
+    }
+}
+
 // Guards against taking a peer for slow that has disappeared while it read nothing.
 TEST(delivery_monitor, a_peer_that_disappears_in_a_stall_is_detected)
 {
