--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <stdexcept>
@@ -131,23 +132,42 @@
     return true;
 }
 
-std::string child_process::wait_for_line(const std::string& prefix, std::chrono::seconds patience)
+std::optional<std::string>
+child_process::wait_for(const std::function<bool(const std::string&)>& is_wanted,
+                        std::chrono::seconds patience)
 {
     const auto deadline = std::chrono::steady_clock::now() + patience;
     bool open = true;
     while (true) {
-        for (const auto& line : this->lines) {
-            if (line.rfind(prefix, 0) == 0) {
-                return line.substr(prefix.size());
-            }
+        const auto found = std::find_if(this->lines.begin(), this->lines.end(), is_wanted);
+        if (found != this->lines.end()) {
+            return *found;
         }
         if (!open || std::chrono::steady_clock::now() > deadline) {
-            throw std::runtime_error("no line \"" + prefix + "...\" came from the process");
+            return std::nullopt;
         }
         open = this->read_more(poll_step);
     }
 }
 
+std::string child_process::wait_for_line(const std::string& prefix, std::chrono::seconds patience)
+{
+    const auto line = this->wait_for(
+        [&prefix](const std::string& one) { return one.starts_with(prefix); }, patience);
+    if (!line) {
+        throw std::runtime_error("no line \"" + prefix + "...\" came from the process");
+    }
+    return line->substr(prefix.size());
+}
+
+bool child_process::wait_for_text(const std::string& text, std::chrono::seconds patience)
+{
+    return this
+        ->wait_for([&text](const std::string& one) { return one.find(text) != std::string::npos; },
+                   patience)
+        .has_value();
+}
+
 std::string child_process::read_output()
 {
     while (this->read_more(std::chrono::seconds(60))) {
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -4,6 +4,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -29,6 +30,10 @@
     // test (by an exception) when the process ends or `patience` expires first.
     std::string wait_for_line(const std::string& prefix, std::chrono::seconds patience);
 
+    // Waits until a line of standard output contains the text. Returns false when the process ends
+    // or `patience` expires first.
+    [[nodiscard]] bool wait_for_text(const std::string& text, std::chrono::seconds patience);
+
     // The rest of standard output, up to its end.
     std::string read_output();
 
@@ -44,6 +49,11 @@
 private:
     bool read_more(std::chrono::milliseconds patience);
 
+    // Reads until a line satisfies the predicate. Returns nothing when the process ends or
+    // `patience` expires first.
+    std::optional<std::string> wait_for(const std::function<bool(const std::string&)>& is_wanted,
+                                        std::chrono::seconds patience);
+
     std::string log;
     pid_t pid = -1;
     int output = -1;
