--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -8,7 +8,9 @@
 
 #include <cerrno>
 #include <csignal>
+#include <fstream>
 #include <stdexcept>
+#include <string>
 #include <system_error>
 #include <thread>
 #include <utility>
@@ -188,6 +190,18 @@
     return !this->status;
 }
 
+long child_process::peak_memory() const
+{
+    const std::string name = "VmHWM:";
+    std::ifstream file("/proc/" + std::to_string(this->pid) + "/status");
+    for (std::string line; std::getline(file, line);) {
+        if (line.rfind(name, 0) == 0) {
+            return std::stol(line.substr(name.size()));
+        }
+    }
+    return 0;
+}
+
 int child_process::wait(std::chrono::seconds patience)
 {
     const auto deadline = std::chrono::steady_clock::now() + patience;
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -41,6 +41,9 @@
 
     [[nodiscard]] bool is_running();
 
+    // The most memory that the process has had resident, in KiB; 0 if it has ended.
+    [[nodiscard]] long peak_memory() const;
+
 private:
     bool read_more(std::chrono::milliseconds patience);
 
