--- a/adapters/src/delivery_monitor.cpp
+++ b/adapters/src/delivery_monitor.cpp
@@ -9,9 +9,9 @@
 
 // Fractions of the timeout. While the peer acknowledges bytes or probes, the timeout is ahead by
 // itself, so that this process may stand still for as long: the system goes by the timeout alone. A
-// peer that disappears while it reads nothing is detected within that time for the next probe and a
-// step for its acknowledgement, each with the time between two checks in addition. One that has
-// read slowly before may be detected later, by the time for which it did.
+// peer that disappears while it reads nothing is detected after about twice the timeout: the system
+// probes as late as the timeout allows, and a shorter one does not bring forward the check that
+// follows. One that has read slowly before may be detected later, by the time for which it did.
 constexpr int checks_per_timeout = 4;
 constexpr int checks_per_timeout_while_outstanding = 10;
 constexpr double step_part = 0.4;
