Apply a configuration and its endpoints as one change

Callers whose requests waited in a router were refused with 503, "no endpoint serves one@v2", in the moment in which the first endpoint of another version registered.

A request that drew this version was refused; had its answer begun, the answer was cut off.

Now the dispatcher takes both and decides once.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -371,6 +371,12 @@
     // that the resulting actions start.
     std::vector<ended_incarnation> on_host_changes(const host_changes& changes, instant now);
 
+    // Both at once. A queued request is never judged by the new configuration with the old hosts,
+    // which need not serve a version that the configuration adds. `current` is null if the
+    // configuration is unchanged.
+    std::vector<ended_incarnation> on_changes(configuration_ptr current,
+                                              const host_changes& changes, instant now);
+
     // Returns false if the report does not apply to the endpoint's current incarnation.
     bool on_load_report(const std::string& address, const load_report& report, instant now);
 
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -50,10 +50,7 @@
 
 void dispatcher::on_configuration(configuration_ptr current, instant now)
 {
-    this->config = std::move(current);
-    this->table.configure(*this->config, now);
-    this->exposure.on_configuration(*this->config);
-    this->dispatch(now);
+    this->on_changes(std::move(current), {}, now);
 }
 
 void dispatcher::on_hosts(const std::vector<endpoint_host>& hosts, instant now)
@@ -64,6 +61,17 @@
 
 std::vector<ended_incarnation> dispatcher::on_host_changes(const host_changes& changes, instant now)
 {
+    return this->on_changes(nullptr, changes, now);
+}
+
+std::vector<ended_incarnation> dispatcher::on_changes(configuration_ptr current,
+                                                      const host_changes& changes, instant now)
+{
+    if (current) {
+        this->config = std::move(current);
+        this->table.configure(*this->config, now);
+        this->exposure.on_configuration(*this->config);
+    }
     std::vector<ended_incarnation> ended;
     for (const auto& host : changes.present) {
         const auto replaced = this->table.set_host(host, now);
--- a/decision/test/changed_dispatch_test.cpp
+++ b/decision/test/changed_dispatch_test.cpp
@@ -24,6 +24,7 @@
     std::vector<std::string> keys = {"digest"};
     std::string other_teams_key = "another";
     bool has_version = true;
+    bool has_new_version = false;
     bool has_service = true;
     std::uint32_t slots = 64;
     std::uint64_t revision = 1;
@@ -56,6 +57,16 @@
     engines.versions = selector().require("version", {"model@v1"});
     engines.hosts = selector().require("served", {"model@v1"});
     engines.slots_per_host = from.slots;
+    if (from.has_new_version) {
+        version added = served;
+        added.name = "model@v2";
+        builder.add(added);
+        pool more = engines;
+        more.name = "more engines";
+        more.versions = selector().require("version", {"model@v2"});
+        more.hosts = selector().require("served", {"model@v2"});
+        builder.add(more);
+    }
     service booking;
     booking.name = "booking";
     booking.hosts = selector().require("role", {"booking"});
@@ -330,6 +341,32 @@
     CHECK_TRUE(std::holds_alternative<start_attempt>(actions[0]));
 }
 
+// Guards against queued requests that are refused because a version is known before its first
+// endpoint, which registers in the same change.
+TEST(changed_dispatch, queued_requests_run_when_another_version_gets_its_first_endpoint)
+{
+    constexpr ticket_number queued = 20;
+    this->fill_endpoints();
+    for (ticket_number ticket = 1; ticket <= queued; ++ticket) {
+        this->router->on_arrival(make_request(ticket), now);
+    }
+    CHECK_EQUAL(queued, this->router->queued());
+    this->configured.has_new_version = true;
+    this->configured.slots = 64;
+    ++this->configured.revision;
+    host_changes registered;
+    registered.present.push_back({"e", "e", "osu", 0, false, {{"served", "model@v2"}}});
+    this->router->on_changes(make_configuration(this->configured), registered, now);
+    std::size_t at_new_version = 0;
+    for (const auto& action : this->router->take_actions()) {
+        const auto* start = std::get_if<start_attempt>(&action);
+        CHECK_TRUE(start != nullptr);
+        at_new_version += start->version == "model@v2" ? 1 : 0;
+    }
+    CHECK_EQUAL(0U, this->router->queued());
+    CHECK_TRUE(at_new_version > 0);
+}
+
 // The endpoint refuses a call after its service was removed. For a non-idempotent call the caller
 // must know that it has not run.
 TEST(changed_dispatch, a_refused_call_of_a_removed_service_is_reported_as_not_run)
