Let a stream that has begun wait for what continues it

A caller with a part of a stream lost the rest at once where its run had been lost and no other could start in that moment: the endpoints that were asked were full (six refusals, which pass in milliseconds), the retry budget was spent, or no endpoint was registered just then. For a request without an answer each of these is a refusal that tells the caller to come back; a stream that has begun cannot be refused any more, so that all of them ended in a closed connection (event_relay, give_up_request). Runs are also lost because this router gives them up as silent, for example while a large configuration fills its link, so that a change of the configuration may set it off for sound requests.

Cause: checks of admission, whose result is a refusal, decided about answers that had begun. Now such a stream waits for up to 3 s from the loss of its run: it tries once in 200 ms, pays for each retry from the budget once that has one, and ends at once only where nothing can help: its team, key or version is gone, its route allows no more runs, it may not be continued, its deadline passes, or the router stops. A request that is refused on its turn is settled with the queue in all cases; before, the account of its team was kept for good where its target was gone.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -308,6 +308,10 @@
     // Lost runs of one request; limits how many endpoints it can crash.
     std::uint32_t max_losses = 2;
 
+    // How long a stream whose caller has a part of it waits for an endpoint that continues it, from
+    // the loss of its run.
+    duration max_continuation_wait = std::chrono::seconds(3);
+
     lost_run_settings lost_runs;
     crashing_part_settings crashing_parts;
 
@@ -557,6 +561,8 @@
         instant lost_at;                          // time of the last loss
         attempt_number crash_counted_attempt = 0; // last attempt that was counted in a crash
         bool delivered = false;                   // tokens have reached the caller
+        instant not_before;                       // earliest start of the next attempt
+        bool owes_retry = false;                  // the next attempt has to be paid for first
         bool may_have_run = false;
         std::uint32_t runs = 0; // attempts that were sent and not refused
         std::uint32_t size = 0; // model size for the next attempt
@@ -682,6 +688,11 @@
     void after_loss(request_state& state, const attempt_end& end, instant now);
     void resume(request_state& state, const attempt_end& end);
     void retry(request_state& state);
+    [[nodiscard]] bool awaits_continuation(const request_state& state, instant now) const;
+    void wait_to_continue(request_state& state, bool owes_retry, instant now);
+    [[nodiscard]] std::optional<failure> queued_failure(const request_state& state,
+                                                        instant now) const;
+    [[nodiscard]] bool may_start(const request_state& state, instant now) const;
     void record_first_token(const request_state& state, duration first_token);
     void evaluate_speed(const request_state& state, speed_reference& reference, duration time);
     [[nodiscard]] static speed_reference_settings pace_settings();
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -520,9 +520,8 @@
     }
     const auto can_start = [this, now](const queue_entry& entry) {
         const auto& state = this->requests.at(entry.ticket);
-        return this->target_failure(state, now).has_value() ||
-               this->shed_failure(state, now).has_value() ||
-               this->find_start(state, now).has_value();
+        return this->queued_failure(state, now).has_value() ||
+               (this->may_start(state, now) && this->find_start(state, now).has_value());
     };
     while (const auto entry = this->queue.pop(can_start)) {
         this->dispatch_entry(entry->ticket, now);
@@ -532,14 +531,10 @@
 void dispatcher::dispatch_entry(ticket_number ticket, instant now)
 {
     auto& state = this->requests.at(ticket);
-    if (auto refused = this->target_failure(state, now)) {
+    if (auto refused = this->queued_failure(state, now)) {
         if (state.may_have_run) {
             refused->run = run_state::unknown;
         }
-        this->give_up(ticket, std::move(*refused));
-        return;
-    }
-    if (auto refused = this->shed_failure(state, now)) {
         this->queue.settle(state.request.team, state.request.work.tokens, 0.0);
         this->give_up(ticket, std::move(*refused));
         return;
@@ -552,9 +547,44 @@
         this->retry(state);
         return;
     }
+    if (state.owes_retry && !this->budget_of(state.request, now).try_spend(now)) {
+        this->queue.settle(state.request.team, state.request.work.tokens, 0.0);
+        this->retry(state);
+        return;
+    }
+    state.owes_retry = false;
     this->start(state, *where, now);
 }
 
+// Why the queued request ends now; nothing if it starts or waits.
+std::optional<failure> dispatcher::queued_failure(const request_state& state, instant now) const
+{
+    if (auto refused = this->target_failure(state, now)) {
+        const bool may_pass =
+            refused->code == failure_code::no_endpoint || refused->code == failure_code::overloaded;
+        if (may_pass && this->awaits_continuation(state, now)) {
+            return std::nullopt;
+        }
+        return refused;
+    }
+    if (state.owes_retry && !this->awaits_continuation(state, now) &&
+        !this->can_spend_retry(state.request, now)) {
+        return retryable_failure(failure_code::overloaded, short_retry_delay,
+                                 "no retry was left to continue the answer");
+    }
+    return this->shed_failure(state, now);
+}
+
+// Whether the queued request may start if there is an endpoint for it.
+bool dispatcher::may_start(const request_state& state, instant now) const
+{
+    if (!state.delivered) {
+        return true;
+    }
+    return now >= state.not_before && !this->target_failure(state, now) &&
+           (!state.owes_retry || this->can_spend_retry(state.request, now));
+}
+
 void dispatcher::start(request_state& state, const start_choice& where, instant now)
 {
     const auto& request = state.request;
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -28,6 +28,9 @@
 // Above this, the oldest are forgotten.
 constexpr std::size_t max_left_runs = 512;
 
+// How long a stream that has begun waits before its next attempt when it cannot continue at once.
+constexpr duration continuation_pause = std::chrono::milliseconds(200);
+
 // Refusals after which a request that a rollout step sent to the new version is not sent there any
 // more. No endpoint may have loaded that version yet, which must not cost the caller its answer.
 constexpr std::uint32_t max_refusals_of_new_version = 2;
@@ -135,6 +138,10 @@
     }
     const bool may_retry = state.refusals < this->settings.max_refusals &&
                            (is_free || this->budget_of(request, now).try_spend(now));
+    if (!may_retry && this->awaits_continuation(state, now)) {
+        this->wait_to_continue(state, !is_free, now);
+        return;
+    }
     if (!may_retry) {
         const auto run = state.may_have_run ? run_state::unknown : run_state::not_run;
         this->give_up(request.ticket,
@@ -260,8 +267,12 @@
         return;
     }
     // The other router has used the request's attempts.
-    const bool may_retry = !state.forwarded && this->has_runs_left(state) &&
-                           this->budget_of(request, now).try_spend(now);
+    const bool has_run_left = !state.forwarded && this->has_runs_left(state);
+    const bool may_retry = has_run_left && this->budget_of(request, now).try_spend(now);
+    if (!may_retry && has_run_left && this->awaits_continuation(state, now)) {
+        this->wait_to_continue(state, true, now);
+        return;
+    }
     if (!may_retry) {
         this->give_up(ticket,
                       {failure_code::endpoint_failed, run_state::unknown, true, short_retry_delay,
@@ -508,6 +519,21 @@
     }
 }
 
+// Whether the caller has a part of a stream and may still get the rest. It cannot be told that the
+// request is refused any more: the stream would be cut off.
+bool dispatcher::awaits_continuation(const request_state& state, instant now) const
+{
+    return state.delivered && state.request.on_loss == continuation::another_run &&
+           now - state.lost_at < this->settings.max_continuation_wait;
+}
+
+void dispatcher::wait_to_continue(request_state& state, bool owes_retry, instant now)
+{
+    state.not_before = now + continuation_pause;
+    state.owes_retry = owes_retry;
+    this->retry(state);
+}
+
 // Load that an endpoint received before a restart is neither carried over to its new incarnation
 // nor subtracted from it.
 void dispatcher::record_attempt_end(const request_state& state, attempt_result result,
--- a/decision/test/routed_dispatch_test.cpp
+++ b/decision/test/routed_dispatch_test.cpp
@@ -123,6 +123,18 @@
         this->last_start();
     }
 
+    // Each attempt that has started, or starts instead, is refused.
+    void refuse_all(instant at)
+    {
+        for (auto run = this->last_start(); run.attempt != 0; run = this->last_start()) {
+            attempt_end refused;
+            refused.ticket = run.ticket;
+            refused.attempt = run.attempt;
+            refused.result = attempt_result::refused;
+            this->router->on_attempt_end(refused, at);
+        }
+    }
+
     static attempt_end broken(const start_attempt& of, std::uint64_t events)
     {
         attempt_end end;
@@ -342,6 +354,80 @@
     CHECK_TRUE(end != nullptr && end->why.code == failure_code::answer_broken);
 }
 
+// Guards against a stream that is cut off because endpoints that are full refuse to continue it.
+TEST(routed_dispatch, a_broken_stream_waits_while_endpoints_refuse_to_continue_it)
+{
+    this->settings.max_refusals = 2;
+    this->make();
+    this->router->on_arrival(make_request(), now);
+    this->router->on_attempt_end(broken(this->last_start(), 5), now);
+    auto at = now;
+    for (; at < now + seconds(2); at += milliseconds(50)) {
+        this->router->on_tick(at);
+        this->refuse_all(at);
+    }
+    CHECK_TRUE(this->actions.empty());
+    this->router->on_tick(at + milliseconds(300));
+    CHECK_EQUAL(1U, this->last_start().ticket);
+}
+
+// Guards against a caller with a part of a stream that waits for the rest until its deadline, and
+// could have asked another router for it.
+TEST(routed_dispatch, a_broken_stream_that_is_refused_for_too_long_is_cut_off)
+{
+    this->settings.max_refusals = 2;
+    this->make();
+    this->router->on_arrival(make_request(), now);
+    this->router->on_attempt_end(broken(this->last_start(), 5), now);
+    for (auto at = now; at < now + seconds(4); at += milliseconds(50)) {
+        this->router->on_tick(at);
+        this->refuse_all(at);
+    }
+    const auto* end = this->last_action<give_up_request>();
+    CHECK_TRUE(end != nullptr && end->why.run == run_state::unknown);
+    CHECK_EQUAL(0U, this->router->in_flight());
+}
+
+// Guards against a stream that is cut off because no retry is left when its run is lost.
+TEST(routed_dispatch, a_broken_stream_waits_for_a_retry_that_other_requests_earn)
+{
+    this->settings.retry_share = 0.0;
+    this->settings.retry_share_on_arrival = 0.5;
+    this->settings.retry_burst = 1.0;
+    this->make();
+    const auto arrive = [this](ticket_number ticket, instant at) {
+        auto request = make_request();
+        request.ticket = ticket;
+        this->router->on_arrival(request, at);
+        return this->last_start();
+    };
+    const auto spending = arrive(2, now);
+    const auto stream = arrive(1, now);
+    this->router->on_attempt_end(broken(spending, 0), now);
+    CHECK_EQUAL(2U, this->last_start().ticket);
+    this->router->on_attempt_end(broken(stream, 5), now);
+    this->router->on_tick(now + milliseconds(500));
+    CHECK_TRUE(this->actions.empty());
+    CHECK_EQUAL(1U, this->router->queued());
+    arrive(3, now + milliseconds(600));
+    arrive(4, now + milliseconds(600));
+    CHECK_EQUAL(0U, this->router->queued());
+    CHECK_EQUAL(4U, this->router->in_flight());
+}
+
+// Guards against a stream that is cut off in the moment in which all endpoints are being replaced.
+TEST(routed_dispatch, a_broken_stream_waits_for_an_endpoint)
+{
+    this->router->on_arrival(make_request(), now);
+    const auto first = this->last_start();
+    this->router->on_hosts({}, now);
+    this->router->on_attempt_end(broken(first, 5), now);
+    CHECK_EQUAL(0U, this->last_start().attempt);
+    CHECK_TRUE(this->actions.empty());
+    this->router->on_hosts(make_hosts(), now + seconds(1));
+    CHECK_EQUAL(1U, this->last_start().ticket);
+}
+
 // A request that may have run must neither be reported as not run nor be sent again.
 TEST(routed_dispatch, a_request_that_may_run_only_once_is_not_sent_again)
 {
