Do not go back behind a configuration that another router has used

Cause: such a router hands its requests to another one. That one runs them by its own configuration if it is as new or newer, and the answer did not say by which.

Now the answer to a request that was handed on tells the revision that allowed it. A router that learns of a newer one than its own holds later requests until that one is in force, refuses them, not run, after 2 s, and at once what another router has asked it to start at once. A claim that does not come true within 10 s is dropped. What was sent before such an answer begins may still be run by the older version.

--- a/router/include/pearhaven/router/caller_dialect.hpp
+++ b/router/include/pearhaven/router/caller_dialect.hpp
@@ -73,6 +73,9 @@
     // What the endpoint states about itself; nothing if the answer is not known to be its own.
     std::optional<decision::endpoint_notice> notice;
 
+    // Revision of the configuration by which another router ran the request; 0 if it is not stated.
+    std::uint64_t configuration = 0;
+
     friend bool operator==(const answer_facts&, const answer_facts&) = default;
 };
 
@@ -103,9 +106,11 @@
     judge_forwarded(const routed_request& request,
                     const adapters::http_response_head& head) const = 0;
 
-    // The header fields of an endpoint's answer that are forwarded to the caller.
+    // The header fields of an endpoint's answer that are forwarded to the caller. If that is
+    // another router, they state the configuration that allowed the request.
     [[nodiscard]] virtual adapters::http_fields
-    forwarded_fields(const adapters::http_response_head& head) const = 0;
+    forwarded_fields(const routed_request& request,
+                     const adapters::http_response_head& head) const = 0;
 
     [[nodiscard]] virtual local_answer refuse(const routed_request& request,
                                               const decision::failure& why) const = 0;
--- a/router/include/pearhaven/router/event_relay.hpp
+++ b/router/include/pearhaven/router/event_relay.hpp
@@ -54,6 +54,14 @@
     std::size_t max_unsent = 16U << 10U;
     std::size_t max_unsent_with_room = 4U << 20U;
 
+    // How long a request waits for a configuration by which another router has run an earlier one
+    // of this router. It is refused after that.
+    decision::duration max_configuration_wait = std::chrono::seconds(2);
+
+    // How long such a configuration is expected. A router that it has not reached by then goes on
+    // with its own, since the other one may be wrong.
+    decision::duration max_time_behind = std::chrono::seconds(10);
+
     // Maximum bytes of an unfinished event of a stream. An event holds a few pieces of text; one
     // that never ends would exhaust the memory.
     std::size_t max_event_size = 1U << 20U;
@@ -66,7 +74,9 @@
 
 // Relays requests between callers and endpoints on one thread, as the dispatcher decides. A caller
 // always gets the complete answer of one endpoint, a stream joined only at event boundaries, or a
-// typed refusal. An answer that ends early is always recognizable as incomplete.
+// typed refusal. An answer that ends early is always recognizable as incomplete. Once another
+// router has begun to answer a request by a newer configuration, no later one is run by an older
+// one.
 class event_relay : public adapters::inbound_listener {
 public:
     // All references must outlive the relay.
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -8,6 +8,7 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <deque>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -30,6 +31,9 @@
 // Maximum number of endpoints whose last activity is remembered.
 constexpr std::size_t max_tracked_endpoints = 4096;
 
+// Retry delay for callers whose request has waited for a configuration in vain.
+constexpr duration behind_retry_delay = std::chrono::milliseconds(300);
+
 // Bytes of a caller-supplied request target that are logged.
 constexpr std::size_t max_logged_target = 100;
 
@@ -136,6 +140,7 @@
     {}
 
     void admit(const adapters::inbound_exchange_ptr& caller);
+    void admit_waiting();
     void run_actions();
     void caller_gone(adapters::inbound_exchange& caller);
     void room(adapters::inbound_exchange& caller);
@@ -165,6 +170,9 @@
     std::unordered_map<const adapters::inbound_exchange*, ticket_number> tickets;
     std::set<ticket_number> paused; // whose endpoints are not read
 
+    // Requests that wait for a configuration, in the order of their arrival.
+    std::deque<adapters::inbound_exchange_ptr> waiting;
+
 private:
     [[nodiscard]] relayed_request* find(ticket_number ticket, decision::attempt_number attempt);
     void carry_out(const decision::start_attempt& action);
@@ -187,6 +195,10 @@
     [[nodiscard]] std::optional<decision::endpoint_host>
     find_endpoint(const decision::start_attempt& action) const;
     [[nodiscard]] bool is_nothing_heard() const;
+    [[nodiscard]] std::uint64_t own_revision() const;
+    [[nodiscard]] bool is_behind() const;
+    void record_used_configuration(const relayed_request& relayed);
+    void refuse_as_behind(adapters::inbound_exchange& caller);
     [[nodiscard]] bool is_behind(const adapters::inbound_exchange& caller) const;
     void resume(ticket_number ticket);
     void set_timeouts(const relayed_request& relayed, adapters::outbound_request& sent) const;
@@ -215,6 +227,10 @@
     ticket_number last_ticket = 0;
     std::unordered_map<std::string, endpoint_activity> last_activity; // by endpoint address
     decision::instant last_heard; // when any endpoint or peer last sent something
+
+    // Newest configuration by which another router has run a request of this one, and since when.
+    std::uint64_t used_revision = 0;
+    decision::instant used_since;
     bool running = false;
 };
 
@@ -251,6 +267,15 @@
 void event_relay::state::admit(const adapters::inbound_exchange_ptr& caller)
 {
     auto understood = this->dialect.read(*caller, this->dispatcher.current().get());
+    if (this->is_behind()) {
+        const auto* routed = std::get_if<routed_request>(&understood);
+        if (routed != nullptr && routed->work.only_at_once) {
+            this->refuse_as_behind(*caller);
+        } else {
+            this->waiting.push_back(caller);
+        }
+        return;
+    }
     if (const auto* own = std::get_if<local_answer>(&understood)) {
         this->log_local_answer(*caller, *own);
         caller->answer(own->status, own->fields, own->body);
@@ -269,6 +294,63 @@
     this->run_actions();
 }
 
+// Those that have waited for too long are refused.
+void event_relay::state::admit_waiting()
+{
+    if (!this->is_behind()) {
+        const auto ready = std::exchange(this->waiting, {});
+        for (const auto& caller : ready) {
+            this->admit(caller);
+        }
+        return;
+    }
+    const auto earliest = this->loop.now() - this->settings.max_configuration_wait;
+    while (!this->waiting.empty() && this->waiting.front()->arrived() < earliest) {
+        const auto caller = this->waiting.front();
+        this->waiting.pop_front();
+        this->refuse_as_behind(*caller);
+    }
+}
+
+std::uint64_t event_relay::state::own_revision() const
+{
+    const auto& current = this->dispatcher.current();
+    return current ? current->revision() : 0;
+}
+
+// Whether a request that is run now could be run by an older configuration than an earlier one.
+bool event_relay::state::is_behind() const
+{
+    return this->own_revision() < this->used_revision &&
+           this->loop.now() - this->used_since < this->settings.max_time_behind;
+}
+
+void event_relay::state::record_used_configuration(const relayed_request& relayed)
+{
+    const auto revision = relayed.attempt.facts.configuration;
+    if (revision <= this->used_revision) {
+        return;
+    }
+    this->used_revision = revision;
+    this->used_since = this->loop.now();
+    if (this->is_behind()) {
+        this->counts.add("pearhaven_configuration_behind", {});
+        adapters::log_change("configuration_behind", {{"id", relayed.request.id},
+                                                      {"own", std::to_string(this->own_revision())},
+                                                      {"used", std::to_string(revision)},
+                                                      {"by", relayed.attempt.endpoint.address}});
+    }
+}
+
+void event_relay::state::refuse_as_behind(adapters::inbound_exchange& caller)
+{
+    const auto answer = this->dialect.refuse(
+        {}, {decision::failure_code::config_unconfirmed, decision::run_state::not_run, true,
+             behind_retry_delay, "another router has a newer configuration"});
+    this->log_local_answer(caller, answer);
+    caller.answer(answer.status, answer.fields, answer.body);
+}
+
 // Actions can trigger events, which produce further actions. The outermost call executes them all
 // in order.
 void event_relay::state::run_actions()
@@ -559,6 +641,7 @@
         return head_verdict::skip;
     }
     this->apply_notice(ticket, *relayed);
+    this->record_used_configuration(*relayed);
     current.head = head;
     current.first_token = this->loop.now() - current.started;
     if (is_refusal(current.facts.meaning)) {
@@ -778,8 +861,9 @@
         relayed.began = true;
         relayed.first_piece = this->loop.now();
         relayed.last_piece = relayed.first_piece;
-        relayed.caller->begin(relayed.attempt.head.status,
-                              this->dialect.forwarded_fields(relayed.attempt.head));
+        relayed.caller->begin(
+            relayed.attempt.head.status,
+            this->dialect.forwarded_fields(relayed.request, relayed.attempt.head));
     }
 }
 
@@ -826,7 +910,7 @@
 {
     const auto& current = relayed.attempt;
     if (current.facts.meaning != answer_meaning::unproven) {
-        return {current.head.status, this->dialect.forwarded_fields(current.head),
+        return {current.head.status, this->dialect.forwarded_fields(relayed.request, current.head),
                 current.buffered};
     }
     this->counts.add("pearhaven_answers_without_proof", {});
@@ -996,14 +1080,13 @@
 void event_relay::state::log_local_answer(const adapters::inbound_exchange& caller,
                                           const local_answer& answer)
 {
-    const auto revision = this->dispatcher.current() ? this->dispatcher.current()->revision() : 0;
     this->counts.add("pearhaven_requests_answered_here",
                      {{"status", std::to_string(answer.status)}});
     adapters::log_change("request_refused",
                          {{"id", this->dialect.name_of(caller)},
                           {"target", caller.head().target.substr(0, max_logged_target)},
                           {"status", std::to_string(answer.status)},
-                          {"config", std::to_string(revision)},
+                          {"config", std::to_string(this->own_revision())},
                           {"why", answer.body.substr(0, answer.body.find('\n'))}});
 }
 
@@ -1013,7 +1096,6 @@
     const auto arrived = relayed.caller->arrived();
     const auto waited = this->loop.now() - arrived;
     const auto first = relayed.began ? relayed.first_piece - arrived : duration::zero();
-    const auto revision = this->dispatcher.current() ? this->dispatcher.current()->revision() : 0;
     this->counts.add("pearhaven_requests_ended",
                      {{"route", relayed.request.route}, {"status", std::to_string(status)}});
     this->counts.observe("pearhaven_request_seconds", {{"team", relayed.request.work.team}},
@@ -1028,7 +1110,7 @@
                                            {"first_ms", milliseconds(first)},
                                            {"pause_ms", milliseconds(relayed.longest_pause)},
                                            {"events", std::to_string(relayed.last_event)},
-                                           {"config", std::to_string(revision)},
+                                           {"config", std::to_string(this->own_revision())},
                                            {"attempts", relayed.history}});
 }
 
@@ -1046,6 +1128,7 @@
 {
     const auto found = this->tickets.find(&caller);
     if (found == this->tickets.end()) {
+        std::erase_if(this->waiting, [&caller](const auto& one) { return one.get() == &caller; });
         return;
     }
     const auto ticket = found->second;
@@ -1143,11 +1226,13 @@
 void event_relay::run_actions()
 {
     this->inner->run_actions();
+    this->inner->admit_waiting();
 }
 
 void event_relay::tick()
 {
     const auto& loop = this->inner->loop;
+    this->inner->admit_waiting();
     this->inner->resume_those_with_room();
     this->inner->dispatcher.on_tick(loop.now(), loop.polled_until());
     this->inner->run_actions();
@@ -1155,7 +1240,7 @@
 
 std::size_t event_relay::in_flight() const
 {
-    return this->inner->requests.size();
+    return this->inner->requests.size() + this->inner->waiting.size();
 }
 
 } // namespace pearhaven::router
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -93,11 +93,16 @@
     answer_facts judge_forwarded(const routed_request& request,
                                  const adapters::http_response_head& head) const override
     {
-        return this->judge(request, head);
+        auto facts = this->judge(request, head);
+        if (const auto* revision = adapters::find_field(head.fields, "Revision")) {
+            facts.configuration = std::stoull(*revision);
+        }
+        return facts;
     }
 
     adapters::http_fields
-    forwarded_fields(const adapters::http_response_head& /*head*/) const override
+    forwarded_fields(const routed_request& /*request*/,
+                     const adapters::http_response_head& /*head*/) const override
     {
         this->on_call("pass on");
         return {};
@@ -152,7 +157,8 @@
 };
 
 // A configuration in which only `team` may send requests.
-decision::configuration_ptr make_configuration(const std::string& team = "deposits")
+decision::configuration_ptr make_configuration(const std::string& team = "deposits",
+                                               std::uint64_t revision = 1)
 {
     decision::team deposits;
     deposits.name = team;
@@ -168,7 +174,7 @@
     engines.hosts = decision::selector().require("served", {"model@v1"});
     engines.slots_per_host = 64;
     return decision::configuration_builder()
-        .revision(1)
+        .revision(revision)
         .add(deposits)
         .add(served)
         .add(engines)
@@ -250,11 +256,11 @@
         this->dialect.prototype.kind = work_kind::resumable_stream;
     }
 
-    void make_dispatcher(bool sheds_load = false)
+    void make_dispatcher(bool sheds_load = false, std::uint32_t max_refusals = 1)
     {
         decision::dispatcher_settings chosen;
         chosen.endpoints.zone = "osu";
-        chosen.max_refusals = 1;
+        chosen.max_refusals = max_refusals;
         chosen.config_expiry_grace = std::chrono::hours(1);
         chosen.sheds_load = sheds_load;
         this->dispatcher = std::make_unique<decision::dispatcher>(chosen);
@@ -472,6 +478,28 @@
         CHECK_EQUAL(0, this->dispatcher->in_flight());
     }
 
+    // Another router, at the first endpoint's port, runs the caller's request by a newer
+    // configuration, since this one can connect to no endpoint. Then the next caller sends.
+    loop_script& run_by_a_newer_configuration()
+    {
+        this->make_dispatcher(false, 3);
+        const std::string unreachable = "127.0.0.1:1";
+        this->dispatcher->on_hosts(
+            {{unreachable, unreachable, "osu", 0, false, {{"served", "model@v1"}}}},
+            this->loop.now());
+        this->dispatcher->set_peer("edge-2",
+                                   "127.0.0.1:" + std::to_string(this->endpoints[0]->port()));
+        this->dialect.prototype.kind = work_kind::idempotent;
+        return this->begin()
+            .when(this->has_run(0),
+                  [this] { this->run_at(0)->send(complete_answer("first", "Revision: 2\r\n")); })
+            .when(this->caller_has("first"), [this] {
+                this->caller->close();
+                this->next_caller = script_socket::connect(this->callers->port());
+                this->next_caller->send(request("/next"));
+            });
+    }
+
     // How often requests with this start were sent to either endpoint.
     std::size_t sends_of(const std::string& start)
     {
@@ -956,6 +984,64 @@
     CHECK_EQUAL(1U, this->sends_of("GET /a "));
 }
 
+// Guards against a request that is run by an older configuration than an earlier one, because this
+// router is behind the one that ran the earlier one.
+TEST(event_relay, a_request_waits_for_the_configuration_that_another_router_has_used)
+{
+    this->run_by_a_newer_configuration()
+        .when([this] { return this->relay->in_flight() == 1; },
+              [this] {
+                  CHECK_EQUAL(0, this->dispatcher->in_flight());
+                  this->dispatcher->on_configuration(make_configuration("deposits", 2),
+                                                     this->loop.now());
+                  this->relay->run_actions();
+              })
+        .when([this] { return this->next_caller_run() != nullptr; },
+              [this] { this->next_caller_run()->send(complete_answer("second")); })
+        .until([this] { return this->next_caller->has("second"); });
+    CHECK_TRUE(this->script->run());
+    CHECK_EQUAL(0, this->relay->in_flight());
+}
+
+// Guards against a caller that waits until its deadline for such a configuration.
+TEST(event_relay, a_request_that_waited_too_long_for_a_configuration_is_refused)
+{
+    this->settings.max_configuration_wait = milliseconds(20);
+    this->run_by_a_newer_configuration().until([this] {
+        this->relay->tick();
+        return this->next_caller->has("refused, not run");
+    });
+    CHECK_TRUE(this->script->run());
+    CHECK_EQUAL(0, this->relay->in_flight());
+    CHECK_EQUAL(0U, this->sends_of("GET /next "));
+}
+
+// Guards against a router that serves nobody because another one claims a configuration that does
+// not exist.
+TEST(event_relay, a_router_goes_on_without_a_configuration_that_does_not_come)
+{
+    this->settings.max_time_behind = milliseconds(20);
+    this->run_by_a_newer_configuration()
+        .when(
+            [this] {
+                this->relay->tick();
+                return this->next_caller_run() != nullptr;
+            },
+            [this] { this->next_caller_run()->send(complete_answer("second")); })
+        .until([this] { return this->next_caller->has("second"); });
+    CHECK_TRUE(this->script->run());
+}
+
+TEST(event_relay, a_caller_that_leaves_while_it_waits_for_a_configuration_is_forgotten)
+{
+    this->run_by_a_newer_configuration()
+        .when([this] { return this->relay->in_flight() == 1; },
+              [this] { this->next_caller->close(); })
+        .until([this] { return this->relay->in_flight() == 0; });
+    CHECK_TRUE(this->script->run());
+    CHECK_EQUAL(0U, this->sends_of("GET /next "));
+}
+
 // The endpoint answers with an error after the team was removed. The caller gets the endpoint's
 // answer.
 TEST(event_relay, an_endpoints_error_answer_is_forwarded_after_the_team_was_removed)
