--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -28,6 +28,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -490,6 +491,7 @@
     // to finish in time, judging by earlier requests, and those that another router can continue.
     // Queued and running requests proceed.
     void begin_stop(const planned_stop& times) { this->stop = times; }
+    [[nodiscard]] bool is_stopping() const { return this->stop.has_value(); }
 
     // Gives up all remaining requests. Those that never ran are reported as not run.
     void end_stop(instant now);
@@ -505,7 +507,10 @@
     // This router's load on the endpoints that it helps to fill, without the parts of the prompts.
     [[nodiscard]] std::vector<endpoint_load> concentrated_loads() const;
     [[nodiscard]] std::size_t in_flight() const { return this->requests.size(); }
-    [[nodiscard]] std::size_t queued() const { return this->queue.size(); }
+    [[nodiscard]] std::size_t queued() const
+    {
+        return this->queue.size() + this->interrupted.size();
+    }
 
     // Fingerprints of the requests that crash endpoints, by the lost runs known to this router.
     [[nodiscard]] std::vector<std::uint64_t> quarantined_requests(instant now) const
@@ -690,6 +695,7 @@
     void retry(request_state& state);
     [[nodiscard]] bool awaits_continuation(const request_state& state, instant now) const;
     void wait_to_continue(request_state& state, bool owes_retry, instant now);
+    void queue_interrupted(instant now);
     [[nodiscard]] std::optional<failure> queued_failure(const request_state& state,
                                                         instant now) const;
     [[nodiscard]] bool may_start(const request_state& state, instant now) const;
@@ -762,6 +768,10 @@
     peer_forwarding forwarding;
     std::unordered_set<std::uint64_t> shared_quarantines; // of requests and of parts
     std::map<ticket_number, request_state> requests;
+
+    // Streams that have begun and cannot continue now. They are not in the queue, where they would
+    // hold up requests of their team that can start.
+    std::set<ticket_number> interrupted;
     std::map<std::string, target_arrivals> arrivals_by_target;
     std::map<std::string, std::uint32_t> team_in_flight;
     speed_reference first_tokens; // of answers delivered in one piece
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -518,12 +518,13 @@
     if (!this->is_config_valid(now) || !this->config) {
         return;
     }
-    const auto can_start = [this, now](const queue_entry& entry) {
+    this->queue_interrupted(now);
+    const auto can_be_taken = [this, now](const queue_entry& entry) {
         const auto& state = this->requests.at(entry.ticket);
-        return this->queued_failure(state, now).has_value() ||
-               (this->may_start(state, now) && this->find_start(state, now).has_value());
+        return this->queued_failure(state, now).has_value() || !this->may_start(state, now) ||
+               this->find_start(state, now).has_value();
     };
-    while (const auto entry = this->queue.pop(can_start)) {
+    while (const auto entry = this->queue.pop(can_be_taken)) {
         this->dispatch_entry(entry->ticket, now);
     }
 }
@@ -539,6 +540,11 @@
         this->give_up(ticket, std::move(*refused));
         return;
     }
+    if (!this->may_start(state, now)) {
+        this->queue.settle(state.request.team, state.request.work.tokens, 0.0);
+        this->wait_to_continue(state, state.owes_retry, now);
+        return;
+    }
     this->make_cheaper(state, now);
     const auto where = this->find_start(state, now);
     if (!where) {
@@ -549,7 +555,7 @@
     }
     if (state.owes_retry && !this->budget_of(state.request, now).try_spend(now)) {
         this->queue.settle(state.request.team, state.request.work.tokens, 0.0);
-        this->retry(state);
+        this->wait_to_continue(state, true, now);
         return;
     }
     state.owes_retry = false;
@@ -575,7 +581,7 @@
     return this->shed_failure(state, now);
 }
 
-// Whether the queued request may start if there is an endpoint for it.
+// Whether the queued request may start once an endpoint has room for it.
 bool dispatcher::may_start(const request_state& state, instant now) const
 {
     if (!state.delivered) {
@@ -755,6 +761,7 @@
 
 void dispatcher::on_tick(instant now, instant events_read_until)
 {
+    this->queue_interrupted(now);
     for (const auto& entry : this->queue.expire(now)) {
         const auto& state = this->requests.at(entry.ticket);
         const auto run = state.may_have_run ? run_state::unknown : run_state::not_run;
@@ -878,6 +885,7 @@
         this->team_in_flight.erase(held);
     }
     this->requests.erase(found);
+    this->interrupted.erase(ticket);
 }
 
 void dispatcher::publish_suspect_statuses()
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -531,7 +531,21 @@
 {
     state.not_before = now + continuation_pause;
     state.owes_retry = owes_retry;
-    this->retry(state);
+    this->interrupted.insert(state.request.ticket);
+}
+
+// Returns the interrupted streams that can go on or have to end to the queue.
+void dispatcher::queue_interrupted(instant now)
+{
+    const auto waiting = this->interrupted;
+    for (const auto ticket : waiting) {
+        auto& state = this->requests.at(ticket);
+        if (now >= state.request.deadline || this->may_start(state, now) ||
+            this->queued_failure(state, now)) {
+            this->interrupted.erase(ticket);
+            this->retry(state);
+        }
+    }
 }
 
 // Load that an endpoint received before a restart is neither carried over to its new incarnation
--- a/decision/test/routed_dispatch_test.cpp
+++ b/decision/test/routed_dispatch_test.cpp
@@ -415,6 +415,32 @@
     CHECK_EQUAL(4U, this->router->in_flight());
 }
 
+// Guards against requests that wait behind streams that nothing can continue at present.
+TEST(routed_dispatch, requests_start_while_broken_streams_wait)
+{
+    constexpr ticket_number streams = 20;
+    this->settings.retry_share = 0.0;
+    this->settings.retry_burst = 1.0;
+    this->make();
+    std::vector<start_attempt> runs;
+    for (ticket_number ticket = 1; ticket <= streams; ++ticket) {
+        auto request = make_request();
+        request.ticket = ticket;
+        this->router->on_arrival(request, now);
+        runs.push_back(this->last_start());
+    }
+    for (const auto& run : runs) {
+        this->router->on_attempt_end(broken(run, 5), now);
+    }
+    this->last_start();
+    CHECK_EQUAL(streams - 1, this->router->queued());
+    auto request = make_request();
+    request.ticket = streams + 1;
+    this->router->on_arrival(request, now + milliseconds(500));
+    CHECK_EQUAL(streams + 1, this->last_start().ticket);
+    CHECK_TRUE(this->actions.empty());
+}
+
 // Guards against a stream that is cut off in the moment in which all endpoints are being replaced.
 TEST(routed_dispatch, a_broken_stream_waits_for_an_endpoint)
 {
