Bound the wait for a configuration by the deadline and a stop

Now a request waits until its deadline at most, and is refused at once in a stop or if another router has handed it on.

Evidence: a_request_waits_for_a_configuration_until_its_deadline_at_most and a_router_that_is_behind_refuses_other_routers_and_in_a_stop_everybody pass; the former state was not built with them. router_tests (event_relay) and platform_tests (dialect) pass with ASan.

--- a/router/include/pearhaven/router/caller_dialect.hpp
+++ b/router/include/pearhaven/router/caller_dialect.hpp
@@ -73,7 +73,8 @@
     // What the endpoint states about itself; nothing if the answer is not known to be its own.
     std::optional<decision::endpoint_notice> notice;
 
-    // Revision of the configuration by which another router ran the request; 0 if it is not stated.
+    // Revision of the configuration by which another router allowed the request; 0 if it is not
+    // stated.
     std::uint64_t configuration = 0;
 
     friend bool operator==(const answer_facts&, const answer_facts&) = default;
@@ -91,6 +92,9 @@
     read(const adapters::inbound_exchange& caller,
          const decision::configuration* current) const = 0;
 
+    // Whether another router has handed the request on.
+    [[nodiscard]] virtual bool is_forwarded(const adapters::inbound_exchange& caller) const = 0;
+
     // The request's id as sent by the caller, for the log; empty if there is none.
     [[nodiscard]] virtual std::string name_of(const adapters::inbound_exchange& caller) const = 0;
 
--- a/router/include/pearhaven/router/event_relay.hpp
+++ b/router/include/pearhaven/router/event_relay.hpp
@@ -55,7 +55,7 @@
     std::size_t max_unsent_with_room = 4U << 20U;
 
     // How long a request waits for a configuration by which another router has run an earlier one
-    // of this router. It is refused after that.
+    // of this router. It is refused after that, or at its deadline.
     decision::duration max_configuration_wait = std::chrono::seconds(2);
 
     // How long such a configuration is expected. A router that it has not reached by then goes on
@@ -75,8 +75,7 @@
 // Relays requests between callers and endpoints on one thread, as the dispatcher decides. A caller
 // always gets the complete answer of one endpoint, a stream joined only at event boundaries, or a
 // typed refusal. An answer that ends early is always recognizable as incomplete. Once another
-// router has begun to answer a request by a newer configuration, no later one is run by an older
-// one.
+// router has begun to answer a request by a newer configuration, later ones wait for that one.
 class event_relay : public adapters::inbound_listener {
 public:
     // All references must outlive the relay.
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <variant>
 
 namespace pearhaven::router {
 
@@ -120,6 +121,12 @@
            meaning == answer_meaning::refused_other_process;
 }
 
+// A request that waits for a configuration, until a time at which it is refused.
+struct waiting_caller {
+    adapters::inbound_exchange_ptr caller;
+    decision::instant until;
+};
+
 // When an endpoint last sent something, and which incarnation of it. Activity of an earlier
 // incarnation does not show that a restarted endpoint with the same address is alive.
 struct endpoint_activity {
@@ -171,7 +178,7 @@
     std::set<ticket_number> paused; // whose endpoints are not read
 
     // Requests that wait for a configuration, in the order of their arrival.
-    std::deque<adapters::inbound_exchange_ptr> waiting;
+    std::deque<waiting_caller> waiting;
 
 private:
     [[nodiscard]] relayed_request* find(ticket_number ticket, decision::attempt_number attempt);
@@ -198,6 +205,8 @@
     [[nodiscard]] std::uint64_t own_revision() const;
     [[nodiscard]] bool is_behind() const;
     void record_used_configuration(const relayed_request& relayed);
+    bool wait_or_refuse(const adapters::inbound_exchange_ptr& caller,
+                        const std::variant<routed_request, local_answer>& read);
     void refuse_as_behind(adapters::inbound_exchange& caller);
     [[nodiscard]] bool is_behind(const adapters::inbound_exchange& caller) const;
     void resume(ticket_number ticket);
@@ -267,13 +276,7 @@
 void event_relay::state::admit(const adapters::inbound_exchange_ptr& caller)
 {
     auto understood = this->dialect.read(*caller, this->dispatcher.current().get());
-    if (this->is_behind()) {
-        const auto* routed = std::get_if<routed_request>(&understood);
-        if (routed != nullptr && routed->work.only_at_once) {
-            this->refuse_as_behind(*caller);
-        } else {
-            this->waiting.push_back(caller);
-        }
+    if (this->is_behind() && this->wait_or_refuse(caller, understood)) {
         return;
     }
     if (const auto* own = std::get_if<local_answer>(&understood)) {
@@ -294,21 +297,40 @@
     this->run_actions();
 }
 
+// Whether the request is not admitted now, because this router's configuration is behind. A request
+// that another router has handed on is refused at once, since that router has others to ask, and so
+// is one that comes in a stop.
+bool event_relay::state::wait_or_refuse(const adapters::inbound_exchange_ptr& caller,
+                                        const std::variant<routed_request, local_answer>& read)
+{
+    const auto* routed = std::get_if<routed_request>(&read);
+    const bool is_forwarded = this->dialect.is_forwarded(*caller);
+    if (is_forwarded && routed == nullptr) {
+        return false;
+    }
+    if (is_forwarded || this->dispatcher.is_stopping()) {
+        this->refuse_as_behind(*caller);
+        return true;
+    }
+    const auto latest = caller->arrived() + this->settings.max_configuration_wait;
+    this->waiting.push_back(
+        {caller, routed == nullptr ? latest : std::min(latest, routed->work.deadline)});
+    return true;
+}
+
 // Those that have waited for too long are refused.
 void event_relay::state::admit_waiting()
 {
-    if (!this->is_behind()) {
-        const auto ready = std::exchange(this->waiting, {});
-        for (const auto& caller : ready) {
-            this->admit(caller);
+    const bool behind = this->is_behind();
+    const auto all = std::exchange(this->waiting, {});
+    for (const auto& one : all) {
+        if (!behind) {
+            this->admit(one.caller);
+        } else if (this->loop.now() >= one.until) {
+            this->refuse_as_behind(*one.caller);
+        } else {
+            this->waiting.push_back(one);
         }
-        return;
-    }
-    const auto earliest = this->loop.now() - this->settings.max_configuration_wait;
-    while (!this->waiting.empty() && this->waiting.front()->arrived() < earliest) {
-        const auto caller = this->waiting.front();
-        this->waiting.pop_front();
-        this->refuse_as_behind(*caller);
     }
 }
 
@@ -1128,7 +1150,8 @@
 {
     const auto found = this->tickets.find(&caller);
     if (found == this->tickets.end()) {
-        std::erase_if(this->waiting, [&caller](const auto& one) { return one.get() == &caller; });
+        std::erase_if(this->waiting,
+                      [&caller](const auto& one) { return one.caller.get() == &caller; });
         return;
     }
     const auto ticket = found->second;
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -56,6 +56,11 @@
         return made;
     }
 
+    bool is_forwarded(const adapters::inbound_exchange& caller) const override
+    {
+        return adapters::find_field(caller.head().fields, "Forwarded") != nullptr;
+    }
+
     std::string name_of(const adapters::inbound_exchange& /*caller*/) const override { return "n"; }
 
     adapters::outbound_request write(const adapters::inbound_exchange& caller,
@@ -1032,6 +1037,41 @@
     CHECK_TRUE(this->script->run());
 }
 
+// Guards against a caller with little time that is refused only after its deadline.
+TEST(event_relay, a_request_waits_for_a_configuration_until_its_deadline_at_most)
+{
+    this->dialect.time_limit = milliseconds(300);
+    this->settings.max_configuration_wait = seconds(20);
+    this->run_by_a_newer_configuration().until([this] {
+        this->relay->tick();
+        return this->next_caller->has("refused, not run");
+    });
+    CHECK_TRUE(this->script->run());
+}
+
+// Guards against other routers that wait for one that is behind, and callers without an answer when
+// it stops.
+TEST(event_relay, a_router_that_is_behind_refuses_other_routers_and_in_a_stop_everybody)
+{
+    this->run_by_a_newer_configuration()
+        .when([this] { return this->relay->in_flight() == 1; },
+              [this] {
+                  this->next_caller->close();
+                  this->next_caller = script_socket::connect(this->callers->port());
+                  this->next_caller->send("GET /next HTTP/1.1\r\nHost: h\r\nForwarded: 1\r\n\r\n");
+              })
+        .when([this] { return this->next_caller->has("refused, not run"); },
+              [this] {
+                  const auto now = this->loop.now();
+                  this->dispatcher->begin_stop({now + seconds(3), now + seconds(8)});
+                  this->next_caller = script_socket::connect(this->callers->port());
+                  this->next_caller->send(request("/next"));
+              })
+        .until([this] { return this->next_caller->has("refused, not run"); });
+    CHECK_TRUE(this->script->run());
+    CHECK_EQUAL(0U, this->sends_of("GET /next "));
+}
+
 TEST(event_relay, a_caller_that_leaves_while_it_waits_for_a_configuration_is_forgotten)
 {
     this->run_by_a_newer_configuration()
