Name the state of a router that lacks a configuration apart from a slow caller's

event_relay had two functions is_behind: whether this router lacks a configuration that another one has used, and whether a caller takes its answer slowly. The first one is lacks_used_configuration now; no behaviour changes.

--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -203,7 +203,7 @@
     find_endpoint(const decision::start_attempt& action) const;
     [[nodiscard]] bool is_nothing_heard() const;
     [[nodiscard]] std::uint64_t own_revision() const;
-    [[nodiscard]] bool is_behind() const;
+    [[nodiscard]] bool lacks_used_configuration() const;
     void record_used_configuration(const relayed_request& relayed);
     bool wait_or_refuse(const adapters::inbound_exchange_ptr& caller,
                         const std::variant<routed_request, local_answer>& read);
@@ -276,7 +276,7 @@
 void event_relay::state::admit(const adapters::inbound_exchange_ptr& caller)
 {
     auto understood = this->dialect.read(*caller, this->dispatcher.current().get());
-    if (this->is_behind() && this->wait_or_refuse(caller, understood)) {
+    if (this->lacks_used_configuration() && this->wait_or_refuse(caller, understood)) {
         return;
     }
     if (const auto* own = std::get_if<local_answer>(&understood)) {
@@ -321,7 +321,7 @@
 // Those that have waited for too long are refused.
 void event_relay::state::admit_waiting()
 {
-    const bool behind = this->is_behind();
+    const bool behind = this->lacks_used_configuration();
     const auto all = std::exchange(this->waiting, {});
     for (const auto& one : all) {
         if (!behind) {
@@ -341,7 +341,7 @@
 }
 
 // Whether a request that is run now could be run by an older configuration than an earlier one.
-bool event_relay::state::is_behind() const
+bool event_relay::state::lacks_used_configuration() const
 {
     return this->own_revision() < this->used_revision &&
            this->loop.now() - this->used_since < this->settings.max_time_behind;
@@ -355,7 +355,7 @@
     }
     this->used_revision = revision;
     this->used_since = this->loop.now();
-    if (this->is_behind()) {
+    if (this->lacks_used_configuration()) {
         this->counts.add("pearhaven_configuration_behind", {});
         adapters::log_change("configuration_behind", {{"id", relayed.request.id},
                                                       {"own", std::to_string(this->own_revision())},
