Count bytes by purpose and the age of endpoint news

The logs could not tell what fills a link in those seconds, nor how old a router's knowledge of the endpoints is.

--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -4,6 +4,7 @@
 #include "pearhaven/adapters/event_loop.hpp"
 #include "pearhaven/adapters/http_message.hpp"
 #include "pearhaven/adapters/message_body.hpp"
+#include "pearhaven/adapters/transferred_bytes.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -138,6 +139,7 @@
 
     [[nodiscard]] virtual std::uint16_t port() const = 0;
     [[nodiscard]] virtual inbound_counts counts() const = 0;
+    [[nodiscard]] virtual transferred_bytes bytes() const = 0; // of all connections
 };
 
 // Listens on the IP address and port. Throws std::system_error when that is not possible. Loop and
--- a/adapters/include/pearhaven/adapters/http_outbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_outbound.hpp
@@ -4,6 +4,7 @@
 #include "pearhaven/adapters/event_loop.hpp"
 #include "pearhaven/adapters/http_message.hpp"
 #include "pearhaven/adapters/message_body.hpp"
+#include "pearhaven/adapters/transferred_bytes.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -111,6 +112,7 @@
     std::uint64_t reused = 0;
     std::uint64_t failed = 0; // connection attempts that failed
     std::size_t open = 0;
+    transferred_bytes bytes;
 };
 
 // An HTTP/1.1 client on an event loop, with one exchange at a time on each connection. A request is
--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -58,6 +58,8 @@
         return all;
     }
 
+    [[nodiscard]] transferred_bytes bytes() const override { return this->counted_bytes; }
+
     [[nodiscard]] event_loop& loop() override { return this->events; }
     [[nodiscard]] inbound_listener& listener() override { return this->requests; }
     [[nodiscard]] const inbound_limits& limits() const override { return this->bounds; }
@@ -97,6 +99,7 @@
     inbound_limits bounds;
     bool closing = false;
     inbound_counts counted;
+    transferred_bytes counted_bytes;
     boost::intrusive_ptr<byte_count> bodies{new byte_count}; // requests may outlive the server
     std::unordered_map<int, std::unique_ptr<inbound_socket>> connections;
     timer_number check = 0;
@@ -114,6 +117,7 @@
             continue;
         }
         ++this->counted.accepted;
+        accepted.count_bytes_in(this->counted_bytes);
         const int number = accepted.get();
         this->connections[number] = std::make_unique<inbound_socket>(*this, std::move(accepted));
     }
--- a/adapters/src/http_outbound.cpp
+++ b/adapters/src/http_outbound.cpp
@@ -42,6 +42,7 @@
     {
         ++(connected ? this->counted.connected : this->counted.failed);
     }
+    [[nodiscard]] transferred_bytes& bytes() override { return this->counted.bytes; }
     void on_exchange_end(outbound_number exchange) override { this->exchanges.erase(exchange); }
     void on_idle(outbound_socket& connection, decision::instant idle_until) override;
     void on_closed(outbound_socket& connection) override;
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -42,6 +42,7 @@
 {
     if (this->socket.get()) {
         this->socket.get().set_options(idle_timeout(client.settings().unacknowledged_timeout));
+        this->socket.get().count_bytes_in(client.bytes());
     }
 }
 
--- a/adapters/src/outbound_socket.hpp
+++ b/adapters/src/outbound_socket.hpp
@@ -17,6 +17,7 @@
     [[nodiscard]] virtual event_loop& loop() = 0;
     [[nodiscard]] virtual const http_outbound_settings& settings() const = 0;
     virtual void on_connected(bool connected) = 0;
+    [[nodiscard]] virtual transferred_bytes& bytes() = 0; // of all connections
 
     virtual void on_exchange_end(outbound_number exchange) = 0;
 
--- a/adapters/src/tcp_socket.cpp
+++ b/adapters/src/tcp_socket.cpp
@@ -89,7 +89,8 @@
 }
 
 tcp_socket::tcp_socket(tcp_socket&& other) noexcept
-    : descriptor(std::exchange(other.descriptor, -1))
+    : descriptor(std::exchange(other.descriptor, -1)),
+      counted(std::exchange(other.counted, nullptr))
 {}
 
 tcp_socket& tcp_socket::operator=(tcp_socket&& other) noexcept
@@ -97,6 +98,7 @@
     if (this != &other) {
         this->close();
         this->descriptor = std::exchange(other.descriptor, -1);
+        this->counted = std::exchange(other.counted, nullptr);
     }
     return *this;
 }
@@ -171,7 +173,11 @@
 
 tcp_transfer tcp_socket::read(char* target, std::size_t capacity) const
 {
-    return receive(this->descriptor, target, capacity, 0);
+    const auto transfer = receive(this->descriptor, target, capacity, 0);
+    if (this->counted != nullptr) {
+        this->counted->received += transfer.bytes;
+    }
+    return transfer;
 }
 
 tcp_transfer tcp_socket::peek() const
@@ -190,7 +196,12 @@
 
 tcp_transfer tcp_socket::write(std::string_view bytes) const
 {
-    return transfer_of(send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+    const auto transfer =
+        transfer_of(send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+    if (this->counted != nullptr) {
+        this->counted->sent += transfer.bytes;
+    }
+    return transfer;
 }
 
 std::uint16_t tcp_socket::port() const
--- a/adapters/src/tcp_socket.hpp
+++ b/adapters/src/tcp_socket.hpp
@@ -1,6 +1,8 @@
 #ifndef PEARHAVEN_ADAPTERS_SRC_TCP_SOCKET_HPP
 #define PEARHAVEN_ADAPTERS_SRC_TCP_SOCKET_HPP
 
+#include "pearhaven/adapters/transferred_bytes.hpp"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -87,6 +89,10 @@
     // megabytes for a peer that does not read.
     void limit_unsent(std::size_t bytes) const;
 
+    // Adds the bytes that are read and written from now on to the counts, which must outlive the
+    // socket.
+    void count_bytes_in(transferred_bytes& counts) { this->counted = &counts; }
+
     [[nodiscard]] bool is_connected() const;
     [[nodiscard]] tcp_transfer read(char* target, std::size_t capacity) const;
 
@@ -104,6 +110,7 @@
 
 private:
     int descriptor = -1;
+    transferred_bytes* counted = nullptr;
 };
 
 } // namespace pearhaven::adapters
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -277,6 +277,16 @@
     STRCMP_EQUAL("ok", seen->body.c_str());
 }
 
+TEST(http_outbound, counts_the_bytes_of_all_connections)
+{
+    this->endpoint->answers = {answer, answer};
+    this->client->start(this->endpoint->target(), {}, new recording_listener);
+    this->ask();
+    CHECK_EQUAL(2U, this->client->counts().connected);
+    CHECK_EQUAL(2 * answer.size(), this->client->counts().bytes.received);
+    CHECK_COMPARE(0U, <, this->client->counts().bytes.sent);
+}
+
 // An endpoint sends the late answer to an earlier request before the expected one.
 TEST(http_outbound, skips_an_answer_to_another_request)
 {
--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -120,6 +120,13 @@
     // When the store last answered this mirror.
     [[nodiscard]] decision::instant confirmed_at() const { return this->confirmed; }
 
+    // A peer held every change up to the revision at that time.
+    void on_peer_confirmed(store_revision as_of, decision::instant at);
+
+    // The time up to which this mirror holds every change but those of large values, as far as the
+    // store and the peers have confirmed it.
+    [[nodiscard]] decision::instant known_until() const { return this->known_at; }
+
     // The store has returned from an older copy. Keys that it lost are treated as present for as
     // long as after a loss of the store: their owners write them again.
     void on_store_restored(decision::instant now);
@@ -173,7 +180,8 @@
     bool has_list = false;
     bool needs_list = true;
     store_revision received_revision = 0;
-    decision::instant peers_served_since; // without a gap longer than `missing_key_grace`
+    store_revision small_values_revision = 0; // the same without values that peers have omitted
+    decision::instant peers_served_since;     // without a gap longer than `missing_key_grace`
     decision::instant peers_served_at;
     store_revision reported_revision = 0; // highest revision reported by peers with omitted values
     store_revision reported_revision_at_call = 0; // value when the open call was made
@@ -186,6 +194,7 @@
     watch_mode mode = watch_mode::independent;
     bool has_stopped_following = false; // since the store's last answer
     decision::instant confirmed;
+    decision::instant known_at;
     decision::instant due;
     std::optional<decision::instant> regained_at; // after a loss
     std::vector<action> actions;
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -125,6 +125,7 @@
     this->open_call.reset();
     if (reply.outcome == kv_outcome::ok) {
         this->confirmed = now;
+        this->known_at = now;
         this->has_stopped_following = false;
         this->succeed(now);
         const bool brought = !this->needs_list && !reply.entries.empty();
@@ -194,6 +195,13 @@
     this->peers_served_at = std::max(this->peers_served_at, at);
 }
 
+void prefix_mirror::on_peer_confirmed(store_revision as_of, decision::instant at)
+{
+    if (as_of <= std::max(this->received_revision, this->small_values_revision)) {
+        this->known_at = std::max(this->known_at, at);
+    }
+}
+
 // Whether the store served other routers for as long as a key may be missing after an outage: a key
 // that is missing now was removed and did not expire.
 bool prefix_mirror::store_served_peers(decision::instant now) const
@@ -348,6 +356,10 @@
     if (omits_some) {
         this->reported_revision = std::max(this->reported_revision, update.as_of);
     }
+    const auto small_values_known = std::max(this->received_revision, this->small_values_revision);
+    if (update.complete || update.after <= small_values_known) {
+        this->small_values_revision = std::max(this->small_values_revision, update.as_of);
+    }
     if (update.complete || update.after <= this->received_revision) {
         this->received_revision =
             omits_some ? std::max(this->received_revision, update.first_omitted - 1) : update.as_of;
--- a/router/include/pearhaven/router/peer_messenger.hpp
+++ b/router/include/pearhaven/router/peer_messenger.hpp
@@ -4,6 +4,7 @@
 #include "pearhaven/adapters/event_loop.hpp"
 #include "pearhaven/adapters/metrics.hpp"
 #include "pearhaven/adapters/peer_link.hpp"
+#include "pearhaven/adapters/transferred_bytes.hpp"
 #include "pearhaven/coordination/peer_exchange.hpp"
 #include "pearhaven/coordination/prefix_mirror.hpp"
 #include "pearhaven/coordination/update_delays.hpp"
@@ -68,6 +69,9 @@
     void on_lost_prompt(const decision::lost_prompt& lost) override;
     void on_answered_prompt(const decision::answered_prompt& answered) override;
 
+    // Bytes of frames to and from the other routers.
+    [[nodiscard]] adapters::transferred_bytes bytes() const;
+
     // Whether the other routers report the lost prompts of the target to this one.
     [[nodiscard]] bool adds_up_crashes_of(std::uint64_t target) const
     {
--- a/router/src/peer_messenger.cpp
+++ b/router/src/peer_messenger.cpp
@@ -230,6 +230,15 @@
     }
 }
 
+adapters::transferred_bytes peer_messenger::bytes() const
+{
+    if (!this->link) {
+        return {};
+    }
+    const auto counts = this->link->counts();
+    return {counts.received_bytes, counts.sent_bytes};
+}
+
 void peer_messenger::set_watch_mode()
 {
     const auto wanted = this->share.mode(this->deps.loop.now());
@@ -285,6 +294,9 @@
         this->deps.mirror.on_peer_update(updates);
         this->deps.on_updates(from);
     }
+    if (updates.age >= decision::duration::zero()) {
+        this->deps.mirror.on_peer_confirmed(updates.as_of, this->deps.loop.now() - updates.age);
+    }
     if (!updates.complete && updates.after > known && !this->deps.mirror.must_read_store()) {
         this->link->send(reply_to, coordination::mirror_pull{0, known});
         return;
