Read changes of endpoints beside a long answer of the store

Cause: one watch carries every change. A configuration of 1.6 MB takes seconds on a link of 10 Mbit/s, and whatever changes meanwhile is asked for only after it. The class: urgent news behind a large transfer on one channel.

Change: as soon as the answer to a watch proves too long to be decoded on the event loop, the mirror watches the endpoints' prefix with a call of its own, until the long answer is complete. Nothing is called while answers are short. A watcher forwards what it learns that way; its followers take changes after the revision that both have confirmed.

--- a/adapters/include/pearhaven/adapters/http_outbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_outbound.hpp
@@ -154,10 +154,12 @@
 // Returns a listener that collects an answer and passes it to `done` once it is complete or has
 // failed. Bodies over `max_body` bytes count as malformed. `on_silence` is called when no head was
 // received within the answer time, and returns whether to give up; without it the exchange is given
-// up. Silence after the head always ends the exchange.
+// up. Silence after the head always ends the exchange. `on_progress` is called with each piece of
+// the body, and gets the bytes of the body received so far.
 outbound_listener_ptr collect_answer(std::size_t max_body,
                                      std::function<void(const collected_answer&)> done,
-                                     std::function<bool()> on_silence = {});
+                                     std::function<bool()> on_silence = {},
+                                     std::function<void(std::size_t)> on_progress = {});
 
 } // namespace pearhaven::adapters
 
--- a/adapters/src/http_outbound.cpp
+++ b/adapters/src/http_outbound.cpp
@@ -192,8 +192,10 @@
 class answer_collector final : public outbound_listener {
 public:
     answer_collector(std::size_t limit, std::function<void(const collected_answer&)> callback,
-                     std::function<bool()> silence_callback)
-        : max_body(limit), done(std::move(callback)), silence(std::move(silence_callback))
+                     std::function<bool()> silence_callback,
+                     std::function<void(std::size_t)> progress_callback)
+        : max_body(limit), done(std::move(callback)), silence(std::move(silence_callback)),
+          progress(std::move(progress_callback))
     {}
 
     head_verdict on_head(const http_response_head& head) override
@@ -209,6 +211,9 @@
         if (!this->too_long) {
             this->collected.body.append(piece);
         }
+        if (this->progress) {
+            this->progress(this->collected.body.size());
+        }
     }
 
     void on_end() override
@@ -236,7 +241,8 @@
 private:
     std::size_t max_body;
     std::function<void(const collected_answer&)> done;
-    std::function<bool()> silence; // may be empty
+    std::function<bool()> silence;             // may be empty
+    std::function<void(std::size_t)> progress; // may be empty
     collected_answer collected;
     bool too_long = false;
 };
@@ -251,9 +257,11 @@
 
 outbound_listener_ptr collect_answer(std::size_t max_body,
                                      std::function<void(const collected_answer&)> done,
-                                     std::function<bool()> on_silence)
+                                     std::function<bool()> on_silence,
+                                     std::function<void(std::size_t)> on_progress)
 {
-    return new answer_collector(max_body, std::move(done), std::move(on_silence));
+    return new answer_collector(max_body, std::move(done), std::move(on_silence),
+                                std::move(on_progress));
 }
 
 } // namespace pearhaven::adapters
--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -18,6 +18,11 @@
 
 struct prefix_mirror_settings {
     std::string prefix;
+
+    // Begins with `prefix`. Changes under it are read by a call of their own while a long answer is
+    // being received. Empty: there are none.
+    std::string urgent_prefix;
+
     // A watch can miss changes: after the store drops its history, a watch that began meanwhile was
     // seen to wait until its timeout although changes were made. Its end delivers them, so this is
     // the delay that such a watch adds; a shorter wait costs more calls.
@@ -91,6 +96,10 @@
     void on_tick(decision::instant now);
     void on_reply(call_tag tag, const kv_reply& reply, decision::instant now);
 
+    // The answer to the open watch is long, and is being received. It may take seconds on a narrow
+    // link; until then, changes under the urgent prefix are watched by another call.
+    void on_long_answer(decision::instant now);
+
     // The update for a router that has followed the store up to the revision; empty while this
     // mirror cannot read the store itself.
     [[nodiscard]] std::optional<mirror_update> updates_after(store_revision after) const;
@@ -120,12 +129,15 @@
     // When the store last answered this mirror.
     [[nodiscard]] decision::instant confirmed_at() const { return this->confirmed; }
 
+    // The same, or when it last answered an urgent call.
+    [[nodiscard]] decision::instant answered_at() const { return this->answered; }
+
     // A peer held every change up to the revision at that time.
     void on_peer_confirmed(store_revision as_of, decision::instant at);
 
-    // The time up to which this mirror holds every change but those of large values, as far as the
+    // The time up to which this mirror holds every change under the urgent prefix, as far as the
     // store and the peers have confirmed it.
-    [[nodiscard]] decision::instant known_until() const { return this->known_at; }
+    [[nodiscard]] decision::instant urgent_known_until() const { return this->urgent_known_at; }
 
     // The store has returned from an older copy. Keys that it lost are treated as present for as
     // long as after a loss of the store: their owners write them again.
@@ -145,6 +157,10 @@
     void call(kv_request request, decision::instant now);
     void on_list(const kv_reply& reply, decision::instant now);
     void on_watch(const kv_reply& reply, decision::instant now);
+    void call_urgently(decision::instant now);
+    void on_urgent_reply(const kv_reply& reply, decision::instant now);
+    void end_urgent_calls();
+    void take_changes(const kv_reply& reply, decision::instant now);
     void fail(decision::instant now);
     [[nodiscard]] decision::duration with_jitter(decision::duration pause) const;
     void succeed(decision::instant now);
@@ -189,12 +205,17 @@
     store_revision changes_since = 0; // `changes` holds all changes after this revision
     std::optional<call_tag> open_call;
     decision::instant called_at;
+    bool answer_is_long = false; // of the open call
+    std::optional<call_tag> urgent_call;
+    store_revision urgent_revision = 0; // the next urgent call continues from here
+    decision::instant urgent_due;
     call_tag next_tag = 1;
     std::uint32_t failures = 0;
     watch_mode mode = watch_mode::independent;
     bool has_stopped_following = false; // since the store's last answer
     decision::instant confirmed;
-    decision::instant known_at;
+    decision::instant answered;
+    decision::instant urgent_known_at;
     decision::instant due;
     std::optional<decision::instant> regained_at; // after a loss
     std::vector<action> actions;
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -64,6 +64,7 @@
 void prefix_mirror::on_tick(decision::instant now)
 {
     this->drop_missing_keys(now);
+    this->call_urgently(now);
     if (this->open_call || now < this->due) {
         return;
     }
@@ -99,6 +100,7 @@
 {
     if (this->open_call) {
         this->open_call.reset();
+        this->end_urgent_calls();
         this->due = now;
         this->on_tick(now);
     }
@@ -113,19 +115,26 @@
     }
     this->needs_list = true;
     this->open_call.reset();
+    this->end_urgent_calls();
     this->due = now;
     this->on_tick(now);
 }
 
 void prefix_mirror::on_reply(call_tag tag, const kv_reply& reply, decision::instant now)
 {
+    if (this->urgent_call == tag) {
+        this->on_urgent_reply(reply, now);
+        return;
+    }
     if (this->open_call != tag) {
         return;
     }
     this->open_call.reset();
+    this->end_urgent_calls();
     if (reply.outcome == kv_outcome::ok) {
         this->confirmed = now;
-        this->known_at = now;
+        this->answered = now;
+        this->urgent_known_at = now;
         this->has_stopped_following = false;
         this->succeed(now);
         const bool brought = !this->needs_list && !reply.entries.empty();
@@ -145,6 +154,58 @@
     this->on_tick(now);
 }
 
+void prefix_mirror::on_long_answer(decision::instant now)
+{
+    const bool is_watch = this->open_call && !this->needs_list;
+    if (!is_watch || this->settings.urgent_prefix.empty() || this->answer_is_long) {
+        return;
+    }
+    this->answer_is_long = true;
+    this->urgent_revision = this->received_revision;
+    this->urgent_due = now;
+    this->call_urgently(now);
+}
+
+// A follower hears of urgent changes from its watchers.
+void prefix_mirror::call_urgently(decision::instant now)
+{
+    const bool is_needed = this->answer_is_long && this->mode != watch_mode::follower;
+    if (is_needed && !this->urgent_call && now >= this->urgent_due) {
+        this->urgent_call = this->next_tag++;
+        this->actions.emplace_back(store_call(
+            *this->urgent_call, kv_watch{this->settings.urgent_prefix, this->urgent_revision,
+                                         this->settings.shared_watch_wait}));
+    }
+}
+
+// Without the history, only a list shows what has changed; the open call leads to one.
+void prefix_mirror::on_urgent_reply(const kv_reply& reply, decision::instant now)
+{
+    this->urgent_call.reset();
+    if (reply.outcome == kv_outcome::not_found) {
+        this->end_urgent_calls();
+        return;
+    }
+    this->urgent_due = now + this->with_jitter(this->settings.longest_retry);
+    if (reply.outcome == kv_outcome::ok) {
+        this->answered = now;
+        this->urgent_known_at = now;
+        this->urgent_revision = std::max(this->urgent_revision, reply.revision);
+        this->take_changes(reply, now);
+        this->urgent_due =
+            reply.entries.empty() ? now : now + this->settings.shared_change_batch_delay;
+    }
+    this->call_urgently(now);
+}
+
+// A late reply of an urgent call is ignored: a list in the meantime may have dropped what tells it
+// from an earlier state.
+void prefix_mirror::end_urgent_calls()
+{
+    this->answer_is_long = false;
+    this->urgent_call.reset();
+}
+
 // The store's answer reflects the time of the call or later. A change that peers reported before
 // the call and that the store does not have by then never existed; without this, it would be
 // requested without end.
@@ -198,7 +259,7 @@
 void prefix_mirror::on_peer_confirmed(store_revision as_of, decision::instant at)
 {
     if (as_of <= std::max(this->received_revision, this->small_values_revision)) {
-        this->known_at = std::max(this->known_at, at);
+        this->urgent_known_at = std::max(this->urgent_known_at, at);
     }
 }
 
@@ -319,11 +380,13 @@
 
 void prefix_mirror::on_peer_update(const mirror_update& update)
 {
-    if (update.as_of <= this->received_revision) {
-        return;
-    }
+    // A router that waits for a long answer knows urgent changes after those that it has confirmed.
+    const bool is_confirmed = update.as_of > this->received_revision;
     std::set<std::string> listed;
     for (const auto& entry : update.entries) {
+        if (!is_confirmed && entry.revision <= this->received_revision) {
+            continue;
+        }
         listed.insert(entry.key);
         const auto held = this->known.find(entry.key);
         const bool is_older = held != this->known.end() && held->second.revision > entry.revision;
@@ -335,6 +398,9 @@
             this->drop(entry.key, entry.revision);
         }
     }
+    if (!is_confirmed) {
+        return;
+    }
     if (update.complete) {
         this->changes_since = std::max(this->changes_since, update.as_of);
         for (const auto& key : this->missing_from(listed, update.as_of)) {
@@ -413,6 +479,12 @@
 }
 
 void prefix_mirror::on_watch(const kv_reply& reply, decision::instant now)
+{
+    this->take_changes(reply, now);
+    this->received_revision = std::max(this->received_revision, reply.revision);
+}
+
+void prefix_mirror::take_changes(const kv_reply& reply, decision::instant now)
 {
     for (const auto& entry : reply.entries) {
         if (entry.value.empty()) {
@@ -421,7 +493,6 @@
             this->adopt(entry);
         }
     }
-    this->received_revision = std::max(this->received_revision, reply.revision);
 }
 
 std::vector<prefix_mirror::action> prefix_mirror::take_actions()
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -695,3 +695,96 @@
         CHECK_TRUE(source.entries() == follower_mirror.entries());
     }
 }
+
+TEST_GROUP_BASE(prefix_mirror_beside_a_long_answer, TEST_GROUP_CppUTestGroupprefix_mirror)
+{
+    call_tag long_call = 0;
+
+    void setup() override
+    {
+        prefix_mirror_settings settings;
+        settings.urgent_prefix = "things/";
+        this->mirror = prefix_mirror(settings);
+        this->load_initial_list();
+        this->long_call = this->calls.back().tag;
+        this->mirror.on_long_answer(start);
+        this->collect();
+    }
+};
+
+// Guards against requests to an endpoint that has left, while a configuration is being received.
+TEST(prefix_mirror_beside_a_long_answer, urgent_changes_are_watched)
+{
+    STRCMP_EQUAL("things/", this->last_watch()->prefix.c_str());
+    CHECK_EQUAL(10U, this->last_watch()->after);
+    this->answer(reply_of(kv_outcome::ok, 13, {{"things/b", "2", 12}, {"things/a", "", 13}}),
+                 start);
+    CHECK_TRUE(this->has_action(mirror_changed{{"things/b", "2", 12}}));
+    CHECK_TRUE(this->has_action(mirror_removed{"things/a", 13}));
+    CHECK_TRUE(start == this->mirror.answered_at());
+    this->tick(start + milliseconds(150));
+    CHECK_EQUAL(13U, this->last_watch()->after);
+}
+
+// Guards against changes under other prefixes that are never read.
+TEST(prefix_mirror_beside_a_long_answer, the_revision_of_all_changes_stays)
+{
+    this->answer(reply_of(kv_outcome::ok, 13, {{"things/b", "2", 12}}), start);
+    CHECK_EQUAL(10U, this->mirror.revision());
+    this->mirror.on_reply(this->long_call, reply_of(kv_outcome::ok, 11, {{"large", "3", 11}}),
+                          start + seconds(3));
+    this->tick(start + seconds(4));
+    STRCMP_EQUAL("", this->last_watch()->prefix.c_str());
+    CHECK_EQUAL(11U, this->last_watch()->after);
+}
+
+// Guards against an entry that comes back although a later list does not have it.
+TEST(prefix_mirror_beside_a_long_answer, a_reply_after_the_long_answer_is_ignored)
+{
+    this->mirror.on_reply(this->long_call, reply_of(kv_outcome::not_found), start);
+    const auto urgent_call = this->calls.back().tag;
+    this->collect();
+    this->answer(reply_of(kv_outcome::ok, 14), start);
+    this->mirror.on_reply(urgent_call, reply_of(kv_outcome::ok, 13, {{"things/b", "2", 12}}),
+                          start);
+    this->collect();
+    CHECK_FALSE(this->has_action(mirror_changed{{"things/b", "2", 12}}));
+}
+
+TEST(prefix_mirror_beside_a_long_answer, a_failed_call_is_repeated)
+{
+    const auto before = this->calls.size();
+    this->answer(reply_of(kv_outcome::unavailable), start);
+    CHECK_EQUAL(before, this->calls.size());
+    CHECK_TRUE(this->mirror.is_synchronized());
+    this->tick(start + milliseconds(500));
+    CHECK_EQUAL(before + 1, this->calls.size());
+}
+
+// Guards against calls without end for a history that the store no longer holds.
+TEST(prefix_mirror_beside_a_long_answer, no_call_follows_once_the_history_is_missing)
+{
+    const auto before = this->calls.size();
+    this->answer(reply_of(kv_outcome::not_found), start);
+    this->tick(start + seconds(1));
+    CHECK_EQUAL(before, this->calls.size());
+    CHECK_TRUE(this->mirror.is_synchronized());
+}
+
+// Guards against followers that hear nothing of endpoints while their watcher receives a
+// configuration.
+TEST(prefix_mirror_beside_a_long_answer, a_follower_takes_urgent_changes)
+{
+    this->answer(reply_of(kv_outcome::ok, 13, {{"things/b", "2", 12}, {"things/a", "", 13}}),
+                 start);
+    prefix_mirror follower{prefix_mirror_settings{}};
+    mirror_update complete;
+    complete.as_of = 10;
+    complete.complete = true;
+    complete.entries = {{"things/a", "1", 7}};
+    follower.on_peer_update(complete);
+    follower.on_peer_update(*this->mirror.updates_after(10));
+    CHECK_EQUAL(1U, follower.entries().size());
+    CHECK_EQUAL(1U, follower.entries().count("things/b"));
+    CHECK_EQUAL(10U, follower.revision());
+}
--- a/router/include/pearhaven/router/peer_messenger.hpp
+++ b/router/include/pearhaven/router/peer_messenger.hpp
@@ -95,7 +95,7 @@
     coordination::watch_share share;
     coordination::watch_mode mode = coordination::watch_mode::independent;
     coordination::store_revision forwarded_revision = 0; // last one sent to the other routers
-    decision::instant forwarded_confirmation; // time of the last forwarded store response
+    decision::instant forwarded_answer; // time of the last forwarded store response
     std::unique_ptr<adapters::peer_link> link;
 };
 
--- a/router/src/peer_messenger.cpp
+++ b/router/src/peer_messenger.cpp
@@ -256,7 +256,7 @@
     const auto& mirror = this->deps.mirror;
     const bool forwards = this->link && this->mode == coordination::watch_mode::watcher &&
                           mirror.is_synchronized() &&
-                          mirror.confirmed_at() != this->forwarded_confirmation;
+                          mirror.answered_at() != this->forwarded_answer;
     if (!forwards) {
         return;
     }
@@ -268,7 +268,7 @@
     auto forwarded = coordination::without_large_values(std::move(*updates));
     forwarded.age = this->deps.loop.now() - mirror.confirmed_at();
     this->forwarded_revision = forwarded.as_of;
-    this->forwarded_confirmation = mirror.confirmed_at();
+    this->forwarded_answer = mirror.answered_at();
     std::size_t bytes = 0;
     for (const auto& entry : forwarded.entries) {
         bytes += entry.value.size();
@@ -290,10 +290,8 @@
         return;
     }
     const auto known = this->deps.mirror.revision();
-    if (updates.as_of > known) {
-        this->deps.mirror.on_peer_update(updates);
-        this->deps.on_updates(from);
-    }
+    this->deps.mirror.on_peer_update(updates);
+    this->deps.on_updates(from);
     if (updates.age >= decision::duration::zero()) {
         this->deps.mirror.on_peer_confirmed(updates.as_of, this->deps.loop.now() - updates.age);
     }
