Pass large values on compressed, from the routers with the widest links

Cause: each of 80 routers received the configuration from the store, up to 1.6 MB, most of them on links of 10 Mbit/s. The link is then full for seconds with the store's bytes (up to 1.1 MB in a second at one router); answers, requests and news of endpoints wait behind them. Watchers that pass it on were no better: those of a zone were chosen by name, so that most had narrow links, and values were not compressed.

Change: routers tell the width of their hosts' links in their registrations, and those with the widest ones watch for their zone. A watcher that omits a large value from an update offers it; a follower asks for it and turns to the store only if it has not come within a quarter of the bound. Values are packed once (libzstd), and sent one after the other with half of the link at most. Routers of an earlier release neither offer nor accept packed values.

--- a/adapters/src/peer_decoder.cpp
+++ b/adapters/src/peer_decoder.cpp
@@ -205,7 +205,7 @@
 
     static bool decode(const wire::MirrorPull& table, mirror_pull& message)
     {
-        message = {table.nonce(), table.after(), !table.small()};
+        message = {table.nonce(), table.after(), !table.small(), table.accepts_packed()};
         return true;
     }
 
@@ -225,7 +225,18 @@
         message.after = table.after();
         message.age = decision::duration(table.age_us());
         message.first_omitted = table.left_out();
-        return decode_all(table.entries(), message.entries);
+        message.offers_values = table.offers_values();
+        return decode_all(table.entries(), message.entries) &&
+               (table.packed_entries() == nullptr ||
+                decode_all(table.packed_entries(), message.packed_entries));
+    }
+
+    static bool decode(const wire::PackedEntry& table, packed_entry& item)
+    {
+        item.key = decode(table.key());
+        item.packed_value.assign(table.packed_value()->begin(), table.packed_value()->end());
+        item.revision = table.revision();
+        return true;
     }
 
     static bool decode(const wire::LostRun& table, decision::lost_run& item)
--- a/adapters/src/peer_encoder.cpp
+++ b/adapters/src/peer_encoder.cpp
@@ -168,7 +168,16 @@
 
     offset<wire::MirrorPull> put(const mirror_pull& message)
     {
-        return wire::CreateMirrorPull(this->out, message.nonce, message.after, !message.large);
+        return wire::CreateMirrorPull(this->out, message.nonce, message.after, !message.large,
+                                      message.accepts_packed);
+    }
+
+    offset<wire::PackedEntry> put(const packed_entry& item)
+    {
+        const text_offset key = this->put(item.key);
+        const auto* bytes = reinterpret_cast<const std::uint8_t*>(item.packed_value.data());
+        const auto value = this->out.CreateVector(bytes, item.packed_value.size());
+        return wire::CreatePackedEntry(this->out, key, value, item.revision);
     }
 
     offset<wire::StoreEntry> put(const kv_entry& item)
@@ -182,11 +191,12 @@
     offset<wire::MirrorNews> put(const mirror_update& message)
     {
         const auto entries = this->put_all<wire::StoreEntry>(message.entries);
+        const auto packed = this->put_all<wire::PackedEntry>(message.packed_entries);
         const auto as_of = message.first_omitted == 0 ? message.as_of : message.first_omitted - 1;
         const auto until = message.first_omitted == 0 ? 0 : message.as_of;
         return wire::CreateMirrorNews(this->out, message.nonce, as_of, message.complete, entries,
                                       message.after, message.age.count(), message.first_omitted,
-                                      until);
+                                      until, packed, message.offers_values);
     }
 
     offset<wire::LostRun> put(const decision::lost_run& item)
--- a/adapters/src/peer_generated.hpp
+++ b/adapters/src/peer_generated.hpp
@@ -71,6 +71,9 @@
 struct StoreEntry;
 struct StoreEntryBuilder;
 
+struct PackedEntry;
+struct PackedEntryBuilder;
+
 struct MirrorNews;
 struct MirrorNewsBuilder;
 
@@ -1790,7 +1793,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NONCE = 4,
     VT_AFTER = 6,
-    VT_SMALL = 8
+    VT_SMALL = 8,
+    VT_ACCEPTS_PACKED = 10
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -1801,11 +1805,15 @@
   bool small() const {
     return GetField<uint8_t>(VT_SMALL, 0) != 0;
   }
+  bool accepts_packed() const {
+    return GetField<uint8_t>(VT_ACCEPTS_PACKED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
            VerifyField<uint8_t>(verifier, VT_SMALL, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTS_PACKED, 1) &&
            verifier.EndTable();
   }
 };
@@ -1823,6 +1831,9 @@
   void add_small(bool small) {
     fbb_.AddElement<uint8_t>(MirrorPull::VT_SMALL, static_cast<uint8_t>(small), 0);
   }
+  void add_accepts_packed(bool accepts_packed) {
+    fbb_.AddElement<uint8_t>(MirrorPull::VT_ACCEPTS_PACKED, static_cast<uint8_t>(accepts_packed), 0);
+  }
   explicit MirrorPullBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1838,10 +1849,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t nonce = 0,
     uint64_t after = 0,
-    bool small = false) {
+    bool small = false,
+    bool accepts_packed = false) {
   MirrorPullBuilder builder_(_fbb);
   builder_.add_after(after);
   builder_.add_nonce(nonce);
+  builder_.add_accepts_packed(accepts_packed);
   builder_.add_small(small);
   return builder_.Finish();
 }
@@ -1936,6 +1949,91 @@
       revision);
 }
 
+struct PackedEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PackedEntryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_PACKED_VALUE = 6,
+    VT_REVISION = 8
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *packed_value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED_VALUE);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffsetRequired(verifier, VT_PACKED_VALUE) &&
+           verifier.VerifyVector(packed_value()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct PackedEntryBuilder {
+  typedef PackedEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(PackedEntry::VT_KEY, key);
+  }
+  void add_packed_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_value) {
+    fbb_.AddOffset(PackedEntry::VT_PACKED_VALUE, packed_value);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(PackedEntry::VT_REVISION, revision, 0);
+  }
+  explicit PackedEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PackedEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PackedEntry>(end);
+    fbb_.Required(o, PackedEntry::VT_KEY);
+    fbb_.Required(o, PackedEntry::VT_PACKED_VALUE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PackedEntry> CreatePackedEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_value = 0,
+    uint64_t revision = 0) {
+  PackedEntryBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_packed_value(packed_value);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+struct PackedEntry::Traits {
+  using type = PackedEntry;
+  static auto constexpr Create = CreatePackedEntry;
+};
+
+inline flatbuffers::Offset<PackedEntry> CreatePackedEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *packed_value = nullptr,
+    uint64_t revision = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto packed_value__ = packed_value ? _fbb.CreateVector<uint8_t>(*packed_value) : 0;
+  return pearhaven::adapters::wire::CreatePackedEntry(
+      _fbb,
+      key__,
+      packed_value__,
+      revision);
+}
+
 struct MirrorNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MirrorNewsBuilder Builder;
   struct Traits;
@@ -1947,7 +2045,9 @@
     VT_AFTER = 12,
     VT_AGE_US = 14,
     VT_LEFT_OUT = 16,
-    VT_UNTIL = 18
+    VT_UNTIL = 18,
+    VT_PACKED_ENTRIES = 20,
+    VT_OFFERS_VALUES = 22
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -1973,6 +2073,12 @@
   uint64_t until() const {
     return GetField<uint64_t>(VT_UNTIL, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::PackedEntry>> *packed_entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::PackedEntry>> *>(VT_PACKED_ENTRIES);
+  }
+  bool offers_values() const {
+    return GetField<uint8_t>(VT_OFFERS_VALUES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
@@ -1985,6 +2091,10 @@
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_LEFT_OUT, 8) &&
            VerifyField<uint64_t>(verifier, VT_UNTIL, 8) &&
+           VerifyOffset(verifier, VT_PACKED_ENTRIES) &&
+           verifier.VerifyVector(packed_entries()) &&
+           verifier.VerifyVectorOfTables(packed_entries()) &&
+           VerifyField<uint8_t>(verifier, VT_OFFERS_VALUES, 1) &&
            verifier.EndTable();
   }
 };
@@ -2017,6 +2127,12 @@
   void add_until(uint64_t until) {
     fbb_.AddElement<uint64_t>(MirrorNews::VT_UNTIL, until, 0);
   }
+  void add_packed_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::PackedEntry>>> packed_entries) {
+    fbb_.AddOffset(MirrorNews::VT_PACKED_ENTRIES, packed_entries);
+  }
+  void add_offers_values(bool offers_values) {
+    fbb_.AddElement<uint8_t>(MirrorNews::VT_OFFERS_VALUES, static_cast<uint8_t>(offers_values), 0);
+  }
   explicit MirrorNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2038,7 +2154,9 @@
     uint64_t after = 0,
     int64_t age_us = 0,
     uint64_t left_out = 0,
-    uint64_t until = 0) {
+    uint64_t until = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pearhaven::adapters::wire::PackedEntry>>> packed_entries = 0,
+    bool offers_values = false) {
   MirrorNewsBuilder builder_(_fbb);
   builder_.add_until(until);
   builder_.add_left_out(left_out);
@@ -2046,7 +2164,9 @@
   builder_.add_after(after);
   builder_.add_as_of(as_of);
   builder_.add_nonce(nonce);
+  builder_.add_packed_entries(packed_entries);
   builder_.add_entries(entries);
+  builder_.add_offers_values(offers_values);
   builder_.add_whole(whole);
   return builder_.Finish();
 }
@@ -2065,8 +2185,11 @@
     uint64_t after = 0,
     int64_t age_us = 0,
     uint64_t left_out = 0,
-    uint64_t until = 0) {
+    uint64_t until = 0,
+    const std::vector<flatbuffers::Offset<pearhaven::adapters::wire::PackedEntry>> *packed_entries = nullptr,
+    bool offers_values = false) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<pearhaven::adapters::wire::StoreEntry>>(*entries) : 0;
+  auto packed_entries__ = packed_entries ? _fbb.CreateVector<flatbuffers::Offset<pearhaven::adapters::wire::PackedEntry>>(*packed_entries) : 0;
   return pearhaven::adapters::wire::CreateMirrorNews(
       _fbb,
       nonce,
@@ -2076,7 +2199,9 @@
       after,
       age_us,
       left_out,
-      until);
+      until,
+      packed_entries__,
+      offers_values);
 }
 
 struct LostRun FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/adapters/test/peer_message_generators.hpp
+++ b/adapters/test/peer_message_generators.hpp
@@ -38,11 +38,13 @@
         case 7:
             return load_push{few(&message_source::one_load)};
         case 8:
-            return mirror_pull{number(), number(), number() % 2 == 0};
+            return mirror_pull{number(), number(), number() % 2 == 0, number() % 2 == 0};
         case 9:
-            return mirror_update{
-                number(), number(), number() % 2 == 0, few(&message_source::one_entry),
-                number(), time(),   number()};
+            return mirror_update{number(),          number(),
+                                 number() % 2 == 0, few(&message_source::one_entry),
+                                 number(),          time(),
+                                 number(),          few(&message_source::one_packed_entry),
+                                 number() % 2 == 0};
         case 10:
             return run_report{few(&message_source::one_lost_run), numbers(),
                               few(&message_source::one_lost_prompt),
@@ -72,6 +74,8 @@
         return elements;
     }
 
+    static coordination::packed_entry one_packed_entry() { return {text(), text(), number()}; }
+
     static coordination::member one_member()
     {
         const auto state = static_cast<coordination::member_state>(*rc::gen::inRange(0, 4));
--- a/coordination/include/pearhaven/coordination/peer_exchange.hpp
+++ b/coordination/include/pearhaven/coordination/peer_exchange.hpp
@@ -23,6 +23,8 @@
     // Port for callers' requests; 0 for a router of an earlier release, which does not tell it.
     std::uint16_t callers_port = 0;
 
+    std::uint32_t link_mbps = 0; // of its host; 0: unknown
+
     friend bool operator==(const peer_router&, const peer_router&) = default;
 };
 
@@ -102,6 +104,9 @@
     // Whether all other routers report the lost runs of the subject to this one.
     [[nodiscard]] bool is_run_report_recipient(std::uint64_t subject) const;
 
+    // A request for the large values after the revision, for a peer that offers them.
+    [[nodiscard]] mirror_pull make_value_pull(store_revision after);
+
     // The peers in this router's zone.
     [[nodiscard]] std::vector<peer_router> zone_peers() const;
 
@@ -138,6 +143,7 @@
     decision::instant next_large_pull;
     std::uint64_t pull_count = 0;
     std::optional<std::uint64_t> open_pull;
+    std::optional<std::uint64_t> open_value_pull;
     std::set<std::uint64_t> open_large_pulls;
     decision::duration large_pull_period = this->settings.large_pull_period;
 };
--- a/coordination/include/pearhaven/coordination/peer_message.hpp
+++ b/coordination/include/pearhaven/coordination/peer_message.hpp
@@ -178,10 +178,19 @@
 struct mirror_pull {
     std::uint64_t nonce = 0;
     store_revision after = 0;
-    bool large = false; // include large values, which are omitted otherwise
+    bool large = false;          // include large values, which are omitted otherwise
+    bool accepts_packed = false; // large values may be packed
     friend bool operator==(const mirror_pull&, const mirror_pull&) = default;
 };
 
+// An entry of the store with its value compressed.
+struct packed_entry {
+    std::string key;
+    std::string packed_value;
+    store_revision revision = 0;
+    friend bool operator==(const packed_entry&, const packed_entry&) = default;
+};
+
 // The content of the sender's mirror of the store, as of the revision: all of it, or the changes
 // after an earlier revision. A removed key has an empty value.
 struct mirror_update {
@@ -192,6 +201,8 @@
     store_revision after = 0;         // an incomplete update holds only changes after this revision
     decision::duration age{};         // since the store's reply
     store_revision first_omitted = 0; // lowest revision whose value is omitted; 0 for none
+    std::vector<packed_entry> packed_entries; // further entries
+    bool offers_values = false; // omitted values can be pulled from the sender, packed
     friend bool operator==(const mirror_update&, const mirror_update&) = default;
 };
 
--- a/coordination/include/pearhaven/coordination/prefix_mirror.hpp
+++ b/coordination/include/pearhaven/coordination/prefix_mirror.hpp
@@ -110,6 +110,10 @@
     // that the update omits are read from the store in every watch mode.
     void on_peer_update(const mirror_update& update);
 
+    // A peer is about to send the values that updates have omitted. Until then a follower does not
+    // read them from the store.
+    void expect_values_until(decision::instant until) { this->values_expected_until = until; }
+
     // Another router reported that the store served it at that time. So the store was available
     // then to the owners of keys for renewing their leases.
     void on_peer_served_by_store(decision::instant at);
@@ -201,6 +205,7 @@
     decision::instant peers_served_at;
     store_revision reported_revision = 0; // highest revision reported by peers with omitted values
     store_revision reported_revision_at_call = 0; // value when the open call was made
+    decision::instant values_expected_until;
     std::deque<change> changes;       // the latest ones, for peers; not sorted by revision
     store_revision changes_since = 0; // `changes` holds all changes after this revision
     std::optional<call_tag> open_call;
--- a/coordination/include/pearhaven/coordination/update_delays.hpp
+++ b/coordination/include/pearhaven/coordination/update_delays.hpp
@@ -26,6 +26,10 @@
     // Maximum age of the store state that a router relies on when others watch for it.
     decision::duration update_lifetime{};
 
+    // How long a router waits for the large values that its watchers offer before it reads them
+    // from the store.
+    decision::duration value_patience{};
+
     // Time over which routers that hear nothing from their watchers begin to ask the store.
     decision::duration fallback_spread{};
 
--- a/coordination/include/pearhaven/coordination/watch_share.hpp
+++ b/coordination/include/pearhaven/coordination/watch_share.hpp
@@ -4,6 +4,7 @@
 #include "pearhaven/coordination/peer_message.hpp"
 #include "pearhaven/decision/time.hpp"
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -37,19 +38,22 @@
 
     // Followers that lose their watchers start to watch the store over this time, not all at once.
     decision::duration fallback_spread = std::chrono::milliseconds(200);
+
+    std::uint32_t link_mbps = 0; // of this router's host; 0: unknown
 };
 
 // Divides the watching of the store among the routers of a zone. If each router watched for itself,
 // every write would wake all of them and cost as many calls as there are routers. The watchers are
-// selected by the names of the live routers alone, so all routers select the same ones without a
-// write. A router that receives nothing in time watches for itself, so a wrong view of the others
-// only costs calls.
+// those with the widest links, which receive and pass on large values soonest. They are selected by
+// the registrations of the live routers alone, so all routers select the same ones without a write.
+// A router that receives nothing in time watches for itself, so a wrong view of the others only
+// costs calls.
 class watch_share {
 public:
     explicit watch_share(watch_share_settings chosen) : settings(std::move(chosen)) {}
 
-    // The other routers, of all zones.
-    void set_peer(const std::string& name, const std::string& zone);
+    // The other routers, of all zones, with the width of their hosts' links.
+    void set_peer(const std::string& name, const std::string& zone, std::uint32_t link_mbps = 0);
     void drop_peer(const std::string& name) { this->zone_peers.erase(name); }
 
     // An update from a watcher: `age` before its arrival it held every change up to `as_of`.
@@ -60,10 +64,20 @@
     [[nodiscard]] watch_mode mode(decision::instant now) const;
 
 private:
+    // Routers of higher rank watch for the others.
+    struct rank {
+        std::uint32_t link_mbps = 0;
+        std::uint64_t order = 0; // by name
+
+        // NOLINTNEXTLINE(modernize-use-nullptr): false positive on defaulted comparisons
+        friend auto operator<=>(const rank&, const rank&) = default;
+    };
+
+    [[nodiscard]] static rank rank_of(const std::string& name, std::uint32_t link_mbps);
     [[nodiscard]] bool is_watcher() const;
 
     watch_share_settings settings;
-    std::map<std::string, std::uint64_t> zone_peers; // other routers of the zone, with their ranks
+    std::map<std::string, rank> zone_peers; // other routers of the zone
     decision::instant fresh_until;
 };
 
--- a/coordination/src/peer_exchange.cpp
+++ b/coordination/src/peer_exchange.cpp
@@ -188,8 +188,18 @@
     return found;
 }
 
+mirror_pull peer_exchange::make_value_pull(store_revision after)
+{
+    this->open_value_pull = ++this->pull_count;
+    return {this->pull_count, after, true, true};
+}
+
 bool peer_exchange::accepts_answer(const mirror_update& update)
 {
+    if (this->open_value_pull == update.nonce) {
+        this->open_value_pull.reset();
+        return true;
+    }
     if (this->open_pull == update.nonce) {
         this->open_pull.reset();
         return true;
--- a/coordination/src/prefix_mirror.cpp
+++ b/coordination/src/prefix_mirror.cpp
@@ -70,8 +70,8 @@
     }
     if (this->needs_list) {
         this->call(kv_range{this->settings.prefix}, now);
-    } else if (this->mode != watch_mode::follower || this->must_read_store() ||
-               this->failures > 0) {
+    } else if (this->mode != watch_mode::follower || this->failures > 0 ||
+               (this->must_read_store() && now >= this->values_expected_until)) {
         this->call(
             kv_watch{this->settings.prefix, this->received_revision, this->next_watch_wait()}, now);
     }
--- a/coordination/src/update_delays.cpp
+++ b/coordination/src/update_delays.cpp
@@ -10,6 +10,7 @@
     delays.change_batch_delay = bound * 3 / 40;
     delays.silence_limit = bound * 3 / 20;
     delays.update_lifetime = bound * 3 / 5;
+    delays.value_patience = bound / 4;
     delays.fallback_spread = bound / 10;
     return delays;
 }
--- a/coordination/test/prefix_mirror_test.cpp
+++ b/coordination/test/prefix_mirror_test.cpp
@@ -788,3 +788,22 @@
     CHECK_EQUAL(1U, follower.entries().count("things/b"));
     CHECK_EQUAL(10U, follower.revision());
 }
+
+// Guards against all routers of a zone that receive a large value from the store at once.
+TEST(prefix_mirror, a_follower_waits_for_values_that_its_watcher_offers)
+{
+    this->load_initial_list();
+    this->mirror.set_mode(watch_mode::follower);
+    this->answer(reply_of(kv_outcome::ok, 10), start);
+    mirror_update update;
+    update.as_of = 12;
+    update.after = 10;
+    update.first_omitted = 12;
+    this->mirror.on_peer_update(update);
+    this->mirror.expect_values_until(start + seconds(1));
+    const auto before = this->calls.size();
+    this->tick(start + milliseconds(999));
+    CHECK_EQUAL(before, this->calls.size());
+    this->tick(start + seconds(1));
+    CHECK_EQUAL(before + 1, this->calls.size());
+}
--- a/coordination/test/watch_share_test.cpp
+++ b/coordination/test/watch_share_test.cpp
@@ -352,3 +352,21 @@
     CHECK_TRUE(watch_mode::follower == share.mode(start + milliseconds(199)));
     CHECK_TRUE(watch_mode::independent == share.mode(start + milliseconds(401)));
 }
+
+// Guards against large values that take a watcher's narrow link, and then those of its zone.
+TEST(watch_share, the_routers_with_the_widest_links_watch)
+{
+    std::vector<watch_share> routers;
+    constexpr int count = 10;
+    for (int own = 0; own < count; ++own) {
+        watch_share_settings settings{std::to_string(own), "osu"};
+        settings.link_mbps = own < 2 ? 200 : 10;
+        auto& share = routers.emplace_back(settings);
+        for (int other = 0; other < count; ++other) {
+            share.set_peer(std::to_string(other), "osu", other < 2 ? 200 : 10);
+        }
+    }
+    for (int own = 0; own < count; ++own) {
+        CHECK_EQUAL(own < 2, watch_mode::watcher == routers[own].mode(start));
+    }
+}
--- a/router/include/pearhaven/router/peer_messenger.hpp
+++ b/router/include/pearhaven/router/peer_messenger.hpp
@@ -8,11 +8,13 @@
 #include "pearhaven/coordination/peer_exchange.hpp"
 #include "pearhaven/coordination/prefix_mirror.hpp"
 #include "pearhaven/coordination/update_delays.hpp"
+#include "pearhaven/coordination/value_sender.hpp"
 #include "pearhaven/coordination/watch_share.hpp"
 #include "pearhaven/decision/dispatcher.hpp"
 #include "pearhaven/router/run_report_listener.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -87,13 +89,19 @@
                 const coordination::mirror_update& updates);
     void set_watch_mode();
     void update_mirror(const std::string& from, const coordination::mirror_update& updates);
+    void ask_for_values(const adapters::peer_address& watcher);
     void answer(const adapters::peer_address& to, const coordination::mirror_pull& pull);
+    void send_values();
+    void pack_large_values(coordination::mirror_update& update);
 
     dependencies deps;
     peer_messenger_settings settings;
     coordination::peer_exchange exchange;
     coordination::watch_share share;
+    coordination::value_sender values;
+    std::map<std::string, coordination::packed_entry> packed; // by key; the latest large values
     coordination::watch_mode mode = coordination::watch_mode::independent;
+    decision::instant values_asked_until;
     coordination::store_revision forwarded_revision = 0; // last one sent to the other routers
     decision::instant forwarded_answer; // time of the last forwarded store response
     std::unique_ptr<adapters::peer_link> link;
--- a/router/src/peer_messenger.cpp
+++ b/router/src/peer_messenger.cpp
@@ -2,6 +2,7 @@
 
 #include "pearhaven/adapters/ip_address.hpp"
 #include "pearhaven/adapters/log.hpp"
+#include "pearhaven/adapters/value_packing.hpp"
 #include "pearhaven/decision/work.hpp"
 
 #include <fmt/format.h>
@@ -14,6 +15,34 @@
 
 namespace {
 
+// Assumed where the host's link is not known.
+constexpr double default_link_mbps = 10.0;
+constexpr double bytes_of_megabit = 125'000.0;
+
+// Part of the host's link that large values for peers may use.
+constexpr double link_part_for_values = 0.5;
+
+// Values from this size on are packed, and taken from a peer rather than from the store.
+constexpr std::size_t min_packed_bytes = 4U << 10U;
+
+// Bytes of all values that are unpacked from one message.
+constexpr std::size_t max_unpacked_bytes = 16U << 20U;
+
+// Returns false if a value cannot be unpacked.
+bool unpack_values(coordination::mirror_update& update)
+{
+    std::size_t room = max_unpacked_bytes;
+    for (const auto& item : std::exchange(update.packed_entries, {})) {
+        auto value = adapters::unpack(item.packed_value, room);
+        if (!value || value->empty()) {
+            return false;
+        }
+        room -= value->size();
+        update.entries.push_back({item.key, std::move(*value), item.revision});
+    }
+    return true;
+}
+
 coordination::peer_exchange_settings exchange_settings_for(const peer_messenger_settings& settings)
 {
     coordination::peer_exchange_settings made;
@@ -28,11 +57,22 @@
     coordination::watch_share_settings made;
     made.self = settings.self;
     made.zone = settings.listen_address.zone;
+    made.link_mbps = settings.listen_address.link_mbps;
     made.update_lifetime = settings.delays.update_lifetime;
     made.fallback_spread = settings.delays.fallback_spread;
     return made;
 }
 
+coordination::value_sender_settings sender_settings_for(const peer_messenger_settings& settings)
+{
+    const auto known = settings.listen_address.link_mbps;
+    const double link_mbps = known == 0 ? default_link_mbps : known;
+    coordination::value_sender_settings made;
+    made.bytes_per_second = link_mbps * bytes_of_megabit * link_part_for_values;
+    made.pull_lifetime = settings.delays.value_patience;
+    return made;
+}
+
 void log_limits(const std::string& peer, const std::vector<decision::peer_limit_change>& changes)
 {
     for (const auto& change : changes) {
@@ -64,20 +104,27 @@
 
 std::string write_peer(const coordination::peer_router& where)
 {
-    const auto text = where.host + ":" + std::to_string(where.port) + " " + where.zone;
-    return where.callers_port == 0 ? text : text + " " + std::to_string(where.callers_port);
+    auto text = where.host + ":" + std::to_string(where.port) + " " + where.zone;
+    if (where.callers_port != 0) {
+        text += " " + std::to_string(where.callers_port);
+    }
+    if (where.callers_port != 0 && where.link_mbps != 0) {
+        text += " " + std::to_string(where.link_mbps);
+    }
+    return text;
 }
 
 namespace {
 
-// A number that is a whole port; nothing for any other text.
-std::optional<std::uint16_t> read_port(std::string_view text)
+// A positive number that is the whole text; nothing for any other text.
+template <typename Number>
+std::optional<Number> read_positive(std::string_view text)
 {
-    std::uint16_t port = 0;
+    Number number = 0;
     const auto* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, port);
-    const bool valid = parsed.ec == std::errc() && parsed.ptr == end && port != 0;
-    return valid ? std::make_optional(port) : std::nullopt;
+    const auto parsed = std::from_chars(text.data(), end, number);
+    const bool valid = parsed.ec == std::errc() && parsed.ptr == end && number != 0;
+    return valid ? std::make_optional(number) : std::nullopt;
 }
 
 } // namespace
@@ -96,9 +143,16 @@
     const auto end_of_zone = rest.find(' ');
     read.zone = rest.substr(0, end_of_zone);
     if (end_of_zone != std::string_view::npos) {
-        read.callers_port = read_port(rest.substr(end_of_zone + 1)).value_or(0);
+        const auto numbers = rest.substr(end_of_zone + 1);
+        const auto end_of_port = numbers.find(' ');
+        read.callers_port =
+            read_positive<std::uint16_t>(numbers.substr(0, end_of_port)).value_or(0);
+        if (end_of_port != std::string_view::npos) {
+            read.link_mbps =
+                read_positive<std::uint32_t>(numbers.substr(end_of_port + 1)).value_or(0);
+        }
     }
-    read.port = read_port(address.substr(colon + 1)).value_or(0);
+    read.port = read_positive<std::uint16_t>(address.substr(colon + 1)).value_or(0);
     const bool valid = read.port != 0 && (adapters::is_ipv4_address(read.host) ||
                                           adapters::is_ipv6_address(read.host));
     return valid ? std::make_optional(read) : std::nullopt;
@@ -106,7 +160,7 @@
 
 peer_messenger::peer_messenger(dependencies all_dependencies, const peer_messenger_settings& chosen)
     : deps(std::move(all_dependencies)), settings(chosen), exchange(exchange_settings_for(chosen)),
-      share(share_settings_for(chosen))
+      share(share_settings_for(chosen)), values(sender_settings_for(chosen))
 {}
 
 void peer_messenger::open(const std::string& fleet_key)
@@ -121,6 +175,11 @@
     chosen.fleet_key = fleet_key;
     const auto deliver = [this](const std::string& from, const adapters::peer_address& reply_to,
                                 coordination::peer_message message) {
+        auto* update = std::get_if<coordination::mirror_update>(&message);
+        if (update != nullptr && !unpack_values(*update)) {
+            adapters::log_warning("peer_value_unreadable", {{"peer", from}});
+            return;
+        }
         this->deps.loop.post([this, from, reply_to, message = std::move(message)] {
             this->handle(from, reply_to, message);
         });
@@ -136,7 +195,7 @@
 void peer_messenger::set_peer(const std::string& name, const coordination::peer_router& where)
 {
     this->exchange.set_peer(name, where);
-    this->share.set_peer(name, where.zone);
+    this->share.set_peer(name, where.zone, where.link_mbps);
 }
 
 void peer_messenger::drop_peer(const std::string& name)
@@ -151,6 +210,7 @@
         return;
     }
     this->set_watch_mode();
+    this->send_values();
     const auto& mirror = this->deps.mirror;
     const auto sends = this->exchange.on_tick(
         this->deps.dispatcher.endpoints().own_loads(this->deps.loop.now()),
@@ -267,6 +327,7 @@
     }
     auto forwarded = coordination::without_large_values(std::move(*updates));
     forwarded.age = this->deps.loop.now() - mirror.confirmed_at();
+    forwarded.offers_values = true;
     this->forwarded_revision = forwarded.as_of;
     this->forwarded_answer = mirror.answered_at();
     std::size_t bytes = 0;
@@ -295,6 +356,9 @@
     if (updates.age >= decision::duration::zero()) {
         this->deps.mirror.on_peer_confirmed(updates.as_of, this->deps.loop.now() - updates.age);
     }
+    if (updates.first_omitted != 0 && updates.offers_values) {
+        this->ask_for_values(reply_to);
+    }
     if (!updates.complete && updates.after > known && !this->deps.mirror.must_read_store()) {
         this->link->send(reply_to, coordination::mirror_pull{0, known});
         return;
@@ -303,6 +367,21 @@
                                   this->deps.loop.now());
 }
 
+// A router whose link is narrow would receive large values from the store for seconds, and
+// endpoints' news and answers would be late for as long. It asks the store only if the watcher does
+// not send them in time.
+void peer_messenger::ask_for_values(const adapters::peer_address& watcher)
+{
+    const auto now = this->deps.loop.now();
+    const bool is_needed = this->mode == coordination::watch_mode::follower &&
+                           this->deps.mirror.must_read_store() && now >= this->values_asked_until;
+    if (is_needed) {
+        this->values_asked_until = now + this->settings.delays.value_patience;
+        this->deps.mirror.expect_values_until(this->values_asked_until);
+        this->link->send(watcher, this->exchange.make_value_pull(this->deps.mirror.revision()));
+    }
+}
+
 // Handles updates that this router asked for. The store may have answered this router in the
 // meantime: updates older than the mirror change nothing.
 void peer_messenger::update_mirror(const std::string& from,
@@ -326,8 +405,58 @@
     this->deps.on_updates(from);
 }
 
+void peer_messenger::send_values()
+{
+    const auto now = this->deps.loop.now();
+    while (const auto next = this->values.next(now)) {
+        auto update = this->deps.mirror.updates_after(next->pull.after);
+        if (!update) {
+            continue;
+        }
+        this->pack_large_values(*update);
+        update->nonce = next->pull.nonce;
+        update->age = now - this->deps.mirror.confirmed_at();
+        std::size_t bytes = 0;
+        for (const auto& item : update->packed_entries) {
+            bytes += item.packed_value.size();
+        }
+        for (const auto& entry : update->entries) {
+            bytes += entry.value.size();
+        }
+        this->values.on_sent(bytes, now);
+        this->deps.counts.add("pearhaven_peer_value_bytes", {}, bytes);
+        this->link->send({next->host, next->port}, std::move(*update));
+    }
+}
+
+// Each value is packed once for all peers.
+void peer_messenger::pack_large_values(coordination::mirror_update& update)
+{
+    std::vector<coordination::kv_entry> small;
+    for (auto& entry : update.entries) {
+        if (entry.value.size() < min_packed_bytes) {
+            small.push_back(std::move(entry));
+            continue;
+        }
+        auto& made = this->packed[entry.key];
+        if (made.revision != entry.revision) {
+            made = {entry.key, adapters::pack(entry.value), entry.revision};
+        }
+        update.packed_entries.push_back(made);
+    }
+    update.entries = std::move(small);
+    std::erase_if(this->packed, [this](const auto& named) {
+        return this->deps.mirror.entries().count(named.first) == 0;
+    });
+}
+
 void peer_messenger::answer(const adapters::peer_address& to, const coordination::mirror_pull& pull)
 {
+    if (pull.accepts_packed) {
+        this->values.add({to.host, to.port, pull}, this->deps.loop.now());
+        this->send_values();
+        return;
+    }
     auto updates = this->deps.mirror.updates_after(pull.after);
     if (updates && this->link) {
         if (!pull.large) {
--- a/router/test/peer_messenger_test.cpp
+++ b/router/test/peer_messenger_test.cpp
@@ -21,6 +21,15 @@
     CHECK_EQUAL(0U, read_peer("10.1.0.40:7340 osu x")->callers_port);
 }
 
+TEST(peer_messenger, a_peer_tells_the_width_of_its_link)
+{
+    const pearhaven::coordination::peer_router where{"10.1.0.40", 7340, "osu", 8227, 200};
+    STRCMP_EQUAL("10.1.0.40:7340 osu 8227 200", write_peer(where).c_str());
+    CHECK_TRUE(where == *read_peer(write_peer(where)));
+    CHECK_EQUAL(0U, read_peer("10.1.0.40:7340 osu 8227 -1")->link_mbps);
+    CHECK_EQUAL(8227U, read_peer("10.1.0.40:7340 osu 8227 -1")->callers_port);
+}
+
 TEST(peer_messenger, malformed_addresses_are_rejected)
 {
     for (const auto* const text :
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -5,7 +5,7 @@
 packages=(
   curl g++ cmake ninja-build ccache clang-format clang-tidy pkg-config
   libcivetweb-dev libcurl4-openssl-dev libflatbuffers-dev libboost-dev libgflags-dev libspdlog-dev
-  libcpputest-dev nlohmann-json3-dev libyaml-cpp-dev libxxhash-dev librapidcheck-dev libsodium-dev libhttp-parser-dev
+  libcpputest-dev nlohmann-json3-dev libyaml-cpp-dev libxxhash-dev libzstd-dev librapidcheck-dev libsodium-dev libhttp-parser-dev
 )
 
 missing=()
