--- a/router/src/peer_messenger.cpp
+++ b/router/src/peer_messenger.cpp
@@ -22,7 +22,7 @@
 // Part of the host's link that large values for peers may use.
 constexpr double link_part_for_values = 0.5;
 
-// Values from this size on are packed, and taken from a peer rather than from the store.
+// Values from this size on are packed.
 constexpr std::size_t min_packed_bytes = 4U << 10U;
 
 // Bytes of all values that are unpacked from one message.
