Keep nothing of trailers

A process over its memory is killed with all that it holds.

Cause: http_reader collected the fields of trailers like those of a head, a pair of strings for each, and dropped them at the end of the message. Only the parser's own limit of 80 KB ended them.

Change: nothing of a trailer is kept, and more bytes of them than a head may have are a fault. This also holds for answers of endpoints and of the store.

client_crowd_test starts a real router with little memory. Crowd and bounds follow from the stated memory: that is what a router may hold. They are for programs without sanitizers, so scripts/test.sh plays the test once more with the release program, alone. It checks memory, descriptors, and that ordinary requests are answered; no times. Each of the hundred ordinary answers takes the router's loop a turn or more, so that the crowd's bytes have been read when the memory is judged.

--- a/adapters/src/http_message.cpp
+++ b/adapters/src/http_message.cpp
@@ -189,7 +189,8 @@
     http_message_listener& listener;
     std::size_t max_head;
     http_parser parser{};
-    std::string head; // bytes of an incomplete head
+    std::string head;              // bytes of an incomplete head
+    std::size_t trailer_bytes = 0; // of the current message
     bool in_head = true;
     bool in_body = false;
     bool ended = false;            // the last message is complete
@@ -204,6 +205,7 @@
     std::size_t execute(std::string_view bytes);
     static const http_parser_settings& callbacks();
     static state& of(http_parser* parser) { return *static_cast<state*>(parser->data); }
+    int skip_trailer(std::size_t length);
     static int on_url(http_parser* parser, const char* at, std::size_t length);
     static int on_name(http_parser* parser, const char* at, std::size_t length);
     static int on_value(http_parser* parser, const char* at, std::size_t length);
@@ -218,9 +220,19 @@
     return 0;
 }
 
+// Trailers are not used, and nothing of them is kept.
+int http_reader::state::skip_trailer(std::size_t length)
+{
+    this->trailer_bytes += length;
+    return this->trailer_bytes > this->max_head ? 1 : 0;
+}
+
 int http_reader::state::on_name(http_parser* parser, const char* at, std::size_t length)
 {
     state& self = of(parser);
+    if (self.in_body) {
+        return self.skip_trailer(length);
+    }
     if (self.fields.empty() || self.value_began) {
         self.fields.emplace_back();
         self.value_began = false;
@@ -232,6 +244,9 @@
 int http_reader::state::on_value(http_parser* parser, const char* at, std::size_t length)
 {
     state& self = of(parser);
+    if (self.in_body) {
+        return self.skip_trailer(length);
+    }
     self.value_began = true;
     self.fields.back().second.append(at, length);
     return 0;
@@ -277,7 +292,7 @@
     self.in_body = false;
     self.in_head = true;
     self.ended = true;
-    self.fields.clear(); // trailers
+    self.trailer_bytes = 0;
     self.value_began = false;
     // Stops before the next message until the owner has processed this one.
     http_parser_pause(parser, 1);
--- a/adapters/test/http_message_test.cpp
+++ b/adapters/test/http_message_test.cpp
@@ -139,6 +139,17 @@
     CHECK_TRUE(framing_fault::head_too_long == fault_of_request(head + "\r\n\r\n"));
 }
 
+// Guards against trailers that are kept, or have no end.
+TEST(http_message, refuses_trailers_over_the_limit_of_a_head)
+{
+    const std::string head =
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    const auto trailer = [](std::size_t bytes) { return "a: " + std::string(bytes, 'x') + "\r\n"; };
+    CHECK_TRUE(framing_fault::none == fault_of_request(head + trailer(max_head / 2) + "\r\n"));
+    CHECK_TRUE(framing_fault::malformed ==
+               fault_of_request(head + trailer(max_head / 2) + trailer(max_head / 2)));
+}
+
 // Guards against refusing a head of exactly the maximum length when its last bytes arrive in a
 // separate packet.
 TEST(http_message, a_head_as_long_as_allowed_is_read_however_it_is_split)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -51,5 +51,11 @@
 # The sample is built like another project, against the release packages.
 PEARHAVEN_BUILD="$PEARHAVEN_BUILD-release" step scripts/check_sample.sh
 step run_tests "$PEARHAVEN_BUILD"
+# The bounds of memory apply to programs without sanitizers.
+run_client_crowds() {
+  PEARHAVEN_ROUTER_PROGRAM=$(realpath "$PEARHAVEN_BUILD-release/pearhavend") ctest \
+    --test-dir "$PEARHAVEN_BUILD" --output-on-failure --no-tests=error -R "^client_crowd_test\$"
+}
+step run_client_crowds
 step build_threaded_tests
 step run_tests "$PEARHAVEN_BUILD-threads" -R "^($(IFS='|'; echo "${threaded_tests[*]}"))\$"
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -9,7 +9,9 @@
 #include <algorithm>
 #include <cerrno>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <string>
 #include <system_error>
@@ -210,9 +212,8 @@
     return !this->status;
 }
 
-long child_process::peak_memory() const
+long child_process::status_figure(const std::string& name) const
 {
-    const std::string name = "VmHWM:";
     std::ifstream file("/proc/" + std::to_string(this->pid) + "/status");
     for (std::string line; std::getline(file, line);) {
         if (line.rfind(name, 0) == 0) {
@@ -222,6 +223,22 @@
     return 0;
 }
 
+long child_process::peak_memory() const
+{
+    return this->status_figure("VmHWM:");
+}
+
+long child_process::resident_memory() const
+{
+    return this->status_figure("VmRSS:");
+}
+
+std::size_t child_process::open_descriptors() const
+{
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(this->pid) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 int child_process::wait(std::chrono::seconds patience)
 {
     const auto deadline = std::chrono::steady_clock::now() + patience;
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -49,7 +49,14 @@
     // The most memory that the process has had resident, in KiB; 0 if it has ended.
     [[nodiscard]] long peak_memory() const;
 
+    // The memory that the process has resident, in KiB; 0 if it has ended.
+    [[nodiscard]] long resident_memory() const;
+
+    [[nodiscard]] std::size_t open_descriptors() const;
+
 private:
+    // A figure of /proc/PID/status; 0 if there is none.
+    [[nodiscard]] long status_figure(const std::string& name) const;
     bool read_more(std::chrono::milliseconds patience);
 
     // Reads until a line satisfies the predicate. Returns nothing when the process ends or
