Limit the number of fields of a head

Cause: a field takes 64 bytes of memory, however short it is, and the vector of fields doubles as it grows. The limit of a head counts its bytes only.

Then the vector is reserved at its size. The platform's callers send about a dozen. Answers of endpoints and the store have the same limit.

--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -74,6 +74,7 @@
 // begin after the change.
 struct inbound_limits {
     std::size_t head_bytes = 16U << 10U;
+    std::size_t head_fields = default_max_head_fields;
     std::size_t body_bytes = 4U << 20U;
     decision::duration head_time = std::chrono::seconds(3);  // from first to last byte of a head
     decision::duration idle_time = std::chrono::seconds(15); // between two requests
--- a/adapters/include/pearhaven/adapters/http_message.hpp
+++ b/adapters/include/pearhaven/adapters/http_message.hpp
@@ -46,7 +46,7 @@
 enum class framing_fault : std::uint8_t {
     none,
     malformed,        // not HTTP, or ambiguous framing
-    head_too_long,    // more header bytes than allowed
+    head_too_long,    // more header bytes, or fields, than allowed
     truncated,        // the connection ended inside a message
     unexpected_bytes, // bytes where no message was expected
 };
@@ -65,6 +65,10 @@
     virtual void on_message_end() = 0;
 };
 
+// Most fields that a head may have by default. A field takes many times the memory of its bytes
+// when these are few.
+inline constexpr std::size_t default_max_head_fields = 256;
+
 enum class http_reader_kind : std::uint8_t { requests, responses };
 
 // Splits the bytes of one connection into messages, using http-parser. It is strict where two
@@ -80,7 +84,7 @@
     http_reader& operator=(const http_reader&) = delete;
 
     // Applies from the next message on; must not be called inside a message.
-    void set_max_head(std::size_t max_head);
+    void set_max_head(std::size_t max_head, std::size_t max_fields = default_max_head_fields);
 
     // Consumes bytes up to the end of at most one message and returns how many. Nothing is consumed
     // after a fault.
--- a/adapters/src/http_message.cpp
+++ b/adapters/src/http_message.cpp
@@ -85,22 +85,23 @@
     }
 }
 
-// Whether each line of the head ends in CR LF and holds a valid field, and the message has exactly
-// one framing.
-bool is_strict_head(std::string_view head, http_reader_kind kind)
+// Checks that each line of the head ends in CR LF and holds a valid field, that the message has
+// exactly one framing, and that there are no more fields than allowed. Counts the fields.
+framing_fault check_head(std::string_view head, http_reader_kind kind, std::size_t max_fields,
+                         std::size_t& field_count)
 {
     framing_fields seen;
     bool first = true;
     while (!head.empty()) {
         const auto end = head.find("\r\n");
         if (end == std::string_view::npos) {
-            return false;
+            return framing_fault::malformed;
         }
         const auto line = head.substr(0, end);
         head.remove_prefix(end + 2);
         if (first) {
             if (!is_field_value(line)) {
-                return false;
+                return framing_fault::malformed;
             }
             first = false;
             continue;
@@ -111,13 +112,17 @@
         const auto colon = line.find(':');
         if (colon == std::string_view::npos || !is_field_name(line.substr(0, colon)) ||
             !is_field_value(line.substr(colon + 1))) {
-            return false;
+            return framing_fault::malformed;
+        }
+        if (++field_count > max_fields) {
+            return framing_fault::head_too_long;
         }
         count_field(seen, line.substr(0, colon), trimmed(line.substr(colon + 1)));
     }
     const bool one_framing =
         seen.lengths + seen.encodings <= 1 && seen.length_is_number && seen.encoding_is_chunked;
-    return one_framing && (kind == http_reader_kind::responses || seen.hosts == 1);
+    const bool is_strict = one_framing && (kind == http_reader_kind::responses || seen.hosts == 1);
+    return is_strict ? framing_fault::none : framing_fault::malformed;
 }
 
 } // namespace
@@ -188,6 +193,7 @@
     http_reader_kind kind;
     http_message_listener& listener;
     std::size_t max_head;
+    std::size_t max_fields = default_max_head_fields;
     http_parser parser{};
     std::string head;              // bytes of an incomplete head
     std::size_t trailer_bytes = 0; // of the current message
@@ -349,9 +355,12 @@
     this->head.resize(end + head_end.size());
     const std::size_t taken = this->head.size() - before;
     const std::string complete_head = std::exchange(this->head, {});
-    if (!is_strict_head(complete_head, this->kind)) {
-        this->fail(framing_fault::malformed);
+    std::size_t field_count = 0;
+    const auto fault = check_head(complete_head, this->kind, this->max_fields, field_count);
+    if (fault != framing_fault::none) {
+        this->fail(fault);
     } else {
+        this->fields.reserve(field_count);
         this->execute(complete_head);
     }
     return taken;
@@ -393,9 +402,10 @@
 
 http_reader::~http_reader() = default;
 
-void http_reader::set_max_head(std::size_t max_head)
+void http_reader::set_max_head(std::size_t max_head, std::size_t max_fields)
 {
     this->inner->max_head = max_head;
+    this->inner->max_fields = max_fields;
 }
 
 std::size_t http_reader::feed(std::string_view bytes)
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -283,7 +283,7 @@
 {
     this->begin_wait();
     this->message_limits = this->owner.limits();
-    this->reader.set_max_head(this->message_limits.head_bytes);
+    this->reader.set_max_head(this->message_limits.head_bytes, this->message_limits.head_fields);
 }
 
 void inbound_socket::process_bytes(std::string_view bytes)
--- a/adapters/test/http_message_test.cpp
+++ b/adapters/test/http_message_test.cpp
@@ -139,6 +139,24 @@
     CHECK_TRUE(framing_fault::head_too_long == fault_of_request(head + "\r\n\r\n"));
 }
 
+// Guards against heads whose fields take many times the memory of their bytes.
+TEST(http_message, refuses_a_head_of_too_many_fields)
+{
+    constexpr std::size_t max_fields = 16;
+    const auto fault_with = [](std::size_t short_fields) {
+        std::string head = "GET / HTTP/1.1\r\nHost: h\r\n";
+        for (std::size_t number = 0; number < short_fields; ++number) {
+            head.append("a:\r\n");
+        }
+        recorder seen;
+        http_reader reader(http_reader_kind::requests, seen, max_head);
+        reader.set_max_head(max_head, max_fields);
+        return feed_all(reader, head + "\r\n");
+    };
+    CHECK_TRUE(framing_fault::none == fault_with(max_fields - 1));
+    CHECK_TRUE(framing_fault::head_too_long == fault_with(max_fields));
+}
+
 // Guards against trailers that are kept, or have no end.
 TEST(http_message, refuses_trailers_over_the_limit_of_a_head)
 {
