Count all memory that is held for clients in one account

Cause: held_body_bytes counted the bytes of bodies alone, not heads, fields, buffers, or spare capacity. One string for each body was copied at each doubling, and the allocator kept the outgrown blocks.

Change: one byte_count for the three servers of a router sums, as allocated, connections with their buffers, heads with their fields, bodies, and unsent answers. When it is full, incomplete requests that are furthest behind end, with 503 and Retry-After; if there is none, the request that is being received is refused as not run. Free memory is returned (malloc_trim) once the account has fallen by 8 MB. What is read and dropped of a refused request has a bound in bytes and in time.

--- a/adapters/include/pearhaven/adapters/http_inbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_inbound.hpp
@@ -99,6 +99,11 @@
     // exceeds its memory ends with everything that it holds.
     std::size_t held_body_bytes = std::numeric_limits<std::size_t>::max();
 
+    // Memory that is held for callers: connections, incomplete and complete requests, and unsent
+    // answers, as allocated. Beyond it, incomplete requests end that are furthest behind, then the
+    // request that is being received is refused as not run.
+    std::size_t held_bytes = std::numeric_limits<std::size_t>::max();
+
     // Longest time that a caller may take no byte of an answer that waits for it. Longer than
     // callers wait for an answer: a caller that still reads is never cut off.
     decision::duration unread_time = std::chrono::seconds(30);
@@ -108,17 +113,23 @@
 
 struct inbound_counts {
     std::uint64_t accepted = 0;
-    std::uint64_t turned_away = 0;    // closed with nothing read
-    std::uint64_t refused_heads = 0;  // malformed or too long
-    std::uint64_t refused_bodies = 0; // no room for them
-    std::uint64_t unacknowledged = 0; // closed because the caller's host did not acknowledge
-    std::uint64_t unread = 0;         // closed because the caller did not read
+    std::uint64_t turned_away = 0;         // closed with nothing read
+    std::uint64_t refused_heads = 0;       // malformed or too long
+    std::uint64_t refused_bodies = 0;      // no room for them
+    std::uint64_t refused_long_bodies = 0; // longer than allowed
+    std::uint64_t refused_for_memory = 0;  // no room for what is held for callers
+    std::uint64_t ended_for_memory = 0;    // incomplete requests, for the memory of others
+    std::uint64_t ended_for_room = 0;      // incomplete requests, for the connections of others
+    std::uint64_t timed_out = 0;           // incomplete requests past their time
+    std::uint64_t unacknowledged = 0;      // closed because the caller's host did not acknowledge
+    std::uint64_t unread = 0;              // closed because the caller did not read
     std::uint64_t closed_as_idle = 0;
     std::uint64_t closed_for_room = 0; // idle ones, closed to accept others
     std::uint64_t sent_to_closed = 0;  // of those: received further bytes, which were not read
     std::size_t open = 0;
     std::size_t unsent_bytes = 0; // held for callers that have not taken them
     std::size_t body_bytes = 0;   // of requests
+    std::size_t held_bytes = 0;   // memory that is held for callers
 
     friend bool operator==(const inbound_counts&, const inbound_counts&) = default;
 };
@@ -145,10 +156,12 @@
 
 // Listens on the IP address and port. Throws std::system_error when that is not possible. Loop and
 // listener must outlive the server. At the maximum of connections, a new one takes the place of one
-// that is idle; if none is, it is turned away.
-std::unique_ptr<http_inbound> make_http_inbound(event_loop& loop, const std::string& host,
-                                                std::uint16_t port, std::size_t max_connections,
-                                                inbound_listener& listener);
+// that is idle, or whose request has been incomplete for longest; if there is none, it is turned
+// away. Servers of one process share the account of the memory that is held for callers.
+std::unique_ptr<http_inbound>
+make_http_inbound(event_loop& loop, const std::string& host, std::uint16_t port,
+                  std::size_t max_connections, inbound_listener& listener,
+                  boost::intrusive_ptr<byte_count> held_bytes = new byte_count);
 
 } // namespace pearhaven::adapters
 
--- a/adapters/include/pearhaven/adapters/http_message.hpp
+++ b/adapters/include/pearhaven/adapters/http_message.hpp
@@ -33,6 +33,9 @@
     friend bool operator==(const http_request_head&, const http_request_head&) = default;
 };
 
+// Memory that the head takes, beside the object itself.
+[[nodiscard]] std::size_t allocated_bytes(const http_request_head& head);
+
 struct http_response_head {
     int status = 0;
     http_fields fields;
@@ -86,6 +89,9 @@
     // Applies from the next message on; must not be called inside a message.
     void set_max_head(std::size_t max_head, std::size_t max_fields = default_max_head_fields);
 
+    // Memory of the reader and of the bytes that it holds.
+    [[nodiscard]] std::size_t allocated_bytes() const;
+
     // Consumes bytes up to the end of at most one message and returns how many. Nothing is consumed
     // after a fault.
     std::size_t feed(std::string_view bytes);
--- a/adapters/src/buffered_socket.cpp
+++ b/adapters/src/buffered_socket.cpp
@@ -31,6 +31,7 @@
     if (!this->write(bytes)) {
         return false;
     }
+    this->body_left = body.size();
     this->pending_body = std::move(body);
     return this->flush();
 }
@@ -49,13 +50,23 @@
     if (this->pending.capacity() > max_kept_capacity) {
         this->pending.shrink_to_fit();
     }
-    if (!this->send(this->pending_body.text(), this->sent_body)) {
-        return false;
-    }
-    if (this->sent_body == this->pending_body.size()) {
-        this->pending_body = {};
-        this->sent_body = 0;
+    return this->flush_body();
+}
+
+bool buffered_socket::flush_body()
+{
+    const auto& blocks = this->pending_body.blocks();
+    for (; this->body_block < blocks.size(); ++this->body_block, this->sent_body = 0) {
+        const auto& block = blocks[this->body_block];
+        const auto before = this->sent_body;
+        const bool is_open = this->send(block, this->sent_body);
+        this->body_left -= this->sent_body - before;
+        if (!is_open || this->sent_body < block.size()) {
+            return is_open;
+        }
     }
+    this->pending_body = {};
+    this->body_block = 0;
     return true;
 }
 
--- a/adapters/src/buffered_socket.hpp
+++ b/adapters/src/buffered_socket.hpp
@@ -29,8 +29,11 @@
 
     [[nodiscard]] std::size_t unsent() const
     {
-        return this->pending.size() - this->sent + this->pending_body.size() - this->sent_body;
+        return this->pending.size() - this->sent + this->body_left;
     }
+
+    // Memory that the unsent bytes take, without the body.
+    [[nodiscard]] std::size_t allocated_bytes() const { return this->pending.capacity(); }
     [[nodiscard]] int error() const { return this->last_error; } // errno of the lost connection
     [[nodiscard]] std::size_t total_sent() const { return this->total; }
     [[nodiscard]] tcp_socket& get() { return this->socket; }
@@ -38,15 +41,18 @@
 
 private:
     [[nodiscard]] bool send(std::string_view bytes, std::size_t& counted);
+    [[nodiscard]] bool flush_body();
     void release_sent();
 
     tcp_socket socket;
     std::string pending;
-    std::size_t sent = 0;      // bytes of `pending` already written
-    message_body pending_body; // follows `pending`
-    std::size_t sent_body = 0; // bytes of it already written
-    int last_error = 0;        // of the write that found the connection lost
-    std::size_t total = 0;     // bytes written since the socket was opened
+    std::size_t sent = 0;       // bytes of `pending` already written
+    message_body pending_body;  // follows `pending`
+    std::size_t body_block = 0; // of it that is being written
+    std::size_t sent_body = 0;  // bytes of that block already written
+    std::size_t body_left = 0;  // bytes of it that are not written yet
+    int last_error = 0;         // of the write that found the connection lost
+    std::size_t total = 0;      // bytes written since the socket was opened
 };
 
 } // namespace pearhaven::adapters
--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <malloc.h>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -21,14 +23,21 @@
 // for new ones.
 constexpr std::size_t parts_to_make_room = 64;
 
+// Minimum time between two searches for overdue requests, after one that found none.
+constexpr decision::duration overdue_search_period = std::chrono::milliseconds(50);
+
+// Decrease of the memory held for callers after which free memory is returned to the system.
+constexpr std::size_t min_returned_bytes = 8U << 20U;
+
 class inbound_server final : public http_inbound,
                              public inbound_socket_owner,
                              public socket_listener {
 public:
     inbound_server(event_loop& target_loop, const std::string& address, std::uint16_t port,
-                   std::size_t connection_limit, inbound_listener& new_listener)
+                   std::size_t connection_limit, inbound_listener& new_listener,
+                   boost::intrusive_ptr<byte_count> held_bytes)
         : events(target_loop), requests(new_listener), max_connections(connection_limit),
-          acceptor(tcp_socket::listen(address, port))
+          acceptor(tcp_socket::listen(address, port)), held(std::move(held_bytes))
     {
         this->events.watch(this->acceptor.get(), *this, true, false);
         this->schedule_check();
@@ -55,6 +64,7 @@
         auto all = this->counted;
         all.open = this->connections.size();
         all.body_bytes = this->bodies->value();
+        all.held_bytes = this->held->value();
         return all;
     }
 
@@ -70,14 +80,23 @@
     }
     [[nodiscard]] bool has_room() const override
     {
-        return this->counted.unsent_bytes < this->bounds.unsent_bytes;
+        return this->counted.unsent_bytes < this->bounds.unsent_bytes &&
+               this->held->value() < this->bounds.held_bytes;
     }
     [[nodiscard]] const boost::intrusive_ptr<byte_count>& body_bytes() const override
     {
         return this->bodies;
     }
+    [[nodiscard]] const boost::intrusive_ptr<byte_count>& held_bytes() const override
+    {
+        return this->held;
+    }
+    [[nodiscard]] bool free_memory(const inbound_socket& requester) override;
     void on_refused_head() override { ++this->counted.refused_heads; }
     void on_refused_body() override { ++this->counted.refused_bodies; }
+    void on_refused_long_body() override { ++this->counted.refused_long_bodies; }
+    void on_refused_for_memory() override { ++this->counted.refused_for_memory; }
+    void on_timed_out() override { ++this->counted.timed_out; }
     void on_unacknowledged(bool in_progress) override;
     void on_unread(decision::duration stalled) override;
     void on_closed_as_idle() override { ++this->counted.closed_as_idle; }
@@ -87,7 +106,14 @@
 
 private:
     void drop(const inbound_socket& connection);
+    using ranked_connections = std::vector<std::pair<decision::instant, inbound_socket*>>;
+
     void make_room();
+    std::size_t close_idle_for_room();
+    template <typename Rank>
+    [[nodiscard]] ranked_connections first_ranked(Rank&& rank);
+    [[nodiscard]] std::vector<inbound_socket*> overdue_connections();
+    void return_free_memory();
     void schedule_check();
     template <typename Function>
     void for_each(Function&& act);
@@ -101,6 +127,9 @@
     inbound_counts counted;
     transferred_bytes counted_bytes;
     boost::intrusive_ptr<byte_count> bodies{new byte_count}; // requests may outlive the server
+    boost::intrusive_ptr<byte_count> held;
+    std::size_t peak_held = 0;             // since free memory was returned
+    decision::instant next_overdue_search; // earliest time of another one, after one in vain
     std::unordered_map<int, std::unique_ptr<inbound_socket>> connections;
     timer_number check = 0;
 };
@@ -127,20 +156,85 @@
 // is not accepted holds its caller up.
 void inbound_server::make_room()
 {
-    std::vector<std::pair<decision::instant, int>> idle;
-    for (const auto& [number, connection] : this->connections) {
-        if (const auto since = connection->idle_since()) {
-            idle.emplace_back(*since, number);
+    this->close_idle_for_room();
+}
+
+// Returns the number of closed connections. Those that have ended only wait for their callers.
+std::size_t inbound_server::close_idle_for_room()
+{
+    const auto idle = this->first_ranked([](inbound_socket& connection) {
+        return connection.has_ended() ? decision::instant::min() : connection.idle_since();
+    });
+    std::size_t closed = 0;
+    for (const auto& [since, connection] : idle) {
+        if (!connection->next_request_arrived()) {
+            ++this->counted.closed_for_room;
+            ++closed;
+            this->drop(*connection);
         }
     }
-    const auto count = std::min(idle.size(), this->max_connections / parts_to_make_room + 1);
-    std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(count), idle.end());
-    idle.resize(count);
-    for (const auto& [since, number] : idle) {
-        if (!this->connections.at(number)->next_request_arrived()) {
-            ++this->counted.closed_for_room;
-            this->connections.erase(number);
+    return closed;
+}
+
+// The connections whose rank is lowest, a part of all at most. The rank is a time, or nothing.
+template <typename Rank>
+inbound_server::ranked_connections inbound_server::first_ranked(Rank&& rank)
+{
+    ranked_connections ranked;
+    this->for_each([&](inbound_socket& connection) {
+        const std::optional<decision::instant> place = rank(connection);
+        if (place) {
+            ranked.emplace_back(*place, &connection);
         }
+    });
+    const auto count = std::min(ranked.size(), this->max_connections / parts_to_make_room + 1);
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranked.end());
+    ranked.resize(count);
+    return ranked;
+}
+
+// Called by a connection, so the others are only closed, and destroyed by their deferred work.
+bool inbound_server::free_memory(const inbound_socket& requester)
+{
+    if (this->events.now() < this->next_overdue_search) {
+        return false;
+    }
+    bool found = false;
+    for (auto* connection : this->overdue_connections()) {
+        if (connection != &requester) {
+            found = true;
+            ++this->counted.ended_for_memory;
+            connection->end_incomplete();
+        }
+    }
+    if (!found) {
+        this->next_overdue_search = this->events.now() + overdue_search_period;
+    }
+    return found;
+}
+
+// Some of the connections whose requests are furthest behind, and of which no more has arrived.
+std::vector<inbound_socket*> inbound_server::overdue_connections()
+{
+    std::vector<inbound_socket*> found;
+    for (const auto& [since, connection] :
+         this->first_ranked([](const inbound_socket& one) { return one.overdue_since(); })) {
+        if (!connection->next_request_arrived()) {
+            found.push_back(connection);
+        }
+    }
+    return found;
+}
+
+// The allocator keeps free memory between blocks that are in use. After a crowd, most of the
+// process's memory would stay resident.
+void inbound_server::return_free_memory()
+{
+    this->peak_held = std::max(this->peak_held, this->held->take_peak());
+    if (this->peak_held - this->held->value() >= min_returned_bytes) {
+        malloc_trim(0);
+        this->peak_held = this->held->value();
     }
 }
 
@@ -193,6 +287,7 @@
     this->check = this->events.after(check_period, [this] {
         const auto until = this->events.polled_until();
         this->for_each([until](inbound_socket& connection) { connection.check_time(until); });
+        this->return_free_memory();
         this->schedule_check();
     });
 }
@@ -201,9 +296,11 @@
 
 std::unique_ptr<http_inbound> make_http_inbound(event_loop& loop, const std::string& host,
                                                 std::uint16_t port, std::size_t max_connections,
-                                                inbound_listener& listener)
+                                                inbound_listener& listener,
+                                                boost::intrusive_ptr<byte_count> held_bytes)
 {
-    return std::make_unique<inbound_server>(loop, host, port, max_connections, listener);
+    return std::make_unique<inbound_server>(loop, host, port, max_connections, listener,
+                                            std::move(held_bytes));
 }
 
 } // namespace pearhaven::adapters
--- a/adapters/src/http_message.cpp
+++ b/adapters/src/http_message.cpp
@@ -141,6 +141,19 @@
     return found == fields.end() ? nullptr : &found->second;
 }
 
+std::size_t allocated_bytes(const http_request_head& head)
+{
+    const auto allocated = [](const std::string& text) {
+        static const std::size_t inside = std::string().capacity();
+        return text.capacity() > inside ? text.capacity() + 1 : 0;
+    };
+    std::size_t sum = allocated(head.target) + head.fields.capacity() * sizeof(head.fields.front());
+    for (const auto& [name, value] : head.fields) {
+        sum += allocated(name) + allocated(value);
+    }
+    return sum;
+}
+
 bool is_hop_by_hop(std::string_view name, std::string_view connection)
 {
     constexpr std::array<std::string_view, 11> names = {"Connection",
@@ -408,6 +421,11 @@
     this->inner->max_fields = max_fields;
 }
 
+std::size_t http_reader::allocated_bytes() const
+{
+    return sizeof(http_reader::state) + this->inner->head.capacity();
+}
+
 std::size_t http_reader::feed(std::string_view bytes)
 {
     return this->inner->feed(bytes);
--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <cstdlib>
 #include <sys/socket.h>
 
 namespace pearhaven::adapters {
@@ -27,6 +28,15 @@
 constexpr std::size_t short_body_bytes = 64U << 10U;
 constexpr std::size_t parts_for_short_bodies = 32;
 
+// Part of the memory for callers that requests leave free until they are complete.
+constexpr std::size_t parts_for_complete_requests = 32;
+
+// How long an incomplete request is not ended for the sake of others.
+constexpr decision::duration incomplete_grace = std::chrono::milliseconds(250);
+
+// Longest time for which the rest of a refused request is read.
+constexpr decision::duration drain_timeout = std::chrono::seconds(10);
+
 constexpr int status_bad_request = 400;
 constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
@@ -107,10 +117,12 @@
 inbound_socket::inbound_socket(inbound_socket_owner& server, tcp_socket accepted)
     : owner(server), socket(std::move(accepted)), delivery(server.limits().unacknowledged_time),
       reader(http_reader_kind::requests, *this, server.limits().head_bytes),
-      wait_started(server.loop().now()), idle_time(server.limits().idle_time)
+      wait_started(server.loop().now()), idle_time(server.limits().idle_time),
+      memory(server.held_bytes())
 {
     this->socket.get().set_options(idle_timeout(server.limits().unacknowledged_time));
     this->socket.get().limit_unsent(max_unsent_in_system);
+    this->count_memory();
     this->watch();
 }
 
@@ -174,6 +186,7 @@
 
 void inbound_socket::report_unsent(std::size_t now)
 {
+    this->count_memory();
     this->owner.change_unsent(std::exchange(this->reported_unsent, now), now);
 }
 
@@ -221,11 +234,22 @@
         this->process_bytes({bytes.data(), transfer.bytes});
         return;
     }
-    // A caller that is still sending its request may read the refusal only afterwards.
-    this->drained_bytes += transfer.bytes;
-    if (this->drained_bytes <= this->message_limits.body_bytes) {
+    this->drop_bytes(transfer.bytes);
+}
+
+// A caller that is still sending its request may read the refusal only afterwards. Beyond a body of
+// the allowed length, and after a time, its bytes stay unread until the connection closes.
+void inbound_socket::drop_bytes(std::size_t count)
+{
+    this->drained_bytes += count;
+    const auto drained = this->owner.loop().now() - this->drain_started;
+    if (this->drained_bytes <= this->message_limits.body_bytes && drained <= drain_timeout) {
         this->begin_wait();
+        return;
     }
+    this->drains = false;
+    this->has_unread_bytes = true;
+    this->watch();
 }
 
 // Detects a caller that disconnects. A request that has arrived is not read before its turn.
@@ -302,10 +326,52 @@
     }
     if (this->current_phase == phase::answering) {
         this->pipelined.append(bytes);
+    }
+    this->check_memory();
+    if (this->current_phase == phase::answering) {
         this->owner.listener().on_request(this->exchange);
     }
 }
 
+void inbound_socket::count_memory()
+{
+    this->memory.set(sizeof *this + this->reader.allocated_bytes() + this->pipelined.capacity() +
+                     this->socket.allocated_bytes());
+}
+
+// Called with what has been received so far, and before a complete request is passed on.
+void inbound_socket::check_memory()
+{
+    this->count_memory();
+    const bool is_receiving =
+        this->current_phase == phase::answering ||
+        (this->current_phase == phase::reading && this->reader.inside_message());
+    if (is_receiving && !this->has_memory()) {
+        this->refuse_for_memory();
+    }
+}
+
+// Whether the memory suffices, if need be after others have freed theirs.
+bool inbound_socket::has_memory() const
+{
+    const auto all = this->owner.limits().held_bytes;
+    const bool is_complete = this->current_phase == phase::answering;
+    const auto bound = is_complete ? all : all - all / parts_for_complete_requests;
+    while (this->owner.held_bytes()->value() > bound) {
+        if (!this->owner.free_memory(*this)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void inbound_socket::refuse_for_memory()
+{
+    this->owner.on_refused_for_memory();
+    this->pipelined = {};
+    this->refuse(status_unavailable, {{"Retry-After", retry_delay}});
+}
+
 void inbound_socket::process_pipelined()
 {
     if (!this->pipelined.empty() && this->current_phase == phase::reading) {
@@ -320,8 +386,27 @@
     if (expected != nullptr && same_field_name(*expected, "100-continue")) {
         this->send("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    this->exchange = new connection_exchange(*this, std::move(head), this->owner.loop().now(),
-                                             this->owner.body_bytes());
+    this->exchange =
+        new connection_exchange(*this, std::move(head), this->owner, this->owner.loop().now());
+}
+
+// Refuses the request if its body of so many bytes, announced or received, is not allowed or has no
+// room. Returns false then.
+bool inbound_socket::check_length(std::size_t bytes)
+{
+    if (bytes > std::max(this->message_limits.body_bytes, this->owner.limits().body_bytes)) {
+        this->owner.on_refused_long_body();
+        this->refuse(status_too_large);
+        return false;
+    }
+    while (!this->has_room_for(bytes)) {
+        if (!this->owner.free_memory(*this)) {
+            this->owner.on_refused_body();
+            this->refuse(status_unavailable, {{"Retry-After", retry_delay}});
+            return false;
+        }
+    }
+    return true;
 }
 
 bool inbound_socket::on_response(http_response_head /*head*/)
@@ -334,26 +419,20 @@
     if (!this->exchange || this->current_phase != phase::reading) {
         return;
     }
-    const auto bound = std::max(this->message_limits.body_bytes, this->owner.limits().body_bytes);
-    if (this->exchange->received_bytes() + piece.size() > bound) {
-        this->refuse(status_too_large);
-        return;
-    }
-    if (!this->has_room_for(piece.size())) {
-        this->owner.on_refused_body();
-        this->refuse(status_unavailable, {{"Retry-After", retry_delay}});
-        return;
+    if (this->check_length(this->exchange->received_bytes() + piece.size())) {
+        this->exchange->append(piece);
     }
-    this->exchange->append(piece);
 }
 
-// A few long bodies must not take the room of all short ones.
+// Whether the body may have so many bytes. A few long bodies must not take the room of all short
+// ones.
 bool inbound_socket::has_room_for(std::size_t bytes) const
 {
     const auto room = this->owner.limits().held_body_bytes;
-    const bool is_short = this->exchange->received_bytes() + bytes <= short_body_bytes;
+    const bool is_short = bytes <= short_body_bytes;
     const auto bound = is_short ? room : room - room / parts_for_short_bodies;
-    return this->owner.body_bytes()->value() + bytes <= bound;
+    const auto received = this->exchange ? this->exchange->received_bytes() : 0;
+    return this->owner.body_bytes()->value() - received + bytes <= bound;
 }
 
 void inbound_socket::on_message_end()
@@ -433,6 +512,7 @@
     this->send(write_response_head(status, all));
     if (this->current_phase != phase::closed) {
         this->drains = true;
+        this->drain_started = this->owner.loop().now();
         this->linger();
     }
 }
@@ -449,6 +529,26 @@
     }
 }
 
+std::optional<decision::instant> inbound_socket::overdue_since() const
+{
+    const bool is_incomplete =
+        this->current_phase == phase::reading && this->reader.inside_message();
+    if (!is_incomplete || this->owner.loop().now() - this->wait_started < incomplete_grace) {
+        return std::nullopt;
+    }
+    return this->wait_started + this->time_for_received();
+}
+
+void inbound_socket::end_incomplete()
+{
+    this->drop_exchange();
+    this->send(write_response_head(
+        status_unavailable,
+        {{"Content-Length", "0"}, {"Connection", "close"}, {"Retry-After", retry_delay}}));
+    this->close(false);
+    this->memory.set(0);
+}
+
 void inbound_socket::close_as_idle()
 {
     this->closed_as_idle = true;
@@ -548,13 +648,21 @@
     }
     // A head that arrives byte by byte would hold its connection forever. A body may be long, so
     // the allowed time grows by the head time for each started megabyte of it.
-    const auto parts = 1 + (this->exchange ? this->exchange->received_bytes() >> 20U : 0U);
     const auto head_time = std::max(this->message_limits.head_time, this->owner.limits().head_time);
-    if (waited > head_time * static_cast<int>(parts + 1)) {
+    if (waited > head_time * 2 + this->time_for_received()) {
+        this->owner.on_timed_out();
         this->refuse(status_timeout);
     }
 }
 
+// Time that the caller may have taken for the bytes of the body received so far.
+decision::duration inbound_socket::time_for_received() const
+{
+    const auto head_time = std::max(this->message_limits.head_time, this->owner.limits().head_time);
+    const auto parts = this->exchange ? this->exchange->received_bytes() >> 20U : 0U;
+    return head_time * static_cast<int>(parts);
+}
+
 decision::duration inbound_socket::idle_limit() const
 {
     const auto& limits = this->owner.limits();
--- a/adapters/src/inbound_socket.hpp
+++ b/adapters/src/inbound_socket.hpp
@@ -27,8 +27,19 @@
 
     // The bytes of all requests' bodies.
     [[nodiscard]] virtual const boost::intrusive_ptr<byte_count>& body_bytes() const = 0;
+
+    // The memory of all connections, requests and answers.
+    [[nodiscard]] virtual const boost::intrusive_ptr<byte_count>& held_bytes() const = 0;
+
+    // Ends the incomplete requests of other connections that are furthest behind. Returns false
+    // when there are none.
+    [[nodiscard]] virtual bool free_memory(const inbound_socket& requester) = 0;
+
     virtual void on_refused_head() = 0;
     virtual void on_refused_body() = 0;
+    virtual void on_refused_long_body() = 0;
+    virtual void on_refused_for_memory() = 0;
+    virtual void on_timed_out() = 0;
     // The caller's host acknowledged nothing for too long. `in_progress`: before the end of the
     // answer to a request.
     virtual void on_unacknowledged(bool in_progress) = 0;
@@ -47,11 +58,14 @@
 // A request together with the connection that its answer is sent on.
 class connection_exchange final : public inbound_exchange {
 public:
-    connection_exchange(inbound_socket& owner, http_request_head request, decision::instant now,
-                        boost::intrusive_ptr<byte_count> body_bytes)
-        : connection(&owner), request_head(std::move(request)), arrival(now),
-          charge(std::move(body_bytes))
-    {}
+    connection_exchange(inbound_socket& connection_of_caller, http_request_head request,
+                        const inbound_socket_owner& owner, decision::instant now)
+        : connection(&connection_of_caller), request_head(std::move(request)), arrival(now),
+          body_charge(owner.body_bytes()), body_memory(owner.held_bytes()),
+          head_memory(owner.held_bytes())
+    {
+        this->head_memory.set(sizeof *this + allocated_bytes(this->request_head));
+    }
 
     [[nodiscard]] const http_request_head& head() const override { return this->request_head; }
     [[nodiscard]] const message_body& body() const override { return this->request_body; }
@@ -67,15 +81,18 @@
     // While the request is being received.
     void append(std::string_view piece)
     {
-        this->charge.add(piece.size());
         this->received.append(piece);
+        this->body_charge.set(this->received.size());
+        this->body_memory.set(this->received.allocated_bytes());
     }
     [[nodiscard]] std::size_t received_bytes() const { return this->received.size(); }
 
     void set_arrived(decision::instant now)
     {
         this->arrival = now;
-        this->request_body = message_body(std::move(this->received), std::move(this->charge));
+        this->request_body =
+            message_body(std::exchange(this->received, {}), std::move(this->body_charge),
+                         std::move(this->body_memory));
     }
     void detach() { this->connection = nullptr; }
 
@@ -83,8 +100,10 @@
     inbound_socket* connection; // null once the connection is closed or the answer has ended
     http_request_head request_head;
     decision::instant arrival;
-    std::string received; // of the body, until the request is complete
-    byte_charge charge;   // for `received`
+    byte_blocks received;    // of the body, until the request is complete
+    byte_charge body_charge; // for `received`: its bytes, and the memory that they take
+    byte_charge body_memory;
+    byte_charge head_memory;
     message_body request_body;
 };
 
@@ -127,6 +146,20 @@
     // still be in transit.
     [[nodiscard]] std::optional<decision::instant> idle_since();
 
+    // When the incomplete request should have been complete, by what has been received of it;
+    // nothing if there is none, or if it has only begun.
+    [[nodiscard]] std::optional<decision::instant> overdue_since() const;
+
+    // Answers the incomplete request as not run, and closes the connection in its deferred work.
+    // What is held for it is freed at once.
+    void end_incomplete();
+
+    // Whether this end has closed the connection and its last answer has arrived.
+    [[nodiscard]] bool has_ended() const
+    {
+        return this->current_phase == phase::lingering && this->is_delivered();
+    }
+
     // Whether bytes after the request in progress, or after the last one, have arrived.
     [[nodiscard]] bool next_request_arrived() const;
 
@@ -142,6 +175,13 @@
     void look_ahead(bool failed);
     void process_bytes(std::string_view bytes);
     void process_pipelined();
+    void count_memory();
+    void check_memory();
+    [[nodiscard]] bool has_memory() const;
+    void refuse_for_memory();
+    [[nodiscard]] bool check_length(std::size_t bytes);
+    [[nodiscard]] decision::duration time_for_received() const;
+    void drop_bytes(std::size_t count);
     void begin_message();
     [[nodiscard]] bool has_room_for(std::size_t bytes) const;
     void drop_exchange();
@@ -183,6 +223,7 @@
     bool has_unread_bytes = false;
     bool drains = false; // the rest of a refused request is read, so that its caller reads on
     std::size_t drained_bytes = 0;
+    decision::instant drain_started; // when the request was refused
 
     // The request in progress. On a closed connection: the one whose listener has not been notified
     // yet that the caller disconnected.
@@ -193,6 +234,7 @@
     decision::duration idle_duration{}; // before it was closed as idle
     decision::duration idle_time{};     // limit when the wait began, on which the caller relies
     inbound_limits message_limits;      // limits when the current message began
+    byte_charge memory;                 // of the connection and its buffers
 };
 
 } // namespace pearhaven::adapters
--- a/decision/include/pearhaven/decision/suspects.hpp
+++ b/decision/include/pearhaven/decision/suspects.hpp
@@ -6,15 +6,19 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 namespace pearhaven::decision {
 
-// Identifies a request by its content, so that resends through any router match.
+// Identifies a request by its content, so that resends through any router match. The body may come
+// in blocks.
 [[nodiscard]] std::uint64_t fingerprint(std::string_view team, std::string_view asked,
                                         std::string_view body);
+[[nodiscard]] std::uint64_t fingerprint(std::string_view team, std::string_view asked,
+                                        const std::vector<std::string>& body);
 
 struct suspect_settings {
     std::size_t max_entries = 4096; // above this, entries that expire first are removed
--- a/decision/src/suspects.cpp
+++ b/decision/src/suspects.cpp
@@ -1,5 +1,6 @@
 #include "pearhaven/decision/suspects.hpp"
 
+#include <array>
 #include <set>
 #include <unordered_map>
 
@@ -13,26 +14,45 @@
     void operator()(XXH64_state_t* state) const { XXH64_freeState(state); }
 };
 
-void add_part(XXH64_state_t* state, std::string_view part)
+// Hashes the length of a part before its bytes, which distinguishes ("ab", "c") from ("a", "bc").
+template <typename Blocks>
+void add_part(XXH64_state_t* state, const Blocks& blocks)
 {
-    // Hashing the length distinguishes ("ab", "c") from ("a", "bc").
-    const std::uint64_t length = part.size();
+    std::uint64_t length = 0;
+    for (const std::string_view block : blocks) {
+        length += block.size();
+    }
     XXH64_update(state, &length, sizeof length);
-    XXH64_update(state, part.data(), part.size());
+    for (const std::string_view block : blocks) {
+        XXH64_update(state, block.data(), block.size());
+    }
 }
 
-} // namespace
-
-std::uint64_t fingerprint(std::string_view team, std::string_view asked, std::string_view body)
+template <typename Blocks>
+std::uint64_t fingerprint_of(std::string_view team, std::string_view asked, const Blocks& body)
 {
+    using one_block = std::array<std::string_view, 1>;
     const std::unique_ptr<XXH64_state_t, hash_state_deleter> state(XXH64_createState());
     XXH64_reset(state.get(), 0);
-    add_part(state.get(), team);
-    add_part(state.get(), asked);
+    add_part(state.get(), one_block{team});
+    add_part(state.get(), one_block{asked});
     add_part(state.get(), body);
     return XXH64_digest(state.get());
 }
 
+} // namespace
+
+std::uint64_t fingerprint(std::string_view team, std::string_view asked, std::string_view body)
+{
+    return fingerprint_of(team, asked, std::array<std::string_view, 1>{body});
+}
+
+std::uint64_t fingerprint(std::string_view team, std::string_view asked,
+                          const std::vector<std::string>& body)
+{
+    return fingerprint_of(team, asked, body);
+}
+
 class suspect_table::state {
 public:
     explicit state(suspect_settings bounds) : settings(bounds) {}
