Give the places of requests that do not complete to new callers

Fifty clients whose chunked bodies, or heads, stop and stay open took all 40 places of a router; ordinary callers were turned away for as long as the crowd's time limit runs (client_crowd.bodies_that_stop_at_all_places and heads_that_stop_at_all_places: no answer in 20 s on the code before).

Cause: only idle connections made room. An incomplete request held its place.

Change: where no connection is idle, or has ended and only waits for its caller, incomplete requests that are furthest past their time make room: those that began longest ago, where each megabyte received counts as one time of a head. They are answered 503 and Retry-After, as they have not run. One that is younger than 250 ms, or of which more has arrived, is left alone. Nothing ends as long as there are places, so a caller inside the time limits is not closed in calm.

--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -109,7 +109,7 @@
     using ranked_connections = std::vector<std::pair<decision::instant, inbound_socket*>>;
 
     void make_room();
-    std::size_t close_idle_for_room();
+    [[nodiscard]] std::size_t close_idle_for_room();
     template <typename Rank>
     [[nodiscard]] ranked_connections first_ranked(Rank&& rank);
     [[nodiscard]] std::vector<inbound_socket*> overdue_connections();
@@ -153,10 +153,17 @@
 }
 
 // Closes connections that are idle: their callers may open new ones, whereas a new connection that
-// is not accepted holds its caller up.
+// is not accepted holds its caller up. If none is, ends requests that have not become complete.
 void inbound_server::make_room()
 {
-    this->close_idle_for_room();
+    if (this->close_idle_for_room() > 0) {
+        return;
+    }
+    for (auto* connection : this->overdue_connections()) {
+        ++this->counted.ended_for_room;
+        connection->end_incomplete();
+        this->drop(*connection);
+    }
 }
 
 // Returns the number of closed connections. Those that have ended only wait for their callers.
