Refuse a body that is announced as too long at its head

A client that announced a gigabyte was told to continue, and its body was read and held up to the limit before the 413 (client_crowd. announced_bodies_over_the_limit: the code before answers 100).

Cause: the length was compared with what had been received, not with what was announced.

Change: on_request checks the announced length against the limit, and against the room for bodies, before 100 Continue.

--- a/adapters/src/inbound_socket.cpp
+++ b/adapters/src/inbound_socket.cpp
@@ -382,6 +382,10 @@
 
 void inbound_socket::on_request(http_request_head head)
 {
+    const std::string* length = find_field(head.fields, "Content-Length");
+    if (length != nullptr && !this->check_length(std::strtoull(length->c_str(), nullptr, 10))) {
+        return;
+    }
     const std::string* expected = find_field(head.fields, "Expect");
     if (expected != nullptr && same_field_name(*expected, "100-continue")) {
         this->send("HTTP/1.1 100 Continue\r\n\r\n");
