--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -105,9 +105,9 @@
     void on_ready(bool readable, bool writable, bool failed) override;
 
 private:
-    void drop(const inbound_socket& connection);
     using ranked_connections = std::vector<std::pair<decision::instant, inbound_socket*>>;
 
+    void drop(const inbound_socket& connection);
     void make_room();
     [[nodiscard]] std::size_t close_idle_for_room();
     template <typename Rank>
