Return free memory once for the servers of a process

The three servers of a router share the account of the memory held for clients, but each kept a peak of its own, so that each could call malloc_trim after the same crowd. The account keeps the peak, and the server that returns memory resets it. byte_charge::add has had no caller since bodies are in blocks.

--- a/adapters/include/pearhaven/adapters/message_body.hpp
+++ b/adapters/include/pearhaven/adapters/message_body.hpp
@@ -18,13 +18,14 @@
 public:
     [[nodiscard]] std::size_t value() const { return this->bytes; }
 
-    // The largest value since the last call.
-    [[nodiscard]] std::size_t take_peak() { return std::exchange(this->peak, this->bytes); }
+    // The largest value since the last reset.
+    [[nodiscard]] std::size_t peak() const { return this->max_bytes; }
+    void reset_peak() { this->max_bytes = this->bytes; }
 
 private:
     friend class byte_charge;
     std::size_t bytes = 0;
-    std::size_t peak = 0;
+    std::size_t max_bytes = 0;
 };
 
 // The bytes that one owner adds to a sum. They are subtracted when it is destroyed.
@@ -53,10 +54,9 @@
     {
         if (this->total) {
             this->total->bytes += now - std::exchange(this->bytes, now);
-            this->total->peak = std::max(this->total->peak, this->total->bytes);
+            this->total->max_bytes = std::max(this->total->max_bytes, this->total->bytes);
         }
     }
-    void add(std::size_t more) { this->set(this->bytes + more); }
 
 private:
     void clear() { this->set(0); }
--- a/adapters/src/http_inbound.cpp
+++ b/adapters/src/http_inbound.cpp
@@ -128,7 +128,6 @@
     transferred_bytes counted_bytes;
     boost::intrusive_ptr<byte_count> bodies{new byte_count}; // requests may outlive the server
     boost::intrusive_ptr<byte_count> held;
-    std::size_t peak_held = 0;             // since free memory was returned
     decision::instant next_overdue_search; // earliest time of another one, after one in vain
     std::unordered_map<int, std::unique_ptr<inbound_socket>> connections;
     timer_number check = 0;
@@ -238,10 +237,9 @@
 // process's memory would stay resident.
 void inbound_server::return_free_memory()
 {
-    this->peak_held = std::max(this->peak_held, this->held->take_peak());
-    if (this->peak_held - this->held->value() >= min_returned_bytes) {
+    if (this->held->peak() - this->held->value() >= min_returned_bytes) {
         malloc_trim(0);
-        this->peak_held = this->held->value();
+        this->held->reset_peak();
     }
 }
 
