--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,3 +10,7 @@
       -o "target/review-2/case-$number"
   fi
 done
+for trial in endless unframed; do
+  g++ -std=c++20 -O1 -Wall -Wextra -pthread -Ireview/support-2 "review/tried-2/$trial.cpp" \
+    -o "target/review-2/$trial"
+done
