Run a request that may run once with one model

Cause: dispatcher::accepts_answer drops a doubtful answer and queues the request again without asking whether the request may be repeated. The other ways to leave a run do ask. The record of the case shows two complete runs that name different models, so neither a resend on another connection nor another router is involved.

Change: an answer is dropped only if the request may be repeated. All sends pass one check that ends a request which may run once, and whose last attempt was not refused; it is counted and logged, and stays at zero. The only run uses the largest model, or the smallest where any confidence of it would be accepted.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -279,12 +279,20 @@
     friend bool operator==(const report_load_measure&, const report_load_measure&) = default;
 };
 
+// A request that may run once, and may have run, was about to be sent again. It was given up
+// instead, so this counts faults of whatever queued it again.
+struct report_repeat_prevented {
+    ticket_number ticket = 0;
+    friend bool operator==(const report_repeat_prevented&,
+                           const report_repeat_prevented&) = default;
+};
+
 using dispatch_action =
     std::variant<start_attempt, resume_attempt, cancel_attempt, complete_request, give_up_request,
                  announce_leaving, announce_suspect_status, announce_lost_run,
                  announce_finished_run, announce_lost_prompt, announce_answered_prompt,
                  report_quarantine_test, report_reachability, report_cheaper_answer,
-                 report_load_measure>;
+                 report_load_measure, report_repeat_prevented>;
 
 struct dispatcher_settings {
     endpoint_table_settings endpoints;
@@ -569,8 +577,9 @@
         instant not_before;                       // earliest start of the next attempt
         bool owes_retry = false;                  // the next attempt has to be paid for first
         bool may_have_run = false;
-        std::uint32_t runs = 0; // attempts that were sent and not refused
-        std::uint32_t size = 0; // model size for the next attempt
+        bool has_unrefused_attempt = false; // the last attempt was sent, and has not been refused
+        std::uint32_t runs = 0;             // attempts that were sent and not refused
+        std::uint32_t size = 0;             // model size for the next attempt
         instant arrived;
         instant sent_at;            // start of the current attempt
         duration backlog{};         // known at that time, with `dispatcher_settings::sheds_load`
@@ -654,6 +663,7 @@
     void report_odd_terms(const request_state& state, instant now);
     [[nodiscard]] std::optional<failure> shed_failure(const request_state& state,
                                                       instant now) const;
+    void choose_size(request_state& state, instant now) const;
     void make_cheaper(request_state& state, instant now) const;
     [[nodiscard]] bool would_end_late(const request_state& state, instant now) const;
     [[nodiscard]] std::optional<std::uint32_t> urgency_of(request_state& state, instant now);
@@ -698,6 +708,7 @@
     void queue_interrupted(instant now);
     [[nodiscard]] std::optional<failure> queued_failure(const request_state& state,
                                                         instant now) const;
+    [[nodiscard]] static std::optional<failure> repeat_failure(const request_state& state);
     [[nodiscard]] bool may_start(const request_state& state, instant now) const;
     void record_first_token(const request_state& state, duration first_token);
     void evaluate_speed(const request_state& state, speed_reference& reference, duration time);
@@ -723,6 +734,7 @@
     [[nodiscard]] duration backlog_for(const request_state& state, instant now) const;
     [[nodiscard]] duration backlog_at(const request_state& state, const std::string& target,
                                       instant now) const;
+    [[nodiscard]] static size_question question_of(const request_state& state, instant now);
     [[nodiscard]] bool is_larger_run_late(const request_state& state, size_question question,
                                           instant now);
     [[nodiscard]] double router_burst(const std::string& asked) const;
--- a/decision/include/pearhaven/decision/size_choice.hpp
+++ b/decision/include/pearhaven/decision/size_choice.hpp
@@ -46,6 +46,12 @@
 // The size to try first; 0 is the smallest.
 [[nodiscard]] std::uint32_t first_size(std::uint32_t sizes, const size_choice_settings& settings);
 
+// The size for a request that has one run, whose answer is delivered whatever its confidence. The
+// smallest where any confidence of it would be accepted: by priority, or since the largest model's
+// answer is forecast too late. `confidence` and `size` of the question are not used.
+[[nodiscard]] std::uint32_t single_run_size(const size_question& question,
+                                            const size_choice_settings& settings);
+
 // The size to continue with once an answer has begun: the same one to deliver the answer, or the
 // largest one. Sizes in between are skipped: a middle model rarely answers what a small one cannot,
 // and the request would wait for both. The required confidence falls where the forecast exceeds the
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -264,7 +264,7 @@
         return;
     }
     state.arrived = now;
-    state.size = first_size(state.request.sizes, this->settings.sizes);
+    this->choose_size(state, now);
     this->report_odd_terms(state, now);
     if (auto refused = this->shed_failure(state, now)) {
         this->actions.emplace_back(give_up_request{ticket, std::move(*refused)});
@@ -536,6 +536,9 @@
         if (state.may_have_run) {
             refused->run = run_state::unknown;
         }
+        if (repeat_failure(state)) {
+            this->actions.emplace_back(report_repeat_prevented{ticket});
+        }
         this->queue.settle(state.request.team, state.request.work.tokens, 0.0);
         this->give_up(ticket, std::move(*refused));
         return;
@@ -545,6 +548,9 @@
         this->wait_to_continue(state, state.owes_retry, now);
         return;
     }
+    if (!state.request.idempotent && !state.is_quarantine_test) {
+        this->choose_size(state, now);
+    }
     this->make_cheaper(state, now);
     const auto where = this->find_start(state, now);
     if (!where) {
@@ -562,9 +568,23 @@
     this->start(state, *where, now);
 }
 
+// All sends pass here. Each way to leave a run decides by itself whether the request may be queued
+// again; this holds also if one of them does not ask.
+std::optional<failure> dispatcher::repeat_failure(const request_state& state)
+{
+    if (state.request.idempotent || !state.has_unrefused_attempt) {
+        return std::nullopt;
+    }
+    return failure{failure_code::endpoint_failed, run_state::unknown, false, duration::zero(),
+                   "the request may run once, and may have run"};
+}
+
 // Why the queued request ends now; nothing if it starts or waits.
 std::optional<failure> dispatcher::queued_failure(const request_state& state, instant now) const
 {
+    if (auto refused = repeat_failure(state)) {
+        return refused;
+    }
     if (auto refused = this->target_failure(state, now)) {
         const bool may_pass =
             refused->code == failure_code::no_endpoint || refused->code == failure_code::overloaded;
@@ -609,6 +629,7 @@
         state.rollouts.ran_on = where.version;
         this->reached.on_try(request.asked, now);
     }
+    state.has_unrefused_attempt = true;
     state.sent_at = now;
     if (this->settings.sheds_load && !state.forwarded) {
         state.backlog = this->backlog_at(state, where.version, now);
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -120,6 +120,7 @@
     // Nothing ran, so another endpoint may be tried even for non-idempotent work.
     state.avoid.push_back({address, state.incarnation});
     state.avoid_until = std::max(state.avoid_until, now + refusal_avoidance);
+    state.has_unrefused_attempt = false;
     state.address.clear();
     state.refusals += state.only_at_once ? 0 : 1;
     if (state.concentrated) {
@@ -443,6 +444,30 @@
     return this->table.backlog(wanted, this->fleet_size, now);
 }
 
+size_question dispatcher::question_of(const request_state& state, instant now)
+{
+    const auto& request = state.request;
+    size_question question;
+    question.sizes = request.sizes;
+    question.size = state.size;
+    question.priority = request.priority;
+    question.waited = now - state.arrived;
+    question.objective = request.objective;
+    return question;
+}
+
+// The size of the first run. A request that may run once is not run again after a poor answer.
+void dispatcher::choose_size(request_state& state, instant now) const
+{
+    if (state.request.idempotent || state.request.sizes < 2) {
+        state.size = first_size(state.request.sizes, this->settings.sizes);
+        return;
+    }
+    auto question = question_of(state, now);
+    question.larger_run = this->expected_first_piece(state, question.sizes - 1, now);
+    state.size = single_run_size(question, this->settings.sizes);
+}
+
 // Whether a run of the largest model is not worth its cost because its answer would begin too late.
 // Reports the answer that is delivered in its place, unless no retry was left for it anyway.
 bool dispatcher::is_larger_run_late(const request_state& state, size_question question, instant now)
@@ -477,14 +502,9 @@
         this->forecast.on_first_piece(kind_of(request), state.size, now - state.sent_at,
                                       state.backlog, now);
     }
-    size_question question;
-    question.sizes = request.sizes;
-    question.size = state.size;
-    question.priority = request.priority;
+    auto question = question_of(state, now);
     question.confidence = confidence;
-    question.waited = now - state.arrived;
-    question.objective = request.objective;
-    const auto next = next_size(question, this->settings.sizes);
+    const auto next = request.idempotent ? next_size(question, this->settings.sizes) : state.size;
     const bool ends_late = next != state.size && this->would_end_late(state, now);
     if (ends_late) {
         this->actions.emplace_back(report_load_measure{ticket, load_measure::made_cheaper});
--- a/decision/src/size_choice.cpp
+++ b/decision/src/size_choice.cpp
@@ -37,6 +37,16 @@
     return sizes - 1;
 }
 
+std::uint32_t single_run_size(const size_question& question, const size_choice_settings& settings)
+{
+    if (question.sizes < 2) {
+        return 0;
+    }
+    const bool accepts_any =
+        settings.tries_smallest && required_confidence(question, settings) <= 0.0;
+    return accepts_any ? 0 : question.sizes - 1;
+}
+
 std::uint32_t next_size(const size_question& question, const size_choice_settings& settings)
 {
     if (question.size + 1 >= question.sizes ||
--- a/decision/test/size_choice_test.cpp
+++ b/decision/test/size_choice_test.cpp
@@ -18,6 +18,30 @@
     CHECK_EQUAL(0U, first_size(1, this->settings));
 }
 
+// Guards against an answer of the smallest model where a low confidence cannot be followed by
+// another run.
+TEST(size_choice, a_single_run_uses_the_largest_model_unless_its_answer_would_begin_late)
+{
+    CHECK_EQUAL(2U, single_run_size(this->question, this->settings));
+    this->question.larger_run = std::chrono::milliseconds(2900);
+    CHECK_EQUAL(2U, single_run_size(this->question, this->settings));
+    this->question.larger_run = std::chrono::milliseconds(5800);
+    CHECK_EQUAL(0U, single_run_size(this->question, this->settings));
+}
+
+TEST(size_choice, a_single_run_uses_the_smallest_model_where_any_of_its_answers_is_accepted)
+{
+    this->settings.confidence_step = 25.0;
+    this->question.priority = 1;
+    CHECK_EQUAL(2U, single_run_size(this->question, this->settings));
+    this->question.priority = 2;
+    CHECK_EQUAL(0U, single_run_size(this->question, this->settings));
+    this->settings.tries_smallest = false;
+    CHECK_EQUAL(2U, single_run_size(this->question, this->settings));
+    this->question.sizes = 0;
+    CHECK_EQUAL(0U, single_run_size(this->question, this->settings));
+}
+
 TEST(size_choice, a_low_confidence_answer_goes_to_the_largest_model)
 {
     CHECK_EQUAL(2U, next_size(this->question, this->settings));
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -198,6 +198,7 @@
     void carry_out(const decision::report_reachability& action);
     void carry_out(const decision::report_cheaper_answer& action);
     void carry_out(const decision::report_load_measure& action);
+    void carry_out(const decision::report_repeat_prevented& action);
 
     [[nodiscard]] std::optional<decision::endpoint_host>
     find_endpoint(const decision::start_attempt& action) const;
@@ -631,6 +632,17 @@
     }
 }
 
+void event_relay::state::carry_out(const decision::report_repeat_prevented& action)
+{
+    this->counts.add("pearhaven_repeats_prevented", {});
+    const auto found = this->requests.find(action.ticket);
+    if (found != this->requests.end()) {
+        adapters::log_warning("repeat_prevented", {{"id", found->second.request.id},
+                                                   {"route", found->second.request.route},
+                                                   {"attempts", found->second.history}});
+    }
+}
+
 void event_relay::state::log_shed(const relayed_request& relayed, const decision::failure& why)
 {
     this->counts.add("pearhaven_requests_shed", labels_of(relayed));
--- a/router/src/routing_worker.cpp
+++ b/router/src/routing_worker.cpp
@@ -366,6 +366,12 @@
                          {{"target", action.target}});
 }
 
+void routing_worker::carry_out(const decision::report_repeat_prevented& action)
+{
+    this->counts.add("pearhaven_repeats_prevented", {});
+    adapters::log_warning("repeat_prevented", {{"ticket", std::to_string(action.ticket)}});
+}
+
 void routing_worker::poll_when_due()
 {
     const auto moment = now();
--- a/router/src/routing_worker.hpp
+++ b/router/src/routing_worker.hpp
@@ -96,6 +96,7 @@
     void carry_out(const decision::report_load_measure& /*action*/) {}
     void carry_out(const decision::announce_finished_run& /*action*/) {}
     void carry_out(const decision::report_reachability& action);
+    void carry_out(const decision::report_repeat_prevented& action);
 
     // Requests of this interface have no objective.
     void carry_out(const decision::report_cheaper_answer& /*action*/) {}
