Need keys also once the last tenant is removed

What callers saw: the operator removed the only tenant, so that `tenants` was there and empty.

Cause: find_caller inferred from the number of teams whether keys are needed. The reader knew whether the configuration contains tenants, and nothing used it: team_table could not hold it.

Change: team_table holds the need of keys and compares it, so that a table that differs in it is not shared with an earlier version. A request that was let in without a key is refused in the queue once keys are needed.

--- a/adapters/include/pearhaven/adapters/http_message.hpp
+++ b/adapters/include/pearhaven/adapters/http_message.hpp
@@ -20,6 +20,10 @@
 // Compares two field names, ignoring case.
 [[nodiscard]] bool same_field_name(std::string_view left, std::string_view right);
 
+// Whether a field can carry the text unchanged: it is not empty, does not begin or end with blanks,
+// and has no control characters.
+[[nodiscard]] bool is_sendable_value(std::string_view text);
+
 // Whether a field applies to a single connection or frames the message, so that a router must not
 // forward it. `connection` is the value of the message's own Connection field, which may name more.
 [[nodiscard]] bool is_hop_by_hop(std::string_view name, std::string_view connection);
--- a/adapters/src/http_message.cpp
+++ b/adapters/src/http_message.cpp
@@ -141,6 +141,11 @@
     return found == fields.end() ? nullptr : &found->second;
 }
 
+bool is_sendable_value(std::string_view text)
+{
+    return !text.empty() && trimmed(text) == text && is_field_value(text);
+}
+
 std::size_t allocated_bytes(const http_request_head& head)
 {
     const auto allocated = [](const std::string& text) {
--- a/decision/include/pearhaven/decision/configuration.hpp
+++ b/decision/include/pearhaven/decision/configuration.hpp
@@ -57,6 +57,13 @@
     friend bool operator==(const team&, const team&) = default;
 };
 
+// Whether callers have to identify their team by a key. It is stated apart from the teams: once the
+// last team is removed, no key is valid, and none is dispensable.
+enum class key_policy : std::uint8_t {
+    needed,
+    none, // the operators have declared no teams
+};
+
 // All teams, indexed by name and by key. Immutable once built, and shared by reference count among
 // configurations that declare the same teams.
 class team_table : public boost::intrusive_ref_counter<team_table> {
@@ -65,16 +72,19 @@
 
     // Of teams with the same name the last one is kept. A key that several teams list belongs to
     // the last of them.
-    explicit team_table(std::vector<team> all);
+    explicit team_table(std::vector<team> all, key_policy policy = key_policy::needed);
 
     [[nodiscard]] const std::map<std::string, team>& by_name() const { return this->teams; }
 
     // Returns null if no team holds the key.
     [[nodiscard]] const team* find_by_key(std::string_view key_sha256) const;
 
+    [[nodiscard]] bool needs_keys() const { return this->keys == key_policy::needed; }
+
     friend bool operator==(const team_table& left, const team_table& right)
     {
-        return left.teams == right.teams && left.name_by_key == right.name_by_key;
+        return left.keys == right.keys && left.teams == right.teams &&
+               left.name_by_key == right.name_by_key;
     }
 
 private:
@@ -84,6 +94,7 @@
 
     std::map<std::string, team> teams;
     std::map<std::string, std::string, std::less<>> name_by_key;
+    key_policy keys = key_policy::needed;
 };
 
 using team_table_ptr = boost::intrusive_ptr<const team_table>;
@@ -239,6 +250,9 @@
 
     // Returns null if no team holds the key.
     [[nodiscard]] const team* find_team_by_key(std::string_view key_sha256) const;
+
+    // Whether callers have to identify their team by a key, except on public routes.
+    [[nodiscard]] bool needs_keys() const { return this->team_part->needs_keys(); }
     [[nodiscard]] const version* find_version(std::string_view name) const;
 
     // Whether the team may send new work to the version: the team's selector matches it and it is
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -92,8 +92,11 @@
     ticket_number ticket = 0;
     std::string team;
     std::string key_sha256; // digest of the caller's key; empty if no key was required
-    std::string asked;      // model, version or cascade; with `is_service`, the service name
-    std::string kind;       // requests of one kind take similar time; if empty, `asked` is the kind
+
+    // Without a key: it may run only while the configuration needs none.
+    bool needs_open_access = false;
+    std::string asked; // model, version or cascade; with `is_service`, the service name
+    std::string kind;  // requests of one kind take similar time; if empty, `asked` is the kind
     bool is_service = false;
     bool idempotent = true;
     bool streamed = false; // the answer is delivered in pieces as they arrive
--- a/decision/src/configuration.cpp
+++ b/decision/src/configuration.cpp
@@ -35,7 +35,7 @@
                        });
 }
 
-team_table::team_table(std::vector<team> all)
+team_table::team_table(std::vector<team> all, key_policy policy) : keys(policy)
 {
     for (auto& one : all) {
         this->add(std::move(one));
--- a/decision/src/dispatcher_admission.cpp
+++ b/decision/src/dispatcher_admission.cpp
@@ -145,6 +145,9 @@
         return permanent_failure(failure_code::not_allowed,
                                  "the team " + request.team + " is no longer configured");
     }
+    if (request.needs_open_access && this->config->needs_keys()) {
+        return permanent_failure(failure_code::not_allowed, "a key is needed by now");
+    }
     if (request.key_sha256.empty()) {
         return std::nullopt;
     }
--- a/decision/test/changed_dispatch_test.cpp
+++ b/decision/test/changed_dispatch_test.cpp
@@ -28,6 +28,7 @@
     bool has_service = true;
     std::uint32_t slots = 64;
     std::uint64_t revision = 1;
+    key_policy keys_needed = key_policy::needed;
 };
 
 configuration_ptr make_configuration(const operator_objects& from)
@@ -42,7 +43,7 @@
     team brokers;
     brokers.name = "brokers";
     brokers.key_sha256 = {from.other_teams_key};
-    builder.add(brokers);
+    builder.teams(team_table_ptr(new team_table({brokers}, from.keys_needed)));
     if (from.has_team) {
         builder.add(landlords);
     }
@@ -341,6 +342,22 @@
     CHECK_TRUE(std::holds_alternative<start_attempt>(actions[0]));
 }
 
+// Guards against a request that was let in while no key was needed, and runs once one is.
+TEST(changed_dispatch, a_queued_request_without_a_key_is_refused_once_keys_are_needed)
+{
+    this->configured.keys_needed = key_policy::none;
+    this->change();
+    this->fill_endpoints();
+    auto request = make_request(1);
+    request.key_sha256.clear();
+    request.needs_open_access = true;
+    this->router->on_arrival(request, now);
+    this->configured.keys_needed = key_policy::needed;
+    this->configured.slots = 64;
+    this->change();
+    this->check_refused(failure_code::not_allowed, run_state::not_run);
+}
+
 // Guards against queued requests that are refused because a version is known before its first
 // endpoint, which registers in the same change.
 TEST(changed_dispatch, queued_requests_run_when_another_version_gets_its_first_endpoint)
