Refuse answers whose status is none

With status 000 the request waited for another answer until its deadline.

Cause: any number from 0 to 999 was a status, and what is below 200 counted as an interim answer.

Change: a status line has the form "HTTP/1.d ddd" and a status from 100 to 599, without 101, since no request asks for another protocol. Anything else is malformed, which is a lost run: repeated where it may be, 502 otherwise. The reader of endpoints, peers and the store refuses it, and so does the libcurl reader of pearhavenctl and the product's own interface.

--- a/adapters/include/pearhaven/adapters/http_message.hpp
+++ b/adapters/include/pearhaven/adapters/http_message.hpp
@@ -49,10 +49,14 @@
     friend bool operator==(const http_response_head&, const http_response_head&) = default;
 };
 
+// Whether the status is that of an answer, or of an interim answer before it. No request asks for
+// another protocol, so 101 is neither.
+[[nodiscard]] bool is_answer_status(int status);
+
 // Why received bytes are not a valid message.
 enum class framing_fault : std::uint8_t {
     none,
-    malformed,        // not HTTP, or ambiguous framing
+    malformed,        // not HTTP, ambiguous framing, or a status that is none
     head_too_long,    // more header bytes, or fields, than allowed
     truncated,        // the connection ended inside a message
     unexpected_bytes, // bytes where no message was expected
--- a/adapters/src/http_exchange.cpp
+++ b/adapters/src/http_exchange.cpp
@@ -1,6 +1,7 @@
 #include "http_exchange.hpp"
 
 #include "pearhaven/adapters/event_loop.hpp"
+#include "pearhaven/adapters/http_message.hpp"
 
 #include <algorithm>
 #include <array>
@@ -264,7 +265,7 @@
     case CURLE_BAD_CONTENT_ENCODING:
         return http_error::malformed_answer;
     case CURLE_WRITE_ERROR:
-        return this->too_large ? http_error::malformed_answer : http_error::connection_lost;
+        return this->malformed ? http_error::malformed_answer : http_error::connection_lost;
     default:
         return this->send_count == 0 ? http_error::connect_failed : http_error::connection_lost;
     }
@@ -325,7 +326,7 @@
     }
     this->head_bytes += line.size();
     if (this->head_bytes > max_head_bytes) {
-        this->too_large = true;
+        this->malformed = true;
         return false;
     }
     if (this->current != phase::in_body) {
@@ -338,6 +339,10 @@
         curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &code);
         this->status = static_cast<int>(code);
         this->answer_headers.clear();
+        if (!is_answer_status(this->status)) {
+            this->malformed = true;
+            return false;
+        }
     } else {
         this->add_field(line);
     }
@@ -350,7 +355,8 @@
     if (colon == std::string_view::npos || colon == 0) {
         return;
     }
-    this->answer_headers.emplace_back(lower_case(trimmed(line.substr(0, colon))),
+    auto name = lower_case(trimmed(line.substr(0, colon)));
+    this->answer_headers.emplace_back(std::move(name),
                                       std::string(trimmed(line.substr(colon + 1))));
 }
 
@@ -372,7 +378,7 @@
     const std::size_t length = size * count;
     auto& exchange = *static_cast<http_exchange*>(self);
     if (length > exchange.request.max_body - exchange.body_bytes) {
-        exchange.too_large = true;
+        exchange.malformed = true;
         return 0;
     }
     exchange.last_progress = std::chrono::steady_clock::now();
--- a/adapters/src/http_exchange.hpp
+++ b/adapters/src/http_exchange.hpp
@@ -106,7 +106,7 @@
     unsigned send_count = 0;
     bool paused = false;
     bool head_finished = false;
-    bool too_large = false;
+    bool malformed = false;   // too large, or with a status that is none
     std::size_t head_bytes = 0;
     std::size_t body_bytes = 0;
     int status = 0;
--- a/adapters/src/http_message.cpp
+++ b/adapters/src/http_message.cpp
@@ -60,6 +60,22 @@
     });
 }
 
+// Whether the line begins with "HTTP/1.", a digit, a space and the three digits of a status,
+// followed by a space or nothing.
+bool is_status_line(std::string_view line)
+{
+    constexpr std::string_view form = "HTTP/1.d ddd";
+    const auto matches = [](char letter, char expected) {
+        const bool is_digit = letter >= '0' && letter <= '9';
+        return expected == 'd' ? is_digit : letter == expected;
+    };
+    return line.size() >= form.size() &&
+           std::equal(
+               form.begin(), form.end(), line.begin(),
+               [&matches](char expected, char letter) { return matches(letter, expected); }) &&
+           (line.size() == form.size() || line[form.size()] == ' ');
+}
+
 // Counts and validity of the fields that frame a message.
 struct framing_fields {
     int lengths = 0;
@@ -100,7 +116,8 @@
         const auto line = head.substr(0, end);
         head.remove_prefix(end + 2);
         if (first) {
-            if (!is_field_value(line)) {
+            if (!is_field_value(line) ||
+                (kind == http_reader_kind::responses && !is_status_line(line))) {
                 return framing_fault::malformed;
             }
             first = false;
@@ -159,6 +176,14 @@
     return sum;
 }
 
+bool is_answer_status(int status)
+{
+    constexpr int first_interim = 100;
+    constexpr int switching_protocols = 101;
+    constexpr int last = 599;
+    return status >= first_interim && status <= last && status != switching_protocols;
+}
+
 bool is_hop_by_hop(std::string_view name, std::string_view connection)
 {
     constexpr std::array<std::string_view, 11> names = {"Connection",
@@ -279,7 +304,12 @@
 int http_reader::state::on_head(http_parser* parser)
 {
     constexpr int skip_body = 1;
+    constexpr int refuse = -1;
     state& self = of(parser);
+    if (self.kind == http_reader_kind::responses &&
+        !is_answer_status(static_cast<int>(parser->status_code))) {
+        return refuse;
+    }
     self.in_head = false;
     self.in_body = true;
     // Upgrades are not supported: the following bytes are an ordinary body.
--- a/adapters/test/http_client_test.cpp
+++ b/adapters/test/http_client_test.cpp
@@ -344,6 +344,24 @@
     CHECK_EQUAL(make_error_code(http_error::malformed_answer), result.error);
 }
 
+// Guards against a status that is none and counts as an answer's, or as an interim answer's.
+TEST(http_client, an_answer_without_a_status_of_an_answer_is_malformed)
+{
+    const std::vector<std::string> statuses = {"000", "099", "101", "600", "999"};
+    raw_server server([&statuses](raw_connection& connection, int index) {
+        connection.read_request();
+        connection.send("HTTP/1.1 " + statuses.at(static_cast<std::size_t>(index)) +
+                        " Odd\r\nContent-Length: 0\r\n\r\n");
+    });
+    for (const auto& status : statuses) {
+        auto request = get(server.url());
+        request.fresh_connection = true;
+        const auto result = fetch_and_wait(*client, request, max_answer_bytes).result;
+        CHECK_TRUE_TEXT(result.error == make_error_code(http_error::malformed_answer),
+                        status.c_str());
+    }
+}
+
 TEST(http_client, bodies_and_heads_over_their_limits_are_malformed)
 {
     raw_server server([](raw_connection& connection, int index) {
--- a/adapters/test/http_message_test.cpp
+++ b/adapters/test/http_message_test.cpp
@@ -132,6 +132,33 @@
     }
 }
 
+// Guards against a status that is none and reaches a caller as an answer's, or has its request wait
+// for another answer.
+TEST(http_message, refuses_answers_without_a_status_of_an_answer)
+{
+    const auto fault_of = [](const std::string& line) {
+        recorder seen;
+        http_reader reader(http_reader_kind::responses, seen, max_head);
+        return feed_all(reader, line + "\r\nContent-Length: 0\r\n\r\n");
+    };
+    for (const std::string status :
+         {"000", "001", "020", "099", "101", "600", "700", "999", "0", "20", "2000", "0200", "",
+          "abc", "-200", "+200", "2 0", "20O", " 200"}) {
+        CHECK_TRUE_TEXT(fault_of("HTTP/1.1 " + status + " OK") == framing_fault::malformed,
+                        status.c_str());
+    }
+    for (const std::string line :
+         {"HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1\t200 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK",
+          "HTTP/1.10 200 OK", "HTTP/1 200 OK", "ICY 200 OK", "200 OK", "HTTP/1.1 200OK"}) {
+        CHECK_TRUE_TEXT(fault_of(line) == framing_fault::malformed, line.c_str());
+    }
+    for (const std::string line :
+         {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200",
+          "HTTP/1.1 100 Continue", "HTTP/1.1 103 ", "HTTP/1.1 599 Odd", "HTTP/1.1 299 Odd"}) {
+        CHECK_TRUE_TEXT(fault_of(line) == framing_fault::none, line.c_str());
+    }
+}
+
 TEST(http_message, refuses_a_head_over_its_limit)
 {
     const std::string head = "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(max_head, 'x');
