Take no part of an early answer for all of it

Cause: without a length the end of the connection ends the answer, and whether the request had been delivered was not asked.

Change: the end of a connection ends an answer only if the request was written, the endpoint's host has acknowledged it, and no error waits on the socket; otherwise the connection is lost. Answers with a length or chunks are complete by themselves, as before. The libcurl reader asks whether the system has taken the whole body.

Why it works: the end in order acknowledges what was received before it, so that a request which was received whole is acknowledged when the end is read.

--- a/adapters/src/http_exchange.cpp
+++ b/adapters/src/http_exchange.cpp
@@ -256,8 +256,11 @@
 {
     switch (code) {
     case CURLE_OK:
-        // libcurl counts an answer as complete whose connection ended after a line of its head.
-        return this->head_finished ? http_error::none : http_error::connection_lost;
+        // libcurl counts an answer as complete whose connection ended after a line of its head, or,
+        // if it has no length, while the request was still being sent.
+        return this->head_finished && (this->has_framing || this->is_sent())
+                   ? http_error::none
+                   : http_error::connection_lost;
     case CURLE_URL_MALFORMAT:
     case CURLE_UNSUPPORTED_PROTOCOL:
         return this->send_count == 0 ? http_error::invalid_request : http_error::malformed_answer;
@@ -271,6 +274,13 @@
     }
 }
 
+bool http_exchange::is_sent() const
+{
+    curl_off_t sent = 0;
+    curl_easy_getinfo(this->easy.get(), CURLINFO_SIZE_UPLOAD_T, &sent);
+    return static_cast<std::uint64_t>(sent) >= this->request.body.size();
+}
+
 void http_exchange::end(http_error error)
 {
     http_result result;
@@ -339,6 +349,7 @@
         curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &code);
         this->status = static_cast<int>(code);
         this->answer_headers.clear();
+        this->has_framing = false;
         if (!is_answer_status(this->status)) {
             this->malformed = true;
             return false;
@@ -356,6 +367,8 @@
         return;
     }
     auto name = lower_case(trimmed(line.substr(0, colon)));
+    this->has_framing =
+        this->has_framing || name == "content-length" || name == "transfer-encoding";
     this->answer_headers.emplace_back(std::move(name),
                                       std::string(trimmed(line.substr(colon + 1))));
 }
--- a/adapters/src/http_exchange.hpp
+++ b/adapters/src/http_exchange.hpp
@@ -63,6 +63,9 @@
     // Converts libcurl's result to an error for the caller.
     [[nodiscard]] http_error to_http_error(CURLcode code) const;
 
+    // Whether the system has taken all of the request's body.
+    [[nodiscard]] bool is_sent() const;
+
     // Makes the listener's last call.
     void end(http_error error);
 
@@ -106,6 +109,7 @@
     unsigned send_count = 0;
     bool paused = false;
     bool head_finished = false;
+    bool has_framing = false; // the answer has a length or chunks
     bool malformed = false;   // too large, or with a status that is none
     std::size_t head_bytes = 0;
     std::size_t body_bytes = 0;
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -240,14 +240,26 @@
         return;
     }
     this->reusable = false;
-    this->reader.feed_end();
+    const int error = this->socket.get().take_error();
+    if (error == 0 && this->is_request_delivered()) {
+        this->reader.feed_end();
+    }
     if (this->message_complete) {
         this->finish();
     } else {
-        this->fail(outbound_fault::connection_lost);
+        this->fail(outbound_fault::connection_lost, error);
     }
 }
 
+// Whether the endpoint's host has acknowledged the whole request. An endpoint that ends its
+// connection before has broken off, also if it does so in order: only a length or chunks would show
+// that an answer which it began is complete.
+bool outbound_socket::is_request_delivered() const
+{
+    const auto delivery_state = delivery_of(this->socket.get().get());
+    return this->socket.unsent() == 0 && !(delivery_state && delivery_state->outstanding);
+}
+
 // The other end has closed the connection before it received all of the request. It may have
 // answered before: whoever refuses a body does not read the rest.
 void outbound_socket::read_rest(int error)
--- a/adapters/src/outbound_socket.hpp
+++ b/adapters/src/outbound_socket.hpp
@@ -68,6 +68,7 @@
     void on_timer();
     void observe_delivery();
     void check_delivery();
+    [[nodiscard]] bool is_request_delivered() const;
     [[nodiscard]] decision::instant idle_end() const;
 
     outbound_socket_owner& owner;
--- a/adapters/test/http_client_test.cpp
+++ b/adapters/test/http_client_test.cpp
@@ -344,6 +344,29 @@
     CHECK_EQUAL(make_error_code(http_error::malformed_answer), result.error);
 }
 
+// Guards against a part of an answer without a length that is taken for all of it, because its
+// connection ended while the request was still being sent.
+TEST(http_client, an_answer_without_a_length_that_ends_amid_the_request_is_a_lost_connection)
+{
+    raw_server server([](raw_connection& connection, int index) {
+        if (index == 1) {
+            connection.read_request();
+        }
+        connection.send("HTTP/1.1 200 OK\r\n\r\npart");
+        connection.end();
+        if (index == 0) {
+            connection.wait_until_hung_up();
+        }
+    });
+    auto request = post(server.url(), std::string(16U << 20U, 'x'));
+    request.fresh_connection = true;
+    const auto cut = fetch_and_wait(*client, request, max_answer_bytes).result;
+    CHECK_EQUAL(make_error_code(http_error::connection_lost), cut.error);
+    request.body = "short";
+    const auto whole = fetch_and_wait(*client, request, max_answer_bytes).result;
+    CHECK_FALSE(whole.error);
+}
+
 // Guards against a status that is none and counts as an answer's, or as an interim answer's.
 TEST(http_client, an_answer_without_a_status_of_an_answer_is_malformed)
 {
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -579,6 +579,28 @@
         return *this->endpoint.connections().front();
     }
 
+    // Whether the endpoint has received the first bytes of the request.
+    bool has_begun()
+    {
+        return !this->endpoint.connections().empty() && this->connection().take(1) > 0;
+    }
+
+    // The endpoint begins an answer without a length, and ends the connection amid the request.
+    void check_broken_off(const std::function<void(tests::script_socket&)>& end)
+    {
+        loop_script script(this->loop);
+        script
+            .when([this] { return this->has_begun(); },
+                  [this, &end] {
+                      this->connection().send("HTTP/1.1 200 OK\r\n\r\npart");
+                      end(this->connection());
+                  })
+            .until([this] { return this->seen->failure || this->seen->ended; });
+        CHECK_TRUE(script.run());
+        CHECK_FALSE(this->seen->ended);
+        CHECK_TRUE(this->seen->failure->why == outbound_fault::connection_lost);
+    }
+
     // True once the endpoint has read nothing for much longer than the timeout.
     std::function<bool()> has_paused()
     {
@@ -607,20 +629,63 @@
 // Guards against losing an answer because the connection was reset while the body was being sent:
 // whoever refuses a body may close before it has read the rest.
 TEST(http_outbound_to_slow_endpoint, an_answer_before_a_reset_amid_the_body_is_taken)
+{
+    loop_script script(this->loop);
+    script
+        .when([this] { return this->has_begun(); },
+              [this] {
+                  this->connection().send(answer);
+                  this->connection().close(); // with unread bytes: a reset follows the answer
+              })
+        .until([this] { return this->seen->failure || this->seen->ended; });
+    CHECK_TRUE(script.run());
+    CHECK_TRUE(this->seen->ended);
+}
+
+// Guards against a part of an answer that is taken for all of it, because its connection ended
+// while the request was still being sent. Without a length the end of the connection is the only
+// sign.
+TEST(http_outbound_to_slow_endpoint, an_answer_without_a_length_fails_if_it_ends_amid_the_body)
+{
+    this->check_broken_off([](auto& connection) { connection.end(); });
+}
+
+TEST(http_outbound_to_slow_endpoint, an_answer_without_a_length_fails_if_it_is_reset_amid_the_body)
+{
+    this->check_broken_off([](auto& connection) { connection.reset(); });
+}
+
+TEST(http_outbound_to_slow_endpoint, an_answer_without_a_length_fails_if_the_body_is_left_unread)
+{
+    this->check_broken_off([](auto& connection) { connection.close(); });
+}
+
+// The end in order arrives together with the reset, which leaves nothing unacknowledged.
+TEST(http_outbound_to_slow_endpoint, an_answer_without_a_length_fails_if_it_ends_and_is_reset)
+{
+    this->check_broken_off([](auto& connection) {
+        connection.end();
+        connection.reset();
+    });
+}
+
+TEST(http_outbound_to_slow_endpoint, an_answer_without_a_length_is_taken_after_all_of_the_body)
 {
     loop_script script(this->loop);
     script
         .when(
             [this] {
-                return !this->endpoint.connections().empty() && this->connection().take(1) > 0;
+                return !this->endpoint.connections().empty() &&
+                       this->connection().ends_with("last");
             },
             [this] {
-                this->connection().send(answer);
-                this->connection().close(); // with unread bytes: a reset follows the answer
+                this->connection().send("HTTP/1.1 200 OK\r\n\r\nwhole");
+                this->connection().end();
             })
         .until([this] { return this->seen->failure || this->seen->ended; });
     CHECK_TRUE(script.run());
     CHECK_TRUE(this->seen->ended);
+    STRCMP_EQUAL("whole", this->seen->body.c_str());
 }
 
 TEST(http_outbound_to_slow_endpoint, an_endpoint_that_disappears_while_it_is_slow_is_noticed)
--- a/tests/support/raw_server.hpp
+++ b/tests/support/raw_server.hpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -113,6 +114,16 @@
 
     void shut() const { shutdown(this->socket, SHUT_RDWR); }
 
+    // Ends this end's bytes; the other end can still send.
+    void end() const { shutdown(this->socket, SHUT_WR); }
+
+    // Reads nothing until the other end has closed.
+    void wait_until_hung_up() const
+    {
+        pollfd waiting{this->socket, POLLRDHUP, 0};
+        poll(&waiting, 1, -1);
+    }
+
     // Acts like a host that has lost power.
     void vanish() const { drop_all_that_arrives(this->socket); }
 
