Bound what all answers of endpoints hold together

Cause: heads, events, plain answers and kept failures are bounded one by one, and nothing added them up.

Change: the client for endpoints and other routers counts what incomplete heads and its listeners hold. Failures that are kept while another endpoint is asked count too.

Why it works: an answer in trouble grows until it is the greatest, while an ordinary stream holds a part of one event.

--- a/adapters/include/pearhaven/adapters/http_message.hpp
+++ b/adapters/include/pearhaven/adapters/http_message.hpp
@@ -37,8 +37,9 @@
     friend bool operator==(const http_request_head&, const http_request_head&) = default;
 };
 
-// Memory that the head takes, beside the object itself.
+// Memory that the head, or the fields, take, beside the object itself.
 [[nodiscard]] std::size_t allocated_bytes(const http_request_head& head);
+[[nodiscard]] std::size_t allocated_bytes(const http_fields& fields);
 
 struct http_response_head {
     int status = 0;
@@ -100,6 +101,9 @@
     // Memory of the reader and of the bytes that it holds.
     [[nodiscard]] std::size_t allocated_bytes() const;
 
+    // Memory of an incomplete head.
+    [[nodiscard]] std::size_t held_head_bytes() const;
+
     // Consumes bytes up to the end of at most one message and returns how many. Nothing is consumed
     // after a fault.
     std::size_t feed(std::string_view bytes);
--- a/adapters/include/pearhaven/adapters/http_outbound.hpp
+++ b/adapters/include/pearhaven/adapters/http_outbound.hpp
@@ -9,7 +9,10 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -45,6 +48,7 @@
     connection_lost,
     silent, // nothing was received within the allowed time
     malformed,
+    no_memory, // it held most when the answers held more than allowed
 };
 
 struct outbound_failure {
@@ -83,6 +87,13 @@
     // otherwise the same time starts again.
     [[nodiscard]] virtual bool on_silence() { return true; }
     virtual void on_failure(const outbound_failure& how) = 0;
+
+    // Memory that the listener holds of the answer until its end.
+    [[nodiscard]] virtual std::size_t held_bytes() const { return 0; }
+
+    // Passes on what the listener holds, since the answers hold too much. If it holds as much
+    // afterwards, the exchange ends with `no_memory`.
+    virtual void release_held() {}
 };
 
 using outbound_listener_ptr = boost::intrusive_ptr<outbound_listener>;
@@ -105,6 +116,10 @@
     // Longest time that the other host may leave sent bytes unacknowledged. It is the only way to
     // detect that a device on the path has lost the state of a connection.
     std::chrono::milliseconds unacknowledged_timeout{2000};
+
+    // Memory that incomplete heads and listeners may hold of all answers together. Beyond it, those
+    // that hold most are released, or end: an endpoint in trouble may send bytes without end.
+    std::size_t max_held_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 struct outbound_counts {
@@ -112,6 +127,8 @@
     std::uint64_t reused = 0;
     std::uint64_t failed = 0; // connection attempts that failed
     std::size_t open = 0;
+    std::size_t held_bytes = 0;         // of answers
+    std::uint64_t ended_for_memory = 0; // exchanges
     transferred_bytes bytes;
 };
 
@@ -135,6 +152,11 @@
     virtual void forget(const std::string& pool) = 0;
 
     [[nodiscard]] virtual outbound_counts counts() const = 0;
+
+    // What is held of all answers, to which listeners' owners may add what they keep after an
+    // exchange.
+    [[nodiscard]] virtual const boost::intrusive_ptr<byte_count>& held_bytes() const = 0;
+    [[nodiscard]] virtual std::size_t max_held_bytes() const = 0;
 };
 
 // The loop must outlive the client.
--- a/adapters/src/http_message.cpp
+++ b/adapters/src/http_message.cpp
@@ -163,19 +163,31 @@
     return !text.empty() && trimmed(text) == text && is_field_value(text);
 }
 
-std::size_t allocated_bytes(const http_request_head& head)
+namespace {
+
+// Short texts take no memory beside the object.
+std::size_t allocated_bytes_of(const std::string& text)
 {
-    const auto allocated = [](const std::string& text) {
-        static const std::size_t inside = std::string().capacity();
-        return text.capacity() > inside ? text.capacity() + 1 : 0;
-    };
-    std::size_t sum = allocated(head.target) + head.fields.capacity() * sizeof(head.fields.front());
-    for (const auto& [name, value] : head.fields) {
-        sum += allocated(name) + allocated(value);
+    static const std::size_t inside = std::string().capacity();
+    return text.capacity() > inside ? text.capacity() + 1 : 0;
+}
+
+} // namespace
+
+std::size_t allocated_bytes(const http_fields& fields)
+{
+    std::size_t sum = fields.capacity() * sizeof(http_fields::value_type);
+    for (const auto& [name, value] : fields) {
+        sum += allocated_bytes_of(name) + allocated_bytes_of(value);
     }
     return sum;
 }
 
+std::size_t allocated_bytes(const http_request_head& head)
+{
+    return allocated_bytes_of(head.target) + allocated_bytes(head.fields);
+}
+
 bool is_answer_status(int status)
 {
     constexpr int first_interim = 100;
@@ -461,6 +473,11 @@
     return sizeof(http_reader::state) + this->inner->head.capacity();
 }
 
+std::size_t http_reader::held_head_bytes() const
+{
+    return this->inner->head.empty() ? 0 : this->inner->head.capacity();
+}
+
 std::size_t http_reader::feed(std::string_view bytes)
 {
     return this->inner->feed(bytes);
--- a/adapters/src/http_outbound.cpp
+++ b/adapters/src/http_outbound.cpp
@@ -2,6 +2,8 @@
 
 #include "outbound_socket.hpp"
 
+#include "pearhaven/adapters/log.hpp"
+
 #include <deque>
 #include <unordered_map>
 #include <utility>
@@ -30,8 +32,17 @@
     {
         auto all = this->counted;
         all.open = this->connections.size();
+        all.held_bytes = this->held->value();
         return all;
     }
+    [[nodiscard]] const boost::intrusive_ptr<byte_count>& held_bytes() const override
+    {
+        return this->held;
+    }
+    [[nodiscard]] std::size_t max_held_bytes() const override
+    {
+        return this->configured.max_held_bytes;
+    }
 
     [[nodiscard]] event_loop& loop() override { return this->events; }
     [[nodiscard]] const http_outbound_settings& settings() const override
@@ -46,6 +57,7 @@
     void on_exchange_end(outbound_number exchange) override { this->exchanges.erase(exchange); }
     void on_idle(outbound_socket& connection, decision::instant idle_until) override;
     void on_closed(outbound_socket& connection) override;
+    void on_held(outbound_socket& connection) override;
 
 private:
     struct idle_connection {
@@ -55,11 +67,13 @@
 
     [[nodiscard]] outbound_socket* take_idle(const outbound_target& target);
     [[nodiscard]] outbound_socket& open(const outbound_target& target);
+    [[nodiscard]] outbound_socket* greatest_holder();
     void destroy_closed();
 
     event_loop& events;
     http_outbound_settings configured;
     outbound_counts counted;
+    boost::intrusive_ptr<byte_count> held{new byte_count}; // its owners may outlive the client
     std::uint64_t last_connection = 0;
     outbound_number last_exchange = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<outbound_socket>> connections;
@@ -145,6 +159,34 @@
     }
 }
 
+// Those that hold most come first, so that ordinary answers beside them are not affected.
+void outbound_client::on_held(outbound_socket& /*connection*/)
+{
+    while (this->held->value() > this->configured.max_held_bytes) {
+        auto* const holder = this->greatest_holder();
+        if (holder == nullptr) {
+            return;
+        }
+        const auto bytes = holder->held_bytes();
+        holder->free_memory();
+        const bool has_ended = holder->exchange() == 0 || holder->held_bytes() == 0;
+        this->counted.ended_for_memory += has_ended ? 1 : 0;
+        log_warning("answers_hold_too_much",
+                    {{"endpoint", holder->target().pool}, {"held_bytes", std::to_string(bytes)}});
+    }
+}
+
+// Null if no connection holds anything.
+outbound_socket* outbound_client::greatest_holder()
+{
+    outbound_socket* greatest = nullptr;
+    for (const auto& [number, connection] : this->connections) {
+        const auto most = greatest == nullptr ? 0 : greatest->held_bytes();
+        greatest = connection->held_bytes() > most ? connection.get() : greatest;
+    }
+    return greatest;
+}
+
 // Destroying a listener may close further connections, which the next sweep destroys.
 void outbound_client::destroy_closed()
 {
@@ -231,6 +273,11 @@
         return has_head || !this->silence || this->silence();
     }
 
+    [[nodiscard]] std::size_t held_bytes() const override
+    {
+        return this->collected.body.capacity();
+    }
+
     void on_failure(const outbound_failure& how) override
     {
         collected_answer none;
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -38,7 +38,8 @@
     : owner(client), own_id(id), destination(std::move(target)),
       socket(tcp_socket::connect(this->destination.host, this->destination.port)),
       delivery(client.settings().unacknowledged_timeout),
-      reader(http_reader_kind::responses, *this, client.settings().max_head)
+      reader(http_reader_kind::responses, *this, client.settings().max_head),
+      held_charge(client.held_bytes())
 {
     if (this->socket.get()) {
         this->socket.get().set_options(idle_timeout(client.settings().unacknowledged_timeout));
@@ -290,6 +291,11 @@
             return;
         }
     }
+    const auto held_before = this->held;
+    this->update_held();
+    if (this->held > held_before && !this->message_complete) {
+        this->owner.on_held(*this);
+    }
     if (this->current_phase == phase::busy && this->message_complete) {
         // Bytes after the answer belong to no request, so later data on this connection cannot be
         // trusted.
@@ -298,6 +304,23 @@
     }
 }
 
+void outbound_socket::update_held()
+{
+    const bool is_open = this->current_phase == phase::busy && this->listener;
+    this->held = is_open ? this->reader.held_head_bytes() + this->listener->held_bytes() : 0;
+    this->held_charge.set(this->held);
+}
+
+void outbound_socket::free_memory()
+{
+    const auto held_before = this->held;
+    this->listener->release_held();
+    this->update_held();
+    if (this->current_phase == phase::busy && this->held >= held_before) {
+        this->fail(outbound_fault::no_memory);
+    }
+}
+
 void outbound_socket::on_request(http_request_head /*head*/) {}
 
 bool outbound_socket::on_response(http_response_head head)
@@ -364,6 +387,7 @@
     this->arm(decision::duration::zero());
     if (usable) {
         this->current_phase = phase::idle;
+        this->update_held();
         this->paused = false;
         this->watch();
         this->owner.on_idle(*this, this->idle_end());
@@ -413,6 +437,7 @@
         return;
     }
     this->current_phase = phase::closed;
+    this->update_held();
     this->owner.loop().cancel(std::exchange(this->timer, 0));
     this->owner.loop().cancel(std::exchange(this->delivery_timer, 0));
     if (this->socket.get()) {
--- a/adapters/src/outbound_socket.hpp
+++ b/adapters/src/outbound_socket.hpp
@@ -20,6 +20,10 @@
     [[nodiscard]] virtual transferred_bytes& bytes() = 0; // of all connections
 
     virtual void on_exchange_end(outbound_number exchange) = 0;
+    [[nodiscard]] virtual const boost::intrusive_ptr<byte_count>& held_bytes() const = 0;
+
+    // The connection holds more than before. Others may end, and this one too.
+    virtual void on_held(outbound_socket& connection) = 0;
 
     // The connection can be reused for another exchange until `idle_until`, unless that has passed.
     virtual void on_idle(outbound_socket& connection, decision::instant idle_until) = 0;
@@ -42,6 +46,13 @@
     void cancel();
     void pause(bool paused);
 
+    // Has the listener pass on what it holds, or ends the exchange. The listener may call the
+    // client.
+    void free_memory();
+
+    // Memory held of the current answer.
+    [[nodiscard]] std::size_t held_bytes() const { return this->held; }
+
     void on_ready(bool readable, bool writable, bool failed) override;
     void on_request(http_request_head head) override;
     [[nodiscard]] bool on_response(http_response_head head) override;
@@ -68,6 +79,7 @@
     void on_timer();
     void observe_delivery();
     void check_delivery();
+    void update_held();
     [[nodiscard]] bool is_request_delivered() const;
     [[nodiscard]] decision::instant idle_end() const;
 
@@ -91,6 +103,8 @@
     std::size_t body_bytes = 0;        // of the current answer
     std::size_t max_body = 0;          // zero: no limit
     bool message_complete = false;
+    std::size_t held = 0;
+    byte_charge held_charge;
     bool paused = false;
     bool reusable = true; // the connection can be reused after the current answer
     decision::duration announced_idle_time{};
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -114,7 +114,16 @@
     void on_body(std::string_view piece) override { this->body.append(piece); }
     void on_end() override { this->ended = true; }
     void on_failure(const outbound_failure& how) override { this->failure = how; }
+    [[nodiscard]] std::size_t held_bytes() const override { return this->body.size(); }
+    void release_held() override
+    {
+        if (this->passes_on) {
+            this->body.clear();
+            this->body.shrink_to_fit();
+        }
+    }
 
+    bool passes_on = false; // what it holds, if it is asked to
     std::vector<int> statuses;
     std::string body;
     bool ended = false;
@@ -338,6 +347,47 @@
     CHECK_TRUE(seen->failure && seen->failure->why == outbound_fault::malformed);
 }
 
+// Guards against answers that are each within their bounds and together exceed the memory.
+TEST(http_outbound, the_answers_that_hold_most_end_when_all_hold_too_much)
+{
+    IGNORE_ALL_LEAKS_IN_TEST(); // the log is created with its first line and kept
+    http_outbound_settings bounded;
+    bounded.max_held_bytes = 8000;
+    this->client = make_http_outbound(this->loop, bounded);
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n";
+    this->endpoint->answers = {head + std::string(3000, 'x'), head + std::string(100, 'x'),
+                               "HTTP/1.1 200 OK\r\nField: " + std::string(4000, 'x'),
+                               head + std::string(2000, 'x')};
+    std::vector<boost::intrusive_ptr<recording_listener>> all;
+    for (std::size_t count = 0; count < this->endpoint->answers.size(); ++count) {
+        all.emplace_back(new recording_listener);
+        this->client->start(this->endpoint->target(), {}, all.back());
+    }
+    this->run_for(milliseconds(80));
+    for (const auto& one : all) {
+        const bool has_head = !one->statuses.empty();
+        CHECK_TRUE(has_head ? !one->failure : one->failure->why == outbound_fault::no_memory);
+    }
+    CHECK_EQUAL(1U, this->client->counts().ended_for_memory);
+    CHECK_COMPARE(this->client->counts().held_bytes, <=, bounded.max_held_bytes);
+}
+
+TEST(http_outbound, an_answer_that_can_be_passed_on_does_not_end_when_it_holds_too_much)
+{
+    IGNORE_ALL_LEAKS_IN_TEST(); // the log is created with its first line and kept
+    http_outbound_settings bounded;
+    bounded.max_held_bytes = 1000;
+    this->client = make_http_outbound(this->loop, bounded);
+    this->endpoint->answers = {"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" +
+                               std::string(1999, 'x')};
+    const boost::intrusive_ptr<recording_listener> seen(new recording_listener);
+    seen->passes_on = true;
+    this->client->start(this->endpoint->target(), {}, seen);
+    this->run_for(milliseconds(80));
+    CHECK_FALSE(seen->failure.has_value());
+    CHECK_EQUAL(0U, this->client->counts().held_bytes);
+}
+
 TEST(http_outbound, malformed_bytes_fail)
 {
     this->endpoint->answers = {"garbage\r\n\r\n"};
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -35,6 +35,10 @@
 // Retry delay for callers whose request has waited for a configuration in vain.
 constexpr duration behind_retry_delay = std::chrono::milliseconds(300);
 
+// Failures of endpoints are kept for their callers while the answers hold less than this part of
+// what they may.
+constexpr std::size_t max_part_of_failures = 2;
+
 // Bytes of a caller-supplied request target that are logged.
 constexpr std::size_t max_logged_target = 100;
 
@@ -59,6 +63,7 @@
         return attempt_result::went_silent;
     case adapters::outbound_fault::connection_lost:
     case adapters::outbound_fault::malformed:
+    case adapters::outbound_fault::no_memory:
         break;
     }
     return attempt_result::failed;
@@ -162,6 +167,8 @@
     bool on_silence(ticket_number ticket, decision::attempt_number attempt);
     void on_failure(ticket_number ticket, decision::attempt_number attempt,
                     const adapters::outbound_failure& how);
+    [[nodiscard]] std::size_t held_bytes(ticket_number ticket, decision::attempt_number attempt);
+    void release_held(ticket_number ticket, decision::attempt_number attempt);
 
     adapters::event_loop& loop;
     adapters::http_outbound& endpoints;
@@ -223,6 +230,8 @@
     void pass_events(ticket_number ticket, relayed_request& relayed, std::string_view piece);
     void begin_answer(relayed_request& relayed);
     void buffer(ticket_number ticket, relayed_request& relayed, std::string_view piece);
+    void forward_buffered(relayed_request& relayed);
+    void keep_failed_answer(relayed_request& relayed);
     void discard(ticket_number ticket, relayed_request& relayed, std::size_t bytes);
     static void log_endless_answer(const relayed_request& relayed);
     [[nodiscard]] local_answer answer_to_forward(const relayed_request& relayed) const;
@@ -258,6 +267,8 @@
     void on_end() override;
     bool on_silence() override;
     void on_failure(const adapters::outbound_failure& how) override;
+    [[nodiscard]] std::size_t held_bytes() const override;
+    void release_held() override;
 
 private:
     boost::intrusive_ptr<event_relay::state> relay;
@@ -677,6 +688,7 @@
     this->apply_notice(ticket, *relayed);
     this->record_used_configuration(*relayed);
     current.head = head;
+    current.head_bytes = adapters::allocated_bytes(head.fields);
     current.first_token = this->loop.now() - current.started;
     if (is_refusal(current.facts.meaning)) {
         current.use = answer_use::discarded;
@@ -854,10 +866,7 @@
         return;
     }
     if (current.facts.meaning == answer_meaning::success) {
-        current.use = answer_use::forwarded;
-        this->begin_answer(relayed);
-        relayed.caller->write(current.buffered);
-        current.buffered.clear();
+        this->forward_buffered(relayed);
     } else {
         this->log_endless_answer(relayed);
         this->endpoints.cancel(current.exchange);
@@ -869,6 +878,50 @@
     }
 }
 
+void event_relay::state::forward_buffered(relayed_request& relayed)
+{
+    auto& current = relayed.attempt;
+    current.use = answer_use::forwarded;
+    this->begin_answer(relayed);
+    relayed.caller->write(current.buffered);
+    current.buffered.clear();
+    current.buffered.shrink_to_fit();
+}
+
+std::size_t event_relay::state::held_bytes(ticket_number ticket, decision::attempt_number attempt)
+{
+    const auto* relayed = this->find(ticket, attempt);
+    if (relayed == nullptr) {
+        return 0;
+    }
+    const auto& current = relayed->attempt;
+    return current.buffered.capacity() + current.events.allocated_bytes() + current.head_bytes;
+}
+
+// A plain answer can be passed on before it is whole. A part of an event cannot.
+void event_relay::state::release_held(ticket_number ticket, decision::attempt_number attempt)
+{
+    auto* relayed = this->find(ticket, attempt);
+    if (relayed != nullptr && relayed->attempt.use == answer_use::buffered &&
+        relayed->attempt.facts.meaning == answer_meaning::success) {
+        this->forward_buffered(*relayed);
+    }
+}
+
+// Keeps an endpoint's failure, unless the answers hold too much already.
+void event_relay::state::keep_failed_answer(relayed_request& relayed)
+{
+    auto answer = this->answer_to_forward(relayed);
+    relayed.failed_answer.reset();
+    relayed.failed_answer_charge = adapters::byte_charge(this->endpoints.held_bytes());
+    const auto bytes = answer.body.capacity() + adapters::allocated_bytes(answer.fields);
+    if (this->endpoints.held_bytes()->value() + bytes <=
+        this->endpoints.max_held_bytes() / max_part_of_failures) {
+        relayed.failed_answer_charge.set(bytes);
+        relayed.failed_answer = std::move(answer);
+    }
+}
+
 // The head has already said that the request did not run.
 void event_relay::state::discard(ticket_number ticket, relayed_request& relayed, std::size_t bytes)
 {
@@ -980,7 +1033,7 @@
         const bool repeatable = decision::may_run_again(relayed->request.kind);
         end.result = repeatable ? attempt_result::failed : attempt_result::finished;
         if (repeatable) {
-            relayed->failed_answer = this->answer_to_forward(*relayed);
+            this->keep_failed_answer(*relayed);
         }
         end.answered_error = repeatable;
         end.answer_reports_failure = true;
@@ -1222,6 +1275,16 @@
     this->relay->on_failure(this->ticket, this->attempt, how);
 }
 
+std::size_t attempt_listener::held_bytes() const
+{
+    return this->relay->held_bytes(this->ticket, this->attempt);
+}
+
+void attempt_listener::release_held()
+{
+    this->relay->release_held(this->ticket, this->attempt);
+}
+
 } // namespace
 
 event_relay::event_relay(adapters::event_loop& loop, adapters::http_outbound& endpoints,
--- a/router/src/event_splitter.hpp
+++ b/router/src/event_splitter.hpp
@@ -32,6 +32,9 @@
     // Size of the incomplete event in bytes.
     [[nodiscard]] std::size_t part_size() const { return this->part.size(); }
 
+    // Memory that it takes.
+    [[nodiscard]] std::size_t allocated_bytes() const { return this->part.capacity(); }
+
 private:
     std::string part;
     std::size_t line_begin = 0; // start of the incomplete line in `part`
--- a/router/src/relayed_request.hpp
+++ b/router/src/relayed_request.hpp
@@ -31,6 +31,7 @@
     decision::instant started;
     decision::duration first_token{};
     adapters::http_response_head head;
+    std::size_t head_bytes = 0; // memory that its fields take
     answer_facts facts;
     answer_use use = answer_use::awaited;
     std::string buffered;
@@ -53,7 +54,8 @@
     decision::duration longest_pause{};        // between two pieces, for the log
     std::uint64_t last_event = 0;              // last event sent to the caller
     std::optional<local_answer> failed_answer; // an endpoint's, used if no attempt succeeds
-    std::string history;                       // attempts so far, for the log
+    adapters::byte_charge failed_answer_charge;
+    std::string history; // attempts so far, for the log
 };
 
 } // namespace pearhaven::router
--- a/router/test/event_relay_test.cpp
+++ b/router/test/event_relay_test.cpp
@@ -293,6 +293,13 @@
         CHECK_FALSE(this->dispatcher->take_actions().empty());
     }
 
+    void limit_held_answers(std::size_t bytes)
+    {
+        adapters::http_outbound_settings bounded;
+        bounded.max_held_bytes = bytes;
+        this->client = adapters::make_http_outbound(this->loop, bounded);
+    }
+
     // Creates the relay with the settings that the test has chosen.
     void open()
     {
@@ -835,6 +842,57 @@
     CHECK_FALSE(this->caller->has("xxx"));
 }
 
+// Guards against events that are each within their bound and together exceed the memory.
+TEST(event_relay, an_event_beyond_the_memory_for_answers_is_given_up)
+{
+    this->limit_held_answers(4000);
+    this->begin()
+        .when(this->has_run(0),
+              [this] {
+                  this->run_at(0)->send(stream_head + event(1) +
+                                        adapters::write_chunk("data: " + std::string(5000, 'x')));
+              })
+        .when(this->has_run(1),
+              [this] { this->run_at(1)->send(stream_head + event(2) + stream_end()); })
+        .until(this->caller_has(stream_end()));
+    CHECK_TRUE(this->script->run());
+    CHECK_FALSE(this->caller->has("xxx"));
+}
+
+// Guards against a whole answer that is given up for the memory, although it could be passed on.
+TEST(event_relay, an_answer_beyond_the_memory_for_answers_is_passed_on_before_it_is_whole)
+{
+    this->dialect.prototype.kind = work_kind::at_most_once;
+    this->limit_held_answers(4000);
+    this->begin()
+        .when(this->has_run(0),
+              [this] {
+                  this->run_at(0)->send("HTTP/1.1 200 OK\r\nContent-Length: 5001\r\n\r\n" +
+                                        std::string(5000, 'x'));
+              })
+        .when(this->caller_has("xxx"), [this] { this->run_at(0)->send("y"); })
+        .when(this->caller_has(stream_end()), [this] { this->caller->close(); });
+    this->finish(false);
+    CHECK_TRUE(this->caller->has("y"));
+}
+
+// Guards against failures of endpoints that are kept for all callers at once.
+TEST(event_relay, a_failure_beyond_the_memory_for_answers_is_not_kept)
+{
+    this->dialect.prototype.kind = work_kind::idempotent;
+    this->limit_held_answers(4000);
+    const auto fail = [this](std::size_t index) {
+        this->run_at(index)->send("HTTP/1.1 500 X\r\nContent-Length: 3000\r\n\r\n" +
+                                  std::string(3000, 'x'));
+    };
+    this->begin()
+        .when(this->has_run(0), [fail] { fail(0); })
+        .when(this->has_run(1), [fail] { fail(1); })
+        .when(this->caller_has("refused, may have run"), [this] { this->caller->close(); });
+    this->finish(false);
+    CHECK_FALSE(this->caller->has("xxx"));
+}
+
 // Guards against an answer of a failure whose body never ends, which was buffered without limit.
 TEST(event_relay, a_failed_answer_without_an_end_does_not_exhaust_memory)
 {
