Take no request in a stop that would end after it

What callers saw (a report of other operators; shown here with a real router, a grace of 8 s and endpoints that work for 6 s, known from three earlier answers): a request that may run once, sent 1.8 s after SIGTERM, was taken, run, and answered 502 at the end of the grace.

Cause: the length of a kind's answers counted as known from eight answers on; the ninetieth percentile decided also for requests that may run once; and the question was asked on arrival only, not when a request left the queue.

Change: a request that may run once is measured by the longest answer known of its kind, or the longest run in progress, and a tenth more, and so is any other while few answers are known. Of an unknown kind, one that may run once is taken only if its deadline is within the stop. A request that waits is asked again when it leaves the queue. What would end late is refused at once, as not run.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -648,6 +648,9 @@
     [[nodiscard]] std::optional<failure> admission_failure(const request_state& probe,
                                                            instant now) const;
     [[nodiscard]] std::optional<failure> stop_failure(const arrival& request, instant now) const;
+    [[nodiscard]] std::optional<failure> late_run_failure(const arrival& request,
+                                                          instant now) const;
+    [[nodiscard]] duration time_to_answer(const arrival& request, instant now) const;
     [[nodiscard]] std::optional<failure> load_failure(const arrival& request, instant now) const;
     [[nodiscard]] std::optional<failure> caller_failure(const arrival& request) const;
     [[nodiscard]] std::optional<failure> quarantine_failure(const request_state& state,
--- a/decision/include/pearhaven/decision/response_times.hpp
+++ b/decision/include/pearhaven/decision/response_times.hpp
@@ -22,6 +22,9 @@
     // eight have been recorded.
     [[nodiscard]] std::optional<duration> ninetieth_percentile(const std::string& kind) const;
 
+    // The longest of the recent response times of this kind, or nothing if none was recorded.
+    [[nodiscard]] std::optional<duration> longest(const std::string& kind) const;
+
 private:
     // About what a router sees of a rare kind within half a minute. A running estimate would need
     // less memory, but an unusual first answer would distort it for about a hundred more.
--- a/decision/src/dispatcher.cpp
+++ b/decision/src/dispatcher.cpp
@@ -593,6 +593,11 @@
         }
         return refused;
     }
+    if (!state.delivered) {
+        if (auto refused = this->late_run_failure(state.request, now)) {
+            return refused;
+        }
+    }
     if (state.owes_retry && !this->awaits_continuation(state, now) &&
         !this->can_spend_retry(state.request, now)) {
         return retryable_failure(failure_code::overloaded, short_retry_delay,
--- a/decision/src/dispatcher_admission.cpp
+++ b/decision/src/dispatcher_admission.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+// By how much a request in a stop may take longer than the longest one that is known.
+constexpr double stop_margin_factor = 1.1;
+
 std::optional<failure> to_failure(const version_answer& answer, const std::string& asked)
 {
     switch (answer.refusal) {
@@ -60,30 +63,54 @@
     return this->load_failure(request, now);
 }
 
-// A request that is admitted and then cut off at the end of the stop costs its caller a partial
-// answer and its endpoint the work. The time that nine of ten answers of the kind need is known; a
-// request refused because of it may go to another router. Streams that another router can continue
-// are exempt: when many routers stop in turn, the next one is often stopping too, and refusing them
-// serves no more callers.
 std::optional<failure> dispatcher::stop_failure(const arrival& request, instant now) const
 {
-    if (!this->stop) {
-        return std::nullopt;
-    }
-    if (now >= this->stop->last_admission) {
+    if (this->stop && now >= this->stop->last_admission) {
         return retryable_failure(failure_code::stopping, short_retry_delay,
                                  "this router is stopping");
     }
-    if (request.on_loss == continuation::another_run) {
+    return this->late_run_failure(request, now);
+}
+
+// A request that is run and then cut off at the end of the stop costs its caller a partial answer,
+// or one that may not be asked for again, and its endpoint the work. One that is refused may go to
+// another router. Streams that another router can continue are exempt: when many routers stop in
+// turn, the next one is often stopping too, and refusing them serves no more callers.
+std::optional<failure> dispatcher::late_run_failure(const arrival& request, instant now) const
+{
+    if (!this->stop || request.on_loss == continuation::another_run) {
         return std::nullopt;
     }
-    const auto usual_time = this->completion_times.ninetieth_percentile(kind_of(request));
-    if (usual_time && std::min(now + *usual_time, request.deadline) > this->stop->end) {
-        return retryable_failure(
-            failure_code::stopping, short_retry_delay,
-            "this router stops before an answer of the usual length would end");
+    const auto end = std::min(request.deadline - now, this->time_to_answer(request, now)) + now;
+    if (end <= this->stop->end) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    return retryable_failure(failure_code::stopping, short_retry_delay,
+                             "this router stops before an answer of the usual length would end");
+}
+
+// How long the request may take. If few answers of the kind are known, or if the request may run
+// once, the longest counts, with a margin. Nothing is known without one: a request that may be
+// repeated counts as short then, and any other one as long.
+duration dispatcher::time_to_answer(const arrival& request, instant now) const
+{
+    const auto& kind = kind_of(request);
+    const auto usual = this->completion_times.ninetieth_percentile(kind);
+    if (usual && request.idempotent) {
+        return *usual;
+    }
+    auto longest = this->completion_times.longest(kind);
+    for (const auto& [ticket, state] : this->requests) {
+        const auto elapsed = now - state.arrived;
+        if (!state.address.empty() && elapsed > longest.value_or(duration::zero()) &&
+            kind_of(state.request) == kind) {
+            longest = elapsed;
+        }
+    }
+    if (!longest) {
+        return request.idempotent ? duration::zero() : duration::max();
+    }
+    return std::chrono::duration_cast<duration>(*longest * stop_margin_factor);
 }
 
 std::optional<failure> dispatcher::load_failure(const arrival& request, instant now) const
--- a/decision/src/response_times.cpp
+++ b/decision/src/response_times.cpp
@@ -38,4 +38,15 @@
     return samples[rank];
 }
 
+std::optional<duration> response_times::longest(const std::string& kind) const
+{
+    const auto times = this->kinds.find(kind);
+    if (times == this->kinds.end()) {
+        return std::nullopt;
+    }
+    const auto& samples = times->second.samples;
+    const auto count = std::min(times->second.recorded, max_samples);
+    return *std::max_element(samples.begin(), samples.begin() + static_cast<std::ptrdiff_t>(count));
+}
+
 } // namespace pearhaven::decision
--- a/decision/test/routed_dispatch_test.cpp
+++ b/decision/test/routed_dispatch_test.cpp
@@ -648,6 +648,76 @@
     CHECK_EQUAL(16U, this->last_start().ticket);
 }
 
+// Guards against requests that are taken in a stop and cut off at its end: how long answers of the
+// kind take is known from a few, or from runs in progress, or not at all.
+TEST(routed_dispatch, a_stopping_router_takes_no_request_that_may_run_once_and_end_late)
+{
+    ticket_number last = 0;
+    const auto request_of = [&last](const std::string& kind, bool idempotent, seconds deadline) {
+        auto request = make_request();
+        request.ticket = ++last;
+        request.kind = kind;
+        request.sizes = 0;
+        request.idempotent = idempotent;
+        request.on_loss = continuation::none;
+        request.deadline = now + deadline;
+        return request;
+    };
+    const auto takes = [this](const arrival& request, milliseconds after) {
+        this->router->on_arrival(request, now + after);
+        return this->last_start().ticket == request.ticket;
+    };
+    for (const auto time : {seconds(1), seconds(4)}) {
+        const auto known = request_of("claim", false, seconds(20));
+        this->router->on_arrival(known, now - time);
+        attempt_end end;
+        end.ticket = known.ticket;
+        end.attempt = this->last_start().attempt;
+        end.result = attempt_result::finished;
+        this->router->on_attempt_end(end, now);
+    }
+    CHECK_TRUE(takes(request_of("running", true, seconds(20)), -seconds(5)));
+    this->router->begin_stop({now + milliseconds(2800), now + milliseconds(7600)});
+    CHECK_TRUE(takes(request_of("claim", false, seconds(20)), seconds(2)));
+    this->router->begin_stop({now + milliseconds(2800), now + milliseconds(6200)});
+    CHECK_FALSE(takes(request_of("claim", false, seconds(20)), seconds(2)));
+    const auto* refused = this->last_action<give_up_request>();
+    CHECK_TRUE(refused != nullptr && refused->why.code == failure_code::stopping &&
+               refused->why.run == run_state::not_run &&
+               refused->why.retry_after > duration::zero());
+    CHECK_FALSE(takes(request_of("claim", true, seconds(20)), seconds(2)));
+    CHECK_TRUE(takes(request_of("claim", false, seconds(6)), seconds(2)));
+    CHECK_FALSE(takes(request_of("running", true, seconds(20)), seconds(2)));
+    CHECK_FALSE(takes(request_of("unknown", false, seconds(20)), seconds(2)));
+    CHECK_TRUE(takes(request_of("unknown", false, seconds(6)), seconds(2)));
+    CHECK_TRUE(takes(request_of("unknown", true, seconds(20)), seconds(2)));
+}
+
+// Guards against a request that waits, starts late in a stop and is cut off at its end.
+TEST(routed_dispatch, a_stopping_router_refuses_a_waiting_request_once_it_would_end_late)
+{
+    constexpr ticket_number slots = ticket_number{3} * 64;
+    for (ticket_number ticket = 1; ticket <= slots + 1; ++ticket) {
+        auto request = make_request();
+        request.ticket = ticket;
+        request.sizes = 0;
+        request.idempotent = false;
+        request.on_loss = continuation::none;
+        this->router->on_arrival(request, now);
+    }
+    CHECK_EQUAL(1U, this->router->queued());
+    this->last_start();
+    this->router->begin_stop({now + seconds(2), now + seconds(5)});
+    this->router->on_tick(now + milliseconds(2300), now + milliseconds(2300));
+    CHECK_EQUAL(1U, this->router->queued());
+    this->router->on_tick(now + milliseconds(2500), now + milliseconds(2500));
+    CHECK_EQUAL(0U, this->router->queued());
+    this->last_start();
+    const auto* refused = this->last_action<give_up_request>();
+    CHECK_TRUE(refused != nullptr && refused->ticket == slots + 1 &&
+               refused->why.run == run_state::not_run);
+}
+
 // Prompts are four times as long as elsewhere, and answers begin after 2 s of an objective of 3 s.
 // Endpoints were given up after 1.8 s of silence while they read the prompt, one after the other,
 // so that each prompt was read twice and the endpoints became slower still.
