Keep an endpoint that refuses a model

What callers saw: a client named a model that the endpoints do not have.

Cause: each 421 counted as another process at the endpoint's address, and marked the endpoint as leaving. Its Instance-Id, which names the process that was meant, was not looked at.

Change: a 421 of the expected process is about the request.

--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -50,6 +50,7 @@
 
 enum class failure_code : std::uint8_t {
     unknown_model,
+    model_refused, // an endpoint that serves the target does not have the model that was named
     not_allowed,
     version_withdrawn,
     session_ended, // the session's version is withdrawn or no longer allowed
@@ -142,6 +143,7 @@
     attempt_number attempt = 0;
     attempt_result result = attempt_result::failed;
     bool endpoint_leaving = false; // the refusal reported that the endpoint is leaving
+    bool model_refused = false;    // the refusal is about the request, not about the endpoint
     bool run_lost = false; // the endpoint no longer knows the run, for example after a restart
 
     // On this connection: the endpoint is alive, even if it is silent now.
@@ -705,6 +707,7 @@
     void start(request_state& state, const start_choice& where, instant now);
     void after_finish(request_state& state, const attempt_end& end, instant now);
     void after_refusal(request_state& state, const attempt_end& end, instant now);
+    void after_model_refusal(request_state& state, instant now);
     void after_break(request_state& state, const attempt_end& end, instant now);
     void after_loss(request_state& state, const attempt_end& end, instant now);
     void resume(request_state& state, const attempt_end& end);
--- a/decision/src/dispatcher_attempts.cpp
+++ b/decision/src/dispatcher_attempts.cpp
@@ -55,7 +55,8 @@
         this->after_finish(state, end, now);
         break;
     case attempt_result::refused:
-        this->after_refusal(state, end, now);
+        end.model_refused ? this->after_model_refusal(state, now)
+                          : this->after_refusal(state, end, now);
         break;
     case attempt_result::unreachable:
         this->record_left_runs_as_lost(state.address, state.incarnation,
@@ -154,6 +155,18 @@
     this->retry(state);
 }
 
+// Every endpoint of the target would refuse it. One that does so is as sound as before: a caller
+// must not be able to take endpoints from others by what it asks for.
+void dispatcher::after_model_refusal(request_state& state, instant now)
+{
+    const auto& request = state.request;
+    this->record_attempt_end(state, attempt_result::cancelled, duration::zero(), now);
+    this->queue.settle(request.team, request.work.tokens, 0.0);
+    const auto run = state.may_have_run ? run_state::unknown : run_state::not_run;
+    this->give_up(request.ticket, {failure_code::model_refused, run, false, duration::zero(),
+                                   "the endpoints do not have the model that was asked for"});
+}
+
 // The connection to the run broke. The endpoint may still be running it, so the first step is to
 // resume the same run over a new connection, which does not count as a second run.
 void dispatcher::after_break(request_state& state, const attempt_end& end, instant now)
--- a/decision/test/routed_dispatch_test.cpp
+++ b/decision/test/routed_dispatch_test.cpp
@@ -581,6 +581,33 @@
     CHECK_EQUAL(0U, this->last_start().ticket);
 }
 
+// Guards against a caller that takes a service's endpoints from all others, by asking for a model
+// that they do not have.
+TEST(routed_dispatch, a_refused_model_says_nothing_about_the_endpoint)
+{
+    for (ticket_number ticket = 1; ticket <= 9; ++ticket) {
+        auto request = make_request();
+        request.ticket = ticket;
+        request.sizes = 0;
+        this->router->on_arrival(request, now);
+        attempt_end refused;
+        refused.ticket = ticket;
+        refused.attempt = this->last_start().attempt;
+        CHECK_EQUAL(1U, refused.attempt);
+        refused.result = attempt_result::refused;
+        refused.model_refused = true;
+        this->router->on_attempt_end(refused, now);
+        CHECK_EQUAL(0U, this->last_start().attempt);
+        const auto* end = this->last_action<give_up_request>();
+        CHECK_TRUE(end != nullptr && end->why.code == failure_code::model_refused &&
+                   end->why.run == run_state::not_run && !end->why.resend);
+    }
+    auto ordinary = make_request();
+    ordinary.ticket = 10;
+    this->router->on_arrival(ordinary, now);
+    CHECK_EQUAL(10U, this->last_start().ticket);
+}
+
 TEST(routed_dispatch, an_attempt_may_be_given_up_only_while_another_is_left)
 {
     this->router->on_arrival(make_request(), now);
--- a/router/include/pearhaven/router/caller_dialect.hpp
+++ b/router/include/pearhaven/router/caller_dialect.hpp
@@ -23,6 +23,7 @@
     std::uint64_t configuration = 0; // revision of the configuration that allows it
     std::uint64_t last_event = 0;    // last event of the stream that the caller received; 0: none
     std::vector<std::string> models; // smallest first; empty: the request names its own model
+    bool names_model = false;
     decision::duration longest_pause{}; // maximum gap between events of a stream; zero: no limit
 
     friend bool operator==(const routed_request&, const routed_request&) = default;
@@ -63,6 +64,7 @@
     refused,               // not run: the endpoint has no capacity
     refused_leaving,       // not run: the endpoint is draining
     refused_other_process, // not run: another process has taken over the address
+    refused_model,         // not run: the endpoint does not have the model that the caller named
     of_other_request,      // a stale answer to an earlier request on the connection
 };
 
@@ -70,6 +72,9 @@
     answer_meaning meaning = answer_meaning::endpoint_error;
     double confidence = 100.0; // the model's confidence in its answer, 0 to 100
 
+    // The process that answers, as it states; empty if it does not.
+    std::string process;
+
     // What the endpoint states about itself; nothing if the answer is not known to be its own.
     std::optional<decision::endpoint_notice> notice;
 
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -123,7 +123,8 @@
 bool is_refusal(answer_meaning meaning)
 {
     return meaning == answer_meaning::refused || meaning == answer_meaning::refused_leaving ||
-           meaning == answer_meaning::refused_other_process;
+           meaning == answer_meaning::refused_other_process ||
+           meaning == answer_meaning::refused_model;
 }
 
 // A request that waits for a configuration, until a time at which it is refused.
@@ -685,6 +686,11 @@
     if (current.facts.meaning == answer_meaning::of_other_request) {
         return head_verdict::skip;
     }
+    // The process that was meant refuses the request for what it is.
+    if (current.facts.meaning == answer_meaning::refused_other_process &&
+        current.facts.process == current.endpoint.address) {
+        current.facts.meaning = answer_meaning::refused_model;
+    }
     this->apply_notice(ticket, *relayed);
     this->record_used_configuration(*relayed);
     current.head = head;
@@ -1026,7 +1032,9 @@
     end.first_token = current.first_token;
     if (is_refusal(current.facts.meaning)) {
         end.result = attempt_result::refused;
-        end.endpoint_leaving = current.facts.meaning != answer_meaning::refused;
+        end.endpoint_leaving = current.facts.meaning == answer_meaning::refused_leaving ||
+                               current.facts.meaning == answer_meaning::refused_other_process;
+        end.model_refused = current.facts.meaning == answer_meaning::refused_model;
         this->log_brittle_refusal(*relayed);
     } else if (current.facts.meaning == answer_meaning::endpoint_error ||
                current.facts.meaning == answer_meaning::unproven) {
--- a/router/src/http_reply.cpp
+++ b/router/src/http_reply.cpp
@@ -23,6 +23,7 @@
 {
     switch (code) {
     case failure_code::unknown_model:
+    case failure_code::model_refused:
         return {"unknown_model", status_not_found};
     case failure_code::not_allowed:
         return {"not_allowed", status_forbidden};
