Tell ended answers from those that were passed on

pearhaven_answers_ended_for_memory counted a plain answer that was passed on and then held nothing as one that had ended. Two constants and two members say what they are.

--- a/adapters/src/http_outbound.cpp
+++ b/adapters/src/http_outbound.cpp
@@ -57,7 +57,7 @@
     void on_exchange_end(outbound_number exchange) override { this->exchanges.erase(exchange); }
     void on_idle(outbound_socket& connection, decision::instant idle_until) override;
     void on_closed(outbound_socket& connection) override;
-    void on_held(outbound_socket& connection) override;
+    void on_held() override;
 
 private:
     struct idle_connection {
@@ -160,7 +160,7 @@
 }
 
 // Those that hold most come first, so that ordinary answers beside them are not affected.
-void outbound_client::on_held(outbound_socket& /*connection*/)
+void outbound_client::on_held()
 {
     while (this->held->value() > this->configured.max_held_bytes) {
         auto* const holder = this->greatest_holder();
@@ -168,11 +168,11 @@
             return;
         }
         const auto bytes = holder->held_bytes();
-        holder->free_memory();
-        const bool has_ended = holder->exchange() == 0 || holder->held_bytes() == 0;
+        const bool has_ended = holder->free_memory();
         this->counted.ended_for_memory += has_ended ? 1 : 0;
-        log_warning("answers_hold_too_much",
-                    {{"endpoint", holder->target().pool}, {"held_bytes", std::to_string(bytes)}});
+        log_warning("answers_hold_too_much", {{"endpoint", holder->target().pool},
+                                              {"held_bytes", std::to_string(bytes)},
+                                              {"ended", has_ended ? "true" : "false"}});
     }
 }
 
--- a/adapters/src/outbound_socket.cpp
+++ b/adapters/src/outbound_socket.cpp
@@ -294,7 +294,7 @@
     const auto held_before = this->held;
     this->update_held();
     if (this->held > held_before && !this->message_complete) {
-        this->owner.on_held(*this);
+        this->owner.on_held();
     }
     if (this->current_phase == phase::busy && this->message_complete) {
         // Bytes after the answer belong to no request, so later data on this connection cannot be
@@ -311,7 +311,7 @@
     this->held_charge.set(this->held);
 }
 
-void outbound_socket::free_memory()
+bool outbound_socket::free_memory()
 {
     const auto held_before = this->held;
     this->listener->release_held();
@@ -319,6 +319,7 @@
     if (this->current_phase == phase::busy && this->held >= held_before) {
         this->fail(outbound_fault::no_memory);
     }
+    return this->current_phase == phase::closed;
 }
 
 void outbound_socket::on_request(http_request_head /*head*/) {}
--- a/adapters/src/outbound_socket.hpp
+++ b/adapters/src/outbound_socket.hpp
@@ -22,8 +22,8 @@
     virtual void on_exchange_end(outbound_number exchange) = 0;
     [[nodiscard]] virtual const boost::intrusive_ptr<byte_count>& held_bytes() const = 0;
 
-    // The connection holds more than before. Others may end, and this one too.
-    virtual void on_held(outbound_socket& connection) = 0;
+    // A connection holds more than before. Any connection may end in this call.
+    virtual void on_held() = 0;
 
     // The connection can be reused for another exchange until `idle_until`, unless that has passed.
     virtual void on_idle(outbound_socket& connection, decision::instant idle_until) = 0;
@@ -46,9 +46,9 @@
     void cancel();
     void pause(bool paused);
 
-    // Has the listener pass on what it holds, or ends the exchange. The listener may call the
-    // client.
-    void free_memory();
+    // Has the listener pass on what it holds, or ends the exchange. Returns whether it has ended.
+    // The listener may call the client.
+    bool free_memory();
 
     // Memory held of the current answer.
     [[nodiscard]] std::size_t held_bytes() const { return this->held; }
--- a/adapters/test/http_outbound_test.cpp
+++ b/adapters/test/http_outbound_test.cpp
@@ -385,6 +385,7 @@
     this->client->start(this->endpoint->target(), {}, seen);
     this->run_for(milliseconds(80));
     CHECK_FALSE(seen->failure.has_value());
+    CHECK_EQUAL(0U, this->client->counts().ended_for_memory);
     CHECK_EQUAL(0U, this->client->counts().held_bytes);
 }
 
--- a/decision/include/pearhaven/decision/dispatcher.hpp
+++ b/decision/include/pearhaven/decision/dispatcher.hpp
@@ -94,8 +94,9 @@
     std::string team;
     std::string key_sha256; // digest of the caller's key; empty if no key was required
 
-    // Without a key: it may run only while the configuration needs none.
+    // It has no key and its route is not public, so it may run only while no keys are needed.
     bool needs_open_access = false;
+
     std::string asked; // model, version or cascade; with `is_service`, the service name
     std::string kind;  // requests of one kind take similar time; if empty, `asked` is the kind
     bool is_service = false;
--- a/router/include/pearhaven/router/caller_dialect.hpp
+++ b/router/include/pearhaven/router/caller_dialect.hpp
@@ -23,7 +23,7 @@
     std::uint64_t configuration = 0; // revision of the configuration that allows it
     std::uint64_t last_event = 0;    // last event of the stream that the caller received; 0: none
     std::vector<std::string> models; // smallest first; empty: the request names its own model
-    bool names_model = false;
+    bool names_model = false;        // the caller chose one, rather than leave it to the router
     decision::duration longest_pause{}; // maximum gap between events of a stream; zero: no limit
 
     friend bool operator==(const routed_request&, const routed_request&) = default;
--- a/router/src/event_relay.cpp
+++ b/router/src/event_relay.cpp
@@ -35,9 +35,9 @@
 // Retry delay for callers whose request has waited for a configuration in vain.
 constexpr duration behind_retry_delay = std::chrono::milliseconds(300);
 
-// Failures of endpoints are kept for their callers while the answers hold less than this part of
-// what they may.
-constexpr std::size_t max_part_of_failures = 2;
+// Part of the memory for answers up to which endpoints' failures are kept for their callers, while
+// other endpoints are asked.
+constexpr std::size_t parts_for_kept_failures = 2;
 
 // Bytes of a caller-supplied request target that are logged.
 constexpr std::size_t max_logged_target = 100;
@@ -922,7 +922,7 @@
     relayed.failed_answer_charge = adapters::byte_charge(this->endpoints.held_bytes());
     const auto bytes = answer.body.capacity() + adapters::allocated_bytes(answer.fields);
     if (this->endpoints.held_bytes()->value() + bytes <=
-        this->endpoints.max_held_bytes() / max_part_of_failures) {
+        this->endpoints.max_held_bytes() / parts_for_kept_failures) {
         relayed.failed_answer_charge.set(bytes);
         relayed.failed_answer = std::move(answer);
     }
