Expect 101 to be refused in the parser's fuzz test

The example is now one of two that must be reported as malformed, one of them after a valid response; before, it only had to be read without a fault. Both are still mutated and split like the valid ones.

--- a/adapters/test/parser_fuzz_test.cpp
+++ b/adapters/test/parser_fuzz_test.cpp
@@ -113,9 +113,13 @@
     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc",
     "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nto the end",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ndata:\r\n2\r\n\n\n\r\n0\r\n\r\n",
-    "HTTP/1.1 101 Switching\r\nUpgrade: w\r\nConnection: upgrade\r\n\r\n",
     "HTTP/1.1 500 Error\r\nX: " + std::string(max_head - 23, 'x') + "\r\n\r\n"};
 
+// No request asks for another protocol.
+const std::vector<std::string> refused_responses = {
+    "HTTP/1.1 101 Switching\r\nUpgrade: w\r\nConnection: upgrade\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 101 Switching\r\nUpgrade: w\r\n\r\n"};
+
 // Whether a value parsed from the bytes, if any, is parsed again from its own encoding.
 template <class Read, class Write>
 bool round_trips(const std::string& bytes, const Read& read, const Write& write)
@@ -180,8 +184,14 @@
     for (const auto& example : responses) {
         CHECK_TRUE(read_pieces(http_reader_kind::responses, {example})->ends_with("fault 0"));
     }
+    const auto malformed = "fault " + std::to_string(static_cast<int>(framing_fault::malformed));
+    for (const auto& example : refused_responses) {
+        CHECK_TRUE(read_pieces(http_reader_kind::responses, {example})->ends_with(malformed));
+    }
+    auto examples = responses;
+    examples.insert(examples.end(), refused_responses.begin(), refused_responses.end());
     const auto failure =
-        first_fault(responses, 2'000, [](const std::string& bytes, byte_mutator& mutator) {
+        first_fault(examples, 2'000, [](const std::string& bytes, byte_mutator& mutator) {
             return reads_same_for_any_split(http_reader_kind::responses, bytes, mutator);
         });
     CHECK_EQUAL(std::string(), failure);
