--- a/adapters/include/pearhaven/adapters/http_message.hpp
+++ b/adapters/include/pearhaven/adapters/http_message.hpp
@@ -57,7 +57,7 @@
 // Why received bytes are not a valid message.
 enum class framing_fault : std::uint8_t {
     none,
-    malformed,        // not HTTP, ambiguous framing, or a status that is none
+    malformed,        // not HTTP, ambiguous framing, or an invalid status
     head_too_long,    // more header bytes, or fields, than allowed
     truncated,        // the connection ended inside a message
     unexpected_bytes, // bytes where no message was expected
--- a/adapters/src/http_exchange.hpp
+++ b/adapters/src/http_exchange.hpp
@@ -110,7 +110,7 @@
     bool paused = false;
     bool head_finished = false;
     bool has_framing = false; // the answer has a length or chunks
-    bool malformed = false;   // too large, or with a status that is none
+    bool malformed = false;   // too large, or with an invalid status
     std::size_t head_bytes = 0;
     std::size_t body_bytes = 0;
     int status = 0;
--- a/adapters/test/http_client_test.cpp
+++ b/adapters/test/http_client_test.cpp
@@ -367,8 +367,8 @@
     CHECK_FALSE(whole.error);
 }
 
-// Guards against a status that is none and counts as an answer's, or as an interim answer's.
-TEST(http_client, an_answer_without_a_status_of_an_answer_is_malformed)
+// Guards against an invalid status that counts as that of an answer, or of an interim answer.
+TEST(http_client, an_answer_with_an_invalid_status_is_malformed)
 {
     const std::vector<std::string> statuses = {"000", "099", "101", "600", "999"};
     raw_server server([&statuses](raw_connection& connection, int index) {
--- a/adapters/test/http_message_test.cpp
+++ b/adapters/test/http_message_test.cpp
@@ -132,9 +132,9 @@
     }
 }
 
-// Guards against a status that is none and reaches a caller as an answer's, or has its request wait
-// for another answer.
-TEST(http_message, refuses_answers_without_a_status_of_an_answer)
+// Guards against an answer with an invalid status that reaches a caller, or keeps its request
+// waiting for another answer.
+TEST(http_message, refuses_answers_with_an_invalid_status)
 {
     const auto fault_of = [](const std::string& line) {
         recorder seen;
--- a/decision/include/pearhaven/decision/configuration.hpp
+++ b/decision/include/pearhaven/decision/configuration.hpp
@@ -57,8 +57,8 @@
     friend bool operator==(const team&, const team&) = default;
 };
 
-// Whether callers have to identify their team by a key. It is stated apart from the teams: once the
-// last team is removed, no key is valid, and none is dispensable.
+// Whether callers have to identify their team by a key. It is stated apart from the teams: keys are
+// still needed once the last team is removed, and none is valid then.
 enum class key_policy : std::uint8_t {
     needed,
     none, // the operators have declared no teams
